--- /dev/null
+++ b/adapter/link/set.go
@@ -0,0 +1,194 @@
+// Package link keeps the outgoing step connections of a process, one for each
+// peer. What is queued for a peer while a frame is being written travels in
+// the next frame together.
+package link
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/grademill/grademill/adapter/frame"
+	"github.com/grademill/grademill/wire"
+)
+
+// Protocol is the first byte on a connection that carries steps.
+const Protocol = 'S'
+
+const (
+	dialTimeout  = 2 * time.Second
+	writeTimeout = 5 * time.Second
+	// maxPending bounds the messages that wait for one peer.
+	maxPending = 1 << 16
+)
+
+// Set is the connections to all peers. Set the exported fields before the
+// first use. A connection that breaks loses what was queued on it; Down tells,
+// and the next message dials anew.
+type Set struct {
+	// Name and Incarnation go into the hello.
+	Name        string
+	Incarnation uint64
+	// Down is called, without locks held, when the connection to a peer breaks.
+	Down func(address string)
+	// Log gets a line for each broken connection.
+	Log zerolog.Logger
+
+	mu     sync.Mutex
+	peers  map[string]*peer
+	closed bool
+}
+
+// Step queues a step for the process at address.
+func (s *Set) Step(address string, m *wire.Step) {
+	s.queue(address, func(b *wire.Batch) { b.Steps = append(b.Steps, m) })
+}
+
+// Token queues a token for the process at address.
+func (s *Set) Token(address string, m *wire.Token) {
+	s.queue(address, func(b *wire.Batch) { b.Tokens = append(b.Tokens, m) })
+}
+
+// Cancel queues a cancel for the process at address.
+func (s *Set) Cancel(address string, m *wire.Cancel) {
+	s.queue(address, func(b *wire.Batch) { b.Cancels = append(b.Cancels, m) })
+}
+
+// Trouble queues a trouble for the process at address.
+func (s *Set) Trouble(address string, m *wire.Trouble) {
+	s.queue(address, func(b *wire.Batch) { b.Troubles = append(b.Troubles, m) })
+}
+
+// Close closes all connections.
+func (s *Set) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for _, p := range s.peers {
+		p.cancel()
+	}
+}
+
+func (s *Set) queue(address string, add func(*wire.Batch)) {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return
+	}
+	p := s.peers[address]
+	if p == nil {
+		p = s.start(address)
+	}
+	full := p.count >= maxPending
+	if !full {
+		add(p.pending)
+		p.count++
+	}
+	s.mu.Unlock()
+	if full {
+		p.cancel()
+		return
+	}
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// start makes the peer and its goroutine; s.mu is held.
+func (s *Set) start(address string) *peer {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &peer{address: address, pending: new(wire.Batch), wake: make(chan struct{}, 1), cancel: cancel}
+	if s.peers == nil {
+		s.peers = make(map[string]*peer)
+	}
+	s.peers[address] = p
+	go s.run(ctx, p)
+	return p
+}
+
+// run carries p's messages until the connection breaks.
+func (s *Set) run(ctx context.Context, p *peer) {
+	err := p.carry(ctx, s)
+	p.cancel()
+	s.mu.Lock()
+	if s.peers[p.address] == p {
+		delete(s.peers, p.address)
+	}
+	closed := s.closed
+	s.mu.Unlock()
+	if closed {
+		return
+	}
+	s.Log.Info().Str("peer", p.address).AnErr("cause", err).Msg("step connection lost")
+	if s.Down != nil {
+		s.Down(p.address)
+	}
+}
+
+// take returns what waits for p and leaves an empty batch in its place.
+func (s *Set) take(p *peer) *wire.Batch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.count == 0 {
+		return nil
+	}
+	batch := p.pending
+	p.pending = new(wire.Batch)
+	p.count = 0
+	return batch
+}
+
+// peer is one connection.
+type peer struct {
+	address string
+	// pending and count are guarded by the set's mutex.
+	pending *wire.Batch
+	count   int
+	wake    chan struct{}
+	cancel  context.CancelFunc
+}
+
+// carry dials and writes until ctx ends or the connection breaks.
+func (p *peer) carry(ctx context.Context, s *Set) error {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	defer conn.Close() //nolint:errcheck // the cause is what broke it
+	if _, err := conn.Write([]byte{Protocol}); err != nil {
+		return err
+	}
+	codec := frame.Codec{Stream: conn}
+	hello := &wire.Hello{Version: frame.Version, Name: s.Name, Incarnation: s.Incarnation}
+	if err := codec.Write(&wire.Batch{Hello: hello}); err != nil {
+		return err
+	}
+	go p.watch(conn)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-p.wake:
+		}
+		for batch := s.take(p); batch != nil; batch = s.take(p) {
+			_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+			if err := codec.Write(batch); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// watch waits for the end of the connection: the other side never writes.
+func (p *peer) watch(conn net.Conn) {
+	var b [1]byte
+	_, _ = conn.Read(b[:])
+	p.cancel()
+}
--- /dev/null
+++ b/adapter/platformhttp/client.go
@@ -0,0 +1,173 @@
+// Package platformhttp reaches the platform's key-value service and host list
+// over HTTP.
+package platformhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/grademill/grademill/port/hosts"
+	"github.com/grademill/grademill/port/kv"
+)
+
+// Bounds of a call and of a waiting watch.
+const (
+	callTimeout  = 3 * time.Second
+	watchTimeout = 30 * time.Second
+)
+
+// statusError is an answer that is neither a result nor a known refusal.
+type statusError struct {
+	status int
+	body   string
+}
+
+// Error returns the status and the body.
+func (e *statusError) Error() string {
+	return fmt.Sprintf("status %d: %s", e.status, e.body)
+}
+
+// Client is a kv.Store and a hosts.Lister. Set Base before the first use.
+type Client struct {
+	// Base is the service's address, such as "http://10.0.0.5:9000".
+	Base string
+	// Counted is called with the kind of each call, when it is set.
+	Counted func(kind string)
+
+	http http.Client
+}
+
+var (
+	_ kv.Store     = (*Client)(nil)
+	_ hosts.Lister = (*Client)(nil)
+)
+
+// Get implements kv.Store.
+func (c *Client) Get(ctx context.Context, key string) (kv.Pair, error) {
+	var pair kv.Pair
+	err := c.call(ctx, "get", "", kv.Pair{Key: key}, &pair)
+	return pair, err
+}
+
+// List implements kv.Store.
+func (c *Client) List(ctx context.Context, prefix, after string, limit int) ([]kv.Pair, error) {
+	query := url.Values{"after": {after}, "limit": {strconv.Itoa(limit)}}
+	var pairs []kv.Pair
+	err := c.call(ctx, "list", query.Encode(), kv.Pair{Key: prefix}, &pairs)
+	return pairs, err
+}
+
+// Put implements kv.Store.
+func (c *Client) Put(ctx context.Context, w kv.Write) (uint64, error) {
+	var revision uint64
+	err := c.call(ctx, "put", "", w, &revision)
+	return revision, err
+}
+
+// Delete implements kv.Store.
+func (c *Client) Delete(ctx context.Context, key string, revision uint64) error {
+	var done bool
+	return c.call(ctx, "delete", "", kv.Pair{Key: key, Revision: revision}, &done)
+}
+
+// Watch implements kv.Store.
+func (c *Client) Watch(ctx context.Context, prefix string, revision uint64) ([]kv.Pair, error) {
+	var pairs []kv.Pair
+	err := c.call(ctx, "watch", "", kv.Pair{Key: prefix, Revision: revision}, &pairs)
+	return pairs, err
+}
+
+// Grant implements kv.Store.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (string, error) {
+	var id string
+	err := c.call(ctx, "grant", "", ttl, &id)
+	return id, err
+}
+
+// KeepAlive implements kv.Store.
+func (c *Client) KeepAlive(ctx context.Context, lease string) error {
+	var done bool
+	return c.call(ctx, "keepalive", "", lease, &done)
+}
+
+// Hosts implements hosts.Lister.
+func (c *Client) Hosts(ctx context.Context) ([]hosts.Host, error) {
+	var list []hosts.Host
+	err := c.call(ctx, "hosts", "", struct{}{}, &list)
+	return list, err
+}
+
+// call posts request to a method and decodes the answer into reply.
+func (c *Client) call(ctx context.Context, method, query string, request, reply any) error {
+	if c.Counted != nil {
+		c.Counted(method)
+	}
+	timeout := callTimeout
+	if method == "watch" {
+		timeout = watchTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	body, err := json.Marshal(request)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	address := strings.TrimSuffix(c.Base, "/") + "/v1/" + method + "?" + query
+	post, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader(body))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	answer, err := c.http.Do(post)
+	if err != nil {
+		return trace.Wrap(&kv.UnavailableError{Err: err})
+	}
+	defer answer.Body.Close() //nolint:errcheck // nothing to save
+	text, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return trace.Wrap(&kv.UnavailableError{Err: err})
+	}
+	return decode(answer.StatusCode, text, keyOf(request), reply)
+}
+
+// decode turns an answer into a result or a typed error.
+func decode(status int, text []byte, key string, reply any) error {
+	line := strings.TrimSpace(string(text))
+	switch status {
+	case http.StatusOK:
+		if err := json.Unmarshal(text, reply); err != nil {
+			return trace.Wrap(&kv.UnavailableError{Err: err})
+		}
+		return nil
+	case http.StatusNotFound:
+		return trace.Wrap(&kv.NotFoundError{Key: key})
+	case http.StatusConflict:
+		revision, _ := strconv.ParseUint(line, 10, 64)
+		return trace.Wrap(&kv.ConflictError{Key: key, Revision: revision})
+	case http.StatusRequestEntityTooLarge:
+		return trace.LimitExceeded("%s", line)
+	}
+	return trace.Wrap(&kv.UnavailableError{Err: &statusError{status, line}})
+}
+
+// keyOf returns the key that a request is about.
+func keyOf(request any) string {
+	switch r := request.(type) {
+	case kv.Pair:
+		return r.Key
+	case kv.Write:
+		return r.Key
+	case string:
+		return r
+	}
+	return ""
+}
--- /dev/null
+++ b/agent/batch.go
@@ -0,0 +1,128 @@
+package agent
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/grademill/grademill/fence"
+	"github.com/grademill/grademill/wire"
+)
+
+// work is one step that waits for the engine.
+type work struct {
+	session  *session
+	id       fence.Step
+	step     *wire.Step
+	priority int32
+}
+
+// signal wakes the goroutine that runs batches.
+func (a *Agent) signal() {
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+// runBatches gives the engine one batch after another. What arrives while a
+// batch runs goes into the next one.
+func (a *Agent) runBatches(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.wake:
+		}
+		for batch := a.nextBatch(); len(batch) > 0; batch = a.nextBatch() {
+			a.runBatch(ctx, batch)
+		}
+	}
+}
+
+// defaultBatch is the size of a batch for engines that do not say theirs.
+const defaultBatch = 32
+
+// nextBatch takes the next steps out of the queue, higher priorities first.
+// Steps that were cancelled while they waited are dropped.
+func (a *Agent) nextBatch() []work {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.Unfenced {
+		a.queue = slices.DeleteFunc(a.queue, work.cancelled)
+	}
+	slices.SortStableFunc(a.queue, func(x, y work) int { return cmp.Compare(y.priority, x.priority) })
+	n := min(len(a.queue), cmp.Or(a.status.MaxBatch, defaultBatch))
+	batch := slices.Clone(a.queue[:n])
+	a.queue = slices.Delete(a.queue, 0, n)
+	return batch
+}
+
+// cancelled reports whether the step's attempt has been barred or replaced.
+func (w work) cancelled() bool {
+	return w.session.open == nil || w.session.fence.Attempt != w.id.Attempt
+}
+
+// shortOutputsError is an engine that answered fewer steps than it was given.
+type shortOutputsError struct {
+	given, answered int
+}
+
+// Error returns both numbers.
+func (e *shortOutputsError) Error() string {
+	return fmt.Sprintf("engine answered %d of %d steps", e.answered, e.given)
+}
+
+// runBatch runs one batch and completes its steps.
+func (a *Agent) runBatch(ctx context.Context, batch []work) {
+	m := &wire.EngineBatch{Releases: a.takeReleases()}
+	for _, w := range batch {
+		m.Steps = append(m.Steps, &wire.EngineStep{
+			Request: w.step.GetRequest(), Attempt: w.id.Attempt, Position: w.id.Position, Count: w.id.Count,
+			Payload: w.step.GetPayload(), Model: a.model(), Priority: w.priority,
+		})
+	}
+	start := time.Now()
+	outputs, err := a.Engine.Run(ctx, m)
+	a.learn(time.Since(start))
+	if answered := len(outputs.GetOutputs()); err == nil && answered < len(batch) {
+		err = &shortOutputsError{len(batch), answered}
+	}
+	for i, w := range batch {
+		if err != nil {
+			a.complete(w, nil, err)
+			continue
+		}
+		a.complete(w, outputs.GetOutputs()[i], nil)
+	}
+}
+
+func (a *Agent) takeReleases() []*wire.Cancel {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	releases := a.releases
+	a.releases = nil
+	return releases
+}
+
+func (a *Agent) model() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.status.Service
+}
+
+// stepWeight is the weight of a new step time in the running mean.
+const stepWeight = 0.1
+
+// learn takes in the time of one step.
+func (a *Agent) learn(took time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.stepTime == 0 {
+		a.stepTime = took
+	}
+	a.stepTime += time.Duration(stepWeight * float64(took-a.stepTime))
+	a.learned = a.learned.WithStep(a.stepTime, a.active)
+}
--- /dev/null
+++ b/cmd/grademill/check.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+
+	"github.com/google/subcommands"
+)
+
+type versionCommand struct{}
+
+func (*versionCommand) Name() string             { return "version" }
+func (*versionCommand) Synopsis() string         { return "print the version" }
+func (*versionCommand) Usage() string            { return "grademill version\n" }
+func (*versionCommand) SetFlags(_ *flag.FlagSet) {}
+
+func (*versionCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	fmt.Println("grademill", version)
+	return subcommands.ExitSuccess
+}
+
+type checkCommand struct{}
+
+func (*checkCommand) Name() string             { return "check" }
+func (*checkCommand) Synopsis() string         { return "check a file of settings" }
+func (*checkCommand) SetFlags(_ *flag.FlagSet) {}
+
+func (*checkCommand) Usage() string {
+	return "grademill check FILE\n  Checks the settings in FILE and prints the first fault with its line and key.\n" +
+		"  Exit codes: 0 fit for use, 2 wrong arguments, 3 wrong settings.\n"
+}
+
+func (*checkCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	file, status := load(f, "")
+	if status == subcommands.ExitSuccess {
+		fmt.Printf("%s: settings for %s %s are fit for use\n", f.Arg(0), file.Role, file.Name)
+	}
+	return status
+}
--- /dev/null
+++ b/cmd/grademill/roles.go
@@ -0,0 +1,238 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/go-kratos/kratos/v2/transport"
+	"github.com/google/subcommands"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/rs/zerolog"
+
+	"github.com/grademill/grademill/adapter/adminhttp"
+	"github.com/grademill/grademill/adapter/callerhttp"
+	"github.com/grademill/grademill/adapter/enginehttp"
+	"github.com/grademill/grademill/adapter/meter"
+	"github.com/grademill/grademill/adapter/platformhttp"
+	"github.com/grademill/grademill/adapter/servicehttp"
+	"github.com/grademill/grademill/agent"
+	"github.com/grademill/grademill/entry"
+	"github.com/grademill/grademill/replica"
+	"github.com/grademill/grademill/retry"
+	"github.com/grademill/grademill/route"
+	"github.com/grademill/grademill/settings"
+)
+
+// exitSettings is the exit code for a file of settings that cannot be used.
+const exitSettings = subcommands.ExitStatus(3)
+
+// The values of settings that a file leaves out.
+const (
+	defaultDrain       = 2 * time.Minute
+	defaultQueue       = 4096
+	defaultDeadline    = 2 * time.Minute
+	defaultMinStall    = 150 * time.Millisecond
+	defaultMaxStall    = 5 * time.Second
+	defaultRecoverWait = 3 * time.Second
+	defaultExpiry      = 5 * time.Second
+	defaultSync        = time.Second
+	defaultList        = 5 * time.Second
+	defaultRetryShare  = 0.1
+	defaultReserve     = 20
+	defaultRetryWindow = time.Minute
+	defaultClaimKeep   = time.Hour
+	defaultCallKeep    = defaultClaimKeep + 10*time.Minute
+	defaultOrderLease  = 6 * time.Second
+	defaultWatchers    = 2
+	defaultSubset      = 12
+	defaultHeartbeat   = time.Second
+	defaultSessions    = 64
+	defaultStepTarget  = 30 * time.Millisecond
+)
+
+// newLog returns the log of a process, in JSON on standard error.
+func newLog(level, name string) zerolog.Logger {
+	parsed, err := zerolog.ParseLevel(level)
+	if err != nil || level == "" {
+		parsed = zerolog.InfoLevel
+	}
+	return zerolog.New(os.Stderr).Level(parsed).With().Timestamp().Str("process", name).Logger()
+}
+
+// load reads the only argument as a file of settings for a role.
+func load(f *flag.FlagSet, role string) (*settings.File, subcommands.ExitStatus) {
+	if f.NArg() != 1 {
+		fmt.Fprintln(os.Stderr, "one file of settings is needed")
+		return nil, subcommands.ExitUsageError
+	}
+	file, err := settings.Load(f.Arg(0))
+	if err == nil && role != "" && file.Role != role {
+		err = &settings.Error{File: f.Arg(0), Key: "role", Problem: "is " + file.Role + ", not " + role}
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return nil, exitSettings
+	}
+	return file, subcommands.ExitSuccess
+}
+
+// finish prints the error that ended a role.
+func finish(err error) subcommands.ExitStatus {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+type entryCommand struct{}
+
+func (*entryCommand) Name() string             { return "entry" }
+func (*entryCommand) Synopsis() string         { return "run an entry" }
+func (*entryCommand) SetFlags(_ *flag.FlagSet) {}
+
+func (*entryCommand) Usage() string {
+	return "grademill entry FILE\n  Runs an entry with the settings in FILE until SIGTERM, then drains.\n" +
+		"  Exit codes: 0 stopped, 1 failed, 2 wrong arguments, 3 wrong settings.\n"
+}
+
+func (*entryCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	file, status := load(f, "entry")
+	if status != subcommands.ExitSuccess {
+		return status
+	}
+	return finish(newEntry(file).Run(ctx))
+}
+
+// newEntry makes an entry out of its settings.
+func newEntry(file *settings.File) *entry.Entry {
+	s := file.Entry
+	log := newLog(file.LogLevel, file.Name)
+	metrics := meter.NewEntry()
+	metrics.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	platform := &platformhttp.Client{Base: s.Platform, Counted: metrics.PlatformCall}
+	e := &entry.Entry{
+		Name: file.Name, Hall: file.Hall, Address: file.Address, Peers: s.Peers,
+		Store: platform, Hosts: platform, Links: linkTimes(s.Links),
+		MaxQueue: or(s.MaxQueue, defaultQueue), MaxDeadline: s.MaxDeadline.Or(defaultDeadline),
+		MinStall: s.MinStall.Or(defaultMinStall), MaxStall: s.MaxStall.Or(defaultMaxStall),
+		RecoverWait: s.RecoverWait.Or(defaultRecoverWait), Expiry: s.Expiry.Or(defaultExpiry),
+		Sync: s.Sync.Or(defaultSync), ListEvery: defaultList, Watchers: defaultWatchers,
+		Retries: retry.Budget{
+			Share: or(s.RetryShare, defaultRetryShare), Window: defaultRetryWindow,
+			Reserve: or(s.RetryReserve, defaultReserve),
+		},
+		ClaimKeep: s.ClaimKeep.Or(defaultClaimKeep), OrderLease: defaultOrderLease,
+		DrainTimeout: file.DrainTimeout.Or(defaultDrain), Meter: metrics, Log: log,
+	}
+	e.Prepare()
+	callers := &callerhttp.Server{Address: s.Caller, Router: e, Ready: e.Ready, Team: teamOf(e.Config())}
+	e.Servers = []transport.Server{callers.Transport()}
+	if file.Admin != "" {
+		admin := &adminhttp.Server{
+			Address: file.Admin, Operators: operators(s.Operators), Changes: e.Changes(), Config: e.Config(),
+			Ready: e.Ready, Metrics: metrics.Registry, Log: log,
+			Status: func() adminhttp.Status {
+				return adminhttp.Status{Revisions: e.Revisions(), Endpoints: e.Snapshot().All}
+			},
+		}
+		e.Servers = append(e.Servers, admin.Transport())
+	}
+	return e
+}
+
+// or returns value, or otherwise when value is zero.
+func or[T comparable](value, otherwise T) T {
+	var zero T
+	if value == zero {
+		return otherwise
+	}
+	return value
+}
+
+// teamOf returns a function that finds the team of a key's hash.
+func teamOf(c *replica.Config) func(string) (string, bool) {
+	return func(hash string) (string, bool) {
+		team, ok := c.Current().TeamByKey[hash]
+		return team, ok
+	}
+}
+
+func operators(list []settings.Operator) map[string]string {
+	byKey := make(map[string]string, len(list))
+	for _, o := range list {
+		byKey[o.KeySHA256] = o.Name
+	}
+	return byKey
+}
+
+// sameHall and unknownLink are the one-way times where the settings say nothing.
+const (
+	sameHall    = 100 * time.Microsecond
+	unknownLink = time.Millisecond
+)
+
+// linkTimes returns the time between halls that the settings give.
+func linkTimes(links []settings.Link) route.Links {
+	times := make(map[[2]string]time.Duration)
+	for _, l := range links {
+		times[[2]string{l.From, l.To}] = time.Duration(l.Time)
+		times[[2]string{l.To, l.From}] = time.Duration(l.Time)
+	}
+	return func(from, to string) time.Duration {
+		if t, ok := times[[2]string{from, to}]; ok {
+			return t
+		}
+		if from == to {
+			return sameHall
+		}
+		return unknownLink
+	}
+}
+
+type agentCommand struct{}
+
+func (*agentCommand) Name() string             { return "agent" }
+func (*agentCommand) Synopsis() string         { return "run the agent beside an endpoint" }
+func (*agentCommand) SetFlags(_ *flag.FlagSet) {}
+
+func (*agentCommand) Usage() string {
+	return "grademill agent FILE\n  Runs an agent with the settings in FILE until SIGTERM, then drains.\n" +
+		"  Exit codes: 0 stopped, 1 failed, 2 wrong arguments, 3 wrong settings.\n"
+}
+
+func (*agentCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	file, status := load(f, "agent")
+	if status != subcommands.ExitSuccess {
+		return status
+	}
+	return finish(newAgent(file).Run(ctx))
+}
+
+// newAgent makes an agent out of its settings.
+func newAgent(file *settings.File) *agent.Agent {
+	s := file.Agent
+	a := &agent.Agent{
+		Name: file.Name, Hall: file.Hall, Address: file.Address, Service: s.Service, Entries: s.Entries,
+		Subset: or(s.Subset, defaultSubset), Heartbeat: s.Heartbeat.Or(defaultHeartbeat),
+		MaxSessions: or(s.MaxSessions, defaultSessions), StepTarget: s.StepTarget.Or(defaultStepTarget),
+		DrainTimeout: file.DrainTimeout.Or(defaultDrain), CallKeep: s.CallKeep.Or(defaultCallKeep),
+		Log: newLog(file.LogLevel, file.Name),
+	}
+	if s.Engine != "" {
+		a.Engine = &enginehttp.Client{Base: s.Engine}
+	} else {
+		a.Plain = &servicehttp.Client{Base: s.Plain}
+	}
+	if file.Admin != "" {
+		registry := prometheus.NewRegistry()
+		registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+		admin := &adminhttp.Server{Address: file.Admin, Ready: func() bool { return !a.Leaving() }, Metrics: registry}
+		a.Servers = []transport.Server{admin.Transport()}
+	}
+	return a
+}
--- /dev/null
+++ b/config/state.go
@@ -0,0 +1,201 @@
+// Package config holds the operators' configuration: services, teams and
+// policies, and how changes make one state out of another.
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// ServiceKind tells model services from plain ones.
+type ServiceKind string
+
+// The kinds of services.
+const (
+	Model ServiceKind = "model"
+	Plain ServiceKind = "plain"
+)
+
+// Service is something that callers ask for by name.
+type Service struct {
+	Kind ServiceKind `json:"kind" validate:"required,oneof=model plain"`
+	// Model is the model's name; set for kind model only.
+	Model string `json:"model,omitempty" validate:"required_if=Kind model,max=128"`
+	// Version is the model's version.
+	Version string `json:"version,omitempty" validate:"max=64"`
+	// Layers is the number of layers; set for kind model only.
+	Layers int `json:"layers,omitempty" validate:"required_if=Kind model,min=0,max=10000"`
+	// Repeatable is whether a request may run more than once where no policy
+	// says otherwise.
+	Repeatable bool `json:"repeatable"`
+	// Engines is how many layers one engine can hold, which placement needs;
+	// zero means that placement leaves the service alone.
+	LayersPerEngine int `json:"layers_per_engine,omitempty" validate:"min=0,max=10000"`
+}
+
+// Team is a group of callers.
+type Team struct {
+	// Weight is the team's share; zero means 1.
+	Weight float64 `json:"weight,omitempty" validate:"min=0,max=1000000"`
+	// KeySHA256 are the hashes, in hexadecimal, of the keys that the team's
+	// callers authenticate with.
+	KeySHA256 []string `json:"key_sha256" validate:"max=16,dive,len=64,hexadecimal,lowercase"`
+	// MaxInFlight bounds the team's requests in flight at one entry; zero means
+	// no bound.
+	MaxInFlight int `json:"max_in_flight,omitempty" validate:"min=0"`
+	// Services are what the team may call; empty means all.
+	Services []string `json:"services,omitempty" validate:"max=256"`
+}
+
+// Policy says how a class of requests is treated. Its fields are programs in
+// CEL; an empty one leaves the default.
+type Policy struct {
+	// Match selects the requests, a bool.
+	Match string `json:"match" validate:"required,max=4096"`
+	// Repeatable is whether the request may run more than once, a bool.
+	Repeatable string `json:"repeatable,omitempty" validate:"max=4096"`
+	// Priority orders classes, an int; a higher one goes first.
+	Priority string `json:"priority,omitempty" validate:"max=4096"`
+	// Deadline is the longest that a request may take, a duration.
+	Deadline string `json:"deadline,omitempty" validate:"max=4096"`
+	// Place is whether a model may be loaded on a host, a bool over host.
+	Place string `json:"place,omitempty" validate:"max=4096"`
+	// Recovery is "resume" or "fail", a string: whether an answer whose chain
+	// lost a stage goes on along another chain.
+	Recovery string `json:"recovery,omitempty" validate:"max=4096"`
+	// Order places the policy among the others: the lowest that matches wins.
+	Order int `json:"order"`
+}
+
+// Kind is a kind of object.
+type Kind string
+
+// The kinds of objects.
+const (
+	KindService Kind = "services"
+	KindTeam    Kind = "teams"
+	KindPolicy  Kind = "policies"
+)
+
+// Change is one write of an operator.
+type Change struct {
+	// Who made the change.
+	Who string `json:"who"`
+	// At is the time at the entry that took the change, for people only.
+	At   time.Time `json:"at"`
+	Kind Kind      `json:"kind"`
+	Name string    `json:"name"`
+	// Body is the object, or null when it is retired.
+	Body json.RawMessage `json:"body"`
+}
+
+// Object is a configured value with the revision that wrote it.
+type Object[T any] struct {
+	Revision uint64 `json:"revision"`
+	Value    T      `json:"value"`
+}
+
+// State is the whole configuration at one revision. It is immutable: With
+// returns a changed copy. The zero State is the empty configuration.
+type State struct {
+	// Revision is that of the last change; it only rises.
+	Revision uint64                     `json:"revision"`
+	Services map[string]Object[Service] `json:"services,omitempty"`
+	Teams    map[string]Object[Team]    `json:"teams,omitempty"`
+	Policies map[string]Object[Policy]  `json:"policies,omitempty"`
+}
+
+// OrderError is a change that does not follow the state.
+type OrderError struct {
+	// Have is the state's revision, Got the change's.
+	Have, Got uint64
+}
+
+// Error returns both revisions.
+func (e *OrderError) Error() string {
+	return fmt.Sprintf("change %d does not follow revision %d", e.Got, e.Have)
+}
+
+// KindError is a kind of object that does not exist.
+type KindError struct {
+	Kind Kind
+}
+
+// Error names the kind.
+func (e *KindError) Error() string {
+	return fmt.Sprintf("no objects of kind %q: use services, teams or policies", string(e.Kind))
+}
+
+// MatchError is a change whose condition does not hold.
+type MatchError struct {
+	Kind Kind
+	Name string
+	// Have is the object's revision, 0 when it does not exist; Want is what
+	// the change asked for.
+	Have, Want uint64
+}
+
+// Error names the object and both revisions.
+func (e *MatchError) Error() string {
+	return fmt.Sprintf("%s/%s is at revision %d, not %d", e.Kind, e.Name, e.Have, e.Want)
+}
+
+// ObjectRevision returns the revision of an object, 0 when it does not exist.
+func (s *State) ObjectRevision(kind Kind, name string) uint64 {
+	switch kind {
+	case KindService:
+		return s.Services[name].Revision
+	case KindTeam:
+		return s.Teams[name].Revision
+	case KindPolicy:
+		return s.Policies[name].Revision
+	}
+	return 0
+}
+
+// With returns the state after the change with the given revision, which must
+// be the next one.
+func (s *State) With(revision uint64, c Change) (*State, error) {
+	if revision != s.Revision+1 {
+		return nil, trace.Wrap(&OrderError{s.Revision, revision})
+	}
+	next := *s
+	next.Revision = revision
+	var err error
+	switch c.Kind {
+	case KindService:
+		next.Services, err = with(s.Services, revision, c)
+	case KindTeam:
+		next.Teams, err = with(s.Teams, revision, c)
+	case KindPolicy:
+		next.Policies, err = with(s.Policies, revision, c)
+	default:
+		err = trace.Wrap(&KindError{c.Kind})
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &next, nil
+}
+
+// with returns objects with the change of one.
+func with[T any](objects map[string]Object[T], revision uint64, c Change) (map[string]Object[T], error) {
+	next := maps.Clone(objects)
+	if len(c.Body) == 0 || string(c.Body) == "null" {
+		delete(next, c.Name)
+		return next, nil
+	}
+	if next == nil {
+		next = make(map[string]Object[T])
+	}
+	var value T
+	if err := json.Unmarshal(c.Body, &value); err != nil {
+		return nil, trace.Wrap(err, "%s/%s", c.Kind, c.Name)
+	}
+	next[c.Name] = Object[T]{revision, value}
+	return next, nil
+}
--- /dev/null
+++ b/entry/complete.go
@@ -0,0 +1,140 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/grademill/grademill/config"
+	"github.com/grademill/grademill/gate"
+	"github.com/grademill/grademill/outcome"
+	"github.com/grademill/grademill/policy"
+	"github.com/grademill/grademill/port/router"
+	"github.com/grademill/grademill/replica"
+)
+
+// Complete implements router.Router.
+func (e *Entry) Complete(ctx context.Context, c router.Completion, emit func(uint32) error) (router.Usage, error) {
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	defer e.enlist(c.Team)()
+	usage, err := e.complete(ctx, c, emit)
+	e.ended(c.Team, c.Service, usage.Request, err)
+	return usage, err
+}
+
+func (e *Entry) complete(ctx context.Context, c router.Completion, emit func(uint32) error) (router.Usage, error) {
+	snapshot := e.config.Current()
+	service, report := e.lookup(snapshot, c.Team, c.Service, config.Model)
+	if report != nil {
+		return router.Usage{}, report
+	}
+	d := snapshot.Policies.Decide(policy.Request{
+		Team: c.Team, Service: c.Service, PromptTokens: len(c.Prompt), MaxTokens: c.MaxTokens,
+	}, service.Repeatable)
+	ctx, cancel := e.deadline(ctx, c.Deadline, d.Deadline)
+	defer cancel()
+	e.firstTry()
+	start := time.Now()
+	s, report := e.gate.Enter(ctx, gate.Ticket[*seat]{
+		Lane: c.Service, Team: c.Team, Weight: snapshot.State.Teams[c.Team].Value.Weight,
+		Priority: d.Priority, Cost: float64(len(c.Prompt) + c.MaxTokens),
+		Try: func() (*seat, gate.Answer) { return e.chain(c.Service, nil, false) },
+	})
+	if report != nil {
+		return router.Usage{}, report
+	}
+	e.Meter.Queued(c.Service, time.Since(start))
+	f := e.newFlight(c, d, s)
+	defer f.end()
+	err := f.run(ctx, emit)
+	return router.Usage{
+		Request: f.requestID(), Tokens: len(f.assembly.Tokens), Attempts: int(f.assembly.Attempt),
+	}, err
+}
+
+// lookup returns a service that the team may use, or a refusal.
+func (e *Entry) lookup(s *replica.Snapshot, team, name string, kind config.ServiceKind) (config.Service, *outcome.Report) {
+	if e.draining.Load() {
+		return config.Service{}, outcome.Refuse(outcome.Draining, "this entry is leaving", retryAfter)
+	}
+	service, ok := s.State.Services[name]
+	if !ok || service.Value.Kind != kind {
+		return config.Service{}, outcome.Refuse(outcome.UnknownModel, "no "+string(kind)+" service "+name, 0)
+	}
+	rules, ok := s.State.Teams[team]
+	if !ok || !allowed(rules.Value.Services, name) {
+		return config.Service{}, outcome.Refuse(outcome.Forbidden, "team "+team+" may not use "+name, 0)
+	}
+	if limit := rules.Value.MaxInFlight; limit > 0 && e.loadOf(team) > limit {
+		return config.Service{}, outcome.Refuse(outcome.Overloaded, "team "+team+" has as many requests as it may", retryAfter)
+	}
+	return service.Value, nil
+}
+
+// allowed reports whether a list of services, where empty means all, has name.
+func allowed(services []string, name string) bool {
+	return len(services) == 0 || slices.Contains(services, name)
+}
+
+// enlist counts a request of a team until the returned function is called.
+func (e *Entry) enlist(team string) (done func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.teamLoad[team]++
+	return func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.teamLoad[team]--
+		if e.teamLoad[team] == 0 {
+			delete(e.teamLoad, team)
+		}
+	}
+}
+
+func (e *Entry) loadOf(team string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.teamLoad[team]
+}
+
+// deadline bounds ctx by the earliest of the caller's, the policy's and the
+// entry's own bound.
+func (e *Entry) deadline(ctx context.Context, caller time.Time, bound time.Duration) (context.Context, context.CancelFunc) {
+	limit := e.MaxDeadline
+	if bound > 0 {
+		limit = min(limit, bound)
+	}
+	at := time.Now().Add(limit)
+	if !caller.IsZero() && caller.Before(at) {
+		at = caller
+	}
+	return context.WithDeadline(ctx, at)
+}
+
+// firstTry counts a first try, and mayRetry asks for a second one.
+func (e *Entry) firstTry() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.Retries.First(time.Now())
+}
+
+func (e *Entry) mayRetry() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.Retries.Allow(time.Now())
+}
+
+// ended counts and logs the end of a request.
+func (e *Entry) ended(team, service, request string, err error) {
+	kind, code, detail := outcome.Done, outcome.Code(""), ""
+	if report, ok := outcome.Of(err); ok {
+		kind, code, detail = report.Kind, report.Code, report.Detail
+	}
+	if _, known := e.config.Current().State.Services[service]; !known {
+		service = "unknown" // keeps the labels bounded
+	}
+	e.Meter.Ended(team, service, kind.String(), string(code))
+	e.Log.Info().Str("request", request).Str("team", team).Str("service", service).
+		Stringer("outcome", kind).Str("code", string(code)).Str("detail", detail).Msg("request ended")
+}
--- /dev/null
+++ b/fair/queue.go
@@ -0,0 +1,158 @@
+// Package fair queues work so that teams share by weight.
+package fair
+
+import "container/heap"
+
+// Item is one piece of queued work.
+type Item[T any] struct {
+	// Team is who the work is for.
+	Team string
+	// Weight is the team's share; at least 1 is used.
+	Weight float64
+	// Cost is the work's size, such as tokens.
+	Cost float64
+	// Priority orders classes: a higher one goes first, before any share.
+	Priority int
+	// Value is what the caller queued.
+	Value T
+
+	start float64
+	seq   uint64
+	index int
+}
+
+// Queue is a bounded start-time fair queue. The zero Queue holds nothing and
+// refuses everything; set Max first. It is not safe for concurrent use.
+type Queue[T any] struct {
+	// Max is the number of items held at most.
+	Max int
+
+	items   itemHeap[T]
+	clock   float64
+	finish  map[string]float64
+	counts  map[string]int
+	nextSeq uint64
+}
+
+// Len returns the number of queued items.
+func (q *Queue[T]) Len() int {
+	return len(q.items)
+}
+
+// Push queues it. When the queue is full the item that is furthest behind its
+// share is displaced: Push returns it, or it itself, and false. It returns
+// nil and true when nothing had to go.
+func (q *Queue[T]) Push(it *Item[T]) (displaced *Item[T], ok bool) {
+	if q.Max <= 0 {
+		return it, false
+	}
+	if q.finish == nil {
+		q.finish = make(map[string]float64)
+		q.counts = make(map[string]int)
+	}
+	it.seq = q.nextSeq
+	q.nextSeq++
+	it.start = max(q.clock, q.finish[it.Team])
+	q.finish[it.Team] = it.start + it.Cost/max(it.Weight, 1)
+	q.counts[it.Team]++
+	heap.Push(&q.items, it)
+	if len(q.items) <= q.Max {
+		return nil, true
+	}
+	last := q.last()
+	q.Remove(last)
+	return last, false
+}
+
+// last returns the item that would be served last.
+func (q *Queue[T]) last() *Item[T] {
+	worst := q.items[0]
+	for _, it := range q.items[1:] {
+		if before(worst, it) {
+			worst = it
+		}
+	}
+	return worst
+}
+
+// Peek returns the item that Pop would return, or nil.
+func (q *Queue[T]) Peek() *Item[T] {
+	if len(q.items) == 0 {
+		return nil
+	}
+	return q.items[0]
+}
+
+// Pop removes and returns the next item, or nil.
+func (q *Queue[T]) Pop() *Item[T] {
+	if len(q.items) == 0 {
+		return nil
+	}
+	it := heap.Pop(&q.items).(*Item[T])
+	q.clock = max(q.clock, it.start)
+	q.forget(it)
+	return it
+}
+
+// Remove takes it out of the queue; it reports false when it is not queued.
+func (q *Queue[T]) Remove(it *Item[T]) bool {
+	if it.index < 0 || it.index >= len(q.items) || q.items[it.index] != it {
+		return false
+	}
+	heap.Remove(&q.items, it.index)
+	q.finish[it.Team] -= it.Cost / max(it.Weight, 1)
+	q.forget(it)
+	return true
+}
+
+// forget drops the team's state once its queue is empty and its share is no
+// longer ahead of the clock, so that memory is bounded by the queue.
+func (q *Queue[T]) forget(it *Item[T]) {
+	q.counts[it.Team]--
+	if q.counts[it.Team] > 0 {
+		return
+	}
+	delete(q.counts, it.Team)
+	for team, finish := range q.finish {
+		if finish <= q.clock && q.counts[team] == 0 {
+			delete(q.finish, team)
+		}
+	}
+}
+
+// before reports whether a is served before b.
+func before[T any](a, b *Item[T]) bool {
+	if a.Priority != b.Priority {
+		return a.Priority > b.Priority
+	}
+	if a.start != b.start {
+		return a.start < b.start
+	}
+	return a.seq < b.seq
+}
+
+type itemHeap[T any] []*Item[T]
+
+func (h itemHeap[T]) Len() int           { return len(h) }
+func (h itemHeap[T]) Less(i, j int) bool { return before(h[i], h[j]) }
+
+func (h itemHeap[T]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index = i
+	h[j].index = j
+}
+
+func (h *itemHeap[T]) Push(x any) {
+	it := x.(*Item[T])
+	it.index = len(*h)
+	*h = append(*h, it)
+}
+
+func (h *itemHeap[T]) Pop() any {
+	old := *h
+	it := old[len(old)-1]
+	old[len(old)-1] = nil
+	it.index = -1
+	*h = old[:len(old)-1]
+	return it
+}
--- /dev/null
+++ b/gate/gate.go
@@ -0,0 +1,215 @@
+// Package gate admits requests: it holds each until there is room for it, in
+// the order of priority and fair share, and refuses early what would wait too
+// long.
+package gate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/grademill/grademill/fair"
+	"github.com/grademill/grademill/outcome"
+)
+
+// Answer is what a try for room found.
+type Answer int
+
+// The answers.
+const (
+	// Granted means that the room is taken.
+	Granted Answer = iota
+	// Full means that there is none now.
+	Full
+	// Never means that waiting is no use.
+	Never
+)
+
+// Ticket is a request that wants in. G is what it gets, such as a chain.
+type Ticket[G any] struct {
+	// Lane is the queue, such as the service: requests in one lane wait for the
+	// same room.
+	Lane string
+	// Team, Weight, Priority and Cost order the lane.
+	Team     string
+	Weight   float64
+	Priority int
+	Cost     float64
+	// Try takes room if there is some. It is called with the gate's lock held.
+	Try func() (G, Answer)
+}
+
+// Gate admits requests. Set the exported fields before the first use. It is
+// safe for concurrent use.
+type Gate[G any] struct {
+	// MaxQueue is the number of requests that wait in one lane at most.
+	MaxQueue int
+
+	mu    sync.Mutex
+	lanes map[string]*lane[G]
+}
+
+type lane[G any] struct {
+	queue fair.Queue[*waiter[G]]
+	// queued is the cost of what waits; rate is the cost admitted a second.
+	queued float64
+	rate   float64
+	// admitted is the cost admitted since the time at.
+	admitted float64
+	at       time.Time
+}
+
+type waiter[G any] struct {
+	ticket Ticket[G]
+	result chan result[G]
+}
+
+type result[G any] struct {
+	grant  G
+	report *outcome.Report
+}
+
+// The bounds of the time after which a refused caller may come back.
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = time.Minute
+)
+
+// Enter waits for room. It returns a NotRun report when the lane is full, when
+// the wait would outlast ctx, when ctx ends, or when there is no room at all.
+func (g *Gate[G]) Enter(ctx context.Context, t Ticket[G]) (G, *outcome.Report) {
+	var zero G
+	w := &waiter[G]{ticket: t, result: make(chan result[G], 1)}
+	item := &fair.Item[*waiter[G]]{Team: t.Team, Weight: t.Weight, Cost: t.Cost, Priority: t.Priority, Value: w}
+	g.mu.Lock()
+	l := g.lane(t.Lane)
+	if report := l.tooLate(ctx); report != nil {
+		g.mu.Unlock()
+		return zero, report
+	}
+	displaced, ok := l.queue.Push(item)
+	if ok || displaced != item {
+		l.queued += t.Cost
+	}
+	if displaced != nil {
+		l.refuse(displaced, displaced != item)
+	}
+	l.grant()
+	g.mu.Unlock()
+	select {
+	case r := <-w.result:
+		return r.grant, r.report
+	case <-ctx.Done():
+		return g.abandon(l, item)
+	}
+}
+
+// Poke admits what there is room for, in all lanes.
+func (g *Gate[G]) Poke() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, l := range g.lanes {
+		l.grant()
+	}
+}
+
+// Waiting returns the number of requests that wait.
+func (g *Gate[G]) Waiting() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for _, l := range g.lanes {
+		n += l.queue.Len()
+	}
+	return n
+}
+
+func (g *Gate[G]) lane(name string) *lane[G] {
+	l := g.lanes[name]
+	if l == nil {
+		if g.lanes == nil {
+			g.lanes = make(map[string]*lane[G])
+		}
+		l = &lane[G]{queue: fair.Queue[*waiter[G]]{Max: g.MaxQueue}, at: time.Now()}
+		g.lanes[name] = l
+	}
+	return l
+}
+
+// abandon takes a request out whose context has ended. A grant that came at
+// the same moment is returned: the caller notices the context itself.
+func (g *Gate[G]) abandon(l *lane[G], item *fair.Item[*waiter[G]]) (G, *outcome.Report) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if l.queue.Remove(item) {
+		l.queued -= item.Cost
+		var zero G
+		return zero, outcome.Refuse(outcome.DeadlineOver, "gone or out of time while waiting for room", l.wait())
+	}
+	r := <-item.Value.result
+	return r.grant, r.report
+}
+
+// grant admits from the front of the queue while there is room.
+func (l *lane[G]) grant() {
+	for item := l.queue.Peek(); item != nil; item = l.queue.Peek() {
+		grant, answer := item.Value.ticket.Try()
+		if answer == Full {
+			return
+		}
+		l.queue.Pop()
+		l.queued -= item.Cost
+		if answer == Never {
+			report := outcome.Refuse(outcome.NoChain, "no endpoints hold all that is needed", minRetryAfter)
+			item.Value.result <- result[G]{report: report}
+			continue
+		}
+		l.count(item.Cost)
+		item.Value.result <- result[G]{grant: grant}
+	}
+}
+
+// rateWindow is the time over which the rate of admission is measured.
+const rateWindow = time.Second
+
+// count takes an admitted cost into the rate.
+func (l *lane[G]) count(cost float64) {
+	l.admitted += cost
+	age := time.Since(l.at)
+	if age < rateWindow {
+		return
+	}
+	l.rate = l.admitted / age.Seconds()
+	l.admitted = 0
+	l.at = time.Now()
+}
+
+// wait returns how long a new request would wait, within bounds.
+func (l *lane[G]) wait() time.Duration {
+	if l.rate <= 0 {
+		return minRetryAfter
+	}
+	wait := time.Duration(l.queued / l.rate * float64(time.Second))
+	return min(max(wait, minRetryAfter), maxRetryAfter)
+}
+
+// tooLate returns a refusal when the wait would outlast ctx.
+func (l *lane[G]) tooLate(ctx context.Context) *outcome.Report {
+	deadline, ok := ctx.Deadline()
+	if !ok || l.rate <= 0 || l.queue.Len() == 0 {
+		return nil
+	}
+	wait := time.Duration(l.queued / l.rate * float64(time.Second))
+	if wait <= time.Until(deadline) {
+		return nil
+	}
+	return outcome.Refuse(outcome.Overloaded, "the wait would outlast the deadline", l.wait())
+}
+
+// refuse tells a displaced request; counted is whether its cost was queued.
+func (l *lane[G]) refuse(item *fair.Item[*waiter[G]], counted bool) {
+	if counted {
+		l.queued -= item.Cost
+	}
+	item.Value.result <- result[G]{report: outcome.Refuse(outcome.Overloaded, "the queue is full", l.wait())}
+}
--- /dev/null
+++ b/rendezvous/ranking.go
@@ -0,0 +1,43 @@
+// Package rendezvous ranks nodes for a key by highest random weight, so that
+// every process with the same list picks the same nodes and a change of the
+// list moves as little as it can.
+package rendezvous
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Top returns the n nodes of highest weight for key, the highest first. It
+// returns all nodes when there are fewer than n.
+func Top(key string, nodes []string, n int) []string {
+	type scored struct {
+		node  string
+		score uint64
+	}
+	ranked := make([]scored, len(nodes))
+	for i, node := range nodes {
+		ranked[i] = scored{node, score(key, node)}
+	}
+	slices.SortFunc(ranked, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.node, b.node))
+	})
+	n = min(n, len(ranked))
+	top := make([]string, n)
+	for i := range top {
+		top[i] = ranked[i].node
+	}
+	return top
+}
+
+// score mixes key and node; the zero byte keeps ("a","bc") and ("ab","c") apart.
+func score(key, node string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(node)
+	return d.Sum64()
+}
--- /dev/null
+++ b/replica/config.go
@@ -0,0 +1,173 @@
+// Package replica holds the configuration that is in force in one process. It
+// never goes back to a lower revision.
+package replica
+
+import (
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+
+	"github.com/gravitational/trace"
+
+	"github.com/grademill/grademill/config"
+	"github.com/grademill/grademill/headlog"
+	"github.com/grademill/grademill/policy"
+	"github.com/grademill/grademill/wire"
+)
+
+// maxTail is the number of changes kept for peers that are a little behind.
+const maxTail = 256
+
+// Snapshot is one configuration in force. It is immutable.
+type Snapshot struct {
+	State *config.State
+	// Policies are compiled from State, or from the latest state whose
+	// policies compiled here.
+	Policies *policy.Set
+	// TeamByKey maps the hash of a key to its team.
+	TeamByKey map[string]string
+}
+
+// Config is the replica. Make one with New. It is safe for concurrent use;
+// readers never wait.
+type Config struct {
+	current atomic.Pointer[Snapshot]
+
+	mu   sync.Mutex // held by writers
+	tail []headlog.Record
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+}
+
+// New returns a replica of the empty configuration at revision 0.
+func New() *Config {
+	c := &Config{changed: make(chan struct{})}
+	c.current.Store(&Snapshot{State: new(config.State), Policies: new(policy.Set)})
+	return c
+}
+
+// Current returns the configuration in force.
+func (c *Config) Current() *Snapshot {
+	return c.current.Load()
+}
+
+// Revision returns the revision in force.
+func (c *Config) Revision() uint64 {
+	return c.Current().State.Revision
+}
+
+// Changed returns a channel that is closed at the next change.
+func (c *Config) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
+
+// Apply installs records that follow the state in force, skips those that are
+// in force already, and returns a config.OrderError at a hole.
+func (c *Config) Apply(records []headlog.Record) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	state := c.Current().State
+	for _, record := range records {
+		if record.Revision <= state.Revision {
+			continue
+		}
+		next, err := Next(state, record)
+		if err != nil {
+			return err
+		}
+		state = next
+		c.tail = append(c.tail, record)
+	}
+	if over := len(c.tail) - maxTail; over > 0 {
+		c.tail = append([]headlog.Record(nil), c.tail[over:]...)
+	}
+	return c.install(state)
+}
+
+// Install installs a whole state unless it is not newer than the one in force.
+func (c *Config) Install(state *config.State) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if state.Revision <= c.Revision() {
+		return nil
+	}
+	c.tail = nil
+	return c.install(state)
+}
+
+// install publishes state; c.mu is held.
+func (c *Config) install(state *config.State) error {
+	former := c.Current()
+	if state.Revision <= former.State.Revision {
+		return nil
+	}
+	next := &Snapshot{State: state, Policies: former.Policies, TeamByKey: make(map[string]string)}
+	for name, team := range state.Teams {
+		for _, hash := range team.Value.KeySHA256 {
+			next.TeamByKey[hash] = name
+		}
+	}
+	policies, err := policy.Compile(state.Policies)
+	if err == nil {
+		next.Policies = policies
+	}
+	c.current.Store(next)
+	close(c.changed)
+	c.changed = make(chan struct{})
+	return err
+}
+
+// Next returns the state after a record.
+func Next(state *config.State, record headlog.Record) (*config.State, error) {
+	var change config.Change
+	if err := json.Unmarshal(record.Body, &change); err != nil {
+		return nil, trace.Wrap(err, "change %d", record.Revision)
+	}
+	return state.With(record.Revision, change)
+}
+
+// Since returns what a peer at the given revision has missed.
+func (c *Config) Since(revision uint64) (*wire.SyncReply, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	state := c.Current().State
+	reply := &wire.SyncReply{Revision: state.Revision}
+	if revision >= state.Revision {
+		return reply, nil
+	}
+	if len(c.tail) == 0 || c.tail[0].Revision > revision+1 {
+		snapshot, err := json.Marshal(state)
+		reply.Snapshot = snapshot
+		return reply, trace.Wrap(err)
+	}
+	for _, record := range c.tail[revision+1-c.tail[0].Revision:] {
+		change, err := json.Marshal(record)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		reply.Changes = append(reply.Changes, change)
+	}
+	return reply, nil
+}
+
+// Take installs what a peer has sent.
+func (c *Config) Take(reply *wire.SyncReply) error {
+	if len(reply.GetSnapshot()) > 0 {
+		state := new(config.State)
+		if err := json.Unmarshal(reply.GetSnapshot(), state); err != nil {
+			return trace.Wrap(err, "snapshot of a peer")
+		}
+		return c.Install(state)
+	}
+	var records []headlog.Record
+	for _, change := range reply.GetChanges() {
+		var record headlog.Record
+		if err := json.Unmarshal(change, &record); err != nil {
+			return trace.Wrap(err, "change of a peer")
+		}
+		records = append(records, record)
+	}
+	return c.Apply(records)
+}
--- /dev/null
+++ b/route/table.go
@@ -0,0 +1,330 @@
+// Package route chooses the chain of endpoints that a request walks.
+package route
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/grademill/grademill/fleet"
+	"github.com/grademill/grademill/layer"
+)
+
+// MaxStages is the largest number of stages in a chain.
+const MaxStages = 16
+
+// Usage counts the sessions that this process has open at one endpoint, and
+// those that others have. It is safe for concurrent use and outlives the
+// tables that point to it.
+type Usage struct {
+	// Own is the number of this process's open sessions.
+	Own atomic.Int64
+	// Others is the rest of what the endpoint last reported.
+	Others atomic.Int64
+	// StepNanos is the learned time of one step; 0 while not yet learned.
+	StepNanos atomic.Int64
+	// Limit is the number of sessions that the endpoint admits.
+	Limit atomic.Int64
+}
+
+// Report takes in a load report: all sessions at the endpoint, its limit, and
+// its step time.
+func (u *Usage) Report(sessions, limit int, step time.Duration) {
+	u.Others.Store(max(0, int64(sessions)-u.Own.Load()))
+	if limit > 0 {
+		u.Limit.Store(int64(limit))
+	}
+	if step > 0 {
+		u.StepNanos.Store(int64(step))
+	}
+}
+
+// Load returns the open sessions as a share of the limit.
+func (u *Usage) Load() float64 {
+	limit := cmp.Or(u.Limit.Load(), defaultLimit)
+	return float64(u.Own.Load()+u.Others.Load()) / float64(limit)
+}
+
+// Candidate is an endpoint with its usage.
+type Candidate struct {
+	Endpoint fleet.Endpoint
+	Usage    *Usage
+}
+
+// Links is the one-way time between two data halls.
+type Links func(from, to string) time.Duration
+
+// Table is an immutable snapshot of the endpoints that serve one model. Its
+// methods are safe for concurrent use.
+type Table struct {
+	// Layers is the number of layers that a chain covers.
+	Layers int
+	// Candidates are sorted by range and hall.
+	Candidates []Candidate
+
+	halls  []string
+	cuts   []int
+	groups []group
+	links  []float64 // nanoseconds by from*len(halls)+to
+	home   int
+}
+
+// group is the candidates that hold the same range in the same hall.
+type group struct {
+	from, to   int // indices into cuts
+	hall       int
+	begin, end int // indices into Candidates
+}
+
+// defaultStep is the step time assumed of endpoints that have not reported.
+const defaultStep = 10 * time.Millisecond
+
+// defaultLimit is the session limit assumed of endpoints that have not reported.
+const defaultLimit = 32
+
+// samples is how many candidates of a group one choice looks at. Choices by
+// many processes on the same stale reports then spread over the group.
+const samples = 4
+
+// New returns a table of the candidates that may take new work, seen from the
+// hall home. Candidates that are leaving or hold no layers are left out.
+func New(layers int, home string, candidates []Candidate, links Links) *Table {
+	t := &Table{Layers: layers}
+	for _, c := range candidates {
+		r := c.Endpoint.Layers
+		if c.Endpoint.Leaving || r.Empty() || r.First < 0 || r.End > layers {
+			continue
+		}
+		t.Candidates = append(t.Candidates, c)
+	}
+	slices.SortFunc(t.Candidates, func(a, b Candidate) int {
+		x, y := a.Endpoint, b.Endpoint
+		return cmp.Or(cmp.Compare(x.Layers.First, y.Layers.First), cmp.Compare(x.Layers.End, y.Layers.End),
+			cmp.Compare(x.Hall, y.Hall), cmp.Compare(x.Name, y.Name))
+	})
+	t.index(home)
+	t.home = slices.Index(t.halls, home)
+	t.links = make([]float64, len(t.halls)*len(t.halls))
+	for i, from := range t.halls {
+		for j, to := range t.halls {
+			t.links[i*len(t.halls)+j] = float64(links(from, to))
+		}
+	}
+	return t
+}
+
+// index fills halls, cuts and groups.
+func (t *Table) index(home string) {
+	t.halls = []string{home}
+	t.cuts = []int{0, t.Layers}
+	for _, c := range t.Candidates {
+		t.halls = append(t.halls, c.Endpoint.Hall)
+		t.cuts = append(t.cuts, c.Endpoint.Layers.First, c.Endpoint.Layers.End)
+	}
+	slices.Sort(t.halls)
+	t.halls = slices.Compact(t.halls)
+	slices.Sort(t.cuts)
+	t.cuts = slices.Compact(t.cuts)
+	for i, c := range t.Candidates {
+		e := c.Endpoint
+		from, _ := slices.BinarySearch(t.cuts, e.Layers.First)
+		to, _ := slices.BinarySearch(t.cuts, e.Layers.End)
+		hall, _ := slices.BinarySearch(t.halls, e.Hall)
+		last := len(t.groups) - 1
+		if last >= 0 && t.groups[last].from == from && t.groups[last].to == to && t.groups[last].hall == hall {
+			t.groups[last].end = i + 1
+			continue
+		}
+		t.groups = append(t.groups, group{from: from, to: to, hall: hall, begin: i, end: i + 1})
+	}
+}
+
+// Choice is a chosen chain.
+type Choice struct {
+	// Stages are indices into the table's Candidates, the first Len count.
+	Stages [MaxStages]int32
+	// Len is the number of stages.
+	Len int
+	// Cost is the estimated time of one token.
+	Cost time.Duration
+	// RunnerUp is the last stage of the best chain that ends elsewhere; -1 when
+	// there is none. RunnerUpCost is that chain's cost.
+	RunnerUp     int32
+	RunnerUpCost time.Duration
+	// Full is whether a stage is at its limit.
+	Full bool
+}
+
+// Range returns the layers of stage i.
+func (t *Table) Range(c Choice, i int) layer.Range {
+	return t.Candidates[c.Stages[i]].Endpoint.Layers
+}
+
+// fullPenalty keeps endpoints at their limit behind all others.
+const fullPenalty = float64(time.Hour)
+
+// cost returns the estimated time of a step at candidate i with one more
+// session, and whether the endpoint is at its limit.
+func (t *Table) cost(i int) (cost float64, full bool) {
+	c := &t.Candidates[i]
+	step := float64(c.Usage.StepNanos.Load())
+	if step == 0 {
+		step = float64(cmp.Or(c.Endpoint.StepTime, defaultStep))
+	}
+	limit := c.Usage.Limit.Load()
+	if limit == 0 {
+		limit = int64(cmp.Or(c.Endpoint.Limit, defaultLimit))
+	}
+	open := c.Usage.Own.Load() + c.Usage.Others.Load()
+	cost = step * (1 + float64(open)/float64(limit))
+	if open >= limit {
+		return cost + fullPenalty, true
+	}
+	return cost, false
+}
+
+// scratch is the working memory of one choice, by cut and hall.
+type scratch struct {
+	cost []float64
+	via  []int32 // candidate taken to get here, -1 for none
+	prev []int32 // state before it
+}
+
+var scratches = sync.Pool{New: func() any { return new(scratch) }}
+
+// reset makes s ready for n states.
+func (s *scratch) reset(n int) {
+	if cap(s.cost) < n {
+		s.cost = make([]float64, n)
+		s.via = make([]int32, n)
+		s.prev = make([]int32, n)
+	}
+	s.cost, s.via, s.prev = s.cost[:n], s.via[:n], s.prev[:n]
+	for i := range s.cost {
+		s.cost[i] = math.Inf(1)
+		s.via[i] = -1
+	}
+}
+
+// Choose returns the cheapest chain among a sample of the candidates. Avoid
+// reports candidates that must not be used; it may be nil. Seed picks the
+// sample. The second result is false when no chain covers all layers.
+func (t *Table) Choose(seed uint64, avoid func(*fleet.Endpoint) bool) (Choice, bool) {
+	s := scratches.Get().(*scratch)
+	defer scratches.Put(s)
+	halls := len(t.halls)
+	s.reset(len(t.cuts) * halls)
+	s.cost[t.home] = 0
+	for g := range t.groups {
+		grp := &t.groups[g]
+		from, cost := t.enter(s, grp)
+		if math.IsInf(cost, 1) {
+			continue
+		}
+		pick, add := t.sample(grp, mix(seed+uint64(g)), avoid)
+		if pick < 0 {
+			continue
+		}
+		state := grp.to*halls + grp.hall
+		if cost+add < s.cost[state] {
+			s.cost[state] = cost + add
+			s.via[state] = int32(pick)
+			s.prev[state] = int32(from)
+		}
+	}
+	return t.trace(s)
+}
+
+// enter returns the cheapest state from which grp can be reached, with the cost
+// up to the group's hall.
+func (t *Table) enter(s *scratch, grp *group) (state int, cost float64) {
+	halls := len(t.halls)
+	cost = math.Inf(1)
+	for h := range halls {
+		at := s.cost[grp.from*halls+h] + t.links[h*halls+grp.hall]
+		if at < cost {
+			state, cost = grp.from*halls+h, at
+		}
+	}
+	return state, cost
+}
+
+// sample returns the cheapest of a few candidates of grp, or -1.
+func (t *Table) sample(grp *group, seed uint64, avoid func(*fleet.Endpoint) bool) (pick int, cost float64) {
+	pick = -1
+	size := grp.end - grp.begin
+	start := int(seed % uint64(size))
+	looked := 0
+	for i := 0; i < size && looked < samples; i++ {
+		at := grp.begin + (start+i)%size
+		if avoid != nil && avoid(&t.Candidates[at].Endpoint) {
+			continue
+		}
+		looked++
+		add, _ := t.cost(at)
+		if pick < 0 || add < cost {
+			pick, cost = at, add
+		}
+	}
+	return pick, cost
+}
+
+// trace walks back from the cheapest end state.
+func (t *Table) trace(s *scratch) (Choice, bool) {
+	halls := len(t.halls)
+	last := (len(t.cuts) - 1) * halls
+	best, second := -1, -1
+	for h := range halls {
+		state := last + h
+		if math.IsInf(s.cost[state], 1) {
+			continue
+		}
+		total := s.cost[state] + t.links[h*halls+t.home]
+		s.cost[state] = total
+		switch {
+		case best < 0 || total < s.cost[best]:
+			best, second = state, best
+		case second < 0 || total < s.cost[second]:
+			second = state
+		}
+	}
+	if best < 0 {
+		return Choice{}, false
+	}
+	c := Choice{Cost: time.Duration(s.cost[best]), RunnerUp: -1}
+	if second >= 0 {
+		c.RunnerUp = s.via[second]
+		c.RunnerUpCost = time.Duration(s.cost[second])
+	}
+	for state := best; s.via[state] >= 0; state = int(s.prev[state]) {
+		if c.Len == MaxStages {
+			return Choice{}, false
+		}
+		c.Stages[c.Len] = s.via[state]
+		c.Len++
+		_, full := t.cost(int(s.via[state]))
+		c.Full = c.Full || full
+	}
+	slices.Reverse(c.Stages[:c.Len])
+	return c, true
+}
+
+// Link returns the one-way time between two halls as the table holds it.
+func (t *Table) Link(from, to string) time.Duration {
+	i, j := slices.Index(t.halls, from), slices.Index(t.halls, to)
+	if i < 0 || j < 0 {
+		return 0
+	}
+	return time.Duration(t.links[i*len(t.halls)+j])
+}
+
+// mix scrambles a seed so that neighbours differ in all bits.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/standin/service/service.go
@@ -0,0 +1,52 @@
+// Package service is a small stand-in for a plain service, such as membership
+// records: it runs each call it gets, checks nobody, and records what it ran.
+package service
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Run is one call as it was run.
+type Run struct {
+	Key    string `json:"key"`
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Body   string `json:"body"`
+}
+
+// Service is the stand-in. Set the exported fields before the first use.
+type Service struct {
+	// Took is how long a call takes. A call counts as run when it starts.
+	Took time.Duration
+
+	mu   sync.Mutex
+	runs []Run
+}
+
+// ServeHTTP runs a call and answers with its number and body.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	run := Run{Key: r.Header.Get("Idempotency-Key"), Method: r.Method, Path: r.URL.Path, Body: string(body)}
+	s.runs = append(s.runs, run)
+	number := len(s.runs)
+	s.mu.Unlock()
+	time.Sleep(s.Took)
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = fmt.Fprintf(w, `{"run":%d,"echo":%q}`, number, body)
+}
+
+// Record returns all runs so far, in order.
+func (s *Service) Record() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Run(nil), s.runs...)
+}
--- /dev/null
+++ b/standin/toy/model.go
@@ -0,0 +1,94 @@
+// Package toy is a model small enough to run anywhere and strict enough to
+// show any mistake: each layer keeps a hash of all it has seen, so a layer that
+// runs twice, out of order or not at all changes every token after it.
+package toy
+
+import "encoding/binary"
+
+// Sizes of what travels between stages.
+const (
+	// TokenBytes is the size of one token at the first layer.
+	TokenBytes = 4
+	// ActivationBytes is the size of one activation after it.
+	ActivationBytes = 8
+)
+
+// vocabulary is the number of distinct tokens: the printable letters.
+const vocabulary = 26
+
+// Model is a toy model of Layers layers. The name seeds it.
+type Model struct {
+	Name   string
+	Layers int
+}
+
+// Cache is what one layer remembers of one request.
+type Cache uint64
+
+// Embed returns the activation of a token.
+func Embed(token uint32) uint64 {
+	return mix(uint64(token) + 0x9e3779b97f4a7c15)
+}
+
+// Layer runs layer l over activation x and updates its cache.
+func (m Model) Layer(l int, cache *Cache, x uint64) uint64 {
+	h := mix(uint64(*cache) ^ x ^ uint64(l)<<48 ^ uint64(len(m.Name)))
+	*cache = Cache(h)
+	return mix(x + h)
+}
+
+// Token returns the token that the last activation stands for, as a lower-case
+// letter.
+func Token(x uint64) uint32 {
+	return 'a' + uint32(x%vocabulary)
+}
+
+// Answer returns the n tokens that the model gives to prompt.
+func (m Model) Answer(prompt []uint32, n int) []uint32 {
+	caches := make([]Cache, m.Layers)
+	var next uint32
+	for _, token := range prompt {
+		next = m.step(caches, token)
+	}
+	answer := make([]uint32, 0, n)
+	for range n {
+		answer = append(answer, next)
+		next = m.step(caches, next)
+	}
+	return answer
+}
+
+func (m Model) step(caches []Cache, token uint32) uint32 {
+	x := Embed(token)
+	for l := range caches {
+		x = m.Layer(l, &caches[l], x)
+	}
+	return Token(x)
+}
+
+// Tokens returns the tokens of text, one for each byte.
+func Tokens(text string) []uint32 {
+	tokens := make([]uint32, len(text))
+	for i := range len(text) {
+		tokens[i] = uint32(text[i])
+	}
+	return tokens
+}
+
+// EncodeTokens returns tokens as the payload of a first stage.
+func EncodeTokens(tokens []uint32) []byte {
+	payload := make([]byte, 0, len(tokens)*TokenBytes)
+	for _, token := range tokens {
+		payload = binary.LittleEndian.AppendUint32(payload, token)
+	}
+	return payload
+}
+
+// mix scrambles the bits of x.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/view/view.go
@@ -0,0 +1,161 @@
+// Package view keeps what an entry knows of the endpoints, from their
+// heartbeats, from broken connections, and from the platform's list of hosts.
+package view
+
+import (
+	"time"
+
+	"github.com/grademill/grademill/config"
+	"github.com/grademill/grademill/fleet"
+	"github.com/grademill/grademill/route"
+)
+
+// Snapshot is the view at one moment, ready for choices. It is immutable but
+// for the usage that its tables point to.
+type Snapshot struct {
+	// Models maps a service to the table of its chains.
+	Models map[string]*route.Table
+	// Plain maps a plain service to its endpoints that may take work.
+	Plain map[string][]route.Candidate
+	// Idle are the endpoints that wait for an order.
+	Idle []fleet.Endpoint
+	// All are all endpoints known, with those that may not take work.
+	All []fleet.Endpoint
+}
+
+// View is the mutable view. It is not safe for concurrent use. Set the exported
+// fields before the first use.
+type View struct {
+	// Home is the entry's own data hall.
+	Home string
+	// Links is the time between halls.
+	Links route.Links
+	// Expiry is how long an endpoint counts without a heartbeat.
+	Expiry time.Duration
+
+	known map[string]*known
+}
+
+type known struct {
+	endpoint fleet.Endpoint
+	usage    *route.Usage
+	// suspect endpoints get no work until they are heard of again.
+	suspect bool
+	// listed endpoints are leaving by the platform's list.
+	listed bool
+	// revision is the configuration in force at the agent.
+	revision uint64
+}
+
+// Heard takes in a heartbeat. It reports whether choices may come out
+// differently.
+func (v *View) Heard(e fleet.Endpoint, revision uint64) bool {
+	if v.known == nil {
+		v.known = make(map[string]*known)
+	}
+	k := v.known[e.Name]
+	if k == nil {
+		k = &known{usage: new(route.Usage)}
+		v.known[e.Name] = k
+	}
+	former := k.endpoint
+	if former.Incarnation != e.Incarnation {
+		// What was open at the former incarnation is gone with it, and those
+		// who opened it take it off the former count.
+		k.usage = new(route.Usage)
+	}
+	changed := k.suspect || former.Incarnation != e.Incarnation || former.Layers != e.Layers ||
+		former.Leaving != e.Leaving || former.Address != e.Address || former.Service != e.Service
+	k.suspect = false
+	k.endpoint = e
+	k.revision = revision
+	k.usage.Report(e.Sessions, e.Limit, e.StepTime)
+	return changed
+}
+
+// Loaded takes in a load report that came with an answer.
+func (v *View) Loaded(name string, sessions, limit int, step time.Duration) {
+	if k := v.known[name]; k != nil {
+		k.usage.Report(sessions, limit, step)
+	}
+}
+
+// Suspect marks an endpoint as not to be used until it is heard of again.
+func (v *View) Suspect(name string) bool {
+	k := v.known[name]
+	if k == nil || k.suspect {
+		return false
+	}
+	k.suspect = true
+	return true
+}
+
+// SuspectAddress marks the endpoint behind an agent's address.
+func (v *View) SuspectAddress(address string) bool {
+	for name, k := range v.known {
+		if k.endpoint.Address == address {
+			return v.Suspect(name)
+		}
+	}
+	return false
+}
+
+// Listed takes in what the platform's list says of leaving hosts, by the
+// agents' addresses.
+func (v *View) Listed(leaving map[string]bool) bool {
+	changed := false
+	for _, k := range v.known {
+		listed := leaving[k.endpoint.Address]
+		changed = changed || listed != k.listed
+		k.listed = listed
+	}
+	return changed
+}
+
+// Expire forgets endpoints that have not been heard of for long, and reports
+// whether there were any.
+func (v *View) Expire(now time.Time) bool {
+	changed := false
+	for name, k := range v.known {
+		if now.Sub(k.endpoint.Seen) > v.Expiry {
+			delete(v.known, name)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Revisions returns the configuration in force at each agent.
+func (v *View) Revisions() map[string]uint64 {
+	revisions := make(map[string]uint64, len(v.known))
+	for name, k := range v.known {
+		revisions[name] = k.revision
+	}
+	return revisions
+}
+
+// Snapshot returns the view as it stands, for the services of a configuration.
+func (v *View) Snapshot(services map[string]config.Object[config.Service]) *Snapshot {
+	s := &Snapshot{Models: make(map[string]*route.Table), Plain: make(map[string][]route.Candidate)}
+	byService := make(map[string][]route.Candidate)
+	for _, k := range v.known {
+		e := k.endpoint.WithLeaving(k.endpoint.Leaving || k.listed)
+		s.All = append(s.All, e)
+		if e.Leaving || k.suspect {
+			continue
+		}
+		if e.Service == "" {
+			s.Idle = append(s.Idle, e)
+			continue
+		}
+		byService[e.Service] = append(byService[e.Service], route.Candidate{Endpoint: e, Usage: k.usage})
+	}
+	for name, service := range services {
+		if service.Value.Kind == config.Plain {
+			s.Plain[name] = byService[name]
+			continue
+		}
+		s.Models[name] = route.New(service.Value.Layers, v.Home, byService[name], v.Links)
+	}
+	return s
+}
