Let entries learn of each other without the platform's list

Cause: an entry that starts during an outage of the platform learned the configuration from its peers, but no agent ever heard of the entry: agents know entries only from the list. Its callers were refused for want of a chain. Ruled out: a late heartbeat (agents kept sending to the two old entries only). Entries now name themselves when they ask a peer for changes; peers pass on who has spoken to them, to entries and to agents. Before: TestPlatformDown... failed with no_chain at the third entry; after: it passes. Added with it: process tests with kills, freezes, stops, outages and lost answers.

--- /dev/null
+++ b/e2e/faults_test.go
@@ -0,0 +1,315 @@
+package e2e_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/standin/platform"
+)
+
+const (
+	requests = 24
+	tokens   = 40
+)
+
+func TestStageKilledMidAnswer(t *testing.T) {
+	w := replicas(t)
+	l := run(requests, tokens, w.entries...)
+	w.underWay(200)
+	w.agents[2].kill()
+	l.whole(t)
+	w.checkOnce(t)
+}
+
+func TestTwoStagesKilledAtOnce(t *testing.T) {
+	w := replicas(t)
+	l := run(requests, tokens, w.entries...)
+	w.underWay(200)
+	w.agents[0].kill()
+	w.agents[5].kill()
+	l.whole(t)
+	w.checkOnce(t)
+}
+
+func TestStageFrozenThenWoken(t *testing.T) {
+	w := replicas(t)
+	l := run(requests, tokens, w.entries...)
+	w.underWay(200)
+	w.agents[3].signal(syscall.SIGSTOP)
+	l.whole(t)
+	w.agents[3].signal(syscall.SIGCONT)
+	again := run(requests, tokens, w.entries...)
+	again.whole(t)
+	w.checkOnce(t)
+}
+
+func TestEngineKilledMidAnswer(t *testing.T) {
+	w := replicas(t)
+	l := run(requests, tokens, w.entries...)
+	w.underWay(200)
+	w.engines[4].kill()
+	l.whole(t)
+	w.engines = append(w.engines[:4:4], w.engines[5])
+	w.checkOnce(t)
+}
+
+func TestEntryKilledMidAnswer(t *testing.T) {
+	w := replicas(t)
+	l := run(requests, tokens, w.entries[0])
+	w.underWay(200)
+	w.entries[0].kill()
+	l.group.Wait()
+	for i, a := range l.answers {
+		// A cut answer is never taken for a whole one, and what was given of it
+		// belongs to its request.
+		want := expected(l.prompts[i], tokens)
+		if a.whole {
+			require.Equal(t, want, a.tokens)
+		}
+		require.LessOrEqual(t, len(a.tokens), len(want))
+		require.Equal(t, want[:len(a.tokens)], a.tokens)
+	}
+	run(requests, tokens, w.entries[1]).whole(t)
+	w.checkOnce(t)
+}
+
+func TestAgentStoppedUnderLoad(t *testing.T) {
+	w := replicas(t)
+	l := run(requests, tokens, w.entries...)
+	w.underWay(200)
+	w.agents[2].stop()
+	ran := len(w.engineRecord(w.engines[2]))
+	l.whole(t)
+	for _, a := range l.answers {
+		require.Equal(t, 1, a.attempts, "a planned stop cuts off nothing")
+	}
+	run(requests, tokens, w.entries...).whole(t)
+	require.Len(t, w.engineRecord(w.engines[2]), ran, "an endpoint that has left gets no work")
+	w.checkOnce(t)
+}
+
+func TestEntryStoppedUnderLoad(t *testing.T) {
+	w := replicas(t)
+	l := run(requests, tokens, w.entries[0])
+	w.underWay(200)
+	w.entries[0].stop()
+	l.whole(t)
+	for _, a := range l.answers {
+		require.Equal(t, 1, a.attempts)
+	}
+	w.checkOnce(t)
+}
+
+func TestEntryAndAgentStoppedTogether(t *testing.T) {
+	w := replicas(t)
+	l := run(requests, tokens, w.entries...)
+	w.underWay(200)
+	w.agents[1].signal(syscall.SIGTERM)
+	w.entries[1].signal(syscall.SIGTERM)
+	l.whole(t)
+	<-w.agents[1].done
+	<-w.entries[1].done
+	w.checkOnce(t)
+}
+
+func TestStopDuringChainRebuild(t *testing.T) {
+	w := replicas(t)
+	l := run(requests, tokens, w.entries...)
+	w.underWay(200)
+	w.agents[2].kill()
+	w.agents[0].signal(syscall.SIGTERM)
+	l.whole(t)
+	<-w.agents[0].done
+	w.checkOnce(t)
+}
+
+func TestListedAsLeavingGetsNoNewWork(t *testing.T) {
+	w := replicas(t)
+	run(requests, tokens, w.entries...).whole(t)
+	w.list(w.agents[4])
+	for _, e := range w.entries {
+		w.eventually(func() bool {
+			for _, ep := range w.status(e).Endpoints {
+				if ep.Name == w.agents[4].name {
+					return ep.Leaving
+				}
+			}
+			return false
+		}, "%s sees the endpoint leave", e.name)
+	}
+	ran := len(w.engineRecord(w.engines[4]))
+	run(requests, tokens, w.entries...).whole(t)
+	require.Len(t, w.engineRecord(w.engines[4]), ran)
+}
+
+func TestPlatformDownDoesNotStopRequests(t *testing.T) {
+	w := replicas(t)
+	w.fault(platform.Fault{Down: true})
+	run(requests, tokens, w.entries...).whole(t)
+	// A process that starts during the outage learns everything from peers.
+	w.addEntriesDuringOutage("entry-3")
+	w.ready(w.entries[2], 6)
+	run(requests, tokens, w.entries[2]).whole(t)
+	w.fault(platform.Fault{})
+	w.put(w.entries[0], "teams", "late", `{"key_sha256":[]}`)
+	revision := w.status(w.entries[0]).Revisions["entry-1"]
+	for _, e := range w.entries {
+		w.eventually(func() bool { return w.status(e).Revisions[e.name] >= revision }, "%s follows", e.name)
+	}
+}
+
+// renewals sends the same keys through all entries at once, each key until some
+// entry gives an answer that is final.
+type renewals struct {
+	group sync.WaitGroup
+	mu    sync.Mutex
+	// ends are the outcomes by key, in the order of their arrival.
+	ends map[string][]string
+}
+
+func renew(keys int, entries ...*process) *renewals {
+	r := &renewals{ends: make(map[string][]string)}
+	for i := range keys {
+		key := fmt.Sprintf("renewal-%d", i)
+		for _, e := range entries {
+			r.group.Go(func() {
+				a := call(e, key, key)
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				outcome := a.outcome
+				if a.err != nil {
+					outcome = "cut"
+				}
+				r.ends[key] = append(r.ends[key], outcome)
+			})
+		}
+	}
+	return r
+}
+
+// checkAtMostOnce checks that no key ran twice, and that a key whose callers
+// were all told "not run" did not run.
+func (w *world) checkAtMostOnce(t *testing.T, r *renewals) {
+	t.Helper()
+	r.group.Wait()
+	ran := make(map[string]int)
+	for _, run := range w.serviceRecord() {
+		ran[run.Body]++
+	}
+	for key, n := range ran {
+		require.LessOrEqual(t, n, 1, key)
+	}
+	for key, ends := range r.ends {
+		done, notRun := 0, 0
+		for _, end := range ends {
+			switch end {
+			case "done":
+				done++
+			case "not_run":
+				notRun++
+			}
+		}
+		if done > 0 {
+			require.Equal(t, 1, ran[key], "%s: %v", key, ends)
+		}
+		if notRun == len(ends) {
+			require.Zero(t, ran[key], "%s: %v", key, ends)
+		}
+	}
+}
+
+// shops starts two entries and two endpoints of the plain service.
+func shops(t *testing.T) *world {
+	w := newWorld(t)
+	w.addEntries("entry-1", "entry-2")
+	w.plain("records-1", "rose-hill", "-took", "20ms")
+	w.plain("records-2", "curepipe", "-took", "20ms")
+	w.list()
+	w.configure(2)
+	return w
+}
+
+func (w *world) served(n int) {
+	w.eventually(func() bool { return len(w.serviceRecord()) >= n }, "%d calls have run", n)
+}
+
+func TestSameKeyAtBothEntriesRunsOnce(t *testing.T) {
+	w := shops(t)
+	r := renew(20, w.entries...)
+	w.checkAtMostOnce(t, r)
+	for key, ends := range r.ends {
+		require.Equal(t, []string{"done", "done"}, ends, key)
+	}
+}
+
+func TestSameKeyForAnotherRequestIsRefused(t *testing.T) {
+	w := shops(t)
+	require.Equal(t, http.StatusOK, call(w.entries[0], "k", "one").status)
+	a := call(w.entries[1], "k", "two")
+	require.Equal(t, http.StatusUnprocessableEntity, a.status, a.body)
+	require.Len(t, w.serviceRecord(), 1)
+}
+
+func TestEntryKilledWhileRenewing(t *testing.T) {
+	w := shops(t)
+	r := renew(40, w.entries[0])
+	w.served(5)
+	w.entries[0].kill()
+	r.group.Wait()
+	again := renew(40, w.entries[1])
+	w.checkAtMostOnce(t, again)
+}
+
+func TestAgentKilledWhileRenewing(t *testing.T) {
+	w := shops(t)
+	r := renew(40, w.entries...)
+	w.served(5)
+	w.agents[0].kill()
+	w.checkAtMostOnce(t, r)
+	w.restart(w.agents[0])
+	again := renew(40, w.entries...)
+	w.checkAtMostOnce(t, again)
+}
+
+func TestAgentFrozenWhileRenewing(t *testing.T) {
+	w := shops(t)
+	r := renew(40, w.entries...)
+	w.served(5)
+	w.agents[1].signal(syscall.SIGSTOP)
+	r.group.Wait()
+	w.agents[1].signal(syscall.SIGCONT)
+	again := renew(40, w.entries...)
+	w.checkAtMostOnce(t, again)
+}
+
+func TestLostAnswersWhileRenewing(t *testing.T) {
+	w := shops(t)
+	w.fault(platform.Fault{LoseAnswers: true})
+	r := renew(20, w.entries...)
+	w.checkAtMostOnce(t, r)
+	w.fault(platform.Fault{})
+	again := renew(20, w.entries...)
+	w.checkAtMostOnce(t, again)
+}
+
+func TestOutageWhileRenewing(t *testing.T) {
+	w := shops(t)
+	r := renew(40, w.entries...)
+	w.served(5)
+	w.fault(platform.Fault{Down: true})
+	w.checkAtMostOnce(t, r)
+	a := call(w.entries[0], "during the outage", "x")
+	require.Equal(t, "not_run", a.outcome, a.body)
+	require.Equal(t, http.StatusOK, call(w.entries[0], "", "a call without a key goes on").status)
+	w.fault(platform.Fault{})
+	again := renew(40, w.entries...)
+	w.checkAtMostOnce(t, again)
+	for key, ends := range again.ends {
+		require.Equal(t, []string{"done", "done"}, ends, key)
+	}
+}
--- /dev/null
+++ b/e2e/load_test.go
@@ -0,0 +1,101 @@
+package e2e_test
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/standin/engine"
+)
+
+// replicas starts two entries and two engines for each third of the model.
+// Their steps are slow enough for faults to come in the middle of answers.
+func replicas(t *testing.T) *world {
+	w := newWorld(t)
+	w.addEntries("entry-1", "entry-2")
+	halls := []string{"rose-hill", "quatre-bornes", "curepipe"}
+	for i, hall := range halls {
+		for _, copyName := range []string{"a", "b"} {
+			w.engine(fmt.Sprintf("engine-%d%s", i+1, copyName), hall, 4*i, 4*i+4, "-base", "4ms")
+		}
+	}
+	w.list()
+	w.configure(6)
+	return w
+}
+
+// load is many completions at once.
+type load struct {
+	prompts []string
+	answers []answer
+	tokens  int
+	given   atomic.Int64 // answers that have ended
+	group   sync.WaitGroup
+}
+
+// run sends n completions, spread over the entries.
+func run(n, tokens int, entries ...*process) *load {
+	l := &load{tokens: tokens, answers: make([]answer, n)}
+	for i := range n {
+		prompt := fmt.Sprintf("request %d: when may I freeze my membership?", i)
+		l.prompts = append(l.prompts, prompt)
+		l.group.Go(func() {
+			l.answers[i] = complete(entries[i%len(entries)], prompt, tokens)
+			l.given.Add(1)
+		})
+	}
+	return l
+}
+
+// whole checks that every caller got the whole answer to its own request.
+func (l *load) whole(t *testing.T) {
+	t.Helper()
+	l.group.Wait()
+	for i, a := range l.answers {
+		require.NoError(t, a.err)
+		require.True(t, a.whole, "%s: %+v", l.prompts[i], a)
+		require.Equal(t, expected(l.prompts[i], l.tokens), a.tokens, l.prompts[i])
+	}
+}
+
+// underWay waits until the engines have run some steps.
+func (w *world) underWay(steps int) {
+	w.eventually(func() bool {
+		n := 0
+		for _, e := range w.engines {
+			n += len(w.engineRecord(e))
+		}
+		return n >= steps
+	}, "%d steps have run", steps)
+}
+
+// attempt names one attempt of a request at one engine.
+type attempt struct {
+	request string
+	number  uint32
+	engine  int
+}
+
+// checkOnce checks that within each attempt every stage ran each position once
+// and in order, and that no attempt began before a lower one of its request at
+// the same engine had ended.
+func (w *world) checkOnce(t *testing.T) {
+	t.Helper()
+	next := make(map[attempt]uint32)
+	for i, e := range w.engines {
+		latest := make(map[string]uint32)
+		for _, r := range w.engineRecord(e) {
+			checkNext(t, next, attempt{r.Request, r.Attempt, i}, r)
+			require.GreaterOrEqual(t, r.Attempt, latest[r.Request], "%+v", r)
+			latest[r.Request] = r.Attempt
+		}
+	}
+}
+
+func checkNext(t *testing.T, next map[attempt]uint32, key attempt, r engine.Run) {
+	require.Equal(t, next[key], r.Position, "%+v", r)
+	next[key] = r.Position + r.Count
+}
--- a/e2e/world_test.go
+++ b/e2e/world_test.go
@@ -17,6 +17,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -92,6 +93,8 @@
 type world struct {
 	t        *testing.T
 	dir      string
+	ip       string
+	ports    int
 	platform *process
 	engines  []*process
 	services []*process
@@ -106,17 +109,24 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// port returns an address that is free now.
-func port(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+// worlds counts the worlds of this run; each has a loopback address of its own,
+// so that worlds at the same time do not take each other's ports.
+var worlds atomic.Int32
+
+// firstPort lies below the ports that the kernel gives to connections.
+const firstPort = 20000
+
+// port returns an address that nobody else uses.
+func (w *world) port() string {
+	w.ports++
+	return fmt.Sprintf("%s:%d", w.ip, firstPort+w.ports)
 }
 
 // newWorld starts the platform.
 func newWorld(t *testing.T) *world {
-	w := &world{t: t, dir: t.TempDir()}
+	t.Parallel()
+	n := worlds.Add(1)
+	w := &world{t: t, dir: t.TempDir(), ip: fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()%250, n)}
 	t.Cleanup(w.close)
 	w.platform = w.standin("platform", "platform")
 	return w
@@ -159,7 +169,7 @@
 }
 
 func (w *world) standin(name, kind string, args ...string) *process {
-	address := port(w.t)
+	address := w.port()
 	p := &process{name: name, http: "http://" + address}
 	w.start(p, "standin", append([]string{kind, "-listen", address}, args...)...)
 	w.eventually(func() bool { return reachable(address) }, "stand-in %s listens", name)
@@ -203,7 +213,7 @@
 }
 
 func (w *world) agent(name, hall, endpoint string) *process {
-	p := &process{name: name, address: port(w.t), hall: hall, role: "agent", file: filepath.Join(w.dir, name+".toml")}
+	p := &process{name: name, address: w.port(), hall: hall, role: "agent", file: filepath.Join(w.dir, name+".toml")}
 	text := fmt.Sprintf("role = \"agent\"\nname = %q\nhall = %q\naddress = %q\ndrain_timeout = \"30s\"\n[agent]\nentries = [%s]\nheartbeat = \"200ms\"\n%s\n",
 		name, hall, p.address, w.addresses(), endpoint)
 	require.NoError(w.t, os.WriteFile(p.file, []byte(text), 0o600))
@@ -221,7 +231,7 @@
 	from := len(w.entries)
 	for _, name := range names {
 		w.entries = append(w.entries, &process{
-			name: name, address: port(w.t), http: "http://" + port(w.t), admin: "http://" + port(w.t),
+			name: name, address: w.port(), http: "http://" + w.port(), admin: "http://" + w.port(),
 			hall: "rose-hill", role: "entry", file: filepath.Join(w.dir, name+".toml"),
 		})
 	}
@@ -504,3 +514,13 @@
 	a.problem(text)
 	return a
 }
+
+// addEntriesDuringOutage starts one more entry that cannot reach the platform
+// and learns the rest from its peers.
+func (w *world) addEntriesDuringOutage(name string) {
+	w.addEntries(name)
+	w.eventually(func() bool {
+		s := w.status(w.entries[len(w.entries)-1])
+		return s.Revisions[name] >= 3
+	}, "%s learns the configuration from peers", name)
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/grademill/grademill/claimlog"
 	"github.com/grademill/grademill/conflog"
 	"github.com/grademill/grademill/gate"
+	"github.com/grademill/grademill/member"
 	"github.com/grademill/grademill/port/hosts"
 	"github.com/grademill/grademill/port/kv"
 	"github.com/grademill/grademill/port/router"
@@ -31,7 +32,6 @@
 	"github.com/grademill/grademill/route"
 	"github.com/grademill/grademill/timeout"
 	"github.com/grademill/grademill/view"
-	"github.com/grademill/grademill/wire"
 )
 
 // Entry is one entry process. Set the exported fields, then call Prepare and
@@ -102,7 +102,7 @@
 
 	mu        sync.Mutex // guards what follows
 	view      view.View
-	peers     []*wire.Peer
+	peers     member.Set
 	revisions map[string]uint64
 	stalls    map[string]stalls
 	teamLoad  map[string]int
@@ -126,6 +126,9 @@
 	claimTimeout = 2 * time.Second
 )
 
+// peerKeep is how long an entry counts that only peers have told of.
+const peerKeep = 30 * time.Second
+
 // Prepare makes the entry ready for Run and for callers.
 func (e *Entry) Prepare() {
 	e.incarnation = uint64(time.Now().UnixNano())
@@ -134,6 +137,7 @@
 	e.claims = &claimlog.Log{Store: e.Store, Keep: e.ClaimKeep, Gather: claimGather, Timeout: claimTimeout}
 	e.gate.MaxQueue = e.MaxQueue
 	e.view = view.View{Home: e.Hall, Links: e.Links, Expiry: e.Expiry}
+	e.peers = member.Set{Keep: peerKeep}
 	e.revisions = make(map[string]uint64)
 	e.stalls = make(map[string]stalls)
 	e.teamLoad = make(map[string]int)
@@ -180,9 +184,10 @@
 	return trace.Wrap(e.app.Stop())
 }
 
-// Ready reports whether callers should be sent here.
+// Ready reports whether callers should be sent here: the entry knows the
+// configuration, has heard of an endpoint, and is not leaving.
 func (e *Entry) Ready() bool {
-	return !e.draining.Load() && e.config.Revision() > 0
+	return !e.draining.Load() && e.config.Revision() > 0 && len(e.snapshot.Load().All) > 0
 }
 
 // Changes is the log that operators write to.
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -25,7 +25,7 @@
 	}
 	e.mu.Lock()
 	changed := e.view.Heard(endpoint, beat.GetRevision())
-	peers := e.peers
+	peers := e.peers.Shared()
 	e.mu.Unlock()
 	if changed {
 		e.Log.Info().Str("endpoint", endpoint.Name).Str("service", endpoint.Service).
@@ -133,6 +133,7 @@
 func (e *Entry) expire(now time.Time) {
 	e.mu.Lock()
 	changed := e.view.Expire(now)
+	e.peers.Expire(now)
 	e.mu.Unlock()
 	if changed {
 		e.rebuild()
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/grademill/grademill/agent"
 	"github.com/grademill/grademill/port/hosts"
 	"github.com/grademill/grademill/rendezvous"
 	"github.com/grademill/grademill/wire"
@@ -13,12 +14,18 @@
 
 // answerSync answers a peer what it has missed.
 func (e *Entry) answerSync(_ context.Context, r *wire.SyncRequest) (*wire.SyncReply, error) {
-	if r.GetName() != "" {
-		e.mu.Lock()
-		e.revisions[r.GetName()] = r.GetRevision()
-		e.mu.Unlock()
+	e.mu.Lock()
+	if self := r.GetSelf(); self.GetAddress() != "" {
+		e.revisions[self.GetName()] = r.GetRevision()
+		e.peers.Heard(time.Now(), self)
+	}
+	entries := e.peers.Shared()
+	e.mu.Unlock()
+	reply, err := e.config.Since(r.GetRevision())
+	if err == nil && r.GetEntriesHash() != agent.EntriesHash(entries) {
+		reply.Entries = entries
 	}
-	return e.config.Since(r.GetRevision())
+	return reply, err
 }
 
 // follow asks one peer after another for what was missed, so that everyone
@@ -43,8 +50,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var near, all []string
-	for _, p := range e.peers {
-		if p.GetName() == e.Name {
+	for _, p := range e.peers.All() {
+		if p.GetAddress() == e.Address {
 			continue
 		}
 		all = append(all, p.GetAddress())
@@ -70,11 +77,21 @@
 	ctx, cancel := context.WithTimeout(ctx, e.Sync+time.Second)
 	defer cancel()
 	reply := new(wire.SyncReply)
-	request := &wire.SyncRequest{Name: e.Name, Revision: e.config.Revision()}
+	e.mu.Lock()
+	request := &wire.SyncRequest{
+		Self:     &wire.Peer{Name: e.Name, Address: e.Address, Hall: e.Hall},
+		Revision: e.config.Revision(), EntriesHash: agent.EntriesHash(e.peers.All()),
+	}
+	e.mu.Unlock()
 	if err := e.client.Call(ctx, address, "sync", request, reply); err != nil {
 		e.Log.Debug().Err(err).Str("peer", address).Msg("peer gave no changes")
 		return
 	}
+	e.mu.Lock()
+	for _, p := range reply.GetEntries() {
+		e.peers.Told(time.Now(), p)
+	}
+	e.mu.Unlock()
 	if err := e.config.Take(reply); err != nil {
 		e.Log.Error().Err(err).Str("peer", address).Msg("changes of a peer not taken")
 	}
@@ -88,7 +105,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var near []string
-	for _, p := range e.peers {
+	for _, p := range e.peers.All() {
 		if p.GetHall() == e.Hall {
 			near = append(near, p.GetAddress())
 		}
@@ -156,9 +173,7 @@
 		}
 	}
 	e.mu.Lock()
-	if len(peers) > 0 {
-		e.peers = peers
-	}
+	e.peers.Listed(time.Now(), peers)
 	changed := e.view.Listed(leaving)
 	e.mu.Unlock()
 	if changed {
--- a/entry/lead.go
+++ b/entry/lead.go
@@ -46,9 +46,9 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	addresses := make([]string, len(e.peers))
-	for i, p := range e.peers {
-		addresses[i] = p.GetAddress()
+	var addresses []string
+	for _, p := range e.peers.All() {
+		addresses = append(addresses, p.GetAddress())
 	}
 	return len(addresses) == 0 || slices.Contains(rendezvous.Top(orderKey, addresses, orderCandidates), e.Address)
 }
