--- a/adapter/rpc/client.go
+++ b/adapter/rpc/client.go
@@ -79,7 +79,7 @@
 	}
 	var result json.RawMessage
 	if err := conn.Call(ctx, method, json.RawMessage(params), &result); err != nil {
-		return c.failed(address, conn, err)
+		return c.failed(ctx, address, conn, err)
 	}
 	if err := protojson.Unmarshal(result, reply); err != nil {
 		return trace.Wrap(&LostError{address, err})
@@ -97,13 +97,16 @@
 	c.conns = nil
 }
 
-// failed sorts the error of a call and drops a broken connection.
-func (c *Client) failed(address string, conn *jsonrpc2.Conn, err error) error {
+// failed sorts the error of a call and drops a broken connection. One that a
+// caller merely stopped waiting on stays: other calls are under way on it.
+func (c *Client) failed(ctx context.Context, address string, conn *jsonrpc2.Conn, err error) error {
 	var refused *jsonrpc2.Error
 	if errors.As(err, &refused) {
 		return trace.Wrap(refused)
 	}
-	c.drop(address, conn)
+	if ctx.Err() == nil {
+		c.drop(address, conn)
+	}
 	return trace.Wrap(&LostError{address, err})
 }
 
--- /dev/null
+++ b/proof/config_test.go
@@ -0,0 +1,259 @@
+package proof_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/config"
+	"github.com/grademill/grademill/conflog"
+	"github.com/grademill/grademill/headlog"
+	"github.com/grademill/grademill/port/kv"
+	"github.com/grademill/grademill/replica"
+	"github.com/grademill/grademill/standin/platform"
+)
+
+const (
+	configSeeds     = 40
+	configOperators = 5
+	configChanges   = 12
+	objectName      = "rush-hour"
+)
+
+// faulty is a store with faults that change by a seed: outages, lost answers,
+// and delays around each call, in which a writer may be overtaken.
+type faulty struct {
+	kv.Store
+	mu  sync.Mutex
+	rnd *rand.Rand
+	// loose drops the condition of writes, to show what it is for.
+	loose bool
+	// quiet ends the faults.
+	quiet bool
+}
+
+// errFault is a call that got no answer.
+type faultError struct{}
+
+func (faultError) Error() string { return "no answer" }
+
+// fate draws what becomes of a call.
+func (f *faulty) fate() (before, after time.Duration, lost, unsent bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.quiet {
+		return 0, 0, false, false
+	}
+	pause := func() time.Duration {
+		d := time.Duration(f.rnd.IntN(20)) * time.Millisecond
+		if f.rnd.IntN(20) == 0 {
+			d *= 100 // a process that is paused
+		}
+		return d
+	}
+	return pause(), pause(), f.rnd.IntN(5) == 0, f.rnd.IntN(8) == 0
+}
+
+func (f *faulty) Get(ctx context.Context, key string) (kv.Pair, error) {
+	before, after, lost, unsent := f.fate()
+	time.Sleep(before)
+	if lost || unsent {
+		return kv.Pair{}, &kv.UnavailableError{Err: faultError{}}
+	}
+	pair, err := f.Store.Get(ctx, key)
+	time.Sleep(after)
+	return pair, err
+}
+
+func (f *faulty) Put(ctx context.Context, w kv.Write) (uint64, error) {
+	before, after, lost, unsent := f.fate()
+	time.Sleep(before)
+	if unsent {
+		return 0, &kv.UnavailableError{Err: faultError{}}
+	}
+	if f.loose {
+		if pair, err := f.Store.Get(ctx, w.Key); err == nil {
+			w.If = pair.Revision
+		}
+	}
+	// A write that is on its way takes effect whether or not its sender waits.
+	revision, err := f.Store.Put(context.WithoutCancel(ctx), w)
+	time.Sleep(after)
+	if lost {
+		return 0, &kv.UnavailableError{Err: faultError{}}
+	}
+	return revision, err
+}
+
+// change is one operation of an operator.
+type change struct {
+	match uint64
+	id    string
+}
+
+// changeResult is its outcome: accepted with a revision, refused because the
+// object was at another, or open.
+type changeResult struct {
+	accepted uint64
+	refused  bool
+	have     uint64
+	open     bool
+}
+
+// objectModel is one object under compare-and-swap by revision.
+var objectModel = porcupine.Model{
+	Init: func() any { return uint64(0) },
+	Step: func(state, input, output any) (bool, any) {
+		at, in, out := state.(uint64), input.(change), output.(changeResult)
+		if out.refused {
+			return at == out.have && at != in.match, at
+		}
+		return at == in.match && out.accepted > at, out.accepted
+	},
+}
+
+// configRun is a history of racing operators, and what replicas saw.
+type configRun struct {
+	operations []porcupine.Operation
+	seen       [][]uint64 // revisions in force, by replica
+	final      []*config.State
+	log        headlog.Head
+}
+
+// operate makes changes one after another, each on what the operator last saw.
+func operate(r *configRun, mu *sync.Mutex, who int, log *conflog.Log) {
+	for i := range configChanges {
+		current := log.Replica.Current().State
+		in := change{match: current.ObjectRevision(config.KindPolicy, objectName), id: fmt.Sprintf("%d-%d", who, i)}
+		body, _ := json.Marshal(config.Policy{Match: "true", Order: who*configChanges + i})
+		c := config.Change{Who: fmt.Sprint(who), Kind: config.KindPolicy, Name: objectName, Body: body}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		call := time.Now().UnixNano()
+		revision, err := log.Change(ctx, in.id, c, &in.match)
+		cancel()
+		out := changeResult{accepted: revision}
+		var match *config.MatchError
+		if errors.As(err, &match) {
+			out = changeResult{refused: true, have: match.Have}
+		} else if err != nil {
+			out = changeResult{open: true}
+		}
+		mu.Lock()
+		r.operations = append(r.operations, porcupine.Operation{
+			ClientId: who, Input: in, Call: call, Output: out, Return: time.Now().UnixNano(),
+		})
+		mu.Unlock()
+		_ = log.Pull(context.Background())
+	}
+}
+
+// runConfig runs operators and replicas on a virtual clock.
+func runConfig(t *testing.T, seed uint64, loose bool) *configRun {
+	r := new(configRun)
+	synctest.Test(t, func(t *testing.T) {
+		store := &faulty{Store: new(platform.Store), rnd: rand.New(rand.NewPCG(seed, 2)), loose: loose}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		var mu sync.Mutex
+		var operators, watchers sync.WaitGroup
+		var logs []*conflog.Log
+		for who := range configOperators {
+			log := conflog.New(store, replica.New())
+			logs = append(logs, log)
+			operators.Go(func() { operate(r, &mu, who, log) })
+			r.seen = append(r.seen, nil)
+			watchers.Go(func() {
+				for ctx.Err() == nil {
+					r.seen[who] = append(r.seen[who], log.Replica.Revision())
+					time.Sleep(5 * time.Millisecond)
+				}
+			})
+		}
+		operators.Wait()
+		store.mu.Lock()
+		store.quiet = true
+		store.mu.Unlock()
+		time.Sleep(time.Minute) // writes on their way arrive
+		for _, log := range logs {
+			_ = log.Pull(ctx)
+			r.final = append(r.final, log.Replica.Current().State)
+		}
+		last := headlog.Log{Store: store, Key: "config/head"}
+		head, err := last.Read(ctx)
+		require.NoError(t, err)
+		r.log = head
+		cancel()
+		watchers.Wait()
+	})
+	return r
+}
+
+// settle gives the open operations the outcome that the log shows. One that the
+// log does not have took no effect.
+func (r *configRun) settle() []porcupine.Operation {
+	var settled []porcupine.Operation
+	for _, op := range r.operations {
+		if op.Output.(changeResult).open {
+			record, ok := r.log.Find(op.Input.(change).id)
+			if !ok {
+				continue
+			}
+			op.Output = changeResult{accepted: record.Revision}
+			op.Return = time.Now().Add(time.Hour * 24 * 365 * 200).UnixNano()
+		}
+		settled = append(settled, op)
+	}
+	return settled
+}
+
+// violation returns what is wrong with the history, or nothing.
+func (r *configRun) violation() string {
+	if !porcupine.CheckOperations(objectModel, r.settle()) {
+		return "the changes are not linearizable"
+	}
+	for i, seen := range r.seen {
+		for j := 1; j < len(seen); j++ {
+			if seen[j] < seen[j-1] {
+				return fmt.Sprintf("replica %d went back from %d to %d", i, seen[j-1], seen[j])
+			}
+		}
+	}
+	for i, state := range r.final {
+		if state.Revision != r.log.Revision() || fmt.Sprint(state.Policies) != fmt.Sprint(r.final[0].Policies) {
+			return fmt.Sprintf("replica %d ends at %d, the log at %d", i, state.Revision, r.log.Revision())
+		}
+	}
+	return ""
+}
+
+func TestAcceptedConfigurationNeverReverts(t *testing.T) {
+	accepted := 0
+	for seed := range uint64(configSeeds) {
+		r := runConfig(t, seed, false)
+		require.Empty(t, r.violation(), "seed %d", seed)
+		accepted += int(r.log.Revision())
+	}
+	require.Positive(t, accepted)
+	t.Logf("%d histories, %d operations, %d changes accepted",
+		configSeeds, configSeeds*configOperators*configChanges, accepted)
+}
+
+// Without the condition on writes, racing operators undo accepted changes.
+func TestWithoutCompareAndSwapTheCheckFails(t *testing.T) {
+	violations := 0
+	for seed := range uint64(configSeeds) {
+		if runConfig(t, seed, true).violation() != "" {
+			violations++
+		}
+	}
+	require.Positive(t, violations)
+}
