--- a/limit/learned.go
+++ b/limit/learned.go
@@ -34,7 +34,10 @@
 
 // WithStep returns l after a step of duration took, with sessions open.
 func (l Learned) WithStep(took time.Duration, sessions int) Learned {
-	v := float64(l.Value())
+	v := l.value
+	if v == 0 {
+		v = float64(l.Max)
+	}
 	switch {
 	case took > l.Target:
 		v *= cut
--- /dev/null
+++ b/member/set_test.go
@@ -0,0 +1,64 @@
+package member_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/member"
+	"github.com/grademill/grademill/wire"
+)
+
+const keep = time.Minute
+
+func peer(address string) *wire.Peer {
+	return &wire.Peer{Name: address, Address: address}
+}
+
+func addresses(peers []*wire.Peer) []string {
+	all := []string{}
+	for _, p := range peers {
+		all = append(all, p.GetAddress())
+	}
+	return all
+}
+
+func TestListAndWordOfMouth(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := member.Set{Keep: keep}
+	s.Listed(now, []*wire.Peer{peer("b"), peer("a")})
+	require.Equal(t, []string{"a", "b"}, addresses(s.All()))
+	s.Heard(now, peer("c"))
+	s.Told(now, peer("d"))
+	require.Equal(t, []string{"a", "b", "c", "d"}, addresses(s.All()))
+	require.Equal(t, []string{"a", "b", "c"}, addresses(s.Shared()))
+	s.Listed(now, nil)
+	require.Len(t, s.All(), 4, "an empty list is no news")
+	later := now.Add(keep + time.Second)
+	s.Heard(later, peer("c"))
+	s.Expire(later)
+	require.Equal(t, []string{"a", "b", "c"}, addresses(s.All()))
+	s.Listed(later, []*wire.Peer{peer("a")})
+	require.Equal(t, []string{"a", "c"}, addresses(s.All()))
+}
+
+// Two processes that tell each other of a third which has died forget it.
+func TestDeadEntryIsNotKeptAliveByTelling(t *testing.T) {
+	now := time.Unix(1000, 0)
+	x, y := member.Set{Keep: keep}, member.Set{Keep: keep}
+	x.Heard(now, peer("dead"))
+	for range 10 {
+		for _, p := range x.Shared() {
+			y.Told(now, p)
+		}
+		for _, p := range y.Shared() {
+			x.Told(now, p)
+		}
+		now = now.Add(keep / 2)
+		x.Expire(now)
+		y.Expire(now)
+	}
+	require.Empty(t, x.All())
+	require.Empty(t, y.All())
+}
--- a/route/table.go
+++ b/route/table.go
@@ -85,9 +85,13 @@
 // defaultLimit is the session limit assumed of endpoints that have not reported.
 const defaultLimit = 32
 
-// samples is how many candidates of a group one choice looks at. Choices by
-// many processes on the same stale reports then spread over the group.
-const samples = 4
+// A choice looks at all candidates of a small group, and at a few of a larger
+// one: choices by many processes on the same stale reports then spread over the
+// group, as with the power of two choices (Mitzenmacher 2001).
+const (
+	smallGroup = 4
+	samples    = 2
+)
 
 // New returns a table of the candidates that may take new work, seen from the
 // hall home. Candidates that are leaving or hold no layers are left out.
@@ -150,8 +154,8 @@
 	Len int
 	// Cost is the estimated time of one token.
 	Cost time.Duration
-	// RunnerUp is the last stage of the best chain that ends elsewhere; -1 when
-	// there is none. RunnerUpCost is that chain's cost.
+	// RunnerUp is the candidate that the second best chain found has and this one
+	// has not; -1 when there is none. RunnerUpCost is that chain's cost.
 	RunnerUp     int32
 	RunnerUpCost time.Duration
 	// Full is whether a stage is at its limit.
@@ -191,6 +195,10 @@
 	cost []float64
 	via  []int32 // candidate taken to get here, -1 for none
 	prev []int32 // state before it
+	// swap is the second best candidate in place of via, -1 for none, and more
+	// what it would add to the cost.
+	swap []int32
+	more []float64
 }
 
 var scratches = sync.Pool{New: func() any { return new(scratch) }}
@@ -201,11 +209,14 @@
 		s.cost = make([]float64, n)
 		s.via = make([]int32, n)
 		s.prev = make([]int32, n)
+		s.swap = make([]int32, n)
+		s.more = make([]float64, n)
 	}
-	s.cost, s.via, s.prev = s.cost[:n], s.via[:n], s.prev[:n]
+	s.cost, s.via, s.prev, s.swap, s.more = s.cost[:n], s.via[:n], s.prev[:n], s.swap[:n], s.more[:n]
 	for i := range s.cost {
 		s.cost[i] = math.Inf(1)
 		s.via[i] = -1
+		s.swap[i] = -1
 	}
 }
 
@@ -224,16 +235,12 @@
 		if math.IsInf(cost, 1) {
 			continue
 		}
-		pick, add := t.sample(grp, mix(seed+uint64(g)), avoid)
-		if pick < 0 {
+		p := t.sample(grp, mix(seed+uint64(g)), avoid)
+		if p.best < 0 {
 			continue
 		}
 		state := grp.to*halls + grp.hall
-		if cost+add < s.cost[state] {
-			s.cost[state] = cost + add
-			s.via[state] = int32(pick)
-			s.prev[state] = int32(from)
-		}
+		s.reach(state, from, cost, p)
 	}
 	return t.trace(s)
 }
@@ -252,52 +259,76 @@
 	return state, cost
 }
 
-// sample returns the cheapest of a few candidates of grp, or -1.
-func (t *Table) sample(grp *group, seed uint64, avoid func(*fleet.Endpoint) bool) (pick int, cost float64) {
-	pick = -1
+// reach notes a way to a state through a picked candidate. What is not the
+// cheapest way is kept as its runner-up.
+func (s *scratch) reach(state, from int, cost float64, p pick) {
+	total := cost + p.cost
+	if total >= s.cost[state] {
+		if more := total - s.cost[state]; s.swap[state] < 0 || more < s.more[state] {
+			s.swap[state], s.more[state] = int32(p.best), more
+		}
+		return
+	}
+	former, gap := s.via[state], s.cost[state]-total
+	s.cost[state], s.via[state], s.prev[state] = total, int32(p.best), int32(from)
+	s.swap[state], s.more[state] = int32(p.second), p.more
+	if former >= 0 && (p.second < 0 || gap < p.more) {
+		s.swap[state], s.more[state] = former, gap
+	}
+}
+
+// pick is the outcome of looking at a few candidates of a group.
+type pick struct {
+	best int // -1 for none
+	cost float64
+	// second is the next best, -1 for none, and more what it costs above best.
+	second int
+	more   float64
+}
+
+// sample looks at a few candidates of grp.
+func (t *Table) sample(grp *group, seed uint64, avoid func(*fleet.Endpoint) bool) pick {
+	p := pick{best: -1, second: -1}
 	size := grp.end - grp.begin
 	start := int(seed % uint64(size))
-	looked := 0
-	for i := 0; i < size && looked < samples; i++ {
+	looked, enough := 0, samples
+	if size <= smallGroup {
+		enough = size
+	}
+	for i := 0; i < size && looked < enough; i++ {
 		at := grp.begin + (start+i)%size
 		if avoid != nil && avoid(&t.Candidates[at].Endpoint) {
 			continue
 		}
 		looked++
-		add, _ := t.cost(at)
-		if pick < 0 || add < cost {
-			pick, cost = at, add
-		}
+		cost, _ := t.cost(at)
+		p.offer(at, cost)
+	}
+	return p
+}
+
+// offer takes in one candidate.
+func (p *pick) offer(at int, cost float64) {
+	switch {
+	case p.best < 0:
+		p.best, p.cost = at, cost
+	case cost < p.cost:
+		p.second, p.more = p.best, p.cost-cost
+		p.best, p.cost = at, cost
+	case p.second < 0 || cost-p.cost < p.more:
+		p.second, p.more = at, cost-p.cost
 	}
-	return pick, cost
 }
 
 // trace walks back from the cheapest end state.
 func (t *Table) trace(s *scratch) (Choice, bool) {
-	halls := len(t.halls)
-	last := (len(t.cuts) - 1) * halls
-	best, second := -1, -1
-	for h := range halls {
-		state := last + h
-		if math.IsInf(s.cost[state], 1) {
-			continue
-		}
-		total := s.cost[state] + t.links[h*halls+t.home]
-		s.cost[state] = total
-		switch {
-		case best < 0 || total < s.cost[best]:
-			best, second = state, best
-		case second < 0 || total < s.cost[second]:
-			second = state
-		}
-	}
+	best, second := t.ends(s)
 	if best < 0 {
 		return Choice{}, false
 	}
 	c := Choice{Cost: time.Duration(s.cost[best]), RunnerUp: -1}
 	if second >= 0 {
-		c.RunnerUp = s.via[second]
-		c.RunnerUpCost = time.Duration(s.cost[second])
+		c.runnerUp(s.via[second], s.cost[second]-s.cost[best])
 	}
 	for state := best; s.via[state] >= 0; state = int(s.prev[state]) {
 		if c.Len == MaxStages {
@@ -305,6 +336,9 @@
 		}
 		c.Stages[c.Len] = s.via[state]
 		c.Len++
+		if s.swap[state] >= 0 {
+			c.runnerUp(s.swap[state], s.more[state])
+		}
 		_, full := t.cost(int(s.via[state]))
 		c.Full = c.Full || full
 	}
@@ -312,6 +346,35 @@
 	return c, true
 }
 
+// ends returns the cheapest and the second cheapest end state, -1 for none,
+// with the way home added to their costs.
+func (t *Table) ends(s *scratch) (best, second int) {
+	halls := len(t.halls)
+	last := (len(t.cuts) - 1) * halls
+	best, second = -1, -1
+	for h := range halls {
+		state := last + h
+		if math.IsInf(s.cost[state], 1) {
+			continue
+		}
+		s.cost[state] += t.links[h*halls+t.home]
+		switch {
+		case best < 0 || s.cost[state] < s.cost[best]:
+			best, second = state, best
+		case second < 0 || s.cost[state] < s.cost[second]:
+			second = state
+		}
+	}
+	return best, second
+}
+
+// runnerUp takes in a chain with another candidate that costs more by extra.
+func (c *Choice) runnerUp(candidate int32, extra float64) {
+	if cost := c.Cost + time.Duration(extra); c.RunnerUp < 0 || cost < c.RunnerUpCost {
+		c.RunnerUp, c.RunnerUpCost = candidate, cost
+	}
+}
+
 // Link returns the one-way time between two halls as the table holds it.
 func (t *Table) Link(from, to string) time.Duration {
 	i, j := slices.Index(t.halls, from), slices.Index(t.halls, to)
