--- a/agent/agent.go
+++ b/agent/agent.go
@@ -4,6 +4,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -48,11 +49,13 @@
 	Subset int
 	// Heartbeat is the time between two reports to an entry.
 	Heartbeat time.Duration
-	// MaxSessions is the number of requests admitted at most.
+	// MaxSessions is the largest number of requests that the agent asks for. It
+	// admits a little more, for entries that have not heard of each other's.
 	MaxSessions int
-	// StepTarget is the time that a step may take before fewer sessions are
-	// asked for.
-	StepTarget time.Duration
+	// WaitFactor is how long a step may take with its wait, in steps; zero means
+	// DefaultWaitFactor. A larger one gives throughput, a smaller one latency and
+	// quicker recovery.
+	WaitFactor float64
 	// DrainTimeout bounds how long a stop waits for requests in flight. Those
 	// that are left then are moved by their owners.
 	DrainTimeout time.Duration
@@ -98,13 +101,20 @@
 	callEpoch = 30 * time.Second
 )
 
+// DefaultWaitFactor lets one full batch wait while another runs.
+const DefaultWaitFactor = 2.5
+
+// admitFactor is how many times MaxSessions the agent admits.
+const admitFactor = 2
+
 // prepare fills the unexported fields.
 func (a *Agent) prepare(ctx context.Context) error {
 	a.incarnation = uint64(time.Now().UnixNano())
 	a.sessions = make(map[string]*session)
 	a.wake = make(chan struct{}, 1)
 	a.fence = order.Fence{Incarnation: a.incarnation}
-	a.learned = limit.Learned{Min: 1, Max: a.MaxSessions, Target: a.StepTarget}
+	a.learned = limit.Learned{Min: min(defaultBatch, a.MaxSessions), Max: a.MaxSessions}
+	a.WaitFactor = cmp.Or(a.WaitFactor, DefaultWaitFactor)
 	a.calls = once.Table[*wire.CallReply]{
 		Start: time.Now(), Epoch: callEpoch, Max: maxCalls, Keep: a.CallKeep,
 	}
@@ -119,6 +129,7 @@
 		return trace.Wrap(err, "ask the engine what it holds")
 	}
 	a.status = status
+	a.learned.Min = min(a.batch(), a.MaxSessions)
 	a.fence = a.fence.WithTerm(status.Term)
 	return nil
 }
--- a/agent/batch.go
+++ b/agent/batch.go
@@ -17,6 +17,7 @@
 	id       fence.Step
 	step     *wire.Step
 	priority int32
+	came     time.Time
 }
 
 // signal wakes the goroutine that runs batches.
@@ -45,6 +46,12 @@
 // defaultBatch is the size of a batch for engines that do not say theirs.
 const defaultBatch = 32
 
+// batch returns the number of steps that the engine takes together; a.mu is
+// held.
+func (a *Agent) batch() int {
+	return cmp.Or(a.status.MaxBatch, defaultBatch)
+}
+
 // nextBatch takes the next steps out of the queue, higher priorities first.
 // Steps that were cancelled while they waited are dropped.
 func (a *Agent) nextBatch() []work {
@@ -54,7 +61,7 @@
 		a.queue = slices.DeleteFunc(a.queue, work.cancelled)
 	}
 	slices.SortStableFunc(a.queue, func(x, y work) int { return cmp.Compare(y.priority, x.priority) })
-	n := min(len(a.queue), cmp.Or(a.status.MaxBatch, defaultBatch))
+	n := min(len(a.queue), a.batch())
 	batch := slices.Clone(a.queue[:n])
 	a.queue = slices.Delete(a.queue, 0, n)
 	return batch
@@ -86,7 +93,7 @@
 	}
 	start := time.Now()
 	outputs, err := a.Engine.Run(ctx, m)
-	a.learn(time.Since(start))
+	a.learn(start, batch)
 	if answered := len(outputs.GetOutputs()); err == nil && answered < len(batch) {
 		err = &shortOutputsError{len(batch), answered}
 	}
@@ -116,13 +123,25 @@
 // stepWeight is the weight of a new step time in the running mean.
 const stepWeight = 0.1
 
-// learn takes in the time of one step.
-func (a *Agent) learn(took time.Duration) {
+// learn takes in a batch that was started at a time and has ended now.
+func (a *Agent) learn(start time.Time, batch []work) {
+	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.learnStep(now.Sub(start))
+	var took time.Duration
+	for _, w := range batch {
+		took += now.Sub(w.came)
+	}
+	took /= time.Duration(len(batch))
+	target := time.Duration(a.WaitFactor * float64(a.stepTime))
+	a.learned = a.learned.WithStep(took, target, a.active)
+}
+
+// learnStep takes in the time of a step without its wait; a.mu is held.
+func (a *Agent) learnStep(took time.Duration) {
 	if a.stepTime == 0 {
 		a.stepTime = took
 	}
 	a.stepTime += time.Duration(stepWeight * float64(took-a.stepTime))
-	a.learned = a.learned.WithStep(a.stepTime, a.active)
 }
--- a/agent/calls.go
+++ b/agent/calls.go
@@ -51,7 +51,7 @@
 		return notRun("meant for another incarnation")
 	case a.leaving.Load():
 		return notRun("endpoint is leaving")
-	case a.running >= a.MaxSessions:
+	case a.running >= admitFactor*a.MaxSessions:
 		return notRun("as many calls as allowed")
 	case c.GetOnce() && len(c.GetKey()) != len(once.Key{}):
 		return notRun("key of the wrong size")
@@ -156,8 +156,8 @@
 	case err != nil:
 		return &wire.CallReply{Outcome: wire.CallReply_UNKNOWN, Detail: err.Error()}
 	}
-	a.learn(time.Since(start))
 	a.mu.Lock()
+	a.learnStep(time.Since(start))
 	load := a.load()
 	a.mu.Unlock()
 	return &wire.CallReply{
--- a/agent/steps.go
+++ b/agent/steps.go
@@ -131,7 +131,7 @@
 	case a.loading || model != a.status.Service ||
 		int(stage.GetFirst()) != held.First || int(stage.GetEnd()) != held.End:
 		return wire.Trouble_LAYERS, "holds " + a.status.Service + " " + held.String()
-	case s.open == nil && a.active >= a.MaxSessions:
+	case s.open == nil && a.active >= admitFactor*a.MaxSessions:
 		return wire.Trouble_BUSY, "as many sessions as allowed"
 	}
 	return wire.Trouble_REASON_UNSPECIFIED, ""
@@ -153,7 +153,7 @@
 func (a *Agent) start(s *session, m *wire.Step, id fence.Step) {
 	s.fence = s.fence.WithStarted(id)
 	s.moved = time.Now()
-	a.queue = append(a.queue, work{session: s, id: id, step: m, priority: s.open.GetPriority()})
+	a.queue = append(a.queue, work{session: s, id: id, step: m, priority: s.open.GetPriority(), came: s.moved})
 	a.signal()
 }
 
@@ -214,7 +214,7 @@
 func (a *Agent) load() *wire.Load {
 	return &wire.Load{
 		Endpoint: a.Name, Sessions: uint32(a.active + a.running), Limit: uint32(a.learned.Value()),
-		StepMicros: uint32(a.stepTime.Microseconds()), Queue: uint32(len(a.queue)),
+		StepMicros: uint32(a.stepTime.Microseconds()), Queue: uint32(len(a.queue)), Batch: uint32(a.batch()),
 	}
 }
 
--- a/cmd/grademill/roles.go
+++ b/cmd/grademill/roles.go
@@ -50,8 +50,7 @@
 	defaultWatchers    = 2
 	defaultSubset      = 12
 	defaultHeartbeat   = time.Second
-	defaultSessions    = 64
-	defaultStepTarget  = 30 * time.Millisecond
+	defaultSessions    = 128
 )
 
 // newLog returns the log of a process, in JSON on standard error.
@@ -219,7 +218,7 @@
 	a := &agent.Agent{
 		Name: file.Name, Hall: file.Hall, Address: file.Address, Service: s.Service, Entries: s.Entries,
 		Subset: or(s.Subset, defaultSubset), Heartbeat: s.Heartbeat.Or(defaultHeartbeat),
-		MaxSessions: or(s.MaxSessions, defaultSessions), StepTarget: s.StepTarget.Or(defaultStepTarget),
+		MaxSessions: or(s.MaxSessions, defaultSessions), WaitFactor: s.WaitFactor,
 		DrainTimeout: file.DrainTimeout.Or(defaultDrain), CallKeep: s.CallKeep.Or(defaultCallKeep),
 		Log: newLog(file.LogLevel, file.Name),
 	}
--- /dev/null
+++ b/cmd/measure/overload.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"runtime"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/grademill/grademill/outcome"
+)
+
+type overloadCommand struct {
+	window time.Duration
+}
+
+func (*overloadCommand) Name() string     { return "overload" }
+func (*overloadCommand) Synopsis() string { return "goodput, shares and refusals beyond the bound" }
+func (*overloadCommand) Usage() string    { return "measure overload [flags]\n" }
+
+func (c *overloadCommand) SetFlags(f *flag.FlagSet) {
+	f.DurationVar(&c.window, "window", 8*time.Second, "time measured")
+}
+
+func (c *overloadCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(out, "site\tload\ttokens/s\tof the bound\tdone\trefused\trefused in p95\tlarge team/small team\theap MB")
+	for _, s := range []site{ramdin, greenbough} {
+		for _, times := range []float64{1, 3} {
+			if err := c.measure(ctx, out, s, times); err != nil {
+				fmt.Fprintln(os.Stderr, err)
+				return subcommands.ExitFailure
+			}
+		}
+	}
+	return subcommands.ExitSuccess
+}
+
+// overloadQueue is the queue of an entry: about two seconds of work.
+const overloadQueue = 64
+
+func (c *overloadCommand) measure(ctx context.Context, out *tabwriter.Writer, s site, times float64) error {
+	l, err := s.openWith(ctx, nil, overloadQueue)
+	if err != nil {
+		return err
+	}
+	defer l.Close()
+	t := &trial{site: s, lab: l}
+	load, cancel := context.WithTimeout(ctx, c.window)
+	defer cancel()
+	begin := time.Now()
+	t.open(load, times*s.bound(l.Engines))
+	rate := t.rate(begin.Add(c.window/4), begin.Add(c.window))
+	done, refused := make(map[string]int), []time.Duration(nil)
+	total := 0
+	for _, r := range t.results {
+		report, failed := outcome.Of(r.err)
+		if failed && report.Kind == outcome.NotRun {
+			refused = append(refused, r.end.Sub(r.begin))
+		}
+		if !failed && r.begin.After(begin.Add(c.window/4)) {
+			done[r.team]++
+			total++
+		}
+	}
+	small := 0
+	for i := 2; i < 10; i++ {
+		small += done[fmt.Sprintf("team-%d", i)]
+	}
+	share := float64(done["team-0"]+done["team-1"]) / 2 / (float64(small) / 8)
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	fmt.Fprintf(out, "%s\t%.0f times the bound\t%.0f\t%.3f\t%d\t%d\t%v\t%.2f\t%d\n", s.name, times, rate,
+		rate/(s.bound(l.Engines)*float64(s.answer)), total, len(refused),
+		quantile(refused, 0.95).Round(time.Millisecond), share, memory.HeapAlloc>>20)
+	return out.Flush()
+}
--- /dev/null
+++ b/cmd/measure/site.go
@@ -0,0 +1,253 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/grademill/grademill/entry"
+	"github.com/grademill/grademill/flow"
+	"github.com/grademill/grademill/lab"
+	"github.com/grademill/grademill/layer"
+	"github.com/grademill/grademill/port/router"
+	"github.com/grademill/grademill/port/service"
+)
+
+// site is a deployment to measure: three halls, 33 engines of three speeds with
+// mixed ranges, three endpoints of a plain service, ten teams.
+type site struct {
+	name   string
+	halls  []string
+	layers int
+	// prompt and answer are the sizes of a request in tokens.
+	prompt, answer int
+	// slowHall makes the engines of the last hall slower by this factor.
+	slowHall float64
+	// shared is the part of the prompt that all requests have in common.
+	shared int
+	// blocks is the size of the engines' prefix caches.
+	blocks int
+}
+
+// The deployments of today.
+var (
+	ramdin     = site{name: "ramdin", halls: []string{"rose-hill", "quatre-bornes", "curepipe"}, layers: 24, prompt: 64, answer: 32}
+	greenbough = site{name: "greenbough", halls: []string{"ikeja", "lekki", "ibadan"}, layers: 24, prompt: 96, answer: 48}
+)
+
+const (
+	engineCount = 33
+	maxBatch    = 8
+	perToken    = 100 * time.Microsecond
+	plainCount  = 3
+)
+
+// speeds are the step times of the three kinds of accelerator for a third of
+// the model.
+var speeds = []time.Duration{10 * time.Millisecond, 16 * time.Millisecond, 24 * time.Millisecond}
+
+// engines returns the engines of the site: most hold a third of the model, some
+// a half.
+func (s site) engines() []lab.Engine {
+	var engines []lab.Engine
+	add := func(i, first, end int) {
+		base := speeds[i%len(speeds)] * time.Duration(end-first) / time.Duration(s.layers/3)
+		hall := i % len(s.halls)
+		if s.slowHall > 0 && hall == len(s.halls)-1 {
+			base = time.Duration(float64(base) * s.slowHall)
+		}
+		engines = append(engines, lab.Engine{
+			Name: fmt.Sprintf("engine-%02d", i), Hall: s.halls[hall], Layers: layer.Range{First: first, End: end},
+			Base: base, PerToken: perToken, MaxBatch: maxBatch, PrefixBlocks: s.blocks,
+		})
+	}
+	third, half := s.layers/3, s.layers/2
+	for i := range engineCount {
+		switch {
+		case i < 27:
+			part := (i / len(speeds)) % 3
+			add(i, part*third, (part+1)*third)
+		case i < 30:
+			add(i, 0, half)
+		default:
+			add(i, half, s.layers)
+		}
+	}
+	return engines
+}
+
+// bound returns the largest number of requests a second that the engines can
+// serve: the largest flow through the layers, where a request takes of each
+// engine its share of full batches and the time of its positions.
+func (s site) bound(engines []lab.Engine) float64 {
+	n := flow.Network{Layers: s.layers}
+	for _, e := range engines {
+		steps := time.Duration(s.answer) * e.Base / time.Duration(e.MaxBatch)
+		positions := time.Duration(s.prompt+s.answer-1) * e.PerToken
+		n.Edges = append(n.Edges, flow.Edge{Layers: e.Layers, Capacity: 1 / (steps + positions).Seconds()})
+	}
+	return n.Bound()
+}
+
+// teams are ten teams, two of them large.
+func teams() map[string]float64 {
+	weights := map[string]float64{"team-0": 4, "team-1": 4}
+	for i := 2; i < 10; i++ {
+		weights[fmt.Sprintf("team-%d", i)] = 1
+	}
+	return weights
+}
+
+// instant is a plain service that answers at once.
+type instant struct{}
+
+func (instant) Do(context.Context, service.Request) (service.Reply, error) {
+	return service.Reply{Status: http.StatusOK}, nil
+}
+
+// open starts a lab of the site.
+func (s site) open(ctx context.Context, chooser entry.Chooser) (*lab.Lab, error) {
+	return s.openWith(ctx, chooser, 0)
+}
+
+// openWith starts a lab whose entries queue so many requests at most.
+func (s site) openWith(ctx context.Context, chooser entry.Chooser, queue int) (*lab.Lab, error) {
+	l := &lab.Lab{
+		MaxQueue: queue,
+		Engines:  s.engines(), Service: "assistant", Layers: s.layers, PlainService: "records",
+		Teams: teams(), MaxSessions: 128, Log: zerolog.Nop(),
+		Adjust: func(e *entry.Entry) { e.Chooser = chooser },
+	}
+	for i, hall := range s.halls {
+		l.Entries = append(l.Entries, lab.Host{Name: fmt.Sprintf("entry-%d", i), Hall: hall})
+	}
+	for i := range plainCount {
+		l.Plains = append(l.Plains, lab.Plain{
+			Name: fmt.Sprintf("records-%d", i), Hall: s.halls[i%len(s.halls)], Service: "records", Do: instant{},
+		})
+	}
+	return l, l.Start(ctx)
+}
+
+// moment is a token given to a caller, or the end of a request.
+type moment struct {
+	at      time.Time
+	request int
+	token   bool
+}
+
+// trial is a load on a lab and what came of it.
+type trial struct {
+	site  site
+	lab   *lab.Lab
+	alive func(i int) bool // whether entry i takes callers; nil for always
+
+	mu      sync.Mutex
+	next    int
+	moments []moment
+	first   []time.Duration
+	between []time.Duration
+	results []result
+}
+
+// result is the end of one request.
+type result struct {
+	begin, end time.Time
+	request    int
+	team       string
+	attempts   int
+	tokens     int
+	err        error
+	// gap is the longest time without a token, and gapFrom when it began.
+	gap     time.Duration
+	gapFrom time.Time
+}
+
+// request makes one request and notes what comes.
+func (t *trial) request(ctx context.Context, team string) result {
+	t.mu.Lock()
+	id := t.next
+	t.next++
+	t.mu.Unlock()
+	i := id % len(t.lab.Entries)
+	for t.alive != nil && !t.alive(i) {
+		i = (i + 1) % len(t.lab.Entries)
+	}
+	r := result{begin: time.Now(), request: id, team: team}
+	last := r.begin
+	var at []time.Time
+	usage, err := t.lab.Entry(i).Complete(ctx, router.Completion{
+		Team: team, Service: "assistant", Prompt: t.prompt(id), MaxTokens: t.site.answer,
+	}, func(uint32) error {
+		now := time.Now()
+		if gap := now.Sub(last); gap > r.gap {
+			r.gap, r.gapFrom = gap, last
+		}
+		last = now
+		at = append(at, now)
+		return nil
+	})
+	r.end, r.attempts, r.tokens, r.err = time.Now(), usage.Attempts, usage.Tokens, err
+	t.note(r, at)
+	return r
+}
+
+// prompt returns the prompt of a request: a part in common and one of its own.
+func (t *trial) prompt(id int) []uint32 {
+	rnd := rand.New(rand.NewPCG(uint64(id), 7))
+	prompt := make([]uint32, t.site.prompt)
+	for i := range prompt {
+		if i < t.site.shared {
+			prompt[i] = uint32(i)
+			continue
+		}
+		prompt[i] = rnd.Uint32N(1000)
+	}
+	return prompt
+}
+
+func (t *trial) note(r result, at []time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.results = append(t.results, r)
+	for i, moment1 := range at {
+		t.moments = append(t.moments, moment{at: moment1, request: r.request, token: true})
+		if i == 0 {
+			t.first = append(t.first, moment1.Sub(r.begin))
+			continue
+		}
+		t.between = append(t.between, moment1.Sub(at[i-1]))
+	}
+}
+
+// keep holds n requests in flight until ctx ends, and then gives them up.
+func (t *trial) keep(ctx context.Context, n int) {
+	var group sync.WaitGroup
+	for i := range n {
+		team := fmt.Sprintf("team-%d", i%10)
+		group.Go(func() {
+			for ctx.Err() == nil {
+				t.request(ctx, team)
+			}
+		})
+	}
+	group.Wait()
+}
+
+// rate returns the tokens a second between two times.
+func (t *trial) rate(from, to time.Time) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, m := range t.moments {
+		if m.at.After(from) && m.at.Before(to) {
+			n++
+		}
+	}
+	return float64(n) / to.Sub(from).Seconds()
+}
--- /dev/null
+++ b/cmd/measure/throughput.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/grademill/grademill/baseline"
+	"github.com/grademill/grademill/entry"
+	"github.com/grademill/grademill/lab"
+	"github.com/grademill/grademill/outcome"
+)
+
+// quantile returns the q-quantile of sorted or unsorted times.
+func quantile(times []time.Duration, q float64) time.Duration {
+	if len(times) == 0 {
+		return 0
+	}
+	sorted := slices.Clone(times)
+	slices.Sort(sorted)
+	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+}
+
+// way is a way to choose chains.
+type way struct {
+	name    string
+	chooser entry.Chooser
+}
+
+func ways() []way {
+	return []way{
+		{"router", nil},
+		{"random", entry.Chooser(baseline.Random())},
+		{"round robin", entry.Chooser(baseline.RoundRobin())},
+		{"least loaded", entry.Chooser(baseline.LeastLoaded())},
+	}
+}
+
+type throughputCommand struct {
+	window   time.Duration
+	inFlight int
+	only     string
+	engines  bool
+}
+
+func (*throughputCommand) Name() string     { return "throughput" }
+func (*throughputCommand) Synopsis() string { return "tokens a second against the bound" }
+func (*throughputCommand) Usage() string    { return "measure throughput [flags]\n" }
+
+func (c *throughputCommand) SetFlags(f *flag.FlagSet) {
+	f.DurationVar(&c.window, "window", 5*time.Second, "time measured, after a warm-up of 2 s")
+	f.IntVar(&c.inFlight, "in-flight", 700, "requests kept in flight")
+	f.BoolVar(&c.engines, "engines", false, "print what each engine did")
+	f.StringVar(&c.only, "only", "", "measure only this way to choose")
+}
+
+func (c *throughputCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(out, "site\tload\tway\ttokens/s\tbound\tratio\tfirst p50\tfirst p95\tbetween p50\tbetween p95\tfailed")
+	for _, s := range []site{ramdin, greenbough} {
+		for _, v := range variants(s) {
+			for _, w := range ways() {
+				if c.only != "" && w.name != c.only {
+					continue
+				}
+				if err := c.measure(ctx, out, v, w); err != nil {
+					fmt.Fprintln(os.Stderr, err)
+					return subcommands.ExitFailure
+				}
+			}
+		}
+	}
+	return subcommands.ExitSuccess
+}
+
+// variant is a site under one kind of load.
+type variant struct {
+	site
+	load string
+}
+
+func variants(s site) []variant {
+	slow := s
+	slow.slowHall = 3
+	prefix := s
+	prefix.shared, prefix.blocks = s.prompt/4*3, 4096
+	return []variant{{s, "even"}, {slow, "one hall slow"}, {prefix, "prefix-heavy"}}
+}
+
+func (c *throughputCommand) measure(ctx context.Context, out *tabwriter.Writer, v variant, w way) error {
+	l, err := v.open(ctx, w.chooser)
+	if err != nil {
+		return err
+	}
+	defer l.Close()
+	t := &trial{site: v.site, lab: l}
+	const warmUp = 2 * time.Second
+	load, cancel := context.WithTimeout(ctx, warmUp+c.window)
+	defer cancel()
+	begin := time.Now()
+	t.keep(load, c.inFlight)
+	from := begin.Add(warmUp)
+	rate := t.rate(from, from.Add(c.window))
+	bound := v.bound(l.Engines) * float64(v.answer)
+	failed := 0
+	for _, r := range t.results {
+		if end := endOf(r); end != outcome.Done.String() && end != "lost" {
+			failed++
+		}
+	}
+	fmt.Fprintf(out, "%s\t%s\t%s\t%.0f\t%.0f\t%.3f\t%v\t%v\t%v\t%v\t%d\n", v.name, v.load, w.name, rate, bound, rate/bound,
+		quantile(t.first, 0.5).Round(time.Millisecond), quantile(t.first, 0.95).Round(time.Millisecond),
+		quantile(t.between, 0.5).Round(time.Millisecond), quantile(t.between, 0.95).Round(time.Millisecond), failed)
+	if c.engines {
+		printEngines(out, l, time.Since(begin))
+	}
+	return out.Flush()
+}
+
+// printEngines prints how busy each engine was, and how full its batches were.
+func printEngines(out *tabwriter.Writer, l *lab.Lab, elapsed time.Duration) {
+	for _, e := range l.Engines {
+		w := l.Work(e.Name)
+		fmt.Fprintf(out, "\t%s\t%v\t%v\tbusy %.2f\tsteps in a batch %.1f\n", e.Name, e.Layers, e.Base,
+			w.Busy.Seconds()/elapsed.Seconds(), float64(w.Steps)/max(float64(w.Batches), 1))
+	}
+}
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -8,6 +8,7 @@
 	"github.com/grademill/grademill/agent"
 	"github.com/grademill/grademill/fleet"
 	"github.com/grademill/grademill/layer"
+	"github.com/grademill/grademill/route"
 	"github.com/grademill/grademill/view"
 	"github.com/grademill/grademill/wire"
 )
@@ -21,7 +22,8 @@
 		Layers:   layer.Range{First: int(beat.GetFirst()), End: int(beat.GetEnd())},
 		Leaving:  beat.GetLeaving(),
 		StepTime: time.Duration(load.GetStepMicros()) * time.Microsecond,
-		Sessions: int(load.GetSessions()), Limit: int(load.GetLimit()), Seen: time.Now(),
+		Sessions: int(load.GetSessions()), Limit: int(load.GetLimit()), Batch: int(load.GetBatch()),
+		Seen: time.Now(),
 	}
 	e.mu.Lock()
 	changed := e.view.Heard(endpoint, beat.GetRevision())
@@ -73,8 +75,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, l := range loads {
-		step := time.Duration(l.GetStepMicros()) * time.Microsecond
-		e.view.Loaded(l.GetEndpoint(), int(l.GetSessions()), int(l.GetLimit()), step)
+		e.view.Loaded(l.GetEndpoint(), route.Report{
+			Sessions: int(l.GetSessions()), Limit: int(l.GetLimit()), Batch: int(l.GetBatch()),
+			Step: time.Duration(l.GetStepMicros()) * time.Microsecond,
+		})
 	}
 }
 
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -34,20 +34,13 @@
 	Sessions int
 	// Limit is the number of sessions the agent admits; zero means unknown.
 	Limit int
+	// Batch is the number of steps that the endpoint takes together; zero means
+	// unknown.
+	Batch int
 	// Seen is when the agent was last heard of.
 	Seen time.Time
 }
 
-// WithLoad returns e with a fresh load report.
-func (e Endpoint) WithLoad(sessions, limit int, step time.Duration) Endpoint {
-	e.Sessions = sessions
-	e.Limit = limit
-	if step > 0 {
-		e.StepTime = step
-	}
-	return e
-}
-
 // WithLeaving returns e marked as leaving or not.
 func (e Endpoint) WithLeaving(leaving bool) Endpoint {
 	e.Leaving = leaving
--- a/limit/learned.go
+++ b/limit/learned.go
@@ -6,46 +6,44 @@
 	"time"
 )
 
-// Learned is a limit on open sessions. It falls when steps take longer than
-// the target and rises while the limit is in use and steps are in time. It is
-// an immutable value: the With methods return changed copies.
+// Learned is a limit on open sessions: as many as keep the time of a step,
+// waiting included, at its target. By Little's law that time is in proportion
+// to the sessions, so each step that is seen gives an estimate, and the limit is
+// their running mean. It is an immutable value: the With methods return changed
+// copies.
 type Learned struct {
 	// Min and Max bound the limit; 1 <= Min <= Max.
 	Min, Max int
-	// Target is the time that one step may take.
-	Target time.Duration
 
 	value float64
 }
 
-// cut and rise are the factors of one decrease and one increase.
-const (
-	cut  = 0.9
-	rise = 1.0
-)
+// weight is the weight of a new estimate in the running mean.
+const weight = 0.05
 
-// Value returns the limit now; Max until something has been learned.
+// Value returns the limit now; Min until something has been learned.
 func (l Learned) Value() int {
 	if l.value == 0 {
-		return l.Max
+		return l.Min
 	}
 	return int(math.Round(l.value))
 }
 
-// WithStep returns l after a step of duration took, with sessions open.
-func (l Learned) WithStep(took time.Duration, sessions int) Learned {
-	v := l.value
-	if v == 0 {
-		v = float64(l.Max)
-	}
-	switch {
-	case took > l.Target:
-		v *= cut
-	case sessions >= l.Value():
-		v += rise / v
-	default:
+// WithStep returns l after a step that took so long, with its wait, while so
+// many sessions were open. Target is the time that it should have taken.
+func (l Learned) WithStep(took, target time.Duration, sessions int) Learned {
+	if took <= 0 {
 		return l
 	}
-	l.value = min(max(v, float64(l.Min)), float64(l.Max))
+	fit := l.bounded(float64(sessions) * float64(target) / float64(took))
+	if l.value == 0 {
+		l.value = float64(l.Min)
+	}
+	l.value = l.bounded(l.value + weight*(fit-l.value))
 	return l
 }
+
+// bounded returns v within Min and Max.
+func (l Learned) bounded(v float64) float64 {
+	return min(max(v, float64(l.Min)), float64(l.Max))
+}
--- a/route/table.go
+++ b/route/table.go
@@ -26,19 +26,29 @@
 	Others atomic.Int64
 	// StepNanos is the learned time of one step; 0 while not yet learned.
 	StepNanos atomic.Int64
-	// Limit is the number of sessions that the endpoint admits.
+	// Limit is the number of sessions that the endpoint asks for.
 	Limit atomic.Int64
+	// Batch is the number of steps that the endpoint takes together.
+	Batch atomic.Int64
 }
 
-// Report takes in a load report: all sessions at the endpoint, its limit, and
-// its step time.
-func (u *Usage) Report(sessions, limit int, step time.Duration) {
-	u.Others.Store(max(0, int64(sessions)-u.Own.Load()))
-	if limit > 0 {
-		u.Limit.Store(int64(limit))
+// Report is what an endpoint says of its load. Zero fields are not known.
+type Report struct {
+	Sessions, Limit, Batch int
+	Step                   time.Duration
+}
+
+// Report takes in a load report.
+func (u *Usage) Report(r Report) {
+	u.Others.Store(max(0, int64(r.Sessions)-u.Own.Load()))
+	if r.Limit > 0 {
+		u.Limit.Store(int64(r.Limit))
 	}
-	if step > 0 {
-		u.StepNanos.Store(int64(step))
+	if r.Batch > 0 {
+		u.Batch.Store(int64(r.Batch))
+	}
+	if r.Step > 0 {
+		u.StepNanos.Store(int64(r.Step))
 	}
 }
 
@@ -82,8 +92,12 @@
 // defaultStep is the step time assumed of endpoints that have not reported.
 const defaultStep = 10 * time.Millisecond
 
-// defaultLimit is the session limit assumed of endpoints that have not reported.
-const defaultLimit = 32
+// The limit on sessions and the size of a batch assumed of endpoints that have
+// not reported.
+const (
+	defaultLimit = 32
+	defaultBatch = 8
+)
 
 // A choice looks at all candidates of a small group, and at a few of a larger
 // one: choices by many processes on the same stale reports then spread over the
@@ -171,20 +185,17 @@
 const fullPenalty = float64(time.Hour)
 
 // cost returns the estimated time of a step at candidate i with one more
-// session, and whether the endpoint is at its limit.
+// session, and whether the endpoint is at its limit. A session is at the
+// endpoint for about the share of its time that the endpoint's layers are of
+// all, and those that are there go through it a batch at a time.
 func (t *Table) cost(i int) (cost float64, full bool) {
 	c := &t.Candidates[i]
-	step := float64(c.Usage.StepNanos.Load())
-	if step == 0 {
-		step = float64(cmp.Or(c.Endpoint.StepTime, defaultStep))
-	}
-	limit := c.Usage.Limit.Load()
-	if limit == 0 {
-		limit = int64(cmp.Or(c.Endpoint.Limit, defaultLimit))
-	}
+	step := float64(cmp.Or(time.Duration(c.Usage.StepNanos.Load()), c.Endpoint.StepTime, defaultStep))
 	open := c.Usage.Own.Load() + c.Usage.Others.Load()
-	cost = step * (1 + float64(open)/float64(limit))
-	if open >= limit {
+	share := float64(c.Endpoint.Layers.Len()) / float64(t.Layers)
+	batches := float64(open) * share / float64(cmp.Or(c.Usage.Batch.Load(), defaultBatch))
+	cost = step * (1 + batches)
+	if open >= cmp.Or(c.Usage.Limit.Load(), defaultLimit) {
 		return cost + fullPenalty, true
 	}
 	return cost, false
--- a/settings/file.go
+++ b/settings/file.go
@@ -120,9 +120,9 @@
 	Heartbeat Duration `toml:"heartbeat" validate:"min=0"`
 	// MaxSessions is the number of requests admitted at most.
 	MaxSessions int `toml:"max_sessions" validate:"min=0,max=100000"`
-	// StepTarget is the time that a step may take before fewer sessions are
-	// asked for.
-	StepTarget Duration `toml:"step_target" validate:"min=0"`
+	// WaitFactor is how long a step may take with its wait, in steps: a larger
+	// one gives throughput, a smaller one latency and quicker recovery.
+	WaitFactor float64 `toml:"wait_factor" validate:"min=0,max=100"`
 	// CallKeep is how long calls that may not be repeated are remembered.
 	CallKeep Duration `toml:"call_keep" validate:"min=0"`
 }
--- a/view/view.go
+++ b/view/view.go
@@ -69,14 +69,14 @@
 	k.suspect = false
 	k.endpoint = e
 	k.revision = revision
-	k.usage.Report(e.Sessions, e.Limit, e.StepTime)
+	k.usage.Report(route.Report{Sessions: e.Sessions, Limit: e.Limit, Batch: e.Batch, Step: e.StepTime})
 	return changed
 }
 
 // Loaded takes in a load report that came with an answer.
-func (v *View) Loaded(name string, sessions, limit int, step time.Duration) {
+func (v *View) Loaded(name string, r route.Report) {
 	if k := v.known[name]; k != nil {
-		k.usage.Report(sessions, limit, step)
+		k.usage.Report(r)
 	}
 }
 
