Measure the rate of admission over a span, not between two admissions

Cause: after a pause without room the rate was one admission over the whole pause, the estimated wait of everybody outlasted the deadline, and the gate refused them at once: 253,196 refusals in one trial with 1,500 in flight. Ruled out: a full queue. TestRefusesWhatWouldComeTooLate fails before and passes after.

--- a/cmd/measure/site.go
+++ b/cmd/measure/site.go
@@ -32,6 +32,8 @@
 	shared int
 	// blocks is the size of the engines' prefix caches.
 	blocks int
+	// waitFactor is the agents' setting, 0 for their default.
+	waitFactor float64
 }
 
 // The deployments of today.
@@ -120,7 +122,7 @@
 	l := &lab.Lab{
 		MaxQueue: queue,
 		Engines:  s.engines(), Service: "assistant", Layers: s.layers, PlainService: "records",
-		Teams: teams(), MaxSessions: 128, Log: zerolog.Nop(),
+		Teams: teams(), MaxSessions: 128, WaitFactor: s.waitFactor, Log: zerolog.Nop(),
 		Adjust: func(e *entry.Entry) { e.Chooser = chooser },
 	}
 	for i, hall := range s.halls {
@@ -225,12 +227,14 @@
 	}
 }
 
-// keep holds n requests in flight until ctx ends, and then gives them up.
-func (t *trial) keep(ctx context.Context, n int) {
+// keep holds n requests in flight until ctx ends, and then gives them up. They
+// start one after another over ramp, so that they are not in step.
+func (t *trial) keep(ctx context.Context, n int, ramp time.Duration) {
 	var group sync.WaitGroup
 	for i := range n {
 		team := fmt.Sprintf("team-%d", i%10)
 		group.Go(func() {
+			time.Sleep(ramp * time.Duration(i) / time.Duration(n))
 			for ctx.Err() == nil {
 				t.request(ctx, team)
 			}
--- a/cmd/measure/throughput.go
+++ b/cmd/measure/throughput.go
@@ -46,7 +46,9 @@
 	window   time.Duration
 	inFlight int
 	only     string
+	load     string
 	engines  bool
+	wait     float64
 }
 
 func (*throughputCommand) Name() string     { return "throughput" }
@@ -54,9 +56,11 @@
 func (*throughputCommand) Usage() string    { return "measure throughput [flags]\n" }
 
 func (c *throughputCommand) SetFlags(f *flag.FlagSet) {
-	f.DurationVar(&c.window, "window", 5*time.Second, "time measured, after a warm-up of 2 s")
-	f.IntVar(&c.inFlight, "in-flight", 700, "requests kept in flight")
+	f.DurationVar(&c.window, "window", 10*time.Second, "time measured, after a warm-up of 8 s")
+	f.IntVar(&c.inFlight, "in-flight", 1000, "requests kept in flight")
+	f.Float64Var(&c.wait, "wait-factor", 0, "wait factor of the agents, 0 for their default")
 	f.BoolVar(&c.engines, "engines", false, "print what each engine did")
+	f.StringVar(&c.load, "load", "", "measure only this load")
 	f.StringVar(&c.only, "only", "", "measure only this way to choose")
 }
 
@@ -64,8 +68,12 @@
 	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(out, "site\tload\tway\ttokens/s\tbound\tratio\tfirst p50\tfirst p95\tbetween p50\tbetween p95\tfailed")
 	for _, s := range []site{ramdin, greenbough} {
+		s.waitFactor = c.wait
 		for _, v := range variants(s) {
 			for _, w := range ways() {
+				if c.load != "" && v.load != c.load {
+					continue
+				}
 				if c.only != "" && w.name != c.only {
 					continue
 				}
@@ -100,20 +108,25 @@
 	}
 	defer l.Close()
 	t := &trial{site: v.site, lab: l}
-	const warmUp = 2 * time.Second
+	const warmUp = 8 * time.Second
 	load, cancel := context.WithTimeout(ctx, warmUp+c.window)
 	defer cancel()
 	begin := time.Now()
-	t.keep(load, c.inFlight)
+	t.keep(load, c.inFlight, warmUp/2)
 	from := begin.Add(warmUp)
 	rate := t.rate(from, from.Add(c.window))
 	bound := v.bound(l.Engines) * float64(v.answer)
-	failed := 0
+	failed, causes := 0, make(map[outcome.Code]int)
 	for _, r := range t.results {
-		if end := endOf(r); end != outcome.Done.String() && end != "lost" {
+		report, ended := outcome.Of(r.err)
+		if ended && r.end.Before(from.Add(c.window)) {
 			failed++
+			causes[report.Code]++
 		}
 	}
+	if failed > 0 {
+		fmt.Fprintln(os.Stderr, v.name, v.load, w.name, causes)
+	}
 	fmt.Fprintf(out, "%s\t%s\t%s\t%.0f\t%.0f\t%.3f\t%v\t%v\t%v\t%v\t%d\n", v.name, v.load, w.name, rate, bound, rate/bound,
 		quantile(t.first, 0.5).Round(time.Millisecond), quantile(t.first, 0.95).Round(time.Millisecond),
 		quantile(t.between, 0.5).Round(time.Millisecond), quantile(t.between, 0.95).Round(time.Millisecond), failed)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -10,6 +10,7 @@
 
 	"github.com/grademill/grademill/fair"
 	"github.com/grademill/grademill/outcome"
+	"github.com/grademill/grademill/rate"
 )
 
 // Answer is what a try for room found.
@@ -51,12 +52,10 @@
 
 type lane[G any] struct {
 	queue fair.Queue[*waiter[G]]
-	// queued is the cost of what waits; rate is the cost admitted a second.
-	queued float64
-	rate   float64
-	// admitted is the cost admitted since the time at.
-	admitted float64
-	at       time.Time
+	// queued is the cost of what waits, and admitted the rate of what does not
+	// any more.
+	queued   float64
+	admitted rate.Meter
 }
 
 type waiter[G any] struct {
@@ -130,7 +129,7 @@
 		if g.lanes == nil {
 			g.lanes = make(map[string]*lane[G])
 		}
-		l = &lane[G]{queue: fair.Queue[*waiter[G]]{Max: g.MaxQueue}, at: time.Now()}
+		l = &lane[G]{queue: fair.Queue[*waiter[G]]{Max: g.MaxQueue}}
 		g.lanes[name] = l
 	}
 	return l
@@ -144,7 +143,7 @@
 	if l.queue.Remove(item) {
 		l.queued -= item.Cost
 		var zero G
-		return zero, outcome.Refuse(outcome.DeadlineOver, "gone or out of time while waiting for room", l.wait())
+		return zero, outcome.Refuse(outcome.DeadlineOver, "gone or out of time while waiting for room", l.retryAfter())
 	}
 	r := <-item.Value.result
 	return r.grant, r.report
@@ -164,46 +163,35 @@
 			item.Value.result <- result[G]{report: report}
 			continue
 		}
-		l.count(item.Cost)
+		l.admitted = l.admitted.WithCount(time.Now(), item.Cost)
 		item.Value.result <- result[G]{grant: grant}
 	}
 }
 
-// rateWindow is the time over which the rate of admission is measured.
-const rateWindow = time.Second
-
-// count takes an admitted cost into the rate.
-func (l *lane[G]) count(cost float64) {
-	l.admitted += cost
-	age := time.Since(l.at)
-	if age < rateWindow {
-		return
+// wait returns how long a new request would wait; false while that is not
+// known.
+func (l *lane[G]) wait() (time.Duration, bool) {
+	perSecond := l.admitted.PerSecond(time.Now())
+	if perSecond <= 0 {
+		return 0, false
 	}
-	l.rate = l.admitted / age.Seconds()
-	l.admitted = 0
-	l.at = time.Now()
+	return time.Duration(l.queued / perSecond * float64(time.Second)), true
 }
 
-// wait returns how long a new request would wait, within bounds.
-func (l *lane[G]) wait() time.Duration {
-	if l.rate <= 0 {
-		return minRetryAfter
-	}
-	wait := time.Duration(l.queued / l.rate * float64(time.Second))
+// retryAfter returns when a refused caller may come back.
+func (l *lane[G]) retryAfter() time.Duration {
+	wait, _ := l.wait()
 	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
 
 // tooLate returns a refusal when the wait would outlast ctx.
 func (l *lane[G]) tooLate(ctx context.Context) *outcome.Report {
-	deadline, ok := ctx.Deadline()
-	if !ok || l.rate <= 0 || l.queue.Len() == 0 {
-		return nil
-	}
-	wait := time.Duration(l.queued / l.rate * float64(time.Second))
-	if wait <= time.Until(deadline) {
+	deadline, bounded := ctx.Deadline()
+	wait, known := l.wait()
+	if !bounded || !known || l.queue.Len() == 0 || wait <= time.Until(deadline) {
 		return nil
 	}
-	return outcome.Refuse(outcome.Overloaded, "the wait would outlast the deadline", l.wait())
+	return outcome.Refuse(outcome.Overloaded, "the wait would outlast the deadline", l.retryAfter())
 }
 
 // refuse tells a displaced request; counted is whether its cost was queued.
@@ -211,5 +199,5 @@
 	if counted {
 		l.queued -= item.Cost
 	}
-	item.Value.result <- result[G]{report: outcome.Refuse(outcome.Overloaded, "the queue is full", l.wait())}
+	item.Value.result <- result[G]{report: outcome.Refuse(outcome.Overloaded, "the queue is full", l.retryAfter())}
 }
--- a/route/table.go
+++ b/route/table.go
@@ -184,21 +184,19 @@
 // fullPenalty keeps endpoints at their limit behind all others.
 const fullPenalty = float64(time.Hour)
 
-// cost returns the estimated time of a step at candidate i with one more
-// session, and whether the endpoint is at its limit. A session is at the
-// endpoint for about the share of its time that the endpoint's layers are of
-// all, and those that are there go through it a batch at a time.
+// cost returns the estimated time of a step at candidate i, and whether the
+// endpoint is at its limit. It rises without bound towards the limit: under
+// little load the fastest endpoints are taken, and under much all of them, so
+// that the batches of slow ones are full as well.
 func (t *Table) cost(i int) (cost float64, full bool) {
 	c := &t.Candidates[i]
 	step := float64(cmp.Or(time.Duration(c.Usage.StepNanos.Load()), c.Endpoint.StepTime, defaultStep))
 	open := c.Usage.Own.Load() + c.Usage.Others.Load()
-	share := float64(c.Endpoint.Layers.Len()) / float64(t.Layers)
-	batches := float64(open) * share / float64(cmp.Or(c.Usage.Batch.Load(), defaultBatch))
-	cost = step * (1 + batches)
-	if open >= cmp.Or(c.Usage.Limit.Load(), defaultLimit) {
-		return cost + fullPenalty, true
+	limit := cmp.Or(c.Usage.Limit.Load(), defaultLimit)
+	if open >= limit {
+		return step + fullPenalty, true
 	}
-	return cost, false
+	return step * float64(limit) / float64(limit-open), false
 }
 
 // scratch is the working memory of one choice, by cut and hall.
