--- a/agent/agent.go
+++ b/agent/agent.go
@@ -20,6 +20,7 @@
 	"github.com/grademill/grademill/adapter/link"
 	"github.com/grademill/grademill/adapter/listen"
 	"github.com/grademill/grademill/adapter/rpc"
+	"github.com/grademill/grademill/drain"
 	"github.com/grademill/grademill/limit"
 	"github.com/grademill/grademill/once"
 	"github.com/grademill/grademill/order"
@@ -177,18 +178,12 @@
 	return a.leaving.Load()
 }
 
-// drainPoll is how often a draining process looks whether it is empty.
-const drainPoll = 20 * time.Millisecond
-
 // drain refuses new work, tells the entries, and waits for what is in flight.
 func (a *Agent) drain(ctx context.Context) error {
 	a.leaving.Store(true)
 	a.Log.Info().Int("sessions", a.inFlight()).Msg("agent is leaving")
 	a.report(ctx)
-	deadline := time.Now().Add(a.DrainTimeout)
-	for a.inFlight() > 0 && time.Now().Before(deadline) {
-		time.Sleep(drainPoll)
-	}
+	drain.Wait(ctx, a.DrainTimeout, a.inFlight)
 	a.evict()
 	a.Log.Info().Int("sessions", a.inFlight()).Msg("agent has drained")
 	return nil
@@ -201,6 +196,9 @@
 	return a.active + a.running
 }
 
+// flushTime lets the links write what was queued last.
+const flushTime = 50 * time.Millisecond
+
 // evict asks the owners of what is left to move it.
 func (a *Agent) evict() {
 	a.mu.Lock()
@@ -217,7 +215,7 @@
 		a.links.Trouble(owners[i], trouble)
 	}
 	if len(left) > 0 {
-		time.Sleep(drainPoll) // lets the links write
+		time.Sleep(flushTime)
 	}
 }
 
--- a/cmd/measure/site.go
+++ b/cmd/measure/site.go
@@ -180,6 +180,10 @@
 	for t.alive != nil && !t.alive(i) {
 		i = (i + 1) % len(t.lab.Entries)
 	}
+	// A request ends with its entry.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(t.lab.Life(t.lab.Entries[i].Name), cancel)()
 	r := result{begin: time.Now(), request: id, team: team}
 	last := r.begin
 	var at []time.Time
@@ -266,3 +270,21 @@
 	}
 	return float64(n) / to.Sub(from).Seconds()
 }
+
+// small returns a lab with one entry and n engines, a third of the layers each.
+func (s site) small(n int) *lab.Lab {
+	l := &lab.Lab{
+		Entries: []lab.Host{{Name: "entry-0", Hall: s.halls[0]}},
+		Service: "assistant", Layers: s.layers, Teams: teams(), MaxSessions: 128, Log: zerolog.Nop(),
+	}
+	third := s.layers / 3
+	for i := range n {
+		part := i % 3
+		l.Engines = append(l.Engines, lab.Engine{
+			Name: fmt.Sprintf("engine-%03d", i), Hall: s.halls[part],
+			Layers: layer.Range{First: part * third, End: (part + 1) * third},
+			Base:   2 * time.Millisecond, PerToken: 10 * time.Microsecond, MaxBatch: 64,
+		})
+	}
+	return l
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/grademill/grademill/adapter/rpc"
 	"github.com/grademill/grademill/claimlog"
 	"github.com/grademill/grademill/conflog"
+	"github.com/grademill/grademill/drain"
 	"github.com/grademill/grademill/gate"
 	"github.com/grademill/grademill/member"
 	"github.com/grademill/grademill/port/hosts"
@@ -200,17 +201,11 @@
 	return e.config
 }
 
-// drainPoll is how often a draining process looks whether it is empty.
-const drainPoll = 20 * time.Millisecond
-
 // drain refuses new requests and waits for those in flight.
-func (e *Entry) drain(context.Context) error {
+func (e *Entry) drain(ctx context.Context) error {
 	e.draining.Store(true)
 	e.Log.Info().Int64("requests", e.inFlight.Load()).Msg("entry is leaving")
-	deadline := time.Now().Add(e.DrainTimeout)
-	for e.inFlight.Load() > 0 && time.Now().Before(deadline) {
-		time.Sleep(drainPoll)
-	}
+	drain.Wait(ctx, e.DrainTimeout, func() int { return int(e.inFlight.Load()) })
 	e.Log.Info().Int64("requests", e.inFlight.Load()).Msg("entry has drained")
 	return nil
 }
--- a/lab/lab.go
+++ b/lab/lab.go
@@ -91,6 +91,7 @@
 	engines map[string]*engine.Engine
 	address map[string]string
 	stops   map[string]context.CancelFunc
+	lives   map[string]context.Context
 }
 
 // Defaults of the fields that are zero.
@@ -107,6 +108,7 @@
 	l.engines = make(map[string]*engine.Engine)
 	l.address = make(map[string]string)
 	l.stops = make(map[string]context.CancelFunc)
+	l.lives = make(map[string]context.Context)
 	if err := l.startEntries(ctx); err != nil {
 		return err
 	}
@@ -170,6 +172,13 @@
 // firstPort lies below the ports that the kernel gives to connections.
 const firstPort = 20000
 
+// Life returns a context that ends when the process is killed.
+func (l *Lab) Life(name string) context.Context {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lives[name]
+}
+
 // freeAddress returns a loopback address that no other process of this program
 // listens on. The network part tells programs that run at the same time apart.
 func freeAddress() string {
@@ -181,6 +190,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	l.mu.Lock()
 	l.stops[name] = stop
+	l.lives[name] = ctx
 	l.mu.Unlock()
 	l.group.Go(func() {
 		if err := run(ctx); err != nil {
--- /dev/null
+++ b/layout_test.go
@@ -0,0 +1,117 @@
+// Package grademill_test checks the layout rule of the project.
+package grademill_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const module = "github.com/grademill/grademill/"
+
+// decisions are the packages that decide: they take values and a time, and
+// return values.
+var decisions = []string{
+	"answer", "claim", "config", "fair", "fence", "fleet", "flow", "layer", "limit", "member", "once", "order",
+	"outcome", "place", "policy", "rate", "rendezvous", "retry", "route", "timeout", "view",
+}
+
+// forbidden are imports that no decision package may have, by prefix.
+var forbidden = []string{
+	"net", "os", "log", "syscall", "github.com/go-kratos", "github.com/sourcegraph/jsonrpc2",
+	"github.com/rs/zerolog", "github.com/prometheus", module + "adapter", module + "entry", module + "agent",
+}
+
+// clocks are the functions of package time that read the clock or wait.
+var clocks = map[string]bool{
+	"Now": true, "Since": true, "Until": true, "After": true, "AfterFunc": true, "Sleep": true,
+	"NewTimer": true, "NewTicker": true, "Tick": true,
+}
+
+// sources parses the files of a package, without its tests.
+func sources(t *testing.T, dir string) []*ast.File {
+	paths, err := filepath.Glob(filepath.Join(dir, "*.go"))
+	require.NoError(t, err)
+	var files []*ast.File
+	for _, path := range paths {
+		if strings.HasSuffix(path, "_test.go") {
+			continue
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
+		require.NoError(t, err)
+		files = append(files, file)
+	}
+	return files
+}
+
+// imports returns what a package of this module imports, through other packages
+// of the module too.
+func imports(t *testing.T, dir string, seen map[string]bool) {
+	for _, file := range sources(t, dir) {
+		for _, spec := range file.Imports {
+			path, err := strconv.Unquote(spec.Path.Value)
+			require.NoError(t, err)
+			if seen[path] {
+				continue
+			}
+			seen[path] = true
+			if own, ok := strings.CutPrefix(path, module); ok && own != "wire" {
+				imports(t, own, seen)
+			}
+		}
+	}
+}
+
+func TestDecisionsImportNoTransport(t *testing.T) {
+	for _, dir := range decisions {
+		seen := make(map[string]bool)
+		imports(t, dir, seen)
+		require.NotEmpty(t, sources(t, dir), dir)
+		for path := range seen {
+			for _, f := range forbidden {
+				require.False(t, path == f || strings.HasPrefix(path, f+"/"), "%s imports %s", dir, path)
+			}
+		}
+	}
+}
+
+func TestDecisionsReadNoClockAndStartNothing(t *testing.T) {
+	for _, dir := range decisions {
+		for _, file := range sources(t, dir) {
+			ast.Inspect(file, func(n ast.Node) bool {
+				switch n := n.(type) {
+				case *ast.GoStmt:
+					require.Fail(t, "starts a goroutine", dir)
+				case *ast.SelectorExpr:
+					if pkg, ok := n.X.(*ast.Ident); ok && pkg.Name == "time" {
+						require.False(t, clocks[n.Sel.Name], "%s calls time.%s", dir, n.Sel.Name)
+					}
+				}
+				return true
+			})
+		}
+	}
+}
+
+// Nothing in the product starts a process.
+func TestNoProcessIsStarted(t *testing.T) {
+	err := filepath.WalkDir(".", func(path string, entry os.DirEntry, err error) error {
+		if err != nil || !entry.IsDir() || strings.HasPrefix(path, ".git") {
+			return err
+		}
+		for _, file := range sources(t, path) {
+			for _, spec := range file.Imports {
+				require.NotEqual(t, `"os/exec"`, spec.Path.Value, path)
+			}
+		}
+		return nil
+	})
+	require.NoError(t, err)
+}
--- /dev/null
+++ b/settings/file_test.go
@@ -0,0 +1,86 @@
+package settings_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/settings"
+)
+
+const good = `role = "entry"
+name = "entry-1"
+hall = "rose-hill"
+address = "10.0.0.1:7000"
+[entry]
+caller = "10.0.0.1:8000"
+platform = "http://10.0.0.9:9000"
+sync = "1.5s"
+[[entry.operators]]
+name = "olga"
+key_sha256 = "0000000000000000000000000000000000000000000000000000000000000000"
+`
+
+func TestParse(t *testing.T) {
+	f, err := settings.Parse("entry.toml", []byte(good))
+	require.NoError(t, err)
+	require.Equal(t, "rose-hill", f.Hall)
+	require.Equal(t, 1500*time.Millisecond, f.Entry.Sync.Or(time.Second))
+	require.Equal(t, time.Second, f.Entry.Expiry.Or(time.Second))
+}
+
+func TestFaultsAreLocated(t *testing.T) {
+	cases := []struct {
+		name, text string
+		line       int
+		key        string
+	}{
+		{"unknown key", good + "[entry2]\nx = 1\n", 12, "entry2"},
+		{"misspelt key", "role = \"entry\"\nnmae = \"x\"\n", 2, "nmae"},
+		{"wrong type", "role = 7\n", 1, "role"},
+		{"bad duration", good[:len(good)-len(good)] + "drain_timeout = \"soon\"\n", 1, "drain_timeout"},
+		{"syntax", "role = \n", 1, ""},
+		{"unknown role", "role = \"router\"\nname = \"x\"\nhall = \"h\"\naddress = \"1.2.3.4:5\"\n", 1, "role"},
+		{"bad address", "role = \"entry\"\nname = \"x\"\nhall = \"h\"\naddress = \"nowhere\"\n", 4, "address"},
+		{"missing table", "role = \"agent\"\nname = \"x\"\nhall = \"h\"\naddress = \"1.2.3.4:5\"\n", 0, "agent"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := settings.Parse("f.toml", []byte(c.text))
+			var fault *settings.Error
+			require.True(t, errors.As(err, &fault), "%v", err)
+			require.Equal(t, "f.toml", fault.File)
+			require.Equal(t, c.line, fault.Line, fault.Problem)
+			require.Equal(t, c.key, fault.Key)
+			require.NotEmpty(t, fault.Problem)
+		})
+	}
+}
+
+func TestExamplesAreFitForUse(t *testing.T) {
+	for _, name := range []string{
+		"ramdin/entry.toml", "ramdin/agent-engine.toml", "ramdin/agent-records.toml",
+		"greenbough/entry.toml", "greenbough/agent-engine.toml", "greenbough/agent-stock.toml",
+	} {
+		_, err := settings.Load("../examples/" + name)
+		require.NoError(t, err, name)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(good)
+	f.Add("role = 7")
+	f.Add("[entry]\n[entry]")
+	f.Add("drain_timeout = \"1h\"\nagent = {}")
+	f.Fuzz(func(t *testing.T, text string) {
+		file, err := settings.Parse("f.toml", []byte(text))
+		var fault *settings.Error
+		if err != nil {
+			require.True(t, errors.As(err, &fault), "%v", err)
+			return
+		}
+		require.NotEmpty(t, file.Role)
+	})
+}
