Carry heartbeats as frames, keep the configuration at the entries only

They are frames now, brief but for one in eight, and answered only when there is news. Agents decided nothing by the configuration, so they no longer get it; the check that they follow it goes with it, the one for entries stays as it was. Policies that have not changed are not compiled again.

Two entries with the same key could bar each other's claims until the retry budget was spent (more than 1,000 retries in TestLostAnswersWhileRenewing); whoever finds the key taken now waits a drawn time before settling it.

--- a/adapter/link/set.go
+++ b/adapter/link/set.go
@@ -62,6 +62,16 @@
 	s.queue(address, func(b *wire.Batch) { b.Troubles = append(b.Troubles, m) })
 }
 
+// Heartbeat queues a heartbeat for the process at address.
+func (s *Set) Heartbeat(address string, m *wire.Heartbeat) {
+	s.queue(address, func(b *wire.Batch) { b.Heartbeats = append(b.Heartbeats, m) })
+}
+
+// News queues news for the process at address.
+func (s *Set) News(address string, m *wire.News) {
+	s.queue(address, func(b *wire.Batch) { b.News = append(b.News, m) })
+}
+
 // Close closes all connections.
 func (s *Set) Close() {
 	s.mu.Lock()
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -26,7 +26,6 @@
 	"github.com/grademill/grademill/order"
 	"github.com/grademill/grademill/port/engine"
 	"github.com/grademill/grademill/port/service"
-	"github.com/grademill/grademill/replica"
 	"github.com/grademill/grademill/wire"
 )
 
@@ -72,10 +71,7 @@
 	incarnation uint64
 	leaving     atomic.Bool
 	links       *link.Set
-	client      rpc.Client
-	config      *replica.Config
 	app         *kratos.App
-	ready       chan struct{}
 
 	mu       sync.Mutex // guards what follows
 	sessions map[string]*session
@@ -93,6 +89,9 @@
 	waiters  map[once.Key]chan struct{}
 	running  int // calls at the plain service
 	entries  []*wire.Peer
+	// introduced is what each entry was told of the agent on its connection.
+	introduced map[string]*wire.Introduction
+	beats      uint64
 }
 
 // maxCalls bounds the calls that are remembered, and callEpoch is the length of
@@ -119,8 +118,8 @@
 	a.calls = once.Table[*wire.CallReply]{
 		Start: time.Now(), Epoch: callEpoch, Max: maxCalls, Keep: a.CallKeep,
 	}
+	a.introduced = make(map[string]*wire.Introduction)
 	a.waiters = make(map[once.Key]chan struct{})
-	a.config = replica.New()
 	a.links = &link.Set{Name: a.Name, Incarnation: a.incarnation, Down: a.peerDown, Log: a.Log}
 	if a.Engine == nil {
 		return nil
@@ -161,7 +160,6 @@
 	a.Log.Info().Str("address", a.Address).Uint64("incarnation", a.incarnation).Msg("agent serves")
 	err := a.app.Run()
 	a.links.Close()
-	a.client.Close()
 	if errors.Is(err, context.Canceled) {
 		return nil
 	}
@@ -182,7 +180,7 @@
 func (a *Agent) drain(ctx context.Context) error {
 	a.leaving.Store(true)
 	a.Log.Info().Int("sessions", a.inFlight()).Msg("agent is leaving")
-	a.report(ctx)
+	a.report()
 	drain.Wait(ctx, a.DrainTimeout, a.inFlight)
 	a.evict()
 	a.Log.Info().Int("sessions", a.inFlight()).Msg("agent has drained")
--- a/agent/beat.go
+++ b/agent/beat.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/grademill/grademill/rendezvous"
 	"github.com/grademill/grademill/wire"
@@ -16,7 +16,7 @@
 	ticker := time.NewTicker(a.Heartbeat)
 	defer ticker.Stop()
 	for {
-		a.report(ctx)
+		a.report()
 		select {
 		case <-ctx.Done():
 			return
@@ -25,53 +25,52 @@
 	}
 }
 
-// reportTimeout bounds one report.
-const reportTimeout = 2 * time.Second
+// introduceEvery is the number of heartbeats after which the agent introduces
+// itself again, to entries that have forgotten it while it was silent.
+const introduceEvery = 8
 
-// report sends one heartbeat to each entry of the subset, all at once.
-func (a *Agent) report(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	beat := a.heartbeat()
-	var group sync.WaitGroup
+// report sends one heartbeat to each entry of the subset.
+func (a *Agent) report() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	self := a.introduction()
+	a.beats++
 	for _, address := range a.subset() {
-		group.Go(func() {
-			reply := new(wire.HeartbeatReply)
-			if err := a.client.Call(ctx, address, "heartbeat", beat, reply); err != nil {
-				a.Log.Debug().Err(err).Str("entry", address).Msg("heartbeat failed")
-				return
-			}
-			a.answered(reply)
-		})
+		beat := a.heartbeat()
+		if a.beats%introduceEvery == 0 || !proto.Equal(a.introduced[address], self) {
+			beat.Self = self
+			a.introduced[address] = self
+		}
+		a.links.Heartbeat(address, beat)
 	}
-	group.Wait()
 }
 
-// heartbeat returns the report of this moment.
-func (a *Agent) heartbeat() *wire.Heartbeat {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	beat := &wire.Heartbeat{
-		Endpoint: a.Name, Address: a.Address, Hall: a.Hall, Incarnation: a.incarnation,
-		Service: a.Service, Leaving: a.leaving.Load(), Load: a.load(), Revision: a.config.Revision(),
-		EntriesHash: EntriesHash(a.entries), Term: a.fence.Term,
-		Epoch: a.calls.Now(time.Now()),
+// introduction returns what seldom changes; a.mu is held.
+func (a *Agent) introduction() *wire.Introduction {
+	self := &wire.Introduction{
+		Endpoint: a.Name, Address: a.Address, Hall: a.Hall, Service: a.Service, Leaving: a.leaving.Load(),
 	}
-	if a.Engine != nil {
-		beat.Service = a.status.Service
-		beat.First, beat.End = uint32(a.status.Layers.First), uint32(a.status.Layers.End)
+	if a.Engine != nil && !a.loading {
+		self.Service = a.status.Service
+		self.First, self.End = uint32(a.status.Layers.First), uint32(a.status.Layers.End)
 	}
-	if a.loading {
-		beat.Service, beat.First, beat.End = "", 0, 0
+	return self
+}
+
+// heartbeat returns the report of this moment; a.mu is held.
+func (a *Agent) heartbeat() *wire.Heartbeat {
+	load := a.load()
+	load.Endpoint = "" // the incarnation tells
+	return &wire.Heartbeat{
+		Incarnation: a.incarnation, Load: load, EntriesHash: EntriesHash(a.entries),
+		Epoch: a.calls.Now(time.Now()), Term: a.fence.Term,
 	}
-	return beat
 }
 
 // subset returns the entries to report to: those of highest weight for this
-// agent, and the ones to begin with until an entry has sent the list.
+// agent, and the ones to begin with until an entry has sent the list; a.mu is
+// held.
 func (a *Agent) subset() []string {
-	a.mu.Lock()
-	defer a.mu.Unlock()
 	if len(a.entries) == 0 {
 		return a.Entries
 	}
@@ -82,18 +81,13 @@
 	return rendezvous.Top(a.Name, addresses, a.Subset)
 }
 
-// answered takes in the reply to a heartbeat.
-func (a *Agent) answered(reply *wire.HeartbeatReply) {
-	if sync := reply.GetSync(); sync != nil {
-		if err := a.config.Take(sync); err != nil {
-			a.Log.Warn().Err(err).Msg("configuration of an entry not taken")
-		}
-	}
+// hear takes in news from an entry.
+func (a *Agent) hear(news *wire.News) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.fence = a.fence.WithTerm(reply.GetTerm())
-	if len(reply.GetEntries()) > 0 {
-		a.entries = reply.GetEntries()
+	a.fence = a.fence.WithTerm(news.GetTerm())
+	if len(news.GetEntries()) > 0 {
+		a.entries = news.GetEntries()
 	}
 }
 
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -43,5 +43,5 @@
 	if err != nil || statusErr != nil {
 		a.Log.Error().AnErr("load", err).AnErr("status", statusErr).Msg("order failed")
 	}
-	a.report(ctx)
+	a.report()
 }
--- a/agent/steps.go
+++ b/agent/steps.go
@@ -63,6 +63,9 @@
 	for _, s := range batch.GetSteps() {
 		a.step(s)
 	}
+	for _, n := range batch.GetNews() {
+		a.hear(n)
+	}
 }
 
 // step admits one step, or refuses it.
@@ -285,6 +288,7 @@
 func (a *Agent) peerDown(address string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	delete(a.introduced, address)
 	for key, s := range a.sessions {
 		if s.open == nil {
 			continue
--- a/entry/call.go
+++ b/entry/call.go
@@ -123,8 +123,10 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		timeout = time.Until(deadline)
 	}
+	waiting, done := c.entry.waitFor(ctx, at.Name, c.id)
+	defer done()
 	reply := new(wire.CallReply)
-	err := c.entry.client.Call(ctx, at.Address, "call", &wire.Call{
+	err := c.entry.client.Call(waiting, at.Address, "call", &wire.Call{
 		Key: c.key, Claim: claimed.ID, Incarnation: at.Incarnation, Epoch: at.Epoch, Service: c.request.Service,
 		Method: c.request.Method, Path: c.request.Path, Body: c.request.Body, ContentType: c.request.ContentType,
 		Once: !c.decision.Repeatable, TimeoutMillis: uint32(max(timeout.Milliseconds(), 0)),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-kratos/kratos/v2"
 	"github.com/go-kratos/kratos/v2/transport"
+	"github.com/google/uuid"
 	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
 
@@ -107,6 +108,8 @@
 	revisions map[string]uint64
 	stalls    map[string]stalls
 	teamLoad  map[string]int
+	// calls are the calls that wait for an endpoint.
+	calls map[string]map[uuid.UUID]context.CancelFunc
 
 	flightsMu sync.RWMutex
 	flights   map[[requestBytes]byte]*flight
@@ -142,6 +145,7 @@
 	e.revisions = make(map[string]uint64)
 	e.stalls = make(map[string]stalls)
 	e.teamLoad = make(map[string]int)
+	e.calls = make(map[string]map[uuid.UUID]context.CancelFunc)
 	e.flights = make(map[[requestBytes]byte]*flight)
 	e.links = &link.Set{Name: e.Name, Incarnation: e.incarnation, Down: e.peerDown, Log: e.Log}
 	if e.Meter == nil {
@@ -213,7 +217,6 @@
 // methods are the control calls that the entry answers.
 func (e *Entry) methods() rpc.Methods {
 	return rpc.Methods{
-		"heartbeat": rpc.Of(e.heartbeat),
-		"sync":      rpc.Of(e.answerSync),
+		"sync": rpc.Of(e.answerSync),
 	}
 }
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -5,6 +5,8 @@
 	"maps"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/grademill/grademill/agent"
 	"github.com/grademill/grademill/fleet"
 	"github.com/grademill/grademill/layer"
@@ -13,37 +15,54 @@
 	"github.com/grademill/grademill/wire"
 )
 
-// heartbeat takes in the report of an agent and answers what it has missed.
-func (e *Entry) heartbeat(_ context.Context, beat *wire.Heartbeat) (*wire.HeartbeatReply, error) {
-	load := beat.GetLoad()
-	endpoint := fleet.Endpoint{
-		Name: beat.GetEndpoint(), Address: beat.GetAddress(), Hall: beat.GetHall(),
-		Incarnation: beat.GetIncarnation(), Epoch: beat.GetEpoch(), Service: beat.GetService(),
-		Layers:   layer.Range{First: int(beat.GetFirst()), End: int(beat.GetEnd())},
-		Leaving:  beat.GetLeaving(),
-		StepTime: time.Duration(load.GetStepMicros()) * time.Microsecond,
-		Sessions: int(load.GetSessions()), Limit: int(load.GetLimit()), Batch: int(load.GetBatch()),
-		Seen: time.Now(),
-	}
+// heartbeat takes in the report of an agent, and answers when it has missed
+// something.
+func (e *Entry) heartbeat(beat *wire.Heartbeat) {
+	now := time.Now()
 	e.mu.Lock()
-	changed := e.view.Heard(endpoint, beat.GetRevision())
-	peers := e.peers.Shared()
+	changed := false
+	if self := beat.GetSelf(); self != nil {
+		changed = e.view.Introduced(fleet.Endpoint{
+			Name: self.GetEndpoint(), Address: self.GetAddress(), Hall: self.GetHall(),
+			Incarnation: beat.GetIncarnation(), Epoch: beat.GetEpoch(), Service: self.GetService(),
+			Layers:  layer.Range{First: int(self.GetFirst()), End: int(self.GetEnd())},
+			Leaving: self.GetLeaving(), Seen: now,
+		})
+	}
+	endpoint, woke, ok := e.view.Heard(now, beat.GetIncarnation(), beat.GetEpoch(), reportOf(beat.GetLoad()))
+	entries := e.peers.Shared()
 	e.mu.Unlock()
+	if !ok {
+		return
+	}
 	if changed {
 		e.Log.Info().Str("endpoint", endpoint.Name).Str("service", endpoint.Service).
 			Stringer("layers", endpoint.Layers).Bool("leaving", endpoint.Leaving).Msg("endpoint changed")
+	}
+	if changed || woke {
 		e.rebuild()
 	}
 	e.raiseTerm(beat.GetTerm())
-	sync, err := e.config.Since(beat.GetRevision())
-	if err != nil {
-		return nil, err
+	e.tell(endpoint, beat, entries)
+}
+
+// tell sends an agent what it has missed, and nothing when that is nothing.
+func (e *Entry) tell(to fleet.Endpoint, beat *wire.Heartbeat, entries []*wire.Peer) {
+	news := &wire.News{Term: e.term.Load()}
+	if beat.GetEntriesHash() != agent.EntriesHash(entries) {
+		news.Entries = entries
+	}
+	if len(news.GetEntries()) > 0 || news.GetTerm() > beat.GetTerm() {
+		e.links.News(to.Address, news)
 	}
-	reply := &wire.HeartbeatReply{Sync: sync, Term: e.term.Load()}
-	if beat.GetEntriesHash() != agent.EntriesHash(peers) {
-		reply.Entries = peers
+}
+
+// reportOf returns a load report as the view takes it.
+func reportOf(l *wire.Load) route.Report {
+	return route.Report{
+		Sessions: int(l.GetSessions()), Limit: int(l.GetLimit()), Batch: int(l.GetBatch()),
+		Step: time.Duration(l.GetStepMicros()) * time.Microsecond,
 	}
-	return reply, nil
 }
 
 // raiseTerm notes the highest term heard of.
@@ -75,10 +94,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, l := range loads {
-		e.view.Loaded(l.GetEndpoint(), route.Report{
-			Sessions: int(l.GetSessions()), Limit: int(l.GetLimit()), Batch: int(l.GetBatch()),
-			Step: time.Duration(l.GetStepMicros()) * time.Microsecond,
-		})
+		e.view.Loaded(l.GetEndpoint(), reportOf(l))
 	}
 }
 
@@ -133,28 +149,61 @@
 	}
 }
 
-// expire forgets endpoints that have been silent for too long.
+// expire forgets endpoints that have been silent for too long, and gives up the
+// calls that wait for them.
 func (e *Entry) expire(now time.Time) {
 	e.mu.Lock()
-	changed := e.view.Expire(now)
+	silent := e.view.Expire(now)
 	e.peers.Expire(now)
+	var waiting []context.CancelFunc
+	for _, name := range silent {
+		for _, cancel := range e.calls[name] {
+			waiting = append(waiting, cancel)
+		}
+	}
 	e.mu.Unlock()
-	if changed {
+	for _, cancel := range waiting {
+		cancel()
+	}
+	for _, name := range silent {
+		e.Log.Warn().Str("endpoint", name).Msg("endpoint has been silent for too long")
+	}
+	if len(silent) > 0 {
 		e.rebuild()
 	}
 }
 
+// waitFor returns a context that also ends when an endpoint has been silent for
+// too long, and a function to be called after the wait.
+func (e *Entry) waitFor(ctx context.Context, endpoint string, id uuid.UUID) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.calls[endpoint] == nil {
+		e.calls[endpoint] = make(map[uuid.UUID]context.CancelFunc)
+	}
+	e.calls[endpoint][id] = cancel
+	return ctx, func() {
+		cancel()
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		delete(e.calls[endpoint], id)
+		if len(e.calls[endpoint]) == 0 {
+			delete(e.calls, endpoint)
+		}
+	}
+}
+
 // Snapshot returns the view in force.
 func (e *Entry) Snapshot() *view.Snapshot {
 	return e.snapshot.Load()
 }
 
-// Revisions returns the configuration in force at each process heard of.
+// Revisions returns the configuration in force at each entry heard of.
 func (e *Entry) Revisions() map[string]uint64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	revisions := e.view.Revisions()
-	maps.Copy(revisions, e.revisions)
+	revisions := maps.Clone(e.revisions)
 	revisions[e.Name] = e.config.Revision()
 	return revisions
 }
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -68,6 +68,9 @@
 
 // take handles one frame of an agent.
 func (e *Entry) take(batch *wire.Batch) {
+	for _, beat := range batch.GetHeartbeats() {
+		e.heartbeat(beat)
+	}
 	for _, t := range batch.GetTokens() {
 		e.loaded(t.GetLoads()...)
 		if f := e.flight(t.GetRequest()); f != nil {
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -44,8 +44,8 @@
 	}
 }
 
-// askNext returns the peers to ask this time: a watcher of the own hall, and
-// anyone. Until the configuration is known it is all peers known.
+// askNext returns the peers to ask this time: a watcher of the own hall or
+// anyone, by chance. Until the configuration is known it is all peers known.
 func (e *Entry) askNext() []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -65,11 +65,10 @@
 	if e.config.Revision() == 0 || len(all) <= 1 {
 		return all
 	}
-	asked := []string{all[rand.IntN(len(all))]}
-	if watchers := rendezvous.Top(watchKey, near, e.Watchers); len(watchers) > 0 {
-		asked = append(asked, watchers[rand.IntN(len(watchers))])
+	if watchers := rendezvous.Top(watchKey, near, e.Watchers); len(watchers) > 0 && rand.IntN(2) == 0 {
+		all = watchers
 	}
-	return asked
+	return []string{all[rand.IntN(len(all))]}
 }
 
 // ask asks one peer for changes.
--- a/policy/set.go
+++ b/policy/set.go
@@ -78,6 +78,7 @@
 }
 
 type compiled struct {
+	revision                                          uint64 // of the object
 	name                                              string
 	order                                             int
 	match, repeatable, priority, deadline, place, rec cel.Program
@@ -106,14 +107,28 @@
 	return request, host
 })
 
-// Compile compiles all policies of a state. It returns a CompileError for the
-// first that fails; the caller keeps its former set.
+// Compile compiles all policies of a state.
 func Compile(policies map[string]config.Object[config.Policy]) (*Set, error) {
+	return new(Set).With(policies)
+}
+
+// With returns the set of all policies of a later state. Those that have not
+// changed are not compiled again. It returns a CompileError for the first that
+// fails; the caller keeps s.
+func (s *Set) With(policies map[string]config.Object[config.Policy]) (*Set, error) {
+	former := make(map[string]compiled, len(s.policies))
+	for _, c := range s.policies {
+		former[c.name] = c
+	}
 	set := new(Set)
 	for name, object := range policies {
-		c, err := compile(name, object.Value)
-		if err != nil {
-			return nil, err
+		c, ok := former[name]
+		if !ok || c.revision != object.Revision {
+			var err error
+			if c, err = compile(name, object.Value); err != nil {
+				return nil, err
+			}
+			c.revision = object.Revision
 		}
 		set.policies = append(set.policies, c)
 	}
--- a/replica/config.go
+++ b/replica/config.go
@@ -109,7 +109,7 @@
 			next.TeamByKey[hash] = name
 		}
 	}
-	policies, err := policy.Compile(state.Policies)
+	policies, err := former.Policies.With(state.Policies)
 	if err == nil {
 		next.Policies = policies
 	}
--- a/runonce/runner.go
+++ b/runonce/runner.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/google/uuid"
@@ -60,8 +61,18 @@
 	Shared bool
 
 	avoid map[string]bool
+	// duels counts how often another claim held the key.
+	duels int
 }
 
+// The pause before another's claim is settled. It doubles each time, and its
+// length is drawn, so that two entries that ask for the same key at the same
+// moment do not bar each other's claims for ever.
+const (
+	firstPause = 25 * time.Millisecond
+	maxDoubles = 5
+)
+
 // SettleTimeout bounds the question what became of a call.
 const SettleTimeout = 500 * time.Millisecond
 
@@ -105,7 +116,7 @@
 	}
 	if r.Shared {
 		if err := r.Claims.Claim(c); err != nil {
-			return r.notClaimed(err)
+			return r.notClaimed(ctx, err)
 		}
 	}
 	reply, err := r.Agents.Send(ctx, at, c, why)
@@ -145,13 +156,13 @@
 
 // notClaimed handles a claim that was not made. When another claim holds the
 // key, its fate is the call's; one that did not run may be replaced.
-func (r *Runner) notClaimed(err error) (*wire.CallReply, string, *outcome.Report) {
+func (r *Runner) notClaimed(ctx context.Context, err error) (*wire.CallReply, string, *outcome.Report) {
 	var taken *claimlog.TakenError
 	var full *claimlog.FullError
 	var doubt *headlog.InDoubtError
 	switch {
 	case errors.As(err, &taken):
-		return r.taken(taken.Holder)
+		return r.taken(ctx, taken.Holder)
 	case errors.As(err, &full):
 		return nil, "", outcome.Refuse(outcome.Overloaded, full.Error(), full.After)
 	case errors.As(err, &doubt):
@@ -161,10 +172,16 @@
 	return nil, "", outcome.Refuse(outcome.Platform, trace.UserMessage(err), retryAfter)
 }
 
-// taken settles a key that another claim holds.
-func (r *Runner) taken(holder claim.Claim) (*wire.CallReply, string, *outcome.Report) {
+// taken settles a key that another claim holds, after giving its holder time.
+func (r *Runner) taken(ctx context.Context, holder claim.Claim) (*wire.CallReply, string, *outcome.Report) {
 	if holder.Digest != r.Digest {
 		return nil, "", outcome.Refuse(outcome.Conflict, "the idempotency key was used for another request", 0)
 	}
+	pause := rand.N(firstPause << min(r.duels, maxDoubles))
+	r.duels++
+	select {
+	case <-ctx.Done():
+	case <-time.After(pause):
+	}
 	return sort(r.settle(holder), holder)
 }
--- a/view/view.go
+++ b/view/view.go
@@ -34,6 +34,8 @@
 	Expiry time.Duration
 
 	known map[string]*known
+	// byIncarnation finds the endpoint of a heartbeat that does not name it.
+	byIncarnation map[uint64]*known
 }
 
 type known struct {
@@ -43,15 +45,14 @@
 	suspect bool
 	// listed endpoints are leaving by the platform's list.
 	listed bool
-	// revision is the configuration in force at the agent.
-	revision uint64
 }
 
-// Heard takes in a heartbeat. It reports whether choices may come out
-// differently.
-func (v *View) Heard(e fleet.Endpoint, revision uint64) bool {
+// Introduced takes in an endpoint that has introduced itself. It reports whether
+// choices may come out differently.
+func (v *View) Introduced(e fleet.Endpoint) bool {
 	if v.known == nil {
 		v.known = make(map[string]*known)
+		v.byIncarnation = make(map[uint64]*known)
 	}
 	k := v.known[e.Name]
 	if k == nil {
@@ -63,14 +64,30 @@
 		// What was open at the former incarnation is gone with it, and those
 		// who opened it take it off the former count.
 		k.usage = new(route.Usage)
+		delete(v.byIncarnation, former.Incarnation)
+		v.byIncarnation[e.Incarnation] = k
 	}
-	changed := k.suspect || former.Incarnation != e.Incarnation || former.Layers != e.Layers ||
+	k.endpoint = e
+	return former.Incarnation != e.Incarnation || former.Layers != e.Layers ||
 		former.Leaving != e.Leaving || former.Address != e.Address || former.Service != e.Service
+}
+
+// Heard takes in the rest of a heartbeat: that the agent lives, its load, and
+// its epoch. It returns the endpoint, whether choices may come out differently,
+// and false when no endpoint of that incarnation is known.
+func (v *View) Heard(now time.Time, incarnation, epoch uint64, r route.Report) (e fleet.Endpoint, changed, ok bool) {
+	k := v.byIncarnation[incarnation]
+	if k == nil {
+		return fleet.Endpoint{}, false, false
+	}
+	changed = k.suspect
 	k.suspect = false
-	k.endpoint = e
-	k.revision = revision
-	k.usage.Report(route.Report{Sessions: e.Sessions, Limit: e.Limit, Batch: e.Batch, Step: e.StepTime})
-	return changed
+	k.endpoint.Seen = now
+	// The epoch is copied into the tables when they are rebuilt.
+	changed = changed || k.endpoint.Epoch != epoch
+	k.endpoint.Epoch = epoch
+	k.usage.Report(r)
+	return k.endpoint, changed, true
 }
 
 // Loaded takes in a load report that came with an answer.
@@ -112,26 +129,18 @@
 	return changed
 }
 
-// Expire forgets endpoints that have not been heard of for long, and reports
-// whether there were any.
-func (v *View) Expire(now time.Time) bool {
-	changed := false
+// Expire forgets endpoints that have not been heard of for long, and returns
+// their names.
+func (v *View) Expire(now time.Time) []string {
+	var names []string
 	for name, k := range v.known {
 		if now.Sub(k.endpoint.Seen) > v.Expiry {
 			delete(v.known, name)
-			changed = true
+			delete(v.byIncarnation, k.endpoint.Incarnation)
+			names = append(names, name)
 		}
 	}
-	return changed
-}
-
-// Revisions returns the configuration in force at each agent.
-func (v *View) Revisions() map[string]uint64 {
-	revisions := make(map[string]uint64, len(v.known))
-	for name, k := range v.known {
-		revisions[name] = k.revision
-	}
-	return revisions
+	return names
 }
 
 // Snapshot returns the view as it stands, for the services of a configuration.
