--- a/agent/agent.go
+++ b/agent/agent.go
@@ -97,7 +97,7 @@
 // maxCalls bounds the calls that are remembered, and callEpoch is the length of
 // an epoch of package once.
 const (
-	maxCalls  = 50_000
+	maxCalls  = 25_000
 	callEpoch = 30 * time.Second
 )
 
--- a/conflog/log.go
+++ b/conflog/log.go
@@ -26,10 +26,11 @@
 )
 
 // Sizes of the log's head: above maxRecords the oldest go into a snapshot and
-// keepRecords stay.
+// keepRecords stay. Every watcher gets the whole head with each change, so it is
+// short.
 const (
-	maxRecords  = 256
-	keepRecords = 64
+	maxRecords  = 48
+	keepRecords = 16
 )
 
 // Log is the configuration log. Make one with New.
@@ -132,8 +133,12 @@
 	return state, nil
 }
 
-// Find returns the revision of a write, 0 when the log does not have it.
+// Find returns the revision of a write, 0 when neither the changes that are
+// remembered here nor the log have it.
 func (l *Log) Find(ctx context.Context, id string) (uint64, error) {
+	if revision := l.Replica.Find(id); revision > 0 {
+		return revision, nil
+	}
 	h, err := l.log.Read(ctx)
 	if err != nil {
 		return 0, err
--- a/entry/call.go
+++ b/entry/call.go
@@ -111,7 +111,9 @@
 		s.release()
 		c.entry.gate.Poke()
 	}
-	return s.stages[0].Endpoint, leave, nil
+	at := s.stages[0].Endpoint
+	at.Epoch = s.stages[0].Usage.Epoch.Load()
+	return at, leave, nil
 }
 
 // Send implements runonce.Agents.
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -24,7 +24,7 @@
 	if self := beat.GetSelf(); self != nil {
 		changed = e.view.Introduced(fleet.Endpoint{
 			Name: self.GetEndpoint(), Address: self.GetAddress(), Hall: self.GetHall(),
-			Incarnation: beat.GetIncarnation(), Epoch: beat.GetEpoch(), Service: self.GetService(),
+			Incarnation: beat.GetIncarnation(), Service: self.GetService(),
 			Layers:  layer.Range{First: int(self.GetFirst()), End: int(self.GetEnd())},
 			Leaving: self.GetLeaving(), Seen: now,
 		})
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -19,7 +19,8 @@
 	// Incarnation rises each time the agent starts; it fences work meant for
 	// an earlier one.
 	Incarnation uint64
-	// Epoch is the agent's epoch for calls that run at most once.
+	// Epoch is the agent's epoch for calls that run at most once, when a call is
+	// about to be made; see package once.
 	Epoch uint64
 	// Service is the service that the endpoint serves.
 	Service string
--- a/replica/config.go
+++ b/replica/config.go
@@ -15,8 +15,9 @@
 	"github.com/grademill/grademill/wire"
 )
 
-// maxTail is the number of changes kept for peers that are a little behind.
-const maxTail = 256
+// maxTail is the number of changes kept for peers that are a little behind, and
+// for operators who ask what became of a write.
+const maxTail = 1024
 
 // Snapshot is one configuration in force. It is immutable.
 type Snapshot struct {
@@ -97,6 +98,18 @@
 	return c.install(state)
 }
 
+// Find returns the revision of a write among the latest changes, or 0.
+func (c *Config) Find(id string) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, record := range c.tail {
+		if record.ID == id {
+			return record.Revision
+		}
+	}
+	return 0
+}
+
 // install publishes state; c.mu is held.
 func (c *Config) install(state *config.State) error {
 	former := c.Current()
--- /dev/null
+++ b/replica/config_test.go
@@ -0,0 +1,64 @@
+package replica_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/config"
+	"github.com/grademill/grademill/headlog"
+	"github.com/grademill/grademill/replica"
+)
+
+func records(from, to uint64) []headlog.Record {
+	var all []headlog.Record
+	for r := from; r <= to; r++ {
+		body := fmt.Appendf(nil, `{"kind":"teams","name":"t","body":{"weight":%d,"key_sha256":["%064d"]}}`, r, r)
+		all = append(all, headlog.Record{Revision: r, ID: fmt.Sprint("write-", r), Body: body})
+	}
+	return all
+}
+
+func TestRevisionNeverFalls(t *testing.T) {
+	c := replica.New()
+	require.NoError(t, c.Apply(records(1, 5)))
+	require.NoError(t, c.Apply(records(2, 4)), "what is in force already is skipped")
+	require.NoError(t, c.Install(&config.State{Revision: 3}))
+	require.Equal(t, uint64(5), c.Revision())
+	require.InDelta(t, 5, c.Current().State.Teams["t"].Value.Weight, 0)
+	var hole *config.OrderError
+	require.True(t, errors.As(c.Apply(records(7, 8)), &hole))
+	require.Equal(t, uint64(5), c.Revision())
+	require.Equal(t, uint64(4), c.Find("write-4"))
+	require.Zero(t, c.Find("write-9"))
+}
+
+func TestPeersCatchUp(t *testing.T) {
+	from := replica.New()
+	require.NoError(t, from.Apply(records(1, 2000)))
+	for _, have := range []uint64{0, 10, 1500, 1999, 2000} {
+		to := replica.New()
+		require.NoError(t, to.Apply(records(1, have)))
+		reply, err := from.Since(to.Revision())
+		require.NoError(t, err)
+		require.NoError(t, to.Take(reply))
+		require.Equal(t, uint64(2000), to.Revision())
+		require.Equal(t, from.Current().State, to.Current().State)
+		require.Equal(t, "t", to.Current().TeamByKey[fmt.Sprintf("%064d", 2000)])
+	}
+}
+
+// A policy that does not compile here leaves the former policies in force; the
+// rest of the change counts.
+func TestPolicyThatDoesNotCompileKeepsTheFormer(t *testing.T) {
+	c := replica.New()
+	require.NoError(t, c.Apply([]headlog.Record{{Revision: 1, ID: "a", Body: []byte(
+		`{"kind":"policies","name":"p","body":{"match":"true","priority":"7"}}`)}}))
+	former := c.Current().Policies
+	require.Error(t, c.Apply([]headlog.Record{{Revision: 2, ID: "b", Body: []byte(
+		`{"kind":"policies","name":"p","body":{"match":"nonsense("}}`)}}))
+	require.Equal(t, uint64(2), c.Revision())
+	require.Same(t, former, c.Current().Policies)
+}
--- a/route/table.go
+++ b/route/table.go
@@ -30,6 +30,8 @@
 	Limit atomic.Int64
 	// Batch is the number of steps that the endpoint takes together.
 	Batch atomic.Int64
+	// Epoch is the agent's epoch for calls that run at most once.
+	Epoch atomic.Uint64
 }
 
 // Report is what an endpoint says of its load. Zero fields are not known.
--- a/view/view.go
+++ b/view/view.go
@@ -83,9 +83,7 @@
 	changed = k.suspect
 	k.suspect = false
 	k.endpoint.Seen = now
-	// The epoch is copied into the tables when they are rebuilt.
-	changed = changed || k.endpoint.Epoch != epoch
-	k.endpoint.Epoch = epoch
+	k.usage.Epoch.Store(epoch)
 	k.usage.Report(r)
 	return k.endpoint, changed, true
 }
