--- a/adapter/frame/codec_test.go
+++ b/adapter/frame/codec_test.go
@@ -79,7 +79,7 @@
 	f.Add(encoded(f, batch()))
 	f.Add([]byte{0, 0, 0, 0})
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 1})
-	f.Fuzz(func(t *testing.T, data []byte) {
+	f.Fuzz(func(_ *testing.T, data []byte) {
 		codec := frame.Codec{Stream: bytes.NewBuffer(data)}
 		for {
 			if _, err := codec.Read(); err != nil {
--- a/cmd/measure/overload.go
+++ b/cmd/measure/overload.go
@@ -23,7 +23,7 @@
 func (*overloadCommand) Usage() string    { return "measure overload [flags]\n" }
 
 func (c *overloadCommand) SetFlags(f *flag.FlagSet) {
-	f.DurationVar(&c.window, "window", 8*time.Second, "time measured")
+	f.DurationVar(&c.window, "window", 16*time.Second, "time of the load; its second half is measured")
 }
 
 func (c *overloadCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -54,7 +54,8 @@
 	defer cancel()
 	begin := time.Now()
 	t.open(load, times*s.bound(l.Engines))
-	rate := t.rate(begin.Add(c.window/4), begin.Add(c.window))
+	from, to := begin.Add(c.window/2), begin.Add(c.window)
+	rate := t.rate(from, to)
 	done, refused := make(map[string]int), []time.Duration(nil)
 	total := 0
 	for _, r := range t.results {
@@ -62,7 +63,7 @@
 		if failed && report.Kind == outcome.NotRun {
 			refused = append(refused, r.end.Sub(r.begin))
 		}
-		if !failed && r.begin.After(begin.Add(c.window/4)) {
+		if !failed && r.end.After(from) && r.end.Before(to) {
 			done[r.team]++
 			total++
 		}
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -143,7 +143,7 @@
 	tokens := append(append([]uint32(nil), f.request.Prompt...), f.assembly.Tokens...)
 	open := &wire.Open{
 		Model: f.request.Service, Owner: f.entry.Address, Team: f.request.Team,
-		Limit: f.assembly.Prompt + uint32(f.request.MaxTokens), Priority: int32(f.decision.Priority),
+		Limit: f.assembly.Prompt + uint32(f.request.MaxTokens), Priority: f.priority(),
 	}
 	for _, stage := range f.seat.stages {
 		ep := stage.Endpoint
@@ -164,6 +164,16 @@
 	})
 }
 
+// priority returns the priority at the agents. An answer that lost its chain goes
+// before others of its class: it is late already.
+func (f *flight) priority() int32 {
+	priority := int32(f.decision.Priority)
+	if f.assembly.Attempt > 1 {
+		priority++
+	}
+	return priority
+}
+
 // encodeTokens returns tokens as the payload of a first stage.
 func encodeTokens(tokens []uint32) []byte {
 	const tokenBytes = 4
--- /dev/null
+++ b/entry/flight_test.go
@@ -0,0 +1,120 @@
+package entry_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/entry"
+	"github.com/grademill/grademill/lab"
+	"github.com/grademill/grademill/layer"
+	"github.com/grademill/grademill/outcome"
+	"github.com/grademill/grademill/port/router"
+	"github.com/grademill/grademill/standin/toy"
+)
+
+// open starts a lab with one entry and two stages, and copies of each.
+func open(t *testing.T, copies int, adjust func(*entry.Entry)) *lab.Lab {
+	l := &lab.Lab{
+		Entries: []lab.Host{{Name: "entry", Hall: "h"}}, Service: "m", Layers: 4,
+		Teams: map[string]float64{"t": 1}, Log: zerolog.Nop(), Adjust: adjust,
+	}
+	for i := range copies {
+		for part := range 2 {
+			l.Engines = append(l.Engines, lab.Engine{
+				Name: string(rune('a'+part)) + string(rune('0'+i)), Hall: "h",
+				Layers: layer.Range{First: 2 * part, End: 2*part + 2}, Base: time.Millisecond, MaxBatch: 4,
+			})
+		}
+	}
+	require.NoError(t, l.Start(context.Background()))
+	t.Cleanup(l.Close)
+	return l
+}
+
+// ask asks for n tokens and calls at after the second one.
+func ask(l *lab.Lab, n int, at func()) ([]uint32, error) {
+	var tokens []uint32
+	_, err := l.Entry(0).Complete(context.Background(), router.Completion{
+		Team: "t", Service: "m", Prompt: toy.Tokens("hello"), MaxTokens: n,
+	}, func(token uint32) error {
+		tokens = append(tokens, token)
+		if len(tokens) == 2 && at != nil {
+			at()
+		}
+		return nil
+	})
+	return tokens, err
+}
+
+func TestAnswerGoesOnAlongAnotherChain(t *testing.T) {
+	for _, stage := range []string{"a", "b"} {
+		t.Run(stage, func(t *testing.T) {
+			l := open(t, 2, nil)
+			tokens, err := ask(l, 20, func() {
+				l.Kill(stage + "0")
+			})
+			require.NoError(t, err)
+			require.Equal(t, toy.Model{Name: "m", Layers: 4}.Answer(toy.Tokens("hello"), 20), tokens)
+		})
+	}
+}
+
+// A request that has lost its chain for good is given up with when to come back,
+// as failed: layers have run.
+func TestNoOtherChain(t *testing.T) {
+	l := open(t, 1, func(e *entry.Entry) { e.RecoverWait = time.Millisecond })
+	_, err := ask(l, 500, func() { l.Kill("b0") })
+	report, ok := outcome.Of(err)
+	require.True(t, ok)
+	require.Equal(t, outcome.Failed, report.Kind)
+	require.Equal(t, outcome.NoChain, report.Code)
+	require.Positive(t, report.RetryAfter)
+	_, err = ask(l, 1, nil)
+	report, _ = outcome.Of(err)
+	require.Equal(t, outcome.NotRun, report.Kind, "a new request is refused: no chain")
+	require.Positive(t, report.RetryAfter)
+}
+
+// Without any budget for second tries a request that lost a stage is given up at
+// once, though another chain is there.
+func TestRetryBudgetBoundsSecondTries(t *testing.T) {
+	l := open(t, 2, func(e *entry.Entry) { e.Retries.Reserve, e.Retries.Share = 0, 0 })
+	_, err := ask(l, 500, func() {
+		l.Kill("b0")
+		l.Kill("b1")
+	})
+	report, ok := outcome.Of(err)
+	require.True(t, ok)
+	require.Equal(t, outcome.Failed, report.Kind)
+	require.Equal(t, outcome.RetryExceeded, report.Code)
+}
+
+// Callers that hang up release their sessions.
+func TestHungUpCallersReleaseTheirSeats(t *testing.T) {
+	l := open(t, 1, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	for range 8 {
+		group.Go(func() {
+			_, err := l.Entry(0).Complete(ctx, router.Completion{
+				Team: "t", Service: "m", Prompt: toy.Tokens("x"), MaxTokens: 10_000,
+			}, func(uint32) error { return nil })
+			report, _ := outcome.Of(err)
+			if report == nil || report.Kind == outcome.Done {
+				t.Error("a request that was hung up ended well")
+			}
+		})
+	}
+	time.AfterFunc(20*time.Millisecond, cancel)
+	group.Wait()
+	for _, c := range l.Entry(0).Snapshot().Models["m"].Candidates {
+		require.Zero(t, c.Usage.Own.Load(), c.Endpoint.Name)
+	}
+	_, err := ask(l, 3, nil)
+	require.NoError(t, err)
+}
--- a/proof/config_test.go
+++ b/proof/config_test.go
@@ -41,7 +41,7 @@
 	quiet bool
 }
 
-// errFault is a call that got no answer.
+// faultError is a call that got no answer.
 type faultError struct{}
 
 func (faultError) Error() string { return "no answer" }
