--- a/adapter/adminhttp/server.go
+++ b/adapter/adminhttp/server.go
@@ -15,7 +15,6 @@
 	"strings"
 	"time"
 
-	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/google/uuid"
 	"github.com/gravitational/trace"
 	"github.com/prometheus/client_golang/prometheus"
@@ -31,8 +30,6 @@
 
 const (
 	maxBody       = 256 << 10
-	maxHeader     = 16 << 10
-	headerWait    = 10 * time.Second
 	changeTimeout = 3 * time.Second
 	headerWriteID = "Grademill-Write-Id"
 )
@@ -51,11 +48,8 @@
 	Endpoints []fleet.Endpoint `json:"endpoints"`
 }
 
-// Server serves the operators. Set the exported fields, then use Transport or
-// Handler. With Changes nil it serves metrics and health only.
+// Server serves the operators. Set the exported fields, then use Handler. With Changes nil it serves metrics and health only.
 type Server struct {
-	// Address is where to listen.
-	Address string
 	// Operators maps the SHA-256 of an operator's key, in hexadecimal, to a
 	// name.
 	Operators map[string]string
@@ -73,15 +67,6 @@
 	Log zerolog.Logger
 }
 
-// Transport returns the server as kratos runs it.
-func (s *Server) Transport() *khttp.Server {
-	server := khttp.NewServer(khttp.Address(s.Address), khttp.Timeout(0))
-	server.MaxHeaderBytes = maxHeader
-	server.ReadHeaderTimeout = headerWait
-	server.HandlePrefix("/", s.Handler())
-	return server
-}
-
 // Handler returns the handler of all paths.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
--- a/adapter/callerhttp/server.go
+++ b/adapter/callerhttp/server.go
@@ -13,8 +13,6 @@
 	"strings"
 	"time"
 
-	khttp "github.com/go-kratos/kratos/v2/transport/http"
-
 	"github.com/grademill/grademill/outcome"
 	"github.com/grademill/grademill/port/router"
 )
@@ -22,11 +20,9 @@
 // Bounds of what a caller may send.
 const (
 	maxBody      = 1 << 20
-	maxHeader    = 16 << 10
 	maxPrompt    = 128 << 10
 	maxAnswer    = 32 << 10
 	maxKey       = 255
-	headerWait   = 10 * time.Second
 	defaultLimit = 16
 )
 
@@ -37,11 +33,8 @@
 	headerRequest  = "Grademill-Request-Id"
 )
 
-// Server serves callers. Set the exported fields, then use Transport or
-// ServeHTTP.
+// Server serves callers. Set the exported fields, then use Handler.
 type Server struct {
-	// Address is where to listen.
-	Address string
 	// Router serves the requests.
 	Router router.Router
 	// Team returns the team of a key's SHA-256 in hexadecimal.
@@ -50,15 +43,6 @@
 	Ready func() bool
 }
 
-// Transport returns the server as kratos runs it.
-func (s *Server) Transport() *khttp.Server {
-	server := khttp.NewServer(khttp.Address(s.Address), khttp.Timeout(0))
-	server.MaxHeaderBytes = maxHeader
-	server.ReadHeaderTimeout = headerWait
-	server.HandlePrefix("/", s.Handler())
-	return server
-}
-
 // Handler returns the handler of all paths.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -6,19 +6,17 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/go-kratos/kratos/v2"
 	"github.com/go-kratos/kratos/v2/transport"
 	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
 
-	"github.com/grademill/grademill/adapter/applog"
 	"github.com/grademill/grademill/adapter/link"
 	"github.com/grademill/grademill/adapter/listen"
+	"github.com/grademill/grademill/adapter/process"
 	"github.com/grademill/grademill/adapter/rpc"
 	"github.com/grademill/grademill/drain"
 	"github.com/grademill/grademill/limit"
@@ -71,7 +69,7 @@
 	incarnation uint64
 	leaving     atomic.Bool
 	links       *link.Set
-	app         *kratos.App
+	process     *process.Process
 
 	mu       sync.Mutex // guards what follows
 	sessions map[string]*session
@@ -150,25 +148,17 @@
 	}
 	go a.sweep(ctx)
 	go a.beat(ctx)
-	a.app = kratos.New(
-		kratos.Name(a.Name),
-		kratos.Context(ctx),
-		kratos.Logger(&applog.Logger{Out: a.Log}),
-		kratos.Server(append([]transport.Server{server}, a.Servers...)...),
-		kratos.BeforeStop(a.drain),
-	)
+	servers := append([]transport.Server{server}, a.Servers...)
+	a.process = process.New(ctx, a.Name, a.Log, a.drain, servers...)
 	a.Log.Info().Str("address", a.Address).Uint64("incarnation", a.incarnation).Msg("agent serves")
-	err := a.app.Run()
+	err := a.process.Run()
 	a.links.Close()
-	if errors.Is(err, context.Canceled) {
-		return nil
-	}
-	return trace.Wrap(err)
+	return err
 }
 
 // Stop drains the agent and ends Run.
 func (a *Agent) Stop() error {
-	return trace.Wrap(a.app.Stop())
+	return a.process.Stop()
 }
 
 // Leaving reports whether the agent refuses new work.
--- a/cmd/grademill/roles.go
+++ b/cmd/grademill/roles.go
@@ -16,6 +16,7 @@
 	"github.com/grademill/grademill/adapter/adminhttp"
 	"github.com/grademill/grademill/adapter/callerhttp"
 	"github.com/grademill/grademill/adapter/enginehttp"
+	"github.com/grademill/grademill/adapter/httpserver"
 	"github.com/grademill/grademill/adapter/meter"
 	"github.com/grademill/grademill/adapter/platformhttp"
 	"github.com/grademill/grademill/adapter/servicehttp"
@@ -129,17 +130,17 @@
 		DrainTimeout: file.DrainTimeout.Or(defaultDrain), Meter: metrics, Log: log,
 	}
 	e.Prepare()
-	callers := &callerhttp.Server{Address: s.Caller, Router: e, Ready: e.Ready, Team: teamOf(e.Config())}
-	e.Servers = []transport.Server{callers.Transport()}
+	callers := &callerhttp.Server{Router: e, Ready: e.Ready, Team: teamOf(e.Config())}
+	e.Servers = []transport.Server{httpserver.New(s.Caller, callers.Handler())}
 	if file.Admin != "" {
 		admin := &adminhttp.Server{
-			Address: file.Admin, Operators: operators(s.Operators), Changes: e.Changes(), Config: e.Config(),
+			Operators: operators(s.Operators), Changes: e.Changes(), Config: e.Config(),
 			Ready: e.Ready, Metrics: metrics.Registry, Log: log,
 			Status: func() adminhttp.Status {
 				return adminhttp.Status{Revisions: e.Revisions(), Endpoints: e.Snapshot().All}
 			},
 		}
-		e.Servers = append(e.Servers, admin.Transport())
+		e.Servers = append(e.Servers, httpserver.New(file.Admin, admin.Handler()))
 	}
 	return e
 }
@@ -230,8 +231,8 @@
 	if file.Admin != "" {
 		registry := prometheus.NewRegistry()
 		registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-		admin := &adminhttp.Server{Address: file.Admin, Ready: func() bool { return !a.Leaving() }, Metrics: registry}
-		a.Servers = []transport.Server{admin.Transport()}
+		admin := &adminhttp.Server{Ready: func() bool { return !a.Leaving() }, Metrics: registry}
+		a.Servers = []transport.Server{httpserver.New(file.Admin, admin.Handler())}
 	}
 	return a
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,21 +5,18 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/go-kratos/kratos/v2"
 	"github.com/go-kratos/kratos/v2/transport"
 	"github.com/google/uuid"
-	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
 
-	"github.com/grademill/grademill/adapter/applog"
 	"github.com/grademill/grademill/adapter/link"
 	"github.com/grademill/grademill/adapter/listen"
 	"github.com/grademill/grademill/adapter/meter"
+	"github.com/grademill/grademill/adapter/process"
 	"github.com/grademill/grademill/adapter/rpc"
 	"github.com/grademill/grademill/claimlog"
 	"github.com/grademill/grademill/conflog"
@@ -100,7 +97,7 @@
 	term        atomic.Uint64
 	seed        atomic.Uint64
 	inFlight    atomic.Int64
-	app         *kratos.App
+	process     *process.Process
 
 	mu        sync.Mutex // guards what follows
 	view      view.View
@@ -167,26 +164,18 @@
 	for _, loop := range []func(context.Context){e.follow, e.watch, e.list, e.tend, e.lead} {
 		go loop(ctx)
 	}
-	e.app = kratos.New(
-		kratos.Name(e.Name),
-		kratos.Context(ctx),
-		kratos.Logger(&applog.Logger{Out: e.Log}),
-		kratos.Server(append([]transport.Server{server}, e.Servers...)...),
-		kratos.BeforeStop(e.drain),
-	)
+	servers := append([]transport.Server{server}, e.Servers...)
+	e.process = process.New(ctx, e.Name, e.Log, e.drain, servers...)
 	e.Log.Info().Str("address", e.Address).Msg("entry serves")
-	err := e.app.Run()
+	err := e.process.Run()
 	e.links.Close()
 	e.client.Close()
-	if errors.Is(err, context.Canceled) {
-		return nil
-	}
-	return trace.Wrap(err)
+	return err
 }
 
 // Stop drains the entry and ends Run.
 func (e *Entry) Stop() error {
-	return trace.Wrap(e.app.Stop())
+	return e.process.Stop()
 }
 
 // Ready reports whether callers should be sent here: the entry knows the
--- a/fair/queue_test.go
+++ b/fair/queue_test.go
@@ -94,3 +94,22 @@
 	}
 	// Output: a1 b1 a2 a3
 }
+
+// Under overload from all teams alike a small queue serves them by weight.
+func TestOverloadedTeamsShareByWeight(t *testing.T) {
+	const small, overload, rounds = 8, 3, 20_000
+	q := fair.Queue[int]{Max: 64}
+	served := make(map[string]int)
+	for i := range rounds {
+		team, weight := fmt.Sprint("small-", i%10), 1.0
+		if i%10 < 2 {
+			team, weight = fmt.Sprint("large-", i%10), 4
+		}
+		q.Push(&fair.Item[int]{Team: team, Weight: weight, Cost: 96})
+		if i%overload == 0 {
+			served[q.Pop().Team[:5]]++
+		}
+	}
+	ratio := float64(served["large"]) / 2 / (float64(served["small"]) / small)
+	require.InDelta(t, 4, ratio, 0.2, served)
+}
--- a/proof/once_test.go
+++ b/proof/once_test.go
@@ -222,6 +222,9 @@
 		store := &faulty{Store: new(platform.Store), rnd: rand.New(rand.NewPCG(seed, 4))}
 		var mu sync.Mutex
 		var group sync.WaitGroup
+		for key := range onceKeys {
+			told[keyName(key)] = new(tally)
+		}
 		for range onceEntries {
 			log := &claimlog.Log{Store: store, Keep: time.Minute, Gather: time.Millisecond, Timeout: time.Second}
 			var claims runonce.Claimer = log
@@ -229,8 +232,7 @@
 				claims = s
 			}
 			for key := range onceKeys {
-				name := hex.EncodeToString(fmt.Appendf(nil, "key-%012d", key))
-				told[name] = new(tally)
+				name := keyName(key)
 				group.Go(func() {
 					for range onceTries {
 						s.pause()
@@ -257,6 +259,11 @@
 	return ran, told
 }
 
+// keyName returns the hash of a key, for want of a real one.
+func keyName(key int) string {
+	return hex.EncodeToString(fmt.Appendf(nil, "key-%012d", key))
+}
+
 func (t *tally) count(report *outcome.Report) {
 	switch {
 	case report == nil:
