Remove what nothing calls, and hash the list of entries once

Dead: route.Table.Link, fleet.Endpoint.WithSeen, toy.EncodeTokens, lab.Lab.Agent. An agent hashed the whole list of entries for each heartbeat to each entry; it does so now when the list changes. One branch of the call's errors stood twice, and a comment named a field by a former name. Behaviour is unchanged.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -87,6 +87,8 @@
 	waiters  map[once.Key]chan struct{}
 	running  int // calls at the plain service
 	entries  []*wire.Peer
+	// entriesHash is the hash of entries.
+	entriesHash uint64
 	// introduced is what each entry was told of the agent on its connection.
 	introduced map[string]*wire.Introduction
 	beats      uint64
--- a/agent/beat.go
+++ b/agent/beat.go
@@ -62,7 +62,7 @@
 	load := a.load()
 	load.Endpoint = "" // the incarnation tells
 	return &wire.Heartbeat{
-		Incarnation: a.incarnation, Load: load, EntriesHash: EntriesHash(a.entries),
+		Incarnation: a.incarnation, Load: load, EntriesHash: a.entriesHash,
 		Epoch: a.calls.Now(time.Now()), Term: a.fence.Term,
 	}
 }
@@ -88,6 +88,7 @@
 	a.fence = a.fence.WithTerm(news.GetTerm())
 	if len(news.GetEntries()) > 0 {
 		a.entries = news.GetEntries()
+		a.entriesHash = EntriesHash(a.entries)
 	}
 }
 
--- a/config/state.go
+++ b/config/state.go
@@ -32,7 +32,7 @@
 	// Repeatable is whether a request may run more than once where no policy
 	// says otherwise.
 	Repeatable bool `json:"repeatable"`
-	// Engines is how many layers one engine can hold, which placement needs;
+	// LayersPerEngine is how many layers one engine can hold, which placement needs;
 	// zero means that placement leaves the service alone.
 	LayersPerEngine int `json:"layers_per_engine,omitempty" validate:"min=0,max=10000"`
 }
--- a/entry/call.go
+++ b/entry/call.go
@@ -138,10 +138,10 @@
 	case errors.As(err, &unsent):
 		c.entry.suspect(at.Name, err.Error())
 		return &wire.CallReply{Outcome: wire.CallReply_NOT_RUN, Detail: err.Error()}, nil
-	case err != nil && ctx.Err() == nil:
-		c.entry.suspect(at.Name, err.Error())
-		return nil, err
 	case err != nil:
+		if ctx.Err() == nil {
+			c.entry.suspect(at.Name, err.Error())
+		}
 		return nil, err
 	}
 	if reply.GetLoad() != nil {
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -47,9 +47,3 @@
 	e.Leaving = leaving
 	return e
 }
-
-// WithSeen returns e as last heard of at t.
-func (e Endpoint) WithSeen(t time.Time) Endpoint {
-	e.Seen = t
-	return e
-}
--- a/lab/lab.go
+++ b/lab/lab.go
@@ -143,13 +143,6 @@
 	return l.entries[i]
 }
 
-// Agent returns the agent beside an endpoint.
-func (l *Lab) Agent(name string) *agent.Agent {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.agents[name]
-}
-
 // Work returns what an engine has done so far.
 func (l *Lab) Work(name string) engine.Work {
 	l.mu.Lock()
--- a/route/table.go
+++ b/route/table.go
@@ -386,15 +386,6 @@
 	}
 }
 
-// Link returns the one-way time between two halls as the table holds it.
-func (t *Table) Link(from, to string) time.Duration {
-	i, j := slices.Index(t.halls, from), slices.Index(t.halls, to)
-	if i < 0 || j < 0 {
-		return 0
-	}
-	return time.Duration(t.links[i*len(t.halls)+j])
-}
-
 // mix scrambles a seed so that neighbours differ in all bits.
 func mix(x uint64) uint64 {
 	x += 0x9e3779b97f4a7c15
--- a/standin/toy/model.go
+++ b/standin/toy/model.go
@@ -3,8 +3,6 @@
 // runs twice, out of order or not at all changes every token after it.
 package toy
 
-import "encoding/binary"
-
 // Sizes of what travels between stages.
 const (
 	// TokenBytes is the size of one token at the first layer.
@@ -75,15 +73,6 @@
 	return tokens
 }
 
-// EncodeTokens returns tokens as the payload of a first stage.
-func EncodeTokens(tokens []uint32) []byte {
-	payload := make([]byte, 0, len(tokens)*TokenBytes)
-	for _, token := range tokens {
-		payload = binary.LittleEndian.AppendUint32(payload, token)
-	}
-	return payload
-}
-
 // mix scrambles the bits of x.
 func mix(x uint64) uint64 {
 	x ^= x >> 30
