Group the packages by what they do

Only moves: the root held 45 folders, in which a newcomer could not see what decides, what keeps state and what is a daemon. Decisions are under decide/, flows over ports under state/, daemons and what they share under role/, process tests and histories under test/. layout_test.go follows. The tests pass as before.

--- a/adapter/adminhttp/server.go
+++ b/adapter/adminhttp/server.go
@@ -21,11 +21,11 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
 
-	"github.com/grademill/grademill/config"
-	"github.com/grademill/grademill/fleet"
-	"github.com/grademill/grademill/headlog"
-	"github.com/grademill/grademill/policy"
-	"github.com/grademill/grademill/replica"
+	"github.com/grademill/grademill/decide/config"
+	"github.com/grademill/grademill/decide/fleet"
+	"github.com/grademill/grademill/decide/policy"
+	"github.com/grademill/grademill/state/headlog"
+	"github.com/grademill/grademill/state/replica"
 )
 
 const (
--- a/adapter/callerhttp/server.go
+++ b/adapter/callerhttp/server.go
@@ -13,7 +13,7 @@
 	"strings"
 	"time"
 
-	"github.com/grademill/grademill/outcome"
+	"github.com/grademill/grademill/decide/outcome"
 	"github.com/grademill/grademill/port/router"
 )
 
--- a/adapter/callerhttp/write.go
+++ b/adapter/callerhttp/write.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"strconv"
 
-	"github.com/grademill/grademill/outcome"
+	"github.com/grademill/grademill/decide/outcome"
 	"github.com/grademill/grademill/port/router"
 )
 
--- a/adapter/enginehttp/client.go
+++ b/adapter/enginehttp/client.go
@@ -12,7 +12,7 @@
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/grademill/grademill/layer"
+	"github.com/grademill/grademill/decide/layer"
 	"github.com/grademill/grademill/port/engine"
 	"github.com/grademill/grademill/wire"
 )
--- a/cmd/grademill/demo.go
+++ b/cmd/grademill/demo.go
@@ -12,10 +12,10 @@
 	"github.com/google/subcommands"
 	"github.com/rs/zerolog"
 
-	"github.com/grademill/grademill/entry"
+	"github.com/grademill/grademill/decide/layer"
 	"github.com/grademill/grademill/lab"
-	"github.com/grademill/grademill/layer"
 	"github.com/grademill/grademill/port/router"
+	"github.com/grademill/grademill/role/entry"
 	"github.com/grademill/grademill/standin/service"
 	"github.com/grademill/grademill/standin/toy"
 )
--- a/cmd/grademill/roles.go
+++ b/cmd/grademill/roles.go
@@ -20,12 +20,12 @@
 	"github.com/grademill/grademill/adapter/meter"
 	"github.com/grademill/grademill/adapter/platformhttp"
 	"github.com/grademill/grademill/adapter/servicehttp"
-	"github.com/grademill/grademill/agent"
-	"github.com/grademill/grademill/entry"
-	"github.com/grademill/grademill/replica"
-	"github.com/grademill/grademill/retry"
-	"github.com/grademill/grademill/route"
-	"github.com/grademill/grademill/settings"
+	"github.com/grademill/grademill/decide/retry"
+	"github.com/grademill/grademill/decide/route"
+	"github.com/grademill/grademill/role/agent"
+	"github.com/grademill/grademill/role/entry"
+	"github.com/grademill/grademill/role/settings"
+	"github.com/grademill/grademill/state/replica"
 )
 
 // exitSettings is the exit code for a file of settings that cannot be used.
--- a/cmd/measure/ends.go
+++ b/cmd/measure/ends.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/grademill/grademill/outcome"
+	"github.com/grademill/grademill/decide/outcome"
 )
 
 // endOf names the end of a request; a request whose entry was killed is lost.
--- a/cmd/measure/overload.go
+++ b/cmd/measure/overload.go
@@ -11,7 +11,7 @@
 
 	"github.com/google/subcommands"
 
-	"github.com/grademill/grademill/outcome"
+	"github.com/grademill/grademill/decide/outcome"
 )
 
 type overloadCommand struct {
--- a/cmd/measure/site.go
+++ b/cmd/measure/site.go
@@ -10,12 +10,12 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/grademill/grademill/entry"
-	"github.com/grademill/grademill/flow"
+	"github.com/grademill/grademill/decide/flow"
+	"github.com/grademill/grademill/decide/layer"
 	"github.com/grademill/grademill/lab"
-	"github.com/grademill/grademill/layer"
 	"github.com/grademill/grademill/port/router"
 	"github.com/grademill/grademill/port/service"
+	"github.com/grademill/grademill/role/entry"
 )
 
 // site is a deployment to measure: three halls, 33 engines of three speeds with
--- a/cmd/measure/throughput.go
+++ b/cmd/measure/throughput.go
@@ -11,10 +11,10 @@
 
 	"github.com/google/subcommands"
 
-	"github.com/grademill/grademill/baseline"
-	"github.com/grademill/grademill/entry"
+	"github.com/grademill/grademill/decide/outcome"
 	"github.com/grademill/grademill/lab"
-	"github.com/grademill/grademill/outcome"
+	"github.com/grademill/grademill/lab/baseline"
+	"github.com/grademill/grademill/role/entry"
 )
 
 // quantile returns the q-quantile of sorted or unsorted times.
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -11,7 +11,7 @@
 	"os"
 	"time"
 
-	"github.com/grademill/grademill/layer"
+	"github.com/grademill/grademill/decide/layer"
 	"github.com/grademill/grademill/standin/engine"
 	"github.com/grademill/grademill/standin/platform"
 	"github.com/grademill/grademill/standin/service"
--- a/answer/assembly_test.go
+++ b/decide/answer/assembly_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/grademill/grademill/answer"
+	"github.com/grademill/grademill/decide/answer"
 )
 
 func TestWithToken(t *testing.T) {
--- a/claim/claim.go
+++ b/decide/claim/claim.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"time"
 
-	"github.com/grademill/grademill/headlog"
+	"github.com/grademill/grademill/state/headlog"
 )
 
 // Claim is the right to run a call once, at one incarnation of one agent.
--- a/config/state_test.go
+++ b/decide/config/state_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/grademill/grademill/config"
+	"github.com/grademill/grademill/decide/config"
 )
 
 func change(kind config.Kind, name, body string) config.Change {
--- a/fair/queue_test.go
+++ b/decide/fair/queue_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/grademill/grademill/fair"
+	"github.com/grademill/grademill/decide/fair"
 )
 
 // serve pushes items of cost 1 for teams with weights and returns how many of
--- a/fence/session_test.go
+++ b/decide/fence/session_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/grademill/grademill/fence"
+	"github.com/grademill/grademill/decide/fence"
 )
 
 func step(attempt, position, count uint32) fence.Step {
--- a/fleet/endpoint.go
+++ b/decide/fleet/endpoint.go
@@ -4,7 +4,7 @@
 import (
 	"time"
 
-	"github.com/grademill/grademill/layer"
+	"github.com/grademill/grademill/decide/layer"
 )
 
 // Endpoint is what is known of one back end and the agent beside it. It is an
--- a/flow/network.go
+++ b/decide/flow/network.go
@@ -6,7 +6,7 @@
 import (
 	"slices"
 
-	"github.com/grademill/grademill/layer"
+	"github.com/grademill/grademill/decide/layer"
 )
 
 // Edge is an endpoint's range with its capacity, such as in tokens a second.
--- a/flow/network_test.go
+++ b/decide/flow/network_test.go
@@ -5,8 +5,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/grademill/grademill/flow"
-	"github.com/grademill/grademill/layer"
+	"github.com/grademill/grademill/decide/flow"
+	"github.com/grademill/grademill/decide/layer"
 )
 
 func edge(first, end int, capacity float64) flow.Edge {
--- a/limit/learned_test.go
+++ b/decide/limit/learned_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/grademill/grademill/limit"
+	"github.com/grademill/grademill/decide/limit"
 )
 
 const target = 30 * time.Millisecond
--- a/member/set_test.go
+++ b/decide/member/set_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/grademill/grademill/member"
+	"github.com/grademill/grademill/decide/member"
 	"github.com/grademill/grademill/wire"
 )
 
--- a/once/table_test.go
+++ b/decide/once/table_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/grademill/grademill/once"
+	"github.com/grademill/grademill/decide/once"
 )
 
 var start = time.Unix(1000, 0)
--- a/order/fence_test.go
+++ b/decide/order/fence_test.go
@@ -9,7 +9,7 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/stretchr/testify/require"
 
-	"github.com/grademill/grademill/order"
+	"github.com/grademill/grademill/decide/order"
 )
 
 func TestWithOrder(t *testing.T) {
--- a/place/planner.go
+++ b/decide/place/planner.go
@@ -5,8 +5,8 @@
 	"cmp"
 	"slices"
 
-	"github.com/grademill/grademill/flow"
-	"github.com/grademill/grademill/layer"
+	"github.com/grademill/grademill/decide/flow"
+	"github.com/grademill/grademill/decide/layer"
 )
 
 // Model is a model that may need more endpoints.
--- a/place/planner_test.go
+++ b/decide/place/planner_test.go
@@ -5,9 +5,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/grademill/grademill/flow"
-	"github.com/grademill/grademill/layer"
-	"github.com/grademill/grademill/place"
+	"github.com/grademill/grademill/decide/flow"
+	"github.com/grademill/grademill/decide/layer"
+	"github.com/grademill/grademill/decide/place"
 )
 
 func anywhere(string) bool { return true }
--- a/policy/set.go
+++ b/decide/policy/set.go
@@ -13,7 +13,7 @@
 	"cel.dev/cel-go/common/types"
 	"github.com/gravitational/trace"
 
-	"github.com/grademill/grademill/config"
+	"github.com/grademill/grademill/decide/config"
 )
 
 // Request is what a policy sees of a request.
--- a/policy/set_test.go
+++ b/decide/policy/set_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/grademill/grademill/config"
-	"github.com/grademill/grademill/policy"
+	"github.com/grademill/grademill/decide/config"
+	"github.com/grademill/grademill/decide/policy"
 )
 
 func compile(t *testing.T, policies map[string]config.Policy) *policy.Set {
--- a/progress/report_test.go
+++ b/decide/progress/report_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/grademill/grademill/progress"
+	"github.com/grademill/grademill/decide/progress"
 )
 
 func at(next uint32) progress.Report {
--- a/rate/meter_test.go
+++ b/decide/rate/meter_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/grademill/grademill/rate"
+	"github.com/grademill/grademill/decide/rate"
 )
 
 func TestPerSecond(t *testing.T) {
--- a/rendezvous/ranking_test.go
+++ b/decide/rendezvous/ranking_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/grademill/grademill/rendezvous"
+	"github.com/grademill/grademill/decide/rendezvous"
 )
 
 func nodes(n int) []string {
--- a/retry/budget_test.go
+++ b/decide/retry/budget_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/grademill/grademill/retry"
+	"github.com/grademill/grademill/decide/retry"
 )
 
 func TestRetriesAreAShareOfFirstTries(t *testing.T) {
--- a/route/table.go
+++ b/decide/route/table.go
@@ -9,8 +9,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/grademill/grademill/fleet"
-	"github.com/grademill/grademill/layer"
+	"github.com/grademill/grademill/decide/fleet"
+	"github.com/grademill/grademill/decide/layer"
 )
 
 // MaxStages is the largest number of stages in a chain.
--- a/route/table_test.go
+++ b/decide/route/table_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/grademill/grademill/fleet"
-	"github.com/grademill/grademill/layer"
-	"github.com/grademill/grademill/route"
+	"github.com/grademill/grademill/decide/fleet"
+	"github.com/grademill/grademill/decide/layer"
+	"github.com/grademill/grademill/decide/route"
 )
 
 // candidate returns an endpoint with a learned step time.
--- a/timeout/estimator_test.go
+++ b/decide/timeout/estimator_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/grademill/grademill/timeout"
+	"github.com/grademill/grademill/decide/timeout"
 )
 
 func TestEstimator(t *testing.T) {
--- a/view/view.go
+++ b/decide/view/view.go
@@ -5,9 +5,9 @@
 import (
 	"time"
 
-	"github.com/grademill/grademill/config"
-	"github.com/grademill/grademill/fleet"
-	"github.com/grademill/grademill/route"
+	"github.com/grademill/grademill/decide/config"
+	"github.com/grademill/grademill/decide/fleet"
+	"github.com/grademill/grademill/decide/route"
 )
 
 // Snapshot is the view at one moment, ready for choices. It is immutable but
--- a/baseline/chooser.go
+++ b/lab/baseline/chooser.go
@@ -6,7 +6,7 @@
 	"math/rand/v2"
 	"sync/atomic"
 
-	"github.com/grademill/grademill/route"
+	"github.com/grademill/grademill/decide/route"
 )
 
 // Chooser chooses a chain out of a table.
--- a/layout_test.go
+++ b/layout_test.go
@@ -19,14 +19,34 @@
 // decisions are the packages that decide: they take values and a time, and
 // return values.
 var decisions = []string{
-	"answer", "claim", "config", "fair", "fence", "fleet", "flow", "layer", "limit", "member", "once", "order",
-	"outcome", "place", "policy", "progress", "rate", "rendezvous", "retry", "route", "timeout", "view",
+	"decide/answer",
+	"decide/claim",
+	"decide/config",
+	"decide/fair",
+	"decide/fence",
+	"decide/fleet",
+	"decide/flow",
+	"decide/layer",
+	"decide/limit",
+	"decide/member",
+	"decide/once",
+	"decide/order",
+	"decide/outcome",
+	"decide/place",
+	"decide/policy",
+	"decide/progress",
+	"decide/rate",
+	"decide/rendezvous",
+	"decide/retry",
+	"decide/route",
+	"decide/timeout",
+	"decide/view",
 }
 
 // forbidden are imports that no decision package may have, by prefix.
 var forbidden = []string{
 	"net", "os", "log", "syscall", "github.com/go-kratos", "github.com/sourcegraph/jsonrpc2",
-	"github.com/rs/zerolog", "github.com/prometheus", module + "adapter", module + "entry", module + "agent",
+	"github.com/rs/zerolog", "github.com/prometheus", module + "adapter", module + "role", module + "platform",
 }
 
 // clocks are the functions of package time that read the clock or wait.
--- a/port/engine/engine.go
+++ b/port/engine/engine.go
@@ -5,7 +5,7 @@
 	"context"
 	"fmt"
 
-	"github.com/grademill/grademill/layer"
+	"github.com/grademill/grademill/decide/layer"
 	"github.com/grademill/grademill/wire"
 )
 
--- a/agent/agent.go
+++ b/role/agent/agent.go
@@ -18,12 +18,12 @@
 	"github.com/grademill/grademill/adapter/listen"
 	"github.com/grademill/grademill/adapter/process"
 	"github.com/grademill/grademill/adapter/rpc"
-	"github.com/grademill/grademill/drain"
-	"github.com/grademill/grademill/limit"
-	"github.com/grademill/grademill/once"
-	"github.com/grademill/grademill/order"
+	"github.com/grademill/grademill/decide/limit"
+	"github.com/grademill/grademill/decide/once"
+	"github.com/grademill/grademill/decide/order"
 	"github.com/grademill/grademill/port/engine"
 	"github.com/grademill/grademill/port/service"
+	"github.com/grademill/grademill/role/drain"
 	"github.com/grademill/grademill/wire"
 )
 
--- a/agent/agent_test.go
+++ b/role/agent/agent_test.go
@@ -16,10 +16,10 @@
 	"github.com/grademill/grademill/adapter/link"
 	"github.com/grademill/grademill/adapter/listen"
 	"github.com/grademill/grademill/adapter/rpc"
-	"github.com/grademill/grademill/agent"
-	"github.com/grademill/grademill/layer"
+	"github.com/grademill/grademill/decide/layer"
 	"github.com/grademill/grademill/port/engine"
 	"github.com/grademill/grademill/port/service"
+	"github.com/grademill/grademill/role/agent"
 	"github.com/grademill/grademill/wire"
 )
 
--- a/agent/batch.go
+++ b/role/agent/batch.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"github.com/grademill/grademill/fence"
+	"github.com/grademill/grademill/decide/fence"
 	"github.com/grademill/grademill/wire"
 )
 
--- a/agent/beat.go
+++ b/role/agent/beat.go
@@ -7,7 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/grademill/grademill/rendezvous"
+	"github.com/grademill/grademill/decide/rendezvous"
 	"github.com/grademill/grademill/wire"
 )
 
--- a/agent/calls.go
+++ b/role/agent/calls.go
@@ -6,7 +6,7 @@
 	"errors"
 	"time"
 
-	"github.com/grademill/grademill/once"
+	"github.com/grademill/grademill/decide/once"
 	"github.com/grademill/grademill/port/service"
 	"github.com/grademill/grademill/wire"
 )
--- a/agent/orders.go
+++ b/role/agent/orders.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/grademill/grademill/layer"
+	"github.com/grademill/grademill/decide/layer"
 	"github.com/grademill/grademill/wire"
 )
 
--- a/agent/steps.go
+++ b/role/agent/steps.go
@@ -5,7 +5,7 @@
 	"encoding/binary"
 	"time"
 
-	"github.com/grademill/grademill/fence"
+	"github.com/grademill/grademill/decide/fence"
 	"github.com/grademill/grademill/wire"
 )
 
--- a/drain/wait_test.go
+++ b/role/drain/wait_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/grademill/grademill/drain"
+	"github.com/grademill/grademill/role/drain"
 )
 
 func TestWait(t *testing.T) {
--- a/entry/call.go
+++ b/role/entry/call.go
@@ -10,14 +10,14 @@
 	"github.com/google/uuid"
 
 	"github.com/grademill/grademill/adapter/rpc"
-	"github.com/grademill/grademill/claim"
-	"github.com/grademill/grademill/config"
-	"github.com/grademill/grademill/fleet"
-	"github.com/grademill/grademill/gate"
-	"github.com/grademill/grademill/outcome"
-	"github.com/grademill/grademill/policy"
+	"github.com/grademill/grademill/decide/claim"
+	"github.com/grademill/grademill/decide/config"
+	"github.com/grademill/grademill/decide/fleet"
+	"github.com/grademill/grademill/decide/outcome"
+	"github.com/grademill/grademill/decide/policy"
 	"github.com/grademill/grademill/port/router"
-	"github.com/grademill/grademill/runonce"
+	"github.com/grademill/grademill/role/gate"
+	"github.com/grademill/grademill/state/runonce"
 	"github.com/grademill/grademill/wire"
 )
 
--- a/entry/complete.go
+++ b/role/entry/complete.go
@@ -5,12 +5,12 @@
 	"slices"
 	"time"
 
-	"github.com/grademill/grademill/config"
-	"github.com/grademill/grademill/gate"
-	"github.com/grademill/grademill/outcome"
-	"github.com/grademill/grademill/policy"
+	"github.com/grademill/grademill/decide/config"
+	"github.com/grademill/grademill/decide/outcome"
+	"github.com/grademill/grademill/decide/policy"
 	"github.com/grademill/grademill/port/router"
-	"github.com/grademill/grademill/replica"
+	"github.com/grademill/grademill/role/gate"
+	"github.com/grademill/grademill/state/replica"
 )
 
 // Complete implements router.Router.
--- a/entry/fleet.go
+++ b/role/entry/fleet.go
@@ -7,11 +7,11 @@
 
 	"github.com/google/uuid"
 
-	"github.com/grademill/grademill/agent"
-	"github.com/grademill/grademill/fleet"
-	"github.com/grademill/grademill/layer"
-	"github.com/grademill/grademill/route"
-	"github.com/grademill/grademill/view"
+	"github.com/grademill/grademill/decide/fleet"
+	"github.com/grademill/grademill/decide/layer"
+	"github.com/grademill/grademill/decide/route"
+	"github.com/grademill/grademill/decide/view"
+	"github.com/grademill/grademill/role/agent"
 	"github.com/grademill/grademill/wire"
 )
 
--- a/entry/flight.go
+++ b/role/entry/flight.go
@@ -10,9 +10,9 @@
 
 	"github.com/google/uuid"
 
-	"github.com/grademill/grademill/answer"
-	"github.com/grademill/grademill/outcome"
-	"github.com/grademill/grademill/policy"
+	"github.com/grademill/grademill/decide/answer"
+	"github.com/grademill/grademill/decide/outcome"
+	"github.com/grademill/grademill/decide/policy"
 	"github.com/grademill/grademill/port/router"
 	"github.com/grademill/grademill/wire"
 )
--- a/entry/flight_test.go
+++ b/role/entry/flight_test.go
@@ -9,11 +9,11 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
-	"github.com/grademill/grademill/entry"
+	"github.com/grademill/grademill/decide/layer"
+	"github.com/grademill/grademill/decide/outcome"
 	"github.com/grademill/grademill/lab"
-	"github.com/grademill/grademill/layer"
-	"github.com/grademill/grademill/outcome"
 	"github.com/grademill/grademill/port/router"
+	"github.com/grademill/grademill/role/entry"
 	"github.com/grademill/grademill/standin/toy"
 )
 
--- a/entry/follow.go
+++ b/role/entry/follow.go
@@ -6,9 +6,9 @@
 	"slices"
 	"time"
 
-	"github.com/grademill/grademill/agent"
+	"github.com/grademill/grademill/decide/rendezvous"
 	"github.com/grademill/grademill/port/hosts"
-	"github.com/grademill/grademill/rendezvous"
+	"github.com/grademill/grademill/role/agent"
 	"github.com/grademill/grademill/wire"
 )
 
--- a/entry/lead.go
+++ b/role/entry/lead.go
@@ -6,13 +6,13 @@
 	"slices"
 	"time"
 
-	"github.com/grademill/grademill/config"
-	"github.com/grademill/grademill/fleet"
-	"github.com/grademill/grademill/flow"
-	"github.com/grademill/grademill/place"
-	"github.com/grademill/grademill/policy"
+	"github.com/grademill/grademill/decide/config"
+	"github.com/grademill/grademill/decide/fleet"
+	"github.com/grademill/grademill/decide/flow"
+	"github.com/grademill/grademill/decide/place"
+	"github.com/grademill/grademill/decide/policy"
+	"github.com/grademill/grademill/decide/rendezvous"
 	"github.com/grademill/grademill/port/kv"
-	"github.com/grademill/grademill/rendezvous"
 	"github.com/grademill/grademill/wire"
 )
 
--- a/entry/seat.go
+++ b/role/entry/seat.go
@@ -1,9 +1,9 @@
 package entry
 
 import (
-	"github.com/grademill/grademill/fleet"
-	"github.com/grademill/grademill/gate"
-	"github.com/grademill/grademill/route"
+	"github.com/grademill/grademill/decide/fleet"
+	"github.com/grademill/grademill/decide/route"
+	"github.com/grademill/grademill/role/gate"
 )
 
 // seat is the room that a request holds: a chain, or one endpoint of a plain
--- a/entry/stall.go
+++ b/role/entry/stall.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/grademill/grademill/progress"
-	"github.com/grademill/grademill/timeout"
+	"github.com/grademill/grademill/decide/progress"
+	"github.com/grademill/grademill/decide/timeout"
 	"github.com/grademill/grademill/wire"
 )
 
--- a/gate/gate.go
+++ b/role/gate/gate.go
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
-	"github.com/grademill/grademill/fair"
-	"github.com/grademill/grademill/outcome"
-	"github.com/grademill/grademill/rate"
+	"github.com/grademill/grademill/decide/fair"
+	"github.com/grademill/grademill/decide/outcome"
+	"github.com/grademill/grademill/decide/rate"
 )
 
 // Answer is what a try for room found.
--- a/gate/gate_test.go
+++ b/role/gate/gate_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/grademill/grademill/gate"
-	"github.com/grademill/grademill/outcome"
+	"github.com/grademill/grademill/decide/outcome"
+	"github.com/grademill/grademill/role/gate"
 )
 
 // room is seats that requests take one of.
--- a/settings/file_test.go
+++ b/role/settings/file_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/grademill/grademill/settings"
+	"github.com/grademill/grademill/role/settings"
 )
 
 const good = `role = "entry"
@@ -64,7 +64,7 @@
 		"ramdin/entry.toml", "ramdin/agent-engine.toml", "ramdin/agent-records.toml",
 		"greenbough/entry.toml", "greenbough/agent-engine.toml", "greenbough/agent-stock.toml",
 	} {
-		_, err := settings.Load("../examples/" + name)
+		_, err := settings.Load("../../examples/" + name)
 		require.NoError(t, err, name)
 	}
 }
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -14,7 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 
-	"github.com/grademill/grademill/layer"
+	"github.com/grademill/grademill/decide/layer"
 	port "github.com/grademill/grademill/port/engine"
 	"github.com/grademill/grademill/standin/toy"
 	"github.com/grademill/grademill/wire"
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -8,7 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/grademill/grademill/layer"
+	"github.com/grademill/grademill/decide/layer"
 	port "github.com/grademill/grademill/port/engine"
 	"github.com/grademill/grademill/wire"
 )
--- a/claimlog/log.go
+++ b/state/claimlog/log.go
@@ -13,9 +13,9 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 
-	"github.com/grademill/grademill/claim"
-	"github.com/grademill/grademill/headlog"
+	"github.com/grademill/grademill/decide/claim"
 	"github.com/grademill/grademill/port/kv"
+	"github.com/grademill/grademill/state/headlog"
 )
 
 // buckets is the number of logs. It is part of the layout of the store: all
--- a/conflog/log.go
+++ b/state/conflog/log.go
@@ -12,11 +12,11 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/grademill/grademill/config"
-	"github.com/grademill/grademill/headlog"
-	"github.com/grademill/grademill/policy"
+	"github.com/grademill/grademill/decide/config"
+	"github.com/grademill/grademill/decide/policy"
 	"github.com/grademill/grademill/port/kv"
-	"github.com/grademill/grademill/replica"
+	"github.com/grademill/grademill/state/headlog"
+	"github.com/grademill/grademill/state/replica"
 )
 
 // Keys in the store.
--- a/replica/config.go
+++ b/state/replica/config.go
@@ -9,9 +9,9 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/grademill/grademill/config"
-	"github.com/grademill/grademill/headlog"
-	"github.com/grademill/grademill/policy"
+	"github.com/grademill/grademill/decide/config"
+	"github.com/grademill/grademill/decide/policy"
+	"github.com/grademill/grademill/state/headlog"
 	"github.com/grademill/grademill/wire"
 )
 
--- a/replica/config_test.go
+++ b/state/replica/config_test.go
@@ -7,9 +7,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/grademill/grademill/config"
-	"github.com/grademill/grademill/headlog"
-	"github.com/grademill/grademill/replica"
+	"github.com/grademill/grademill/decide/config"
+	"github.com/grademill/grademill/state/headlog"
+	"github.com/grademill/grademill/state/replica"
 )
 
 func records(from, to uint64) []headlog.Record {
--- a/runonce/runner.go
+++ b/state/runonce/runner.go
@@ -17,11 +17,11 @@
 	"github.com/google/uuid"
 	"github.com/gravitational/trace"
 
-	"github.com/grademill/grademill/claim"
-	"github.com/grademill/grademill/claimlog"
-	"github.com/grademill/grademill/fleet"
-	"github.com/grademill/grademill/headlog"
-	"github.com/grademill/grademill/outcome"
+	"github.com/grademill/grademill/decide/claim"
+	"github.com/grademill/grademill/decide/fleet"
+	"github.com/grademill/grademill/decide/outcome"
+	"github.com/grademill/grademill/state/claimlog"
+	"github.com/grademill/grademill/state/headlog"
 	"github.com/grademill/grademill/wire"
 )
 
--- a/e2e/path_test.go
+++ b/test/e2e/path_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/grademill/grademill/layer"
+	"github.com/grademill/grademill/decide/layer"
 	"github.com/grademill/grademill/standin/engine"
 )
 
--- a/e2e/world_test.go
+++ b/test/e2e/world_test.go
@@ -30,9 +30,9 @@
 	_ "github.com/grademill/grademill/adapter/callerhttp"
 	_ "github.com/grademill/grademill/adapter/enginehttp"
 	_ "github.com/grademill/grademill/adapter/platformhttp"
-	_ "github.com/grademill/grademill/entry"
 	"github.com/grademill/grademill/port/hosts"
-	_ "github.com/grademill/grademill/settings"
+	_ "github.com/grademill/grademill/role/entry"
+	_ "github.com/grademill/grademill/role/settings"
 	"github.com/grademill/grademill/standin/engine"
 	"github.com/grademill/grademill/standin/platform"
 	"github.com/grademill/grademill/standin/service"
@@ -60,7 +60,7 @@
 	}
 	bin = dir
 	for _, name := range []string{"grademill", "standin"} {
-		build := exec.Command("go", "build", "-o", filepath.Join(dir, name), "../cmd/"+name)
+		build := exec.Command("go", "build", "-o", filepath.Join(dir, name), "../../cmd/"+name)
 		if out, err := build.CombinedOutput(); err != nil {
 			panic(string(out))
 		}
--- a/proof/config_test.go
+++ b/test/proof/config_test.go
@@ -14,12 +14,12 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/stretchr/testify/require"
 
-	"github.com/grademill/grademill/config"
-	"github.com/grademill/grademill/conflog"
-	"github.com/grademill/grademill/headlog"
+	"github.com/grademill/grademill/decide/config"
 	"github.com/grademill/grademill/port/kv"
-	"github.com/grademill/grademill/replica"
 	"github.com/grademill/grademill/standin/platform"
+	"github.com/grademill/grademill/state/conflog"
+	"github.com/grademill/grademill/state/headlog"
+	"github.com/grademill/grademill/state/replica"
 )
 
 const (
--- a/proof/once_test.go
+++ b/test/proof/once_test.go
@@ -12,13 +12,13 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/grademill/grademill/claim"
-	"github.com/grademill/grademill/claimlog"
-	"github.com/grademill/grademill/fleet"
-	"github.com/grademill/grademill/once"
-	"github.com/grademill/grademill/outcome"
-	"github.com/grademill/grademill/runonce"
+	"github.com/grademill/grademill/decide/claim"
+	"github.com/grademill/grademill/decide/fleet"
+	"github.com/grademill/grademill/decide/once"
+	"github.com/grademill/grademill/decide/outcome"
 	"github.com/grademill/grademill/standin/platform"
+	"github.com/grademill/grademill/state/claimlog"
+	"github.com/grademill/grademill/state/runonce"
 	"github.com/grademill/grademill/wire"
 )
 
--- a/proof/steps_test.go
+++ b/test/proof/steps_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/grademill/grademill/answer"
-	"github.com/grademill/grademill/fence"
+	"github.com/grademill/grademill/decide/answer"
+	"github.com/grademill/grademill/decide/fence"
 	"github.com/grademill/grademill/standin/toy"
 )
 
