Do not strand an agent whose listed entries have all died

Cause: an agent replaced the addresses of its settings by the list an entry sent; at a busy start that list could name one entry alone, and when that entry died the agent reported to nobody for good. Ruled out: the survivor's policy and orders, which were in force in its log. Now: while all of the chosen entries fail, the addresses of the settings are reported to as well; entries that fail are dialled with growing, jittered waits, and a peer that was never reached makes no line at info level.

--- a/adapter/link/set.go
+++ b/adapter/link/set.go
@@ -133,7 +133,11 @@
 	if closed {
 		return
 	}
-	s.Log.Info().Str("peer", p.address).AnErr("cause", err).Msg("step connection lost")
+	level := zerolog.DebugLevel // a peer that was never reached
+	if p.connected {
+		level = zerolog.InfoLevel
+	}
+	s.Log.WithLevel(level).Str("peer", p.address).AnErr("cause", err).Msg("step connection lost")
 	if s.Down != nil {
 		s.Down(p.address)
 	}
@@ -160,6 +164,9 @@
 	count   int
 	wake    chan struct{}
 	cancel  context.CancelFunc
+	// connected is set once the connection stands; only carry's goroutine
+	// reads and writes it.
+	connected bool
 }
 
 // carry dials and writes until ctx ends or the connection breaks.
@@ -169,6 +176,7 @@
 	if err != nil {
 		return err
 	}
+	p.connected = true
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	defer conn.Close() //nolint:errcheck // the cause is what broke it
--- a/layout_test.go
+++ b/layout_test.go
@@ -20,6 +20,7 @@
 // return values.
 var decisions = []string{
 	"decide/answer",
+	"decide/backoff",
 	"decide/claim",
 	"decide/config",
 	"decide/fair",
--- a/role/agent/agent.go
+++ b/role/agent/agent.go
@@ -91,6 +91,8 @@
 	entriesHash uint64
 	// introduced is what each entry was told of the agent on its connection.
 	introduced map[string]*wire.Introduction
+	// failures are the entries whose connections broke.
+	failures map[string]failure
 	beats      uint64
 }
 
@@ -119,6 +121,7 @@
 		Start: time.Now(), Epoch: callEpoch, Max: maxCalls, Keep: a.CallKeep,
 	}
 	a.introduced = make(map[string]*wire.Introduction)
+	a.failures = make(map[string]failure)
 	a.waiters = make(map[once.Key]chan struct{})
 	a.links = &link.Set{Name: a.Name, Incarnation: a.incarnation, Down: a.peerDown, Log: a.Log}
 	if a.Engine == nil {
--- a/role/agent/agent_test.go
+++ b/role/agent/agent_test.go
@@ -370,3 +370,13 @@
 	require.Equal(t, wire.CallReply_UNKNOWN, o.call("b", 0).GetOutcome())
 	require.Equal(t, 1, r.ran)
 }
+
+// An entry's list may name only entries that then die. The agent goes back to
+// the addresses of its settings, and is not stranded.
+func TestListOfDeadEntriesDoesNotStrandTheAgent(t *testing.T) {
+	o := start(t, &agent.Agent{Engine: new(engineOf)})
+	dead := &wire.Peer{Name: "dead", Address: address()}
+	o.links.News(o.agent.Address, &wire.News{Entries: []*wire.Peer{dead}})
+	wanted := agent.EntriesHash([]*wire.Peer{dead})
+	o.eventually(func() bool { return o.heard().GetEntriesHash() == wanted })
+}
--- a/role/agent/beat.go
+++ b/role/agent/beat.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/grademill/grademill/decide/backoff"
 	"github.com/grademill/grademill/decide/rendezvous"
 	"github.com/grademill/grademill/wire"
 )
@@ -67,18 +71,50 @@
 	}
 }
 
-// subset returns the entries to report to: those of highest weight for this
-// agent, and the ones to begin with until an entry has sent the list; a.mu is
-// held.
+// redial spaces out the connections to an entry that does not answer. The first
+// wait is about a heartbeat of the examples, the last one a few expiries.
+var redial = backoff.Backoff{Base: 500 * time.Millisecond, Max: 10 * time.Second}
+
+// failure is how a connection to an entry failed.
+type failure struct {
+	// count is the number of failures without a calm time between them.
+	count int
+	// until is when the entry is tried again.
+	until time.Time
+}
+
+// subset returns the entries to report to now: those of highest weight for this
+// agent among the list that an entry has sent. The addresses of the settings
+// are used until there is a list, and again while all of the subset fail: a list
+// may name only entries that have died since. Entries that failed wait their
+// turn. a.mu is held.
 func (a *Agent) subset() []string {
-	if len(a.entries) == 0 {
-		return a.Entries
-	}
-	addresses := make([]string, len(a.entries))
-	for i, e := range a.entries {
-		addresses[i] = e.GetAddress()
+	now := time.Now()
+	chosen := slices.Clone(a.Entries)
+	if len(a.entries) > 0 {
+		addresses := make([]string, len(a.entries))
+		for i, e := range a.entries {
+			addresses[i] = e.GetAddress()
+		}
+		chosen = rendezvous.Top(a.Name, addresses, a.Subset)
+		if !slices.ContainsFunc(chosen, func(address string) bool { return a.failures[address].count == 0 }) {
+			chosen = append(chosen, a.Entries...)
+		}
 	}
-	return rendezvous.Top(a.Name, addresses, a.Subset)
+	slices.Sort(chosen)
+	return slices.DeleteFunc(slices.Compact(chosen), func(address string) bool {
+		return now.Before(a.failures[address].until)
+	})
+}
+
+// failed notes that the connection to an entry broke; a.mu is held.
+func (a *Agent) failed(address string) {
+	now := time.Now()
+	maps.DeleteFunc(a.failures, func(_ string, f failure) bool { return now.Sub(f.until) > redial.Max })
+	f := a.failures[address]
+	f.count++
+	f.until = now.Add(redial.Delay(f.count, rand.Float64()))
+	a.failures[address] = f
 }
 
 // hear takes in news from an entry.
@@ -87,6 +123,7 @@
 	defer a.mu.Unlock()
 	a.fence = a.fence.WithTerm(news.GetTerm())
 	if len(news.GetEntries()) > 0 {
+		clear(a.failures)
 		a.entries = news.GetEntries()
 		a.entriesHash = EntriesHash(a.entries)
 	}
--- a/role/agent/steps.go
+++ b/role/agent/steps.go
@@ -289,6 +289,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(a.introduced, address)
+	a.failed(address)
 	for key, s := range a.sessions {
 		if s.open == nil {
 			continue
