--- /dev/null
+++ b/adapter/meter/gateway.go
@@ -0,0 +1,94 @@
+package meter
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Gateway is the metrics of a gateway. Make one with NewGateway. All labels are
+// closed sets.
+type Gateway struct {
+	// Registry has all of them.
+	Registry *prometheus.Registry
+
+	ended       *prometheus.CounterVec
+	first       *prometheus.HistogramVec
+	total       *prometheus.HistogramVec
+	pause       prometheus.Histogram
+	retries     *prometheus.CounterVec
+	orders      *prometheus.CounterVec
+	platform    *prometheus.CounterVec
+	connections prometheus.Counter
+	dropped     prometheus.Counter
+}
+
+// gatewayBuckets reach from a hop to a caller's patience, in seconds.
+var gatewayBuckets = prometheus.ExponentialBuckets(0.005, 2, 13)
+
+// NewGateway returns the metrics in a registry of their own.
+func NewGateway() *Gateway {
+	m := &Gateway{
+		Registry: prometheus.NewRegistry(),
+		ended: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "gateway_requests_total", Help: "Requests by kind and outcome.",
+		}, []string{"kind", "outcome"}),
+		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "gateway_first_seconds", Help: "Time to the first byte of an answer.",
+			Buckets: gatewayBuckets,
+		}, []string{"kind"}),
+		total: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "gateway_total_seconds", Help: "Time to the end of a request.",
+			Buckets: gatewayBuckets,
+		}, []string{"kind"}),
+		pause: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "gateway_pause_seconds", Help: "Longest pause between two events of a stream.",
+			Buckets: gatewayBuckets,
+		}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "gateway_retries_total", Help: "Sends after the first, by cause.",
+		}, []string{"cause"}),
+		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "gateway_orders_total", Help: "Orders to endpoints, by result.",
+		}, []string{"result"}),
+		platform: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "gateway_platform_calls_total", Help: "Calls of the platform and of controls.",
+		}, []string{"kind"}),
+		connections: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "gateway_connections_total", Help: "Connections opened to endpoints.",
+		}),
+		dropped: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "gateway_log_lines_dropped_total", Help: "Log lines that nobody read in time.",
+		}),
+	}
+	m.Registry.MustRegister(
+		m.ended, m.first, m.total, m.pause, m.retries, m.orders, m.platform, m.connections, m.dropped)
+	return m
+}
+
+// Connection counts a new connection to an endpoint.
+func (m *Gateway) Connection() { m.connections.Inc() }
+
+// Request counts a request that ended.
+func (m *Gateway) Request(kind, outcome string, first, total time.Duration) {
+	m.ended.WithLabelValues(kind, outcome).Inc()
+	m.total.WithLabelValues(kind).Observe(total.Seconds())
+	if first > 0 {
+		m.first.WithLabelValues(kind).Observe(first.Seconds())
+	}
+}
+
+// Pause notes the longest pause of a stream.
+func (m *Gateway) Pause(d time.Duration) { m.pause.Observe(d.Seconds()) }
+
+// Retry counts a second send.
+func (m *Gateway) Retry(cause string) { m.retries.WithLabelValues(cause).Inc() }
+
+// Order counts an order.
+func (m *Gateway) Order(result string) { m.orders.WithLabelValues(result).Inc() }
+
+// PlatformCall counts a call of the platform.
+func (m *Gateway) PlatformCall(kind string) { m.platform.WithLabelValues(kind).Inc() }
+
+// Dropped counts log lines that were dropped.
+func (m *Gateway) Dropped(n int) { m.dropped.Add(float64(n)) }
--- /dev/null
+++ b/decide/event/reader_test.go
@@ -0,0 +1,71 @@
+package event_test
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/decide/event"
+)
+
+func read(source io.Reader, limit int) (raw, ids []string, err error) {
+	r := event.Reader{Source: bufio.NewReaderSize(source, 16), Max: limit}
+	for {
+		e, err := r.Next()
+		if err != nil {
+			return raw, ids, err
+		}
+		raw, ids = append(raw, string(e.Raw)), append(ids, e.ID)
+	}
+}
+
+func TestNext(t *testing.T) {
+	const first, second = "id: 1\ndata: one\n\n", "versions: 2\r\nid:2\r\ndata: a line longer than the buffer\r\n\r\n"
+	cases := []struct {
+		name, stream string
+		raw, ids     []string
+		err          error
+	}{
+		{"two events", first + second, []string{first, second}, []string{"1", "2"}, io.EOF},
+		{"without an ID", "data: x\n\n", []string{"data: x\n\n"}, []string{""}, io.EOF},
+		{"empty", "", nil, nil, io.EOF},
+		{"cut in a line", first + "id: 2\nda", []string{first}, []string{"1"}, io.ErrUnexpectedEOF},
+		{"cut between lines", first + "id: 2\n", []string{first}, []string{"1"}, io.ErrUnexpectedEOF},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			raw, ids, err := read(strings.NewReader(c.stream), 1000)
+			require.Equal(t, c.raw, raw)
+			require.Equal(t, c.ids, ids)
+			require.ErrorIs(t, err, c.err)
+		})
+	}
+}
+
+func TestNextBoundsAnEvent(t *testing.T) {
+	_, _, err := read(strings.NewReader(strings.Repeat("x", 200)+"\n\n"), 100)
+	var long *event.TooLongError
+	require.True(t, errors.As(err, &long))
+}
+
+// Whatever comes, nothing is lost or changed: events and the part that was cut
+// off make up the stream.
+func FuzzNext(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: one\n\nid: 2\n"))
+	f.Fuzz(func(t *testing.T, stream []byte) {
+		raw, _, err := read(bytes.NewReader(stream), 1<<20)
+		whole := strings.Join(raw, "")
+		require.True(t, strings.HasPrefix(string(stream), whole))
+		var cut *event.TruncatedError
+		if errors.As(err, &cut) {
+			require.Equal(t, len(stream), len(whole)+cut.Bytes)
+		} else {
+			require.Equal(t, len(stream), len(whole))
+		}
+	})
+}
--- /dev/null
+++ b/decide/health/health.go
@@ -0,0 +1,54 @@
+// Package health judges an endpoint by what became of the requests that were
+// sent to it, and not by what it says of itself.
+package health
+
+import "time"
+
+// The figures of the judgement.
+const (
+	// fade is the weight of the newest request in the share of failures: some
+	// ten requests make an endpoint's name.
+	fade = 0.1
+	// firstWait is how long an endpoint is passed over after it could not be
+	// reached, doubled for each further time, up to lastWait. A restarted
+	// process is back within seconds.
+	firstWait = 300 * time.Millisecond
+	lastWait  = 2400 * time.Millisecond
+)
+
+// Record is what is remembered of an endpoint. It is immutable; the zero Record
+// is that of an endpoint without a fault.
+type Record struct {
+	// Failing is the share of the recent requests that failed, from 0 to 1.
+	Failing float64
+	// lost counts the times in a row that it could not be reached.
+	lost int
+	// until is when it may be tried again.
+	until time.Time
+}
+
+// WithSuccess returns the record after a request that was answered.
+func (r Record) WithSuccess() Record {
+	return Record{Failing: r.Failing * (1 - fade)}
+}
+
+// WithFailure returns the record after a request that the endpoint failed.
+func (r Record) WithFailure() Record {
+	r.Failing += fade * (1 - r.Failing)
+	return r
+}
+
+// WithLoss returns the record after the endpoint could not be reached, fell
+// silent or broke off at now.
+func (r Record) WithLoss(now time.Time) Record {
+	r = r.WithFailure()
+	wait := min(firstWait<<min(r.lost, 8), lastWait)
+	r.lost++
+	r.until = now.Add(wait)
+	return r
+}
+
+// Avoided reports whether the endpoint is passed over at now.
+func (r Record) Avoided(now time.Time) bool {
+	return now.Before(r.until)
+}
--- /dev/null
+++ b/decide/health/health_test.go
@@ -0,0 +1,36 @@
+package health_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/decide/health"
+)
+
+func TestLossIsAvoidedForAGrowingTime(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := health.Record{}.WithLoss(now)
+	require.True(t, r.Avoided(now.Add(299*time.Millisecond)))
+	require.False(t, r.Avoided(now.Add(300*time.Millisecond)))
+	r = r.WithLoss(now)
+	require.True(t, r.Avoided(now.Add(599*time.Millisecond)))
+	for range 20 {
+		r = r.WithLoss(now)
+	}
+	require.False(t, r.Avoided(now.Add(2400*time.Millisecond)), "bounded")
+	require.False(t, r.WithSuccess().Avoided(now))
+}
+
+func TestFailingIsAShareOfRecentRequests(t *testing.T) {
+	var r health.Record
+	for range 100 {
+		r = r.WithFailure()
+	}
+	require.InDelta(t, 1, r.Failing, 0.01)
+	for range 10 {
+		r = r.WithSuccess()
+	}
+	require.Less(t, r.Failing, 0.4)
+}
--- a/layout_test.go
+++ b/layout_test.go
@@ -21,8 +21,11 @@
 var decisions = []string{
 	"decide/answer",
 	"decide/backoff",
+	"decide/catalog",
+	"decide/chain",
 	"decide/claim",
 	"decide/config",
+	"decide/endpoint",
 	"decide/fair",
 	"decide/fence",
 	"decide/fleet",
--- /dev/null
+++ b/role/gateway/fleet.go
@@ -0,0 +1,109 @@
+package gateway
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/grademill/grademill/decide/endpoint"
+	"github.com/grademill/grademill/decide/health"
+)
+
+// fleet is what is known of all endpoints at one moment. It is immutable; the
+// usage of its backends is not.
+type fleet struct {
+	// open are the backends that take new work, by service.
+	open map[string][]*backend
+	// byID and byAddress hold those that are leaving, too.
+	byID      map[string]*backend
+	byAddress map[string]*backend
+	// halls are the names of the data halls; backend.hall is an index of it.
+	halls []string
+}
+
+// newFleet returns the fleet of the given backends.
+func newFleet(all []*backend) *fleet {
+	f := &fleet{
+		open: make(map[string][]*backend), byID: make(map[string]*backend), byAddress: make(map[string]*backend),
+	}
+	index := make(map[string]int)
+	for _, b := range all {
+		if _, ok := index[b.Hall]; !ok {
+			index[b.Hall] = len(f.halls)
+			f.halls = append(f.halls, b.Hall)
+		}
+		b.hall = index[b.Hall]
+		f.byID[b.ID] = b
+		f.byAddress[b.Address] = b
+		if !b.Leaving {
+			f.open[b.Service] = append(f.open[b.Service], b)
+		}
+	}
+	return f
+}
+
+// backend is an endpoint with its usage.
+type backend struct {
+	endpoint.Endpoint
+	use *usage
+	// hall is the index of its data hall in the fleet.
+	hall int
+}
+
+// usage is what this gateway knows of an endpoint beyond its record. It stays
+// the same while the record changes. All fields may be read and written at any
+// time.
+type usage struct {
+	// active is the number of requests of this gateway that it runs, held the
+	// memory that they need, in tokens times layers.
+	active, held atomic.Int64
+	// othersActive and othersHeld are those of the other gateways.
+	othersActive, othersHeld atomic.Int64
+	// pace is above 1000 for an endpoint that is slower than its kind, in
+	// thousandths.
+	pace atomic.Int64
+	// shortUntil is when it may be tried again after it refused for want of
+	// room, in nanoseconds of Unix time.
+	shortUntil atomic.Int64
+	// waiting is the number of requests that wait, as it last said, and said
+	// when that was, in nanoseconds of Unix time.
+	waiting, said atomic.Int64
+	health        atomic.Pointer[health.Record]
+}
+
+// newUsage returns the usage of an endpoint that is not used yet.
+func newUsage() *usage {
+	u := new(usage)
+	u.health.Store(new(health.Record))
+	u.pace.Store(paceUnit)
+	return u
+}
+
+// paceUnit is the pace of an endpoint that is as fast as its kind.
+const paceUnit = 1000
+
+// judge replaces the record of health by what change makes of it.
+func (u *usage) judge(change func(health.Record) health.Record) {
+	for {
+		old := u.health.Load()
+		next := change(*old)
+		if u.health.CompareAndSwap(old, &next) {
+			return
+		}
+	}
+}
+
+// avoided reports whether the endpoint is passed over at now.
+func (u *usage) avoided(now time.Time) bool {
+	return u.health.Load().Avoided(now) || now.UnixNano() < u.shortUntil.Load()
+}
+
+// take and release count a request that needs memory.
+func (u *usage) take(memory int64) {
+	u.active.Add(1)
+	u.held.Add(memory)
+}
+
+func (u *usage) release(memory int64) {
+	u.active.Add(-1)
+	u.held.Add(-memory)
+}
--- /dev/null
+++ b/role/gateway/follow.go
@@ -0,0 +1,143 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/grademill/grademill/decide/endpoint"
+	"github.com/grademill/grademill/port/kv"
+	"github.com/grademill/grademill/state/mirror"
+)
+
+// The figures of following the store.
+const (
+	// changesWait bounds the age of the proof that the configuration is current.
+	changesWait = time.Second
+	// changesSettle takes changes that come together in one answer; it is small
+	// beside the seconds in which a change must be in force.
+	changesSettle = 100 * time.Millisecond
+	// lapseGrace is how long after an outage of the store a record that lapsed
+	// may be missing: endpoints that live are back within two seconds.
+	lapseGrace = 2200 * time.Millisecond
+	// deafness is how long a watch of the store may have missed changes without
+	// its knowing, by the users' pages.
+	deafness = time.Second
+	// proofMargin is the time between the last check of a proof and the moment
+	// at which an endpoint gets the request.
+	proofMargin = 300 * time.Millisecond
+)
+
+// members are the records of the store; only the mirror's goroutine uses them.
+type members struct {
+	endpoints map[string]endpoint.Endpoint
+	usage     map[string]*usage
+	// changed is set when the fleet must be made anew.
+	changed bool
+}
+
+// follow keeps the gateway's view of the store current until ctx ends.
+func (g *Gateway) follow(ctx context.Context) {
+	g.members = members{endpoints: make(map[string]endpoint.Endpoint), usage: make(map[string]*usage)}
+	m := mirror.Mirror{
+		Feed: g.Store, Wait: changesWait, Settle: changesSettle, Grace: lapseGrace,
+		Put: g.put, Gone: g.gone, Confirm: g.confirm, Log: g.Log,
+		Lost: func(err error) { g.Log.Warn().Err(err).Msg("the store does not answer") },
+	}
+	m.Run(ctx)
+}
+
+// put takes in a pair of the store.
+func (g *Gateway) put(p kv.Pair) {
+	if p.Key == g.Records.Catalog {
+		g.configure(p)
+		return
+	}
+	if p.Key == giverKey {
+		g.peers.setGiver(string(p.Value))
+		return
+	}
+	if g.peers.put(p) {
+		return
+	}
+	id, ok := g.Records.EndpointID(p.Key)
+	if !ok {
+		return
+	}
+	e, err := g.Records.DecodeEndpoint(id, p.Value)
+	if err != nil {
+		g.Log.Warn().Err(err).Uint64("revision", p.Revision).Msg("record not understood, the former one stays in force")
+		return
+	}
+	if g.members.endpoints[id].Same(e) {
+		return
+	}
+	g.members.endpoints[id] = e
+	g.members.changed = true
+	g.Log.Info().Str("endpoint", id).Str("service", e.Service).Str("address", e.Address).Str("hall", e.Hall).
+		Bool("leaving", e.Leaving).Stringer("layers", e.Layers).Str("card", e.Card).
+		Uint64("revision", p.Revision).Msg("endpoint changed")
+}
+
+// gone takes in that a key has gone.
+func (g *Gateway) gone(key string) {
+	if key == giverKey {
+		g.peers.setGiver("")
+		g.Log.Info().Msg("nobody gives orders")
+		return
+	}
+	if g.peers.gone(key) {
+		return
+	}
+	id, ok := g.Records.EndpointID(key)
+	if !ok {
+		return
+	}
+	delete(g.members.endpoints, id)
+	delete(g.members.usage, id)
+	g.members.changed = true
+	g.Log.Info().Str("endpoint", id).Msg("endpoint gone")
+}
+
+// configure puts a configuration in force, unless a later one is.
+func (g *Gateway) configure(p kv.Pair) {
+	c, err := g.Records.DecodeCatalog(p.Value)
+	if err != nil {
+		g.Log.Error().Err(err).Uint64("revision", p.Revision).Msg("configuration not understood, the former one stays in force")
+		return
+	}
+	if now := g.catalog.Load(); now != nil && c.Version <= now.Version {
+		return
+	}
+	g.catalog.Store(c)
+	g.Log.Info().Uint64("version", c.Version).Uint64("revision", p.Revision).Msg("configuration is in force")
+}
+
+// confirm notes that all that had been written at a time is known.
+func (g *Gateway) confirm(sent time.Time) {
+	if g.members.changed {
+		g.members.changed = false
+		all := make([]*backend, 0, len(g.members.endpoints))
+		for id, e := range g.members.endpoints {
+			if g.members.usage[id] == nil {
+				g.members.usage[id] = newUsage()
+			}
+			all = append(all, &backend{Endpoint: e, use: g.members.usage[id]})
+		}
+		g.fleet.Store(newFleet(all))
+	}
+	g.proof.Store(max(g.proof.Load(), int64(sent.Sub(g.started))))
+	if !g.loaded.Swap(true) {
+		g.Log.Info().Int("endpoints", len(g.members.endpoints)).Msg("the store has been read")
+	}
+}
+
+// proofAge returns how long ago the configuration in force was certainly the
+// newest.
+func (g *Gateway) proofAge(now time.Time) time.Duration {
+	return now.Sub(g.started) - time.Duration(g.proof.Load())
+}
+
+// fresh reports whether requests with a key may be served.
+func (g *Gateway) fresh(now time.Time) bool {
+	return g.Revocation == 0 || g.proofAge(now) < g.Revocation-deafness-proofMargin
+}
--- /dev/null
+++ b/role/gateway/gateway.go
@@ -0,0 +1,177 @@
+// Package gateway is the daemon between callers and endpoints that speak HTTP
+// and walk the chain of a model themselves. It chooses where a request goes,
+// passes the answer on as it comes, and carries a stream over to another chain
+// when one breaks.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/grademill/grademill/adapter/upstream"
+	"github.com/grademill/grademill/decide/catalog"
+	"github.com/grademill/grademill/decide/endpoint"
+	"github.com/grademill/grademill/decide/retry"
+	"github.com/grademill/grademill/port/exchange"
+	"github.com/grademill/grademill/port/kv"
+	"github.com/grademill/grademill/port/runner"
+)
+
+// Records decodes what others keep in the store.
+type Records struct {
+	// Catalog is the key of the configuration.
+	Catalog string
+	// DecodeCatalog decodes the configuration.
+	DecodeCatalog func([]byte) (*catalog.Catalog, error)
+	// EndpointID returns the endpoint that a key is the record of.
+	EndpointID func(key string) (string, bool)
+	// DecodeEndpoint decodes the record of an endpoint.
+	DecodeEndpoint func(id string, text []byte) (endpoint.Endpoint, error)
+}
+
+// Store is what a gateway needs of the store.
+type Store interface {
+	kv.Store
+	kv.Feed
+}
+
+// Gateway is one gateway. Set the exported fields before Run.
+type Gateway struct {
+	// Name is unique in the fleet, Hall is its data hall.
+	Name, Hall string
+	// Address is where other gateways reach it, by UDP.
+	Address string
+	// Store holds the configuration, the records of endpoints and what gateways
+	// must agree on. Records decodes what others write there.
+	Store   Store
+	Records Records
+	// Dialect translates headers, Runners gives orders to endpoints.
+	Dialect exchange.Dialect
+	Runners runner.Control
+	// Revocation is how soon a key that was taken away must not work anywhere:
+	// requests with a key are served only while the configuration is known to
+	// have been current less than that ago, with a margin.
+	Revocation time.Duration
+	// RetryShare, RetryReserve and RetryWindow bound what all gateways together
+	// send again to a service.
+	RetryShare   float64
+	RetryReserve int
+	RetryWindow  time.Duration
+	// First is set when the whole system starts for the first time.
+	First bool
+	Log   zerolog.Logger
+	// Meter counts what is done.
+	Meter Meter
+
+	catalog atomic.Pointer[catalog.Catalog]
+	fleet   atomic.Pointer[fleet]
+	// proof is when the question was sent whose answer showed the newest
+	// configuration, in nanoseconds since started.
+	proof   atomic.Int64
+	started time.Time
+	// loaded is set once the store has been read.
+	loaded   atomic.Bool
+	draining atomic.Bool
+	running  atomic.Int64
+	pool     upstream.Pool
+	peers    peers
+
+	mu sync.Mutex
+	// retries are by service; guarded by mu.
+	retries map[string]*retry.Budget
+	// members is written by the mirror's goroutine alone.
+	members members
+}
+
+// Run follows the store until ctx ends. The handler serves meanwhile.
+func (g *Gateway) Run(ctx context.Context) {
+	g.started = time.Now()
+	g.proof.Store(int64(-time.Hour))
+	g.retries = make(map[string]*retry.Budget)
+	g.fleet.Store(new(fleet))
+	g.pool.Opened = g.Meter.Connection
+	var group sync.WaitGroup
+	group.Go(func() { g.follow(ctx) })
+	group.Go(func() { g.sweep(ctx) })
+	group.Go(func() { g.give(ctx) })
+	group.Go(func() { g.gossip(ctx) })
+	group.Wait()
+}
+
+// Ready reports whether the gateway can serve: it knows the configuration, has
+// proof that it is current, and is not about to stop.
+func (g *Gateway) Ready() bool {
+	return g.loaded.Load() && !g.draining.Load() && g.catalog.Load() != nil && g.fresh(time.Now())
+}
+
+// Drain makes the gateway not ready and ends connections with their next
+// answers.
+func (g *Gateway) Drain() {
+	g.draining.Store(true)
+}
+
+// Running returns the number of requests in flight.
+func (g *Gateway) Running() int {
+	return int(g.running.Load())
+}
+
+// sweepEvery is how often idle connections are looked through.
+const sweepEvery = time.Second
+
+// sweep closes idle connections that have rested too long.
+func (g *Gateway) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			g.pool.Sweep(now)
+		}
+	}
+}
+
+// ReadyHandler answers 200 while the gateway is ready.
+func (g *Gateway) ReadyHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !g.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+// allowRetry takes one retry of a service out of this gateway's part of the
+// budget.
+func (g *Gateway) allowRetry(service string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget(service).Allow(time.Now())
+}
+
+// countFirst counts a request for a service.
+func (g *Gateway) countFirst(service string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget(service).First(time.Now())
+}
+
+// budgetMargin is the part of the allowance that is used: windows slide, and
+// gateways come and go.
+const budgetMargin = 0.7
+
+// budget returns the budget of a service; g.mu is held.
+func (g *Gateway) budget(service string) *retry.Budget {
+	b := g.retries[service]
+	if b == nil {
+		b = &retry.Budget{Share: g.RetryShare * budgetMargin, Window: g.RetryWindow}
+		g.retries[service] = b
+	}
+	b.Reserve = int(float64(g.RetryReserve) * budgetMargin / float64(g.peers.count()))
+	return b
+}
--- /dev/null
+++ b/role/gateway/give.go
@@ -0,0 +1,180 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/grademill/grademill/decide/catalog"
+	"github.com/grademill/grademill/decide/layer"
+	"github.com/grademill/grademill/decide/spread"
+	"github.com/grademill/grademill/port/kv"
+	"github.com/grademill/grademill/port/runner"
+)
+
+// The figures of giving orders.
+const (
+	// giverLease is how long the right to give orders lasts without renewal.
+	giverLease = 3 * time.Second
+	// giverRound is the time between two rounds of orders.
+	giverRound = 250 * time.Millisecond
+	// renewEvery is the time between two renewals of the lease.
+	renewEvery = time.Second
+	// gatherTime is how long the fleet must stay the same before a first plan:
+	// all endpoints of a new system announce themselves within a second or two.
+	gatherTime = 1200 * time.Millisecond
+	// orderWait is how long an order is taken to be under way after it was
+	// given: the record of the endpoint tells of it within a heartbeat or two
+	// after the loading.
+	orderWait = 8 * time.Second
+)
+
+// giver gives orders while it holds the right to.
+type giver struct {
+	g *Gateway
+	// fence is the revision at which the right was taken.
+	fence uint64
+	lease string
+	// given are the orders that are under way, by endpoint.
+	given map[string]given
+	// size and changed are the size of the fleet and when it last changed.
+	size    int
+	changed time.Time
+}
+
+// given is an order under way.
+type given struct {
+	layers layer.Range
+	until  time.Time
+}
+
+// give takes the right to give orders whenever nobody holds it, and uses it
+// until ctx ends.
+func (g *Gateway) give(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait(ctx, time.Duration(float64(giverRound)*(1+rand.Float64())))
+		if !g.loaded.Load() || g.draining.Load() || g.catalog.Load() == nil || g.peers.giverHeld() {
+			continue
+		}
+		holder := giver{g: g, given: make(map[string]given)}
+		if err := holder.take(ctx); err != nil {
+			var held *kv.ConflictError
+			if !errors.As(err, &held) {
+				g.Log.Warn().Err(err).Msg("the right to give orders was not taken")
+			}
+			wait(ctx, renewEvery)
+			continue
+		}
+		holder.hold(ctx)
+	}
+}
+
+// take takes the right.
+func (o *giver) take(ctx context.Context) error {
+	lease, err := o.g.Store.Grant(ctx, giverLease)
+	if err != nil {
+		return err
+	}
+	o.lease = lease
+	o.fence, err = o.g.Store.Put(ctx, kv.Write{Key: giverKey, Value: []byte(o.g.Name), Lease: lease})
+	return err
+}
+
+// hold gives orders until the right is lost.
+func (o *giver) hold(ctx context.Context) {
+	o.g.Log.Info().Uint64("fence", o.fence).Msg("this gateway gives orders")
+	renewed := time.Now()
+	for ctx.Err() == nil && !o.g.draining.Load() {
+		if now := time.Now(); now.Sub(renewed) >= renewEvery {
+			if err := o.g.Store.KeepAlive(ctx, o.lease); err == nil {
+				renewed = now
+			} else if missing := new(kv.NotFoundError); errors.As(err, &missing) || now.Sub(renewed) > giverLease {
+				o.g.Log.Warn().Err(err).Uint64("fence", o.fence).Msg("the right to give orders is lost")
+				return
+			}
+		}
+		if !o.round(ctx) {
+			return
+		}
+		wait(ctx, giverRound)
+	}
+}
+
+// round gives one round of orders. It returns false when another giver has taken
+// over.
+func (o *giver) round(ctx context.Context) bool {
+	f, c := o.g.fleet.Load(), o.g.catalog.Load()
+	now := time.Now()
+	if len(f.byID) != o.size {
+		o.size, o.changed = len(f.byID), now
+	}
+	if now.Sub(o.changed) < gatherTime {
+		return true
+	}
+	for name, service := range c.Services {
+		if service.Model == nil {
+			continue
+		}
+		for _, m := range (spread.Planner{}).Plan(service.Model, o.cards(service.Model, f.open[name], now)) {
+			if !o.order(ctx, f.byID[m.ID], m.Layers) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// cards lists the endpoints of a model as the planner sees them.
+func (o *giver) cards(m *catalog.Model, open []*backend, now time.Time) []spread.Card {
+	cards := make([]spread.Card, 0, len(open))
+	for _, b := range open {
+		if _, known := m.Cards[b.Card]; !known {
+			continue
+		}
+		c := spread.Card{ID: b.ID, Hall: b.Hall, Kind: b.Card, Holds: b.Layers}
+		if order, under := o.given[b.ID]; under {
+			if b.Layers == order.layers || now.After(order.until) {
+				delete(o.given, b.ID)
+			} else {
+				c.Holds, c.Settled = order.layers, true
+			}
+		}
+		cards = append(cards, c)
+	}
+	return cards
+}
+
+// order gives one order. It returns false when another giver has taken over.
+func (o *giver) order(ctx context.Context, b *backend, layers layer.Range) bool {
+	ctx, cancel := context.WithTimeout(ctx, giverLease)
+	defer cancel()
+	report, err := o.g.Runners.Report(ctx, b.Address)
+	if err == nil && !report.Busy && report.Layers != layers {
+		err = o.g.Runners.Place(ctx, b.Address, runner.Order{Fence: o.fence, After: report.Orders, Layers: layers})
+	}
+	o.given[b.ID] = given{layers: layers, until: time.Now().Add(orderWait)}
+	result := "taken"
+	var refused *runner.RefusedError
+	if err != nil {
+		result = "no answer"
+		if errors.As(err, &refused) {
+			result = "refused"
+		}
+	}
+	o.g.Meter.Order(result)
+	o.g.Log.Info().Str("endpoint", b.ID).Str("address", b.Address).Stringer("layers", layers).
+		Stringer("held", b.Layers).Uint64("fence", o.fence).Uint64("after", report.Orders).
+		Str("result", result).AnErr("error", err).Msg("order given")
+	return refused == nil || !refused.Fenced
+}
+
+// wait waits for d or until ctx ends.
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/role/gateway/handler.go
@@ -0,0 +1,233 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/grademill/grademill/decide/catalog"
+)
+
+// The figures of taking a request in.
+const (
+	// defaultPatience is how long a caller is taken to wait when it does not say.
+	defaultPatience = 30 * time.Second
+	// defaultBody bounds a body where the configuration does not.
+	defaultBody = 4 << 20
+	// comeBackSoon is when a caller is told to come back after a refusal that is
+	// due to load, comeBackLater when the gateway waits for the store.
+	comeBackSoon  = 250 * time.Millisecond
+	comeBackLater = 600 * time.Millisecond
+	// defaultPriority is that of a request without one.
+	defaultPriority = 5
+	maxPriority     = 9
+)
+
+// The outcomes of requests, as the logs and metrics name them.
+const (
+	outcomeServed   = "served"
+	outcomeNotRun   = "not run"
+	outcomeFailed   = "failed"
+	outcomeRejected = "rejected"
+	outcomeLeft     = "caller left"
+	outcomeBroken   = "broken off"
+)
+
+// ServeHTTP serves one request of a caller.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.running.Add(1)
+	defer g.running.Add(-1)
+	q := &query{w: w, r: r, start: time.Now()}
+	if g.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	abort := false
+	if g.admit(q) {
+		if q.service != nil && q.service.Model != nil {
+			abort = g.serveModel(q)
+		} else {
+			g.servePlain(q)
+		}
+	}
+	g.ended(q)
+	if abort {
+		panic(http.ErrAbortHandler) // the answer must not look complete
+	}
+}
+
+// admit checks a request and reports whether it is to be served. When it is not,
+// the answer has been given.
+func (g *Gateway) admit(q *query) bool {
+	ask, err := g.Dialect.Ask(q.r.Header)
+	q.Ask = ask
+	if err != nil || ask.ID == "" {
+		g.reject(q, http.StatusBadRequest, "the request has no ID, or a header that cannot be read")
+		return false
+	}
+	c := g.catalog.Load()
+	if c == nil {
+		g.refuse(q, comeBackLater, "no configuration is known yet")
+		return false
+	}
+	q.version, q.proofAge = c.Version, g.proofAge(q.start)
+	route, ok := c.Route(q.r.Host, q.r.URL.Path)
+	if !ok {
+		g.rejectByCatalog(q, http.StatusNotFound, "there is no such route")
+		return false
+	}
+	q.route, q.priority = route, min(route.Priority, maxPriority)
+	if !g.authorize(q, c) || !g.readBody(q, c.Limits) {
+		return false
+	}
+	q.deadline = q.start.Add(bound(q.Patience, route.Timeout))
+	q.service = c.Services[route.Service(xxhash.Sum64String(q.ID))]
+	if q.service == nil {
+		g.refuse(q, comeBackLater, "the service of the route is not configured")
+		return false
+	}
+	g.countFirst(q.service.Name)
+	return true
+}
+
+// bound returns the smaller of a caller's patience and a route's timeout, of
+// which either may be missing.
+func bound(patience, timeout time.Duration) time.Duration {
+	if patience <= 0 {
+		patience = defaultPatience
+	}
+	if timeout <= 0 {
+		return patience
+	}
+	return min(patience, timeout)
+}
+
+// authorize finds the team of the caller's key. A key that was taken away must
+// not work, so it is looked up only while the configuration is surely current.
+func (g *Gateway) authorize(q *query, c *catalog.Catalog) bool {
+	if q.route.Public || !c.HasTeams() {
+		return true
+	}
+	if !g.fresh(q.start) {
+		g.refuse(q, comeBackLater, "the configuration is not known to be current")
+		return false
+	}
+	team, ok := c.Team(q.Key)
+	if !ok {
+		g.reject(q, http.StatusUnauthorized, "the key is not known")
+		return false
+	}
+	q.team = team.Name
+	if team.Priority != nil {
+		q.priority = min(*team.Priority, maxPriority)
+	}
+	return true
+}
+
+// readBody reads the whole body, so that it can be sent again.
+func (g *Gateway) readBody(q *query, limits catalog.Limits) bool {
+	q.hasBody = q.r.ContentLength > 0 || len(q.r.TransferEncoding) > 0 || q.r.Header.Get("Content-Length") != ""
+	if q.r.Body == nil || q.r.Body == http.NoBody {
+		return true
+	}
+	most := limits.BodyBytes
+	if most <= 0 {
+		most = defaultBody
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, most))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		g.reject(q, http.StatusRequestEntityTooLarge, "the body is larger than the configuration allows")
+		return false
+	case err != nil:
+		q.w.Header().Set("Connection", "close")
+		g.reject(q, http.StatusBadRequest, "the body broke off or is malformed")
+		return false
+	}
+	q.body = body
+	return true
+}
+
+// rejectByCatalog rejects a request by what the configuration says, if that is
+// known to be current; another gateway may know better.
+func (g *Gateway) rejectByCatalog(q *query, status int, reason string) {
+	if !g.fresh(q.start) {
+		g.refuse(q, comeBackLater, "the configuration is not known to be current")
+		return
+	}
+	g.reject(q, status, reason)
+}
+
+// reject answers a request that can never be served as it is.
+func (g *Gateway) reject(q *query, status int, reason string) {
+	q.set(status, outcomeRejected, reason)
+	g.answer(q, status, reason)
+}
+
+// refuse answers a request that has not run and will not run, and says when to
+// come back.
+func (g *Gateway) refuse(q *query, comeBack time.Duration, reason string) {
+	q.set(http.StatusServiceUnavailable, outcomeNotRun, reason)
+	q.w.Header().Set("Retry-After", strconv.FormatFloat(comeBack.Seconds(), 'f', 2, 64))
+	g.answer(q, http.StatusServiceUnavailable, reason)
+}
+
+// fail answers a request that was given up on and may have run.
+func (g *Gateway) fail(q *query, status int, reason string) {
+	q.set(status, outcomeFailed, reason)
+	g.answer(q, status, reason)
+}
+
+// giveUp ends a request whose tries are used up: it is refused when nothing can
+// have run, and has failed otherwise.
+func (g *Gateway) giveUp(q *query, reason string) {
+	switch {
+	case errors.Is(q.r.Context().Err(), context.Canceled):
+		q.set(0, outcomeLeft, reason)
+	case !q.mayHaveRun:
+		g.refuse(q, comeBackSoon, reason)
+	case q.left(time.Now()) <= 0:
+		g.fail(q, http.StatusGatewayTimeout, reason)
+	default:
+		g.fail(q, http.StatusBadGateway, reason)
+	}
+}
+
+// answer writes an answer of the gateway's own.
+func (g *Gateway) answer(q *query, status int, reason string) {
+	h := q.w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", strconv.Itoa(len(reason)+1))
+	q.w.WriteHeader(status)
+	_, _ = io.WriteString(q.w, reason+"\n") // a caller that has left cannot be told
+}
+
+// ended logs and counts a request that has ended.
+func (g *Gateway) ended(q *query) {
+	now := time.Now()
+	kind, route := "", ""
+	if q.route != nil {
+		kind, route = q.route.Kind.String(), q.route.Name
+	}
+	var first time.Duration
+	if !q.first.IsZero() {
+		first = q.first.Sub(q.start)
+	}
+	g.Meter.Request(kind, q.outcome, first, now.Sub(q.start))
+	if q.events > 1 {
+		g.Meter.Pause(q.pause)
+	}
+	line := g.Log.Info().Str("request", q.ID).Str("route", route).Str("team", q.team).Str("outcome", q.outcome).
+		Int("status", q.status).Str("reason", q.reason).Str("used", q.used).Int("sends", q.sends).Int("runs", q.runs).
+		Dur("first_ms", first).Dur("total_ms", now.Sub(q.start)).
+		Uint64("version", q.version).Dur("proof_age_ms", q.proofAge)
+	if q.events > 0 {
+		line = line.Int("events", q.events).Dur("pause_ms", q.pause).Int("carried", q.carried)
+	}
+	line.Msg("request ended")
+}
--- /dev/null
+++ b/role/gateway/meter.go
@@ -0,0 +1,18 @@
+package gateway
+
+import "time"
+
+// Meter counts what a gateway does.
+type Meter interface {
+	// Connection counts a new connection to an endpoint.
+	Connection()
+	// Request counts a request of a kind that ended, by its outcome, with the
+	// time to the first byte and to the end.
+	Request(kind, outcome string, first, total time.Duration)
+	// Pause notes the longest pause of a stream.
+	Pause(d time.Duration)
+	// Retry counts a second send, by its cause.
+	Retry(cause string)
+	// Order counts an order, by its result.
+	Order(result string)
+}
--- /dev/null
+++ b/role/gateway/plain.go
@@ -0,0 +1,191 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/grademill/grademill/decide/health"
+)
+
+// The figures of plain services.
+const (
+	// silence is how long a repeatable request waits for an endpoint before it
+	// goes to another, in parts of the route's objective; without an objective
+	// it is silenceDefault.
+	silenceDefault = 400 * time.Millisecond
+	// maxSends bounds the endpoints that one request is sent to.
+	maxSends = 4
+	// loadFresh is how long an endpoint's word about its load is believed.
+	loadFresh = 500 * time.Millisecond
+	// failingWeight is how much the share of failures weighs beside load.
+	failingWeight = 8
+	// farWeight is what another data hall weighs, in requests.
+	farWeight = 0.3
+)
+
+// servePlain serves a request of a plain service.
+func (g *Gateway) servePlain(q *query) {
+	reason := "no endpoint is there"
+	for q.sends < maxSends {
+		b := g.pick(q)
+		if b == nil {
+			break
+		}
+		if q.sends > 0 && !g.again(q) {
+			reason = "the retry budget is used up: " + reason
+			break
+		}
+		q.used += b.Address + " "
+		done, why := g.tryPlain(q, b)
+		if done {
+			return
+		}
+		reason = why
+		q.avoid(b.Address)
+		if q.mayHaveRun && (!q.route.Repeats() || q.runs >= q.route.Attempts) {
+			break
+		}
+		if q.left(time.Now()) <= 0 {
+			break
+		}
+	}
+	g.giveUp(q, reason)
+}
+
+// pick returns the backend of a plain service that is the least loaded, by what
+// this gateway has there, what the endpoint said lately, and how often it fails.
+func (g *Gateway) pick(q *query) *backend {
+	now := time.Now()
+	var best, spare *backend
+	least := 0.0
+	for _, b := range g.fleet.Load().open[q.service.Name] {
+		if q.tried[b.Address] {
+			continue
+		}
+		if b.use.avoided(now) {
+			spare = b
+			continue
+		}
+		score := g.load(b, now)
+		if best == nil || score < least {
+			best, least = b, score
+		}
+	}
+	if best == nil {
+		return spare
+	}
+	return best
+}
+
+// load returns how loaded a backend of a plain service looks.
+func (g *Gateway) load(b *backend, now time.Time) float64 {
+	score := float64(b.use.active.Load() + b.use.othersActive.Load())
+	if now.UnixNano()-b.use.said.Load() < int64(loadFresh) {
+		score += float64(b.use.waiting.Load())
+	}
+	if b.Hall != g.Hall {
+		score += farWeight
+	}
+	return (score + 1) * (1 + failingWeight*b.use.health.Load().Failing)
+}
+
+// tryPlain sends the request to a backend. It reports whether the request has
+// ended, or else why not.
+func (g *Gateway) tryPlain(q *query, b *backend) (bool, string) {
+	b.use.take(0)
+	defer b.use.release(0)
+	until := q.deadline
+	last := !q.route.Repeats() || q.runs+1 >= q.route.Attempts
+	if !last {
+		wait := q.route.Objective
+		if wait <= 0 {
+			wait = silenceDefault
+		}
+		if soon := time.Now().Add(wait); soon.Before(until) {
+			until = soon
+		}
+	}
+	ctx, cancel := context.WithDeadline(q.r.Context(), until)
+	defer cancel()
+	t := g.send(ctx, q, b, nil, q.After)
+	if t.answer != nil {
+		defer t.answer.Close()
+	}
+	switch t.verdict {
+	case verdictNotRun:
+		q.cause = causeNotRun
+		return false, notRunReason(t)
+	case verdictLost, verdictOver:
+		q.cause = causeLost
+		q.runs++
+		return false, t.err.Error()
+	}
+	q.runs++
+	body, err := t.answer.ReadAll()
+	if err != nil {
+		b.use.judge(health.Record.WithFailure)
+		q.cause = causeBroken
+		return false, "the answer broke off: " + err.Error()
+	}
+	if t.answer.Status >= http.StatusInternalServerError {
+		b.use.judge(health.Record.WithFailure)
+		if !last && g.left(q) && g.pickOther(q, b) {
+			q.cause = causeFailed
+			return false, "the endpoint answered " + strconv.Itoa(t.answer.Status)
+		}
+	} else {
+		b.use.judge(health.Record.WithSuccess)
+	}
+	g.deliver(q, t, body)
+	return true, ""
+}
+
+// left reports whether there is time for another try.
+func (g *Gateway) left(q *query) bool {
+	return q.left(time.Now()) > 0 && !errors.Is(q.r.Context().Err(), context.Canceled)
+}
+
+// pickOther reports whether another backend than b is there.
+func (g *Gateway) pickOther(q *query, b *backend) bool {
+	q.avoid(b.Address)
+	return g.pick(q) != nil
+}
+
+// notRunReason says why a request was not run.
+func notRunReason(t try) string {
+	if t.err != nil {
+		return t.err.Error()
+	}
+	return "the endpoint turned it away with status " + strconv.Itoa(t.answer.Status)
+}
+
+// promises are statuses by which a caller takes a request as not run.
+var promises = map[int]bool{
+	http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true,
+	http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true,
+}
+
+// deliver passes a whole answer on.
+func (g *Gateway) deliver(q *query, t try, body []byte) {
+	if promises[t.answer.Status] { // the endpoint ran it: its status would say otherwise
+		g.fail(q, http.StatusBadGateway, "the endpoint ran the request and answered "+strconv.Itoa(t.answer.Status))
+		return
+	}
+	q.first = time.Now()
+	q.set(t.answer.Status, outcomeServed, "")
+	if t.answer.Status >= http.StatusBadRequest {
+		q.outcome = outcomeFailed
+		q.reason = "the endpoint's own answer"
+	}
+	copyHeader(q.w.Header(), t.answer.Header)
+	if q.r.Method != http.MethodHead {
+		q.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	q.w.WriteHeader(t.answer.Status)
+	if _, err := q.w.Write(body); err != nil {
+		q.set(t.answer.Status, outcomeLeft, err.Error())
+	}
+}
--- /dev/null
+++ b/role/gateway/query.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/grademill/grademill/decide/catalog"
+	"github.com/grademill/grademill/port/exchange"
+)
+
+// query is one request of a caller on its way.
+type query struct {
+	w http.ResponseWriter
+	r *http.Request
+
+	exchange.Ask
+	route   *catalog.Route
+	service *catalog.Service
+	team    string
+	// priority is from 0, the most urgent, to 9.
+	priority int
+	body     []byte
+	hasBody  bool
+	// version is that of the configuration that decided.
+	version uint64
+	// proofAge is how old the proof of that configuration was.
+	proofAge time.Duration
+
+	start    time.Time
+	deadline time.Time
+
+	// sends counts the endpoints that the request was sent to, runs those that
+	// may have run it and were not lost since.
+	sends, runs int
+	// mayHaveRun is set once an endpoint may have run the request.
+	mayHaveRun bool
+	// tried are the addresses that are not to be tried again.
+	tried map[string]bool
+	// used names the endpoints, for the log.
+	used string
+
+	// cause is that of the next send, out of a closed set.
+	cause string
+	// status, outcome and reason are what became of it, for the log.
+	status          int
+	outcome, reason string
+	// first is when the first byte of the answer went out.
+	first time.Time
+	// events is the number of events passed on, pause the longest wait between
+	// two of them, carried the number of times that the stream was carried over.
+	events  int
+	pause   time.Duration
+	carried int
+}
+
+// avoid marks an address as not to be tried again.
+func (q *query) avoid(address string) {
+	if q.tried == nil {
+		q.tried = make(map[string]bool)
+	}
+	q.tried[address] = true
+}
+
+// left returns how long the answer is still of use.
+func (q *query) left(now time.Time) time.Duration {
+	return q.deadline.Sub(now)
+}
+
+// set notes what became of the request.
+func (q *query) set(status int, outcome, reason string) {
+	q.status, q.outcome, q.reason = status, outcome, reason
+}
--- /dev/null
+++ b/role/gateway/seat.go
@@ -0,0 +1,162 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/grademill/grademill/decide/catalog"
+	"github.com/grademill/grademill/decide/chain"
+)
+
+// The costs of a chain beside the engines' own times, in seconds a token.
+const (
+	// hopNear is handing a token on inside a hall, hopFar to another hall; the
+	// latter is dear because all halls share its line.
+	hopNear = 0.0003
+	hopFar  = 0.006
+	// entryFar is beginning in a hall other than the gateway's.
+	entryFar = 0.002
+	// maxCrowding bounds how much a nearly full endpoint costs.
+	maxCrowding = 12
+	// likelyMargin is how much longer than guessed an answer is taken to be.
+	likelyMargin = 1.25
+)
+
+// seat is the room that a request takes along a chain.
+type seat struct {
+	chain  chain.Chain
+	first  *backend
+	parts  []*backend
+	memory []int64
+}
+
+// release gives the room back.
+func (s *seat) release() {
+	for i, b := range s.parts {
+		b.use.release(s.memory[i])
+	}
+}
+
+// tokens returns the number of tokens that a request is taken to need.
+func (q *query) tokens() int {
+	m := q.service.Model
+	prompt, likely := q.Prompt, q.LikelyAnswer
+	if prompt == 0 {
+		prompt = m.Prompt
+	}
+	if likely == 0 {
+		likely = m.Answer
+	}
+	likely = int(float64(likely) * likelyMargin)
+	if q.MaxAnswer > 0 {
+		likely = min(likely, q.MaxAnswer)
+	}
+	return prompt + likely
+}
+
+// chooser chooses chains of one model; it may be used by one goroutine at a
+// time.
+type chooser struct {
+	finder  chain.Finder
+	holders []chain.Holder
+}
+
+// choosers keep their working memory between requests.
+var choosers = sync.Pool{New: func() any { return new(chooser) }}
+
+// shortage says why there is no chain.
+type shortage string
+
+const (
+	shortageNone   shortage = ""
+	shortageLayers shortage = "no chain holds all layers"
+	shortageRoom   shortage = "no chain has room"
+)
+
+// takeSeat takes room along the cheapest chain for a request.
+func (g *Gateway) takeSeat(q *query) (*seat, shortage) {
+	f := g.fleet.Load()
+	c := choosers.Get().(*chooser)
+	defer choosers.Put(c)
+	need := q.tokens()
+	c.prepare(q.service.Model, f, g.Hall)
+	c.collect(q, f, need, false)
+	found, _, ok := c.finder.Find(c.holders)
+	if !ok {
+		c.collect(q, f, need, true)
+		if _, _, exists := c.finder.Find(c.holders); exists {
+			return nil, shortageRoom
+		}
+		return nil, shortageLayers
+	}
+	s := &seat{chain: found}
+	for _, p := range found {
+		b := f.byID[p.ID]
+		memory := int64(need * p.Layers.Len())
+		b.use.take(memory)
+		s.parts, s.memory = append(s.parts, b), append(s.memory, memory)
+	}
+	s.first = s.parts[0]
+	return s, shortageNone
+}
+
+// prepare sets the costs between halls.
+func (c *chooser) prepare(m *catalog.Model, f *fleet, home string) {
+	c.finder.Layers = m.Layers
+	c.finder.Entry, c.finder.Hops = c.finder.Entry[:0], c.finder.Hops[:0]
+	for i, hall := range f.halls {
+		entry := entryFar
+		if hall == home {
+			entry = 0
+		}
+		c.finder.Entry = append(c.finder.Entry, entry)
+		row := make([]float64, len(f.halls))
+		for j := range row {
+			row[j] = hopFar
+		}
+		row[i] = hopNear
+		c.finder.Hops = append(c.finder.Hops, row)
+	}
+}
+
+// collect lists the backends that a request may use. Unless full is set it
+// leaves out those without room for it.
+func (c *chooser) collect(q *query, f *fleet, need int, full bool) {
+	c.holders = c.holders[:0]
+	m := q.service.Model
+	now := time.Now()
+	for _, b := range f.open[q.service.Name] {
+		layers := b.Layers.Len()
+		if layers == 0 || q.tried[b.Address] || b.use.avoided(now) {
+			continue
+		}
+		card := m.Cards[b.Card]
+		room := float64(m.Room(card, layers) * layers)
+		held := float64(b.use.held.Load() + b.use.othersHeld.Load())
+		free := room - held - float64(need*layers)
+		active := b.use.active.Load() + b.use.othersActive.Load()
+		if !full && (free < 0 || int(active) >= b.Slots) {
+			continue
+		}
+		c.holders = append(c.holders, chain.Holder{
+			ID: b.ID, Address: b.Address, Hall: b.hall, Layers: b.Layers,
+			PerLayer: layerTime(m, card, q, int(active)) * float64(b.use.pace.Load()) / paceUnit * crowding(free, room),
+		})
+	}
+}
+
+// layerTime returns the seconds that one layer adds to a token, the reading of
+// the prompt spread over the tokens of the answer.
+func layerTime(m *catalog.Model, card catalog.Card, q *query, active int) float64 {
+	step := m.Step.Seconds() + float64(active)*m.PerSequence.Seconds()
+	read := float64(q.Prompt) / m.ReadRate / float64(max(q.LikelyAnswer, 1))
+	return (step*card.Pace + read*card.Read) / float64(m.Layers)
+}
+
+// crowding returns how much dearer an endpoint is for the memory in use.
+func crowding(free, room float64) float64 {
+	if free <= 0 || room <= 0 {
+		return maxCrowding
+	}
+	return min(room/free, maxCrowding)
+}
--- /dev/null
+++ b/role/gateway/stream.go
@@ -0,0 +1,286 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/grademill/grademill/decide/catalog"
+	"github.com/grademill/grademill/decide/event"
+	"github.com/grademill/grademill/decide/health"
+)
+
+// The figures of streams.
+const (
+	// firstWait is how long the first event may take before another chain is
+	// tried, in parts of the route's objective.
+	firstWait = 3
+	// pauseWait is how long a pause may be before the chain counts as stalled,
+	// in parts of the pause that the route allows: beyond it the answer is late
+	// anyway, and a caller gives up after some ten of them.
+	pauseWait = 3
+	// pauseDefault is the pause that is allowed where the route says nothing.
+	pauseDefault = 500 * time.Millisecond
+	// objectiveDefault is the objective where the route says nothing.
+	objectiveDefault = time.Second
+	// maxEvent bounds the size of an event.
+	maxEvent = 1 << 20
+	// eventBuffer holds a few events.
+	eventBuffer = 2048
+	// writeWait bounds the passing on of one event to a caller that does not
+	// read.
+	writeWait = 10 * time.Second
+	// shortWait is how long an endpoint that refused for want of room is not
+	// tried again.
+	shortWait = 200 * time.Millisecond
+	// roomWait is how long a request waits for room, in parts of the objective,
+	// before it is refused, and roomPoll how often it looks.
+	roomWait = 0.2
+	roomPoll = 20 * time.Millisecond
+)
+
+// relay is a stream on its way to a caller.
+type relay struct {
+	g *Gateway
+	q *query
+	// headSent is set once the head has gone to the caller.
+	headSent bool
+	// last is the ID of the last event that the caller has.
+	last string
+	// lastAt is when an event last went out.
+	lastAt time.Time
+	flush  *http.ResponseController
+}
+
+// serveModel serves a request of a model. It reports whether the answer has
+// broken off and must not look complete.
+func (g *Gateway) serveModel(q *query) bool {
+	s := &relay{g: g, q: q, last: q.After, flush: http.NewResponseController(q.w)}
+	reason := ""
+	for q.sends < maxSends {
+		seat, short := s.seat()
+		if short != shortageNone {
+			reason = string(short)
+			break
+		}
+		if q.sends > 0 && !g.again(q) {
+			seat.release()
+			reason = "the retry budget is used up: " + reason
+			break
+		}
+		done, why := s.try(seat)
+		seat.release()
+		if done {
+			return false
+		}
+		reason = why
+		if q.r.Context().Err() != nil || q.left(time.Now()) <= 0 ||
+			q.mayHaveRun && (!q.route.Repeats() || q.runs >= q.route.Attempts) {
+			break
+		}
+	}
+	if s.headSent {
+		q.set(q.status, outcomeBroken, reason)
+		if q.r.Context().Err() != nil {
+			q.outcome = outcomeLeft
+		}
+		return true
+	}
+	g.giveUp(q, reason)
+	return false
+}
+
+// seat takes a seat, and waits a little for one when there is no room.
+func (s *relay) seat() (*seat, shortage) {
+	until := time.Now().Add(time.Duration(roomWait * float64(objective(s.q.route))))
+	for {
+		taken, short := s.g.takeSeat(s.q)
+		if short == shortageNone || !time.Now().Before(until) {
+			return taken, short
+		}
+		select {
+		case <-s.q.r.Context().Done():
+			return nil, short
+		case <-time.After(roomPoll):
+		}
+	}
+}
+
+// objective returns how soon the first event is wanted.
+func objective(r *catalog.Route) time.Duration {
+	if r.Objective <= 0 {
+		return objectiveDefault
+	}
+	return r.Objective
+}
+
+// allowedPause returns how long a pause may be.
+func allowedPause(r *catalog.Route) time.Duration {
+	if r.MaxPause <= 0 {
+		return pauseDefault
+	}
+	return r.MaxPause
+}
+
+// try sends the request along a chain and passes the events on. It reports
+// whether the request has ended, or else why not.
+func (s *relay) try(seat *seat) (bool, string) {
+	q, g := s.q, s.g
+	q.used += seat.chain.String() + "; "
+	now := time.Now()
+	until := q.deadline
+	if soon := now.Add(firstWait * objective(q.route)); q.route.Repeats() && soon.Before(until) {
+		until = soon
+	}
+	ctx, cancel := context.WithCancel(q.r.Context())
+	defer cancel()
+	timer := time.AfterFunc(until.Sub(now), cancel)
+	t := g.send(ctx, q, seat.first, seat.chain, s.last)
+	timer.Stop()
+	if t.answer != nil {
+		defer t.answer.Close()
+	}
+	switch t.verdict {
+	case verdictNotRun:
+		q.cause = causeNotRun
+		s.blame(seat, t)
+		return false, notRunReason(t)
+	case verdictLost, verdictOver:
+		q.cause = causeLost
+		q.runs++
+		q.avoid(seat.first.Address)
+		return false, t.err.Error()
+	}
+	q.runs++
+	if t.answer.Status != http.StatusOK {
+		return s.whole(t, seat)
+	}
+	return s.events(t, seat, until)
+}
+
+// blame notes which endpoint of a chain refused.
+func (s *relay) blame(seat *seat, t try) {
+	address := seat.first.Address
+	if t.answer != nil && t.reply.Blamed != "" {
+		address = t.reply.Blamed
+	}
+	s.q.avoid(address)
+	if b := s.g.fleet.Load().byAddress[address]; b != nil {
+		b.use.shortUntil.Store(time.Now().Add(shortWait).UnixNano())
+	}
+	s.g.Log.Info().Str("request", s.q.ID).Str("first", seat.first.Address).Str("blamed", address).
+		Str("reason", notRunReason(t)).Msg("chain refused the request")
+}
+
+// whole passes on an answer that is no stream.
+func (s *relay) whole(t try, seat *seat) (bool, string) {
+	body, err := t.answer.ReadAll()
+	if err != nil || s.headSent || t.answer.Status >= http.StatusInternalServerError && s.q.route.Repeats() {
+		seat.first.use.judge(health.Record.WithFailure)
+		s.q.avoid(seat.first.Address)
+		s.q.cause = causeFailed
+		return false, "the endpoint answered " + strconv.Itoa(t.answer.Status)
+	}
+	s.g.deliver(s.q, t, body)
+	return true, ""
+}
+
+// events passes events on until the stream ends or breaks. It reports whether
+// the request has ended, or else why not.
+func (s *relay) events(t try, seat *seat, until time.Time) (bool, string) {
+	reader := event.Reader{Source: bufio.NewReaderSize(t.answer, eventBuffer), Max: maxEvent}
+	for {
+		t.answer.SetReadDeadline(until)
+		e, err := reader.Next()
+		if errors.Is(err, io.EOF) {
+			seat.first.use.judge(health.Record.WithSuccess)
+			return true, s.finish(t)
+		}
+		if err != nil {
+			return false, s.broken(seat, err)
+		}
+		if err := s.pass(t, e, reader.Source.Buffered() == 0); err != nil {
+			s.q.set(s.q.status, outcomeLeft, err.Error())
+			return true, ""
+		}
+		until = s.lastAt.Add(pauseWait * allowedPause(s.q.route))
+		if !s.q.route.Repeats() || s.q.deadline.Before(until) {
+			until = s.q.deadline
+		}
+	}
+}
+
+// pass gives one event to the caller, after the head when it is the first.
+func (s *relay) pass(t try, e event.Event, flush bool) error {
+	now := time.Now()
+	if !s.headSent {
+		s.head(t)
+		s.q.first = now
+	} else {
+		s.q.pause = max(s.q.pause, now.Sub(s.lastAt))
+	}
+	if err := s.flush.SetWriteDeadline(now.Add(writeWait)); err != nil {
+		return err
+	}
+	if _, err := s.q.w.Write(e.Raw); err != nil {
+		return err
+	}
+	s.lastAt = now
+	s.q.events++
+	if e.ID != "" {
+		s.last = e.ID
+	}
+	if !flush {
+		return nil
+	}
+	return s.flush.Flush()
+}
+
+// head gives the head of the answer to the caller.
+func (s *relay) head(t try) {
+	s.headSent = true
+	s.q.set(t.answer.Status, outcomeServed, "")
+	copyHeader(s.q.w.Header(), t.answer.Header)
+	s.q.w.WriteHeader(t.answer.Status)
+}
+
+// finish ends a stream that is complete.
+func (s *relay) finish(t try) string {
+	if !s.headSent {
+		s.head(t)
+	}
+	_ = s.flush.SetWriteDeadline(time.Time{}) // the next answer sets its own
+	s.q.set(t.answer.Status, outcomeServed, "")
+	return ""
+}
+
+// broken notes that a chain broke and returns why.
+func (s *relay) broken(seat *seat, err error) string {
+	q := s.q
+	if q.r.Context().Err() != nil {
+		return "the caller left"
+	}
+	stalled := errors.Is(err, context.DeadlineExceeded) || isTimeout(err)
+	q.avoid(seat.first.Address)
+	seat.first.use.judge(func(r health.Record) health.Record {
+		if stalled {
+			return r.WithFailure()
+		}
+		return r.WithLoss(time.Now())
+	})
+	q.carried++
+	q.cause = causeBroken
+	s.g.Log.Info().Str("request", q.ID).Stringer("chain", seat.chain).Bool("stalled", stalled).Err(err).
+		Int("events", q.events).Str("last", s.last).Msg("chain broke")
+	return "the chain broke: " + err.Error()
+}
+
+// isTimeout reports whether an error is a wait that ran out.
+func isTimeout(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
+}
--- /dev/null
+++ b/role/gateway/try.go
@@ -0,0 +1,144 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/grademill/grademill/adapter/upstream"
+	"github.com/grademill/grademill/decide/chain"
+	"github.com/grademill/grademill/decide/health"
+	"github.com/grademill/grademill/port/exchange"
+)
+
+// verdict says what an answer, or its absence, means for a request.
+type verdict uint8
+
+const (
+	// verdictAnswer is an answer that the endpoint vouches for.
+	verdictAnswer verdict = iota
+	// verdictNotRun is a request that the endpoint has not run.
+	verdictNotRun
+	// verdictLost is a request whose endpoint did not answer properly; it may
+	// have run.
+	verdictLost
+	// verdictOver is a request whose caller has left or whose time is up.
+	verdictOver
+)
+
+// try is one send of a request.
+type try struct {
+	answer *upstream.Answer
+	reply  exchange.Reply
+	verdict
+	// err is why there is no proper answer.
+	err error
+}
+
+// connectionRest is how long a connection may have rested to carry a request
+// that must not be sent twice: an endpoint may close it at any time, and a
+// request that meets the close may have run.
+const (
+	connectionRest     = 10 * time.Second
+	connectionRestOnce = 200 * time.Millisecond
+)
+
+// send sends a request to a backend and waits for the head of the answer. The
+// answer of the try, if any, is to be closed.
+func (g *Gateway) send(ctx context.Context, q *query, b *backend, c chain.Chain, after string) try {
+	q.sends++
+	header := q.r.Header.Clone()
+	g.Dialect.Send(header, exchange.Send{
+		Team: q.team, Left: q.left(time.Now()), Endpoint: b.ID, Priority: q.priority, Chain: c, After: after,
+	})
+	call := upstream.Call{
+		Address: b.Address, Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: header,
+		Body: q.body, HasBody: q.hasBody, Rest: connectionRest,
+		Mine: func(h http.Header) bool { return g.Dialect.Reply(0, h).ID == q.ID },
+	}
+	if !q.route.Repeats() {
+		call.Rest = connectionRestOnce
+	}
+	answer, err := g.pool.Do(ctx, call)
+	if err != nil {
+		return g.lost(ctx, q, b, err)
+	}
+	t := try{answer: answer, reply: g.Dialect.Reply(answer.Status, answer.Header)}
+	g.noteLoad(b, t.reply)
+	switch {
+	case t.reply.NotRun:
+		t.verdict = verdictNotRun
+		_, _ = answer.ReadAll() // only so that the connection can be kept
+	case t.reply.Signed:
+		q.mayHaveRun = true
+	default:
+		q.mayHaveRun = true
+		t.verdict, t.err = verdictLost, errUnsigned
+		b.use.judge(health.Record.WithFailure)
+	}
+	return t
+}
+
+// errUnsigned is an answer that the endpoint does not vouch for.
+var errUnsigned = errors.New("the endpoint does not vouch for its answer")
+
+// lost judges a send that got no head of an answer.
+func (g *Gateway) lost(ctx context.Context, q *query, b *backend, err error) try {
+	t := try{verdict: verdictLost, err: err}
+	var failed *upstream.SendError
+	sent := !errors.As(err, &failed) || failed.Sent
+	if sent {
+		q.mayHaveRun = true
+	} else {
+		t.verdict = verdictNotRun
+	}
+	if q.r.Context().Err() != nil || !time.Now().Before(q.deadline) {
+		t.verdict = verdictOver
+		return t
+	}
+	if ctx.Err() == nil || !sent {
+		b.use.judge(func(r health.Record) health.Record { return r.WithLoss(time.Now()) })
+	} else {
+		b.use.judge(health.Record.WithFailure)
+	}
+	return t
+}
+
+// noteLoad notes what an endpoint says of its load.
+func (g *Gateway) noteLoad(b *backend, r exchange.Reply) {
+	if r.Slots > 0 {
+		b.use.waiting.Store(int64(r.Waiting))
+		b.use.said.Store(time.Now().UnixNano())
+	}
+}
+
+// The causes of sending a request again.
+const (
+	causeNotRun = "not run"
+	causeLost   = "lost"
+	causeFailed = "failed"
+	causeBroken = "broken off"
+)
+
+// again reports whether a request may be sent once more, and counts it.
+func (g *Gateway) again(q *query) bool {
+	if !g.allowRetry(q.service.Name) {
+		return false
+	}
+	g.Meter.Retry(q.cause)
+	return true
+}
+
+// copyHeader copies the headers of an endpoint's answer to the caller's.
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		if name == "Content-Length" || name == "Transfer-Encoding" || name == "Trailer" {
+			continue
+		}
+		to[name] = values
+	}
+	if _, typed := from["Content-Type"]; !typed {
+		to["Content-Type"] = nil // keeps the server from guessing one
+	}
+}
--- a/role/settings/file.go
+++ b/role/settings/file.go
@@ -38,8 +38,8 @@
 
 // File is the settings of one process.
 type File struct {
-	// Role is "entry" or "agent".
-	Role string `toml:"role" validate:"required,oneof=entry agent"`
+	// Role is "entry", "agent" or "gateway".
+	Role string `toml:"role" validate:"required,oneof=entry agent gateway"`
 	// Name is unique in the fleet.
 	Name string `toml:"name" validate:"required,max=63,hostname_rfc1123"`
 	// Hall is the data hall of the host.
@@ -56,6 +56,8 @@
 	Entry *Entry `toml:"entry" validate:"required_if=Role entry"`
 	// Agent is set for the role agent.
 	Agent *Agent `toml:"agent" validate:"required_if=Role agent"`
+	// Gateway is set for the role gateway.
+	Gateway *Gateway `toml:"gateway" validate:"required_if=Role gateway"`
 }
 
 // Entry is the settings of an entry.
@@ -127,6 +129,26 @@
 	CallKeep Duration `toml:"call_keep" validate:"min=0"`
 }
 
+// Gateway is the settings of a gateway.
+type Gateway struct {
+	// Caller is where callers are served, Ready where the balancer asks.
+	Caller string `toml:"caller" validate:"required,hostport"`
+	Ready  string `toml:"ready" validate:"required,hostport"`
+	// Store is the address of the platform's store.
+	Store string `toml:"store" validate:"required,hostport"`
+	// Revocation is how soon a key that was taken away must not work anywhere.
+	Revocation Duration `toml:"revocation" validate:"min=0"`
+	// StopTimeout is how long after the signal to stop the process is killed.
+	StopTimeout Duration `toml:"stop_timeout" validate:"min=0"`
+	// RetryShare, RetryReserve and RetryWindow bound the retries of all
+	// gateways together.
+	RetryShare   float64  `toml:"retry_share" validate:"min=0,max=1"`
+	RetryReserve int      `toml:"retry_reserve" validate:"min=0,max=1000000"`
+	RetryWindow  Duration `toml:"retry_window" validate:"min=0"`
+	// First is set when the whole system starts for the first time.
+	First bool `toml:"first"`
+}
+
 // Error is a fault in a file of settings.
 type Error struct {
 	File string
--- /dev/null
+++ b/state/mirror/mirror.go
@@ -0,0 +1,217 @@
+// Package mirror keeps a copy of the keys under a prefix of a store current.
+package mirror
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/grademill/grademill/decide/backoff"
+	"github.com/grademill/grademill/port/kv"
+)
+
+// retryWait spaces out calls of a store that fails: the first retry comes soon,
+// since a lost answer is the usual cause, and the last ones often enough to be
+// back within a second of the store.
+var retryWait = backoff.Backoff{Base: 60 * time.Millisecond, Max: 600 * time.Millisecond}
+
+// Mirror follows a prefix of a store. Set the exported fields before Run; its
+// functions are called from Run's goroutine alone.
+type Mirror struct {
+	// Feed is the store.
+	Feed kv.Feed
+	// Prefix selects the keys, empty for all.
+	Prefix string
+	// Wait is how long one question for changes waits. It bounds the age of the
+	// last confirmation while nothing changes.
+	Wait time.Duration
+	// Settle is the least time between two questions for changes, so that
+	// changes that come in quick succession are taken together.
+	Settle time.Duration
+	// Grace is how long after an outage of the store an entry that has gone is
+	// kept: leases lapse while nobody can renew them, and their owners return.
+	Grace time.Duration
+	// Put and Gone are told of each key that was written or has gone.
+	Put  func(kv.Pair)
+	Gone func(key string)
+	// Confirm is told, after the changes of each answer, when the question was
+	// sent: the copy held all that had been written by then.
+	Confirm func(sent time.Time)
+	// Lost is told of the first failure after a success.
+	Lost func(error)
+	Log  zerolog.Logger
+
+	// known are the revisions of the keys in the copy.
+	known map[string]uint64
+	// doubtful are keys that have gone around an outage, with the time at which
+	// they count as gone.
+	doubtful map[string]time.Time
+	// at is the revision up to which the copy is current.
+	at uint64
+	// failures counts the failures in a row.
+	failures int
+	// restored is when the store last answered again after an outage.
+	restored time.Time
+}
+
+// Run follows the prefix until ctx ends.
+func (m *Mirror) Run(ctx context.Context) {
+	m.known = make(map[string]uint64)
+	m.doubtful = make(map[string]time.Time)
+	loaded := false
+	for ctx.Err() == nil {
+		sent := time.Now()
+		var err error
+		if loaded {
+			err = m.follow(ctx)
+		} else {
+			err = m.load(ctx)
+		}
+		var compacted *kv.CompactedError
+		switch {
+		case errors.As(err, &compacted):
+			m.Log.Info().Uint64("revision", m.at).Msg("the store forgot its history, reading all again")
+			loaded = false
+		case err != nil:
+			m.failed(ctx, err)
+		default:
+			loaded = true
+			m.expire()
+			m.Confirm(sent)
+			pause(ctx, m.Settle-time.Since(sent))
+		}
+	}
+}
+
+// load reads all keys and settles the difference to the copy.
+func (m *Mirror) load(ctx context.Context) error {
+	seen := make(map[string]bool)
+	var first uint64
+	after := ""
+	for {
+		page, err := m.Feed.Scan(ctx, m.Prefix, after)
+		if err != nil {
+			return err
+		}
+		m.answered()
+		if after == "" {
+			first = page.At
+		}
+		for _, p := range page.Pairs {
+			seen[p.Key] = true
+			m.put(p)
+			after = p.Key
+		}
+		if !page.More || len(page.Pairs) == 0 {
+			break
+		}
+	}
+	for key := range m.known {
+		if !seen[key] {
+			m.gone(key)
+		}
+	}
+	m.at = first
+	return nil
+}
+
+// follow asks once for changes and applies them.
+func (m *Mirror) follow(ctx context.Context) error {
+	wait := m.Wait
+	for _, due := range m.doubtful {
+		wait = min(wait, max(time.Until(due), 0))
+	}
+	page, err := m.Feed.Changes(ctx, m.Prefix, m.at, wait)
+	if err != nil {
+		return err
+	}
+	m.answered()
+	for _, p := range page.Pairs {
+		if p.Deleted {
+			m.gone(p.Key)
+		} else {
+			m.put(p)
+		}
+	}
+	m.at = max(m.at, page.At)
+	return nil
+}
+
+// put takes in a pair, unless the copy has it or a later one.
+func (m *Mirror) put(p kv.Pair) {
+	delete(m.doubtful, p.Key)
+	if p.Revision <= m.known[p.Key] {
+		return
+	}
+	m.known[p.Key] = p.Revision
+	m.Put(p)
+}
+
+// gone takes a key away, at once or after the grace of an outage.
+func (m *Mirror) gone(key string) {
+	if _, held := m.known[key]; !held {
+		return
+	}
+	due := m.restored.Add(m.Grace)
+	if time.Now().Before(due) {
+		if _, waits := m.doubtful[key]; !waits {
+			m.doubtful[key] = due
+		}
+		return
+	}
+	m.forget(key)
+}
+
+func (m *Mirror) forget(key string) {
+	delete(m.known, key)
+	delete(m.doubtful, key)
+	m.Gone(key)
+}
+
+// expire forgets the doubtful keys whose grace is over.
+func (m *Mirror) expire() {
+	now := time.Now()
+	for key, due := range m.doubtful {
+		if !now.Before(due) {
+			m.forget(key)
+		}
+	}
+}
+
+// failed notes a failure and waits before the next call.
+func (m *Mirror) failed(ctx context.Context, err error) {
+	m.failures++
+	if m.failures == 1 && ctx.Err() == nil {
+		m.Lost(err)
+	}
+	pause(ctx, retryWait.Delay(m.failures, rand.Float64()))
+}
+
+// outage is the number of failures in a row that count as an outage of the
+// store: a single lost answer is none.
+const outage = 2
+
+// answered notes an answer, before its content is taken in.
+func (m *Mirror) answered() {
+	if m.failures >= outage {
+		m.restored = time.Now()
+		m.Log.Info().Int("failures", m.failures).Msg("the store answers again")
+	}
+	m.failures = 0
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
