Move a stream away from a dead part of its chain; close no idle connection early

Now an overdue event makes the gateway ask the first endpoint what it waits for (one question for all who ask at once) and move the request to a chain without that part. Idle connections now stay open until the process ends, and a turnstile lets no request slip in after the last look.

--- a/cmd/grademill-gateway/daemon.go
+++ b/cmd/grademill-gateway/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	stdlog "log"
 	"net"
 	"net/http"
@@ -19,7 +20,6 @@
 
 	"github.com/grademill/grademill/adapter/meter"
 	"github.com/grademill/grademill/platform"
-	"github.com/grademill/grademill/role/drain"
 	"github.com/grademill/grademill/role/gateway"
 	"github.com/grademill/grademill/role/settings"
 )
@@ -40,6 +40,8 @@
 	lingerWait = 2500 * time.Millisecond
 	// stopMargin is kept between the end of the process and its being killed.
 	stopMargin = 500 * time.Millisecond
+	// stopPoll is how often a stopping process looks whether it is idle.
+	stopPoll = 20 * time.Millisecond
 	// The values of settings that a file leaves out.
 	defaultStopTimeout = 10 * time.Second
 	defaultRetryWindow = 10 * time.Second
@@ -100,13 +102,15 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	signal.Ignore(syscall.SIGPIPE)
 	failed := make(chan error, 3)
-	callers := d.server(d.file.Gateway.Caller, d.gateway)
-	servers := []*http.Server{callers, d.server(d.file.Gateway.Ready, d.gateway.ReadyHandler())}
-	if d.file.Admin != "" {
-		servers = append(servers, d.server(d.file.Admin, d.admin()))
+	callers, err := d.listen(d.file.Gateway.Caller, d.gateway, failed)
+	if err != nil {
+		return err
+	}
+	if _, err := d.listen(d.file.Gateway.Ready, d.gateway.ReadyHandler(), failed); err != nil {
+		return err
 	}
-	for _, s := range servers {
-		if err := listen(s, failed); err != nil {
+	if d.file.Admin != "" {
+		if _, err := d.listen(d.file.Admin, d.admin(), failed); err != nil {
 			return err
 		}
 	}
@@ -125,7 +129,7 @@
 				d.reload()
 				continue
 			}
-			d.stop(ctx, callers)
+			d.stop(callers)
 			cancel()
 			<-stopped
 			d.log.Info().Msg("gateway stopped")
@@ -147,24 +151,25 @@
 
 // stop ends the process without cutting a request: it is not ready at once,
 // takes connections until the balancer has noticed, and waits for what runs.
-func (d *daemon) stop(ctx context.Context, callers *http.Server) {
+// Idle connections are left open until the end: closing one may meet a request
+// that is being read.
+func (d *daemon) stop(callers net.Listener) {
 	begun := time.Now()
 	limit := d.file.Gateway.StopTimeout.Or(defaultStopTimeout) - stopMargin
 	d.log.Info().Int("running", d.gateway.Running()).Msg("gateway stops")
 	d.gateway.Drain()
 	time.Sleep(min(lingerWait, limit))
-	callers.SetKeepAlivesEnabled(false)
-	closing, cancel := context.WithTimeout(ctx, limit-time.Since(begun))
-	defer cancel()
-	_ = callers.Shutdown(closing) // what still runs is waited for below
-	drain.Wait(closing, limit-time.Since(begun), d.gateway.Running)
+	_ = callers.Close() // takes no more connections
+	for !d.gateway.Close(time.Since(begun) >= limit) {
+		time.Sleep(stopPoll)
+	}
 	d.log.Info().Int("running", d.gateway.Running()).Dur("took_ms", time.Since(begun)).Msg("gateway has drained")
 }
 
-// server returns a server of handler at address.
-func (d *daemon) server(address string, handler http.Handler) *http.Server {
+// server returns a server of handler.
+func (d *daemon) server(handler http.Handler) *http.Server {
 	return &http.Server{
-		Addr: address, Handler: handler, MaxHeaderBytes: headerBytes, ReadHeaderTimeout: headerWait,
+		Handler: handler, MaxHeaderBytes: headerBytes, ReadHeaderTimeout: headerWait,
 		ErrorLog: stdlog.New(errorLog{d.log}, "", 0), DisableGeneralOptionsHandler: true,
 	}
 }
@@ -178,18 +183,20 @@
 	return len(line), nil
 }
 
-// listen serves in the background.
-func listen(s *http.Server, failed chan<- error) error {
-	listener, err := net.Listen("tcp", s.Addr)
+// listen serves handler at address in the background. A listener that is closed
+// is no failure.
+func (d *daemon) listen(address string, handler http.Handler, failed chan<- error) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return trace.ConvertSystemError(err)
+		return nil, trace.ConvertSystemError(err)
 	}
+	server := d.server(handler)
 	go func() {
-		if err := s.Serve(listener); err != http.ErrServerClosed {
+		if err := server.Serve(listener); !errors.Is(err, net.ErrClosed) {
 			failed <- trace.Wrap(err)
 		}
 	}()
-	return nil
+	return listener, nil
 }
 
 // admin serves the metrics.
--- a/role/gateway/follow.go
+++ b/role/gateway/follow.go
@@ -92,6 +92,8 @@
 	if !ok {
 		return
 	}
+	g.pool.Drop(g.members.endpoints[id].Address)
+	g.probes.forget(g.members.endpoints[id].Address)
 	delete(g.members.endpoints, id)
 	delete(g.members.usage, id)
 	g.members.changed = true
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -77,9 +77,12 @@
 	// loaded is set once the store has been read.
 	loaded   atomic.Bool
 	draining atomic.Bool
-	running  atomic.Int64
-	pool     upstream.Pool
-	peers    peers
+	// running counts the requests in flight; it is closed before the process
+	// ends.
+	running turnstile
+	pool    upstream.Pool
+	peers   peers
+	probes  probes
 
 	mu sync.Mutex
 	// retries are by service; guarded by mu.
@@ -117,7 +120,13 @@
 
 // Running returns the number of requests in flight.
 func (g *Gateway) Running() int {
-	return int(g.running.Load())
+	return g.running.count()
+}
+
+// Close refuses further requests if none is in flight, and reports whether it
+// has. With force it does so in any case.
+func (g *Gateway) Close(force bool) bool {
+	return g.running.close(force)
 }
 
 // sweepEvery is how often idle connections are looked through.
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -40,9 +40,13 @@
 
 // ServeHTTP serves one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.running.Add(1)
-	defer g.running.Add(-1)
 	q := &query{w: w, r: r, start: time.Now()}
+	if !g.running.enter() {
+		w.Header().Set("Connection", "close")
+		g.refuse(q, 0, "the gateway ends")
+		return
+	}
+	defer g.running.leave()
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -223,7 +227,7 @@
 		g.Meter.Pause(q.pause)
 	}
 	line := g.Log.Info().Str("request", q.ID).Str("route", route).Str("team", q.team).Str("outcome", q.outcome).
-		Int("status", q.status).Str("reason", q.reason).Str("used", q.used).Int("sends", q.sends).Int("runs", q.runs).
+		Int("status", q.status).Str("reason", q.reason).Strs("used", q.used).Int("sends", q.sends).Int("runs", q.runs).
 		Dur("first_ms", first).Dur("total_ms", now.Sub(q.start)).
 		Uint64("version", q.version).Dur("proof_age_ms", q.proofAge)
 	if q.events > 0 {
--- a/role/gateway/plain.go
+++ b/role/gateway/plain.go
@@ -38,7 +38,7 @@
 			reason = "the retry budget is used up: " + reason
 			break
 		}
-		q.used += b.Address + " "
+		q.note(b.Address)
 		done, why := g.tryPlain(q, b)
 		if done {
 			return
@@ -62,7 +62,7 @@
 	var best, spare *backend
 	least := 0.0
 	for _, b := range g.fleet.Load().open[q.service.Name] {
-		if q.tried[b.Address] {
+		if q.avoids(b.Address) {
 			continue
 		}
 		if b.use.avoided(now) {
--- a/role/gateway/query.go
+++ b/role/gateway/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/grademill/grademill/decide/catalog"
@@ -34,10 +35,6 @@
 	sends, runs int
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
-	// tried are the addresses that are not to be tried again.
-	tried map[string]bool
-	// used names the endpoints, for the log.
-	used string
 
 	// cause is that of the next send, out of a closed set.
 	cause string
@@ -51,16 +48,38 @@
 	events  int
 	pause   time.Duration
 	carried int
+
+	mu sync.Mutex // guards what follows
+	// tried are the addresses that are not to be tried again.
+	tried map[string]bool
+	// used names the endpoints, for the log.
+	used []string
 }
 
 // avoid marks an address as not to be tried again.
 func (q *query) avoid(address string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
 	if q.tried == nil {
 		q.tried = make(map[string]bool)
 	}
 	q.tried[address] = true
 }
 
+// avoids reports whether an address is not to be tried again.
+func (q *query) avoids(address string) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.tried[address]
+}
+
+// note adds to the endpoints that the log names.
+func (q *query) note(used string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.used = append(q.used, used)
+}
+
 // left returns how long the answer is still of use.
 func (q *query) left(now time.Time) time.Duration {
 	return q.deadline.Sub(now)
--- a/role/gateway/seat.go
+++ b/role/gateway/seat.go
@@ -89,6 +89,29 @@
 		}
 		return nil, shortageLayers
 	}
+	return newSeat(f, found, need), shortageNone
+}
+
+// moveSeat takes room along the cheapest chain that a request may be moved to
+// while it runs: the first part stays, and the others do unless they are
+// avoided.
+func (g *Gateway) moveSeat(q *query, old *seat) (*seat, shortage) {
+	f := g.fleet.Load()
+	c := choosers.Get().(*chooser)
+	defer choosers.Put(c)
+	need := q.tokens()
+	c.prepare(q.service.Model, f, g.Hall)
+	c.collect(q, f, need, false)
+	c.keep(old, q, time.Now())
+	found, _, ok := c.finder.Find(c.holders)
+	if !ok || found[0] != old.chain[0] {
+		return nil, shortageLayers
+	}
+	return newSeat(f, found, need), shortageNone
+}
+
+// newSeat takes room along a chain.
+func newSeat(f *fleet, found chain.Chain, need int) *seat {
 	s := &seat{chain: found}
 	for _, p := range found {
 		b := f.byID[p.ID]
@@ -97,7 +120,40 @@
 		s.parts, s.memory = append(s.parts, b), append(s.memory, memory)
 	}
 	s.first = s.parts[0]
-	return s, shortageNone
+	return s
+}
+
+// keptCost is what a layer costs that a request has already passed through, in
+// parts of its usual cost: it need not be read again.
+const keptCost = 0.05
+
+// keep prepares the holders for moving a request away from an old seat: the
+// parts that are not avoided stay as they are, and nothing else takes the layers
+// of the first part.
+func (c *chooser) keep(old *seat, q *query, now time.Time) {
+	head := old.chain[0].Layers.End
+	holders := c.holders[:0]
+	for _, h := range c.holders {
+		if old.chain.Uses(h.Address) {
+			continue
+		}
+		h.Layers.First = max(h.Layers.First, head)
+		if !h.Layers.Empty() {
+			holders = append(holders, h)
+		}
+	}
+	for i, p := range old.chain {
+		b := old.parts[i]
+		if i > 0 && (q.avoids(p.Address) || b.use.health.Load().Avoided(now)) {
+			continue
+		}
+		card := q.service.Model.Cards[b.Card]
+		holders = append(holders, chain.Holder{
+			ID: p.ID, Address: p.Address, Hall: b.hall, Layers: p.Layers,
+			PerLayer: layerTime(q.service.Model, card, q, int(b.use.active.Load())) * keptCost,
+		})
+	}
+	c.holders = holders
 }
 
 // prepare sets the costs between halls.
@@ -127,7 +183,7 @@
 	now := time.Now()
 	for _, b := range f.open[q.service.Name] {
 		layers := b.Layers.Len()
-		if layers == 0 || q.tried[b.Address] || b.use.avoided(now) {
+		if layers == 0 || q.avoids(b.Address) || b.use.avoided(now) {
 			continue
 		}
 		card := m.Cards[b.Card]
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -19,10 +19,10 @@
 	// firstWait is how long the first event may take before another chain is
 	// tried, in parts of the route's objective.
 	firstWait = 3
-	// pauseWait is how long a pause may be before the chain counts as stalled,
-	// in parts of the pause that the route allows: beyond it the answer is late
-	// anyway, and a caller gives up after some ten of them.
-	pauseWait = 3
+	// pauseWait is how long a pause may be before a chain is given up, in parts
+	// of the pause that the route allows: a caller gives up after two seconds or
+	// eight such pauses.
+	pauseWait = 6
 	// pauseDefault is the pause that is allowed where the route says nothing.
 	pauseDefault = 500 * time.Millisecond
 	// objectiveDefault is the objective where the route says nothing.
@@ -73,7 +73,6 @@
 			break
 		}
 		done, why := s.try(seat)
-		seat.release()
 		if done {
 			return false
 		}
@@ -130,17 +129,12 @@
 // whether the request has ended, or else why not.
 func (s *relay) try(seat *seat) (bool, string) {
 	q, g := s.q, s.g
-	q.used += seat.chain.String() + "; "
-	now := time.Now()
-	until := q.deadline
-	if soon := now.Add(firstWait * objective(q.route)); q.route.Repeats() && soon.Before(until) {
-		until = soon
-	}
-	ctx, cancel := context.WithCancel(q.r.Context())
+	q.note(seat.chain.String())
+	ctx, cancel := context.WithDeadlineCause(q.r.Context(), q.deadline, context.DeadlineExceeded)
 	defer cancel()
-	timer := time.AfterFunc(until.Sub(now), cancel)
+	w := newWatchdog(ctx, s, seat, cancel)
+	defer w.stop()
 	t := g.send(ctx, q, seat.first, seat.chain, s.last)
-	timer.Stop()
 	if t.answer != nil {
 		defer t.answer.Close()
 	}
@@ -159,7 +153,7 @@
 	if t.answer.Status != http.StatusOK {
 		return s.whole(t, seat)
 	}
-	return s.events(t, seat, until)
+	return s.events(t, seat, w)
 }
 
 // blame notes which endpoint of a chain refused.
@@ -191,26 +185,22 @@
 
 // events passes events on until the stream ends or breaks. It reports whether
 // the request has ended, or else why not.
-func (s *relay) events(t try, seat *seat, until time.Time) (bool, string) {
+func (s *relay) events(t try, seat *seat, w *watchdog) (bool, string) {
 	reader := event.Reader{Source: bufio.NewReaderSize(t.answer, eventBuffer), Max: maxEvent}
 	for {
-		t.answer.SetReadDeadline(until)
 		e, err := reader.Next()
 		if errors.Is(err, io.EOF) {
 			seat.first.use.judge(health.Record.WithSuccess)
 			return true, s.finish(t)
 		}
 		if err != nil {
-			return false, s.broken(seat, err)
+			return false, s.broken(seat, w, err)
 		}
+		w.event()
 		if err := s.pass(t, e, reader.Source.Buffered() == 0); err != nil {
 			s.q.set(s.q.status, outcomeLeft, err.Error())
 			return true, ""
 		}
-		until = s.lastAt.Add(pauseWait * allowedPause(s.q.route))
-		if !s.q.route.Repeats() || s.q.deadline.Before(until) {
-			until = s.q.deadline
-		}
 	}
 }
 
@@ -259,12 +249,12 @@
 }
 
 // broken notes that a chain broke and returns why.
-func (s *relay) broken(seat *seat, err error) string {
+func (s *relay) broken(seat *seat, w *watchdog, err error) string {
 	q := s.q
 	if q.r.Context().Err() != nil {
 		return "the caller left"
 	}
-	stalled := errors.Is(err, context.DeadlineExceeded) || isTimeout(err)
+	stalled := w.gaveUp()
 	q.avoid(seat.first.Address)
 	seat.first.use.judge(func(r health.Record) health.Record {
 		if stalled {
@@ -278,9 +268,3 @@
 		Int("events", q.events).Str("last", s.last).Msg("chain broke")
 	return "the chain broke: " + err.Error()
 }
-
-// isTimeout reports whether an error is a wait that ran out.
-func isTimeout(err error) bool {
-	var t interface{ Timeout() bool }
-	return errors.As(err, &t) && t.Timeout()
-}
