Gateways tell each other what they use; count retries for every span

Now each sends a digest of what it uses and avoids to the others, by datagrams; addresses are announced in the store, and learnt from the digests. Cause 2 (found by reading): the retry budget counted by half windows, so that a window that slides could hold twice the reserve. The new test fails on the former code.

--- a/decide/retry/budget.go
+++ b/decide/retry/budget.go
@@ -4,8 +4,8 @@
 import "time"
 
 // Budget allows retries up to a share of the first tries of the last window,
-// plus a small reserve. The zero Budget allows none. It is not safe for
-// concurrent use.
+// plus a small reserve. The bound holds for every span of the length of the
+// window. The zero Budget allows none. It is not safe for concurrent use.
 type Budget struct {
 	// Share is the part of first tries that may be retried, such as 0.1.
 	Share float64
@@ -15,45 +15,49 @@
 	// try, for processes with little traffic.
 	Reserve int
 
-	now, before slot
-	start       time.Time
+	// again are the retries of the last window, the oldest first: no more than
+	// have been allowed.
+	again []time.Time
+	first [parts]int
+	// at is the number of the newest part since the zero time.
+	at int64
 }
 
-// slot counts one half of the window.
-type slot struct {
-	first, again int
-}
+// parts is the number of parts of a window in which first tries are counted. The
+// count leaves out up to one part of the window, and never holds more than the
+// window.
+const parts = 16
 
 // First counts a first try at now.
 func (b *Budget) First(now time.Time) {
 	b.turn(now)
-	b.now.first++
+	b.first[b.at%parts]++
 }
 
 // Allow reports whether one more retry may start at now, and counts it.
 func (b *Budget) Allow(now time.Time) bool {
 	b.turn(now)
-	first := b.now.first + b.before.first
-	again := b.now.again + b.before.again
-	if float64(again) >= b.Share*float64(first)+float64(b.Reserve) {
+	first := 0
+	for _, n := range b.first {
+		first += n
+	}
+	if float64(len(b.again)) >= b.Share*float64(first)+float64(b.Reserve) {
 		return false
 	}
-	b.now.again++
+	b.again = append(b.again, now)
 	return true
 }
 
-// turn moves to the half window that holds now.
+// turn drops what is older than the window.
 func (b *Budget) turn(now time.Time) {
-	half := b.Window / 2
-	age := now.Sub(b.start)
-	switch {
-	case age < half:
-		return
-	case age < b.Window:
-		b.before = b.now
-	default:
-		b.before = slot{}
+	old := 0
+	for old < len(b.again) && now.Sub(b.again[old]) >= b.Window {
+		old++
+	}
+	b.again = append(b.again[:0], b.again[old:]...)
+	at := now.UnixNano() / max(int64(b.Window/parts), 1)
+	for i := max(b.at+1, at-parts+1); i <= at; i++ {
+		b.first[i%parts] = 0
 	}
-	b.now = slot{}
-	b.start = now
+	b.at = max(b.at, at)
 }
--- a/decide/retry/budget_test.go
+++ b/decide/retry/budget_test.go
@@ -34,3 +34,29 @@
 	require.False(t, b.Allow(now))
 	require.True(t, b.Allow(now.Add(time.Minute)))
 }
+
+// The bound holds for every span of the length of the window, wherever it
+// starts: with windows counted in halves, a burst late in one half and another
+// at the start of the next but one made twice the reserve within a window.
+func TestBoundHoldsForEverySpan(t *testing.T) {
+	const window, reserve = 10 * time.Second, 40
+	b := retry.Budget{Window: window, Reserve: reserve}
+	start := time.Unix(1000, 0)
+	var allowed []time.Time
+	for at := time.Duration(0); at < time.Minute; at += 10 * time.Millisecond {
+		now := start.Add(at)
+		if at%(7*time.Second) > 4*time.Second && b.Allow(now) {
+			allowed = append(allowed, now)
+		}
+	}
+	require.Greater(t, len(allowed), 3*reserve)
+	for i, first := range allowed {
+		n := 0
+		for _, later := range allowed[i:] {
+			if later.Sub(first) < window {
+				n++
+			}
+		}
+		require.LessOrEqual(t, n, reserve)
+	}
+}
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -38,6 +38,8 @@
 type Store interface {
 	kv.Store
 	kv.Feed
+	// Revoke ends a lease; its keys go with it.
+	Revoke(ctx context.Context, lease string) error
 }
 
 // Gateway is one gateway. Set the exported fields before Run.
@@ -102,6 +104,7 @@
 	group.Go(func() { g.follow(ctx) })
 	group.Go(func() { g.sweep(ctx) })
 	group.Go(func() { g.give(ctx) })
+	group.Go(func() { g.announce(ctx) })
 	group.Go(func() { g.gossip(ctx) })
 	group.Wait()
 }
@@ -170,9 +173,8 @@
 	g.budget(service).First(time.Now())
 }
 
-// budgetMargin is the part of the allowance that is used: windows slide, and
-// gateways come and go.
-const budgetMargin = 0.7
+// budgetMargin is the part of the allowance that is used: gateways come and go.
+const budgetMargin = 0.85
 
 // budget returns the budget of a service; g.mu is held.
 func (g *Gateway) budget(service string) *retry.Budget {
--- a/role/gateway/give.go
+++ b/role/gateway/give.go
@@ -67,6 +67,7 @@
 			continue
 		}
 		holder.hold(ctx)
+		_ = g.Store.Revoke(context.WithoutCancel(ctx), holder.lease) // it lapses otherwise
 	}
 }
 
--- a/role/gateway/gossip.go
+++ b/role/gateway/gossip.go
@@ -1,8 +1,156 @@
 package gateway
 
-import "context"
+import (
+	"context"
+	"net"
+	"strconv"
+	"time"
 
-// gossip tells the other gateways what this one uses, until ctx ends.
+	"google.golang.org/protobuf/proto"
+
+	"github.com/grademill/grademill/port/kv"
+	"github.com/grademill/grademill/wire/gossip"
+)
+
+// The figures of what gateways tell each other.
+const (
+	// gossipEvery is the time between two digests in a small fleet. A stream
+	// lives for seconds, so what is held changes little in between.
+	gossipEvery = 150 * time.Millisecond
+	// gossipFleet is the size up to which the time stays the same. In a larger
+	// fleet it grows, so that a gateway sends and gets as much as in a small one.
+	gossipFleet = 6
+	// gossipFresh is how long a digest counts without a newer one.
+	gossipFresh = 2 * time.Second
+	// announceLease is how long a gateway stays announced without renewal, and
+	// announceEvery the time between two renewals.
+	announceLease = 6 * time.Second
+	announceEvery = 2 * time.Second
+	// maxDatagram is the largest digest that is read.
+	maxDatagram = 64 << 10
+)
+
+// announce keeps this gateway's address in the store until ctx ends.
+func (g *Gateway) announce(ctx context.Context) {
+	key := peerPrefix + g.Name + "/" + strconv.FormatInt(g.started.UnixNano(), 36)
+	lease := ""
+	for ctx.Err() == nil && !g.draining.Load() {
+		if lease != "" && g.Store.KeepAlive(ctx, lease) != nil {
+			lease = ""
+		}
+		if lease == "" && g.loaded.Load() {
+			lease = g.enrol(ctx, key)
+		}
+		wait(ctx, announceEvery)
+	}
+	if lease != "" {
+		_ = g.Store.Revoke(context.WithoutCancel(ctx), lease) // it lapses otherwise
+	}
+}
+
+// enrol writes the address under a new lease and returns the lease, empty when
+// that failed.
+func (g *Gateway) enrol(ctx context.Context, key string) string {
+	lease, err := g.Store.Grant(ctx, announceLease)
+	if err == nil {
+		_, err = g.Store.Put(ctx, kv.Write{Key: key, Value: []byte(g.Address), Lease: lease})
+	}
+	if err != nil {
+		g.Log.Info().Err(err).Msg("this gateway is not announced")
+		return ""
+	}
+	return lease
+}
+
+// gossip exchanges digests with the other gateways until ctx ends.
 func (g *Gateway) gossip(ctx context.Context) {
-	<-ctx.Done()
+	socket, err := net.ListenPacket("udp4", g.Address)
+	if err != nil {
+		g.Log.Error().Err(err).Msg("nothing is heard of other gateways")
+		return
+	}
+	stop := context.AfterFunc(ctx, func() { _ = socket.Close() })
+	defer stop()
+	go g.hear(socket)
+	for number := uint64(1); ctx.Err() == nil; number++ {
+		others := g.peers.others(g.Name)
+		if len(others) > 0 {
+			g.tell(socket, others, number)
+		}
+		g.peers.expire(time.Now())
+		wait(ctx, gossipEvery*time.Duration(max(len(others), gossipFleet))/gossipFleet)
+	}
+}
+
+// tell sends a digest to the other gateways.
+func (g *Gateway) tell(socket net.PacketConn, others []string, number uint64) {
+	text, err := proto.Marshal(g.digest(number))
+	if err != nil {
+		g.Log.Error().Err(err).Msg("digest not encoded")
+		return
+	}
+	for _, address := range others {
+		to, err := net.ResolveUDPAddr("udp4", address)
+		if err != nil {
+			g.Log.Warn().Err(err).Str("address", address).Msg("address of a gateway not understood")
+			continue
+		}
+		_, _ = socket.WriteTo(text, to) // the next digest makes up for a lost one
+	}
+}
+
+// digest returns what this gateway uses.
+func (g *Gateway) digest(number uint64) *gossip.Digest {
+	d := &gossip.Digest{Gateway: g.Name, Incarnation: uint64(g.started.UnixNano()), Number: number}
+	now := time.Now()
+	for id, b := range g.fleet.Load().byID {
+		avoided := b.use.health.Load().Until().Sub(now)
+		active, held := b.use.active.Load(), b.use.held.Load()
+		if active == 0 && held == 0 && avoided <= 0 {
+			continue
+		}
+		d.Uses = append(d.Uses, &gossip.Use{
+			Endpoint: id, Active: uint32(max(active, 0)), Held: uint64(max(held, 0)),
+			AvoidedMillis: uint32(max(avoided.Milliseconds(), 0)),
+		})
+	}
+	return d
+}
+
+// hear takes digests in until the socket is closed.
+func (g *Gateway) hear(socket net.PacketConn) {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, from, err := socket.ReadFrom(buffer)
+		if err != nil {
+			return
+		}
+		d := new(gossip.Digest)
+		if err := proto.Unmarshal(buffer[:n], d); err != nil {
+			g.Log.Debug().Err(err).Stringer("from", from).Msg("digest not understood")
+			continue
+		}
+		g.takeDigest(d, from.String(), time.Now())
+	}
+}
+
+// takeDigest replaces what is known of a gateway's uses.
+func (g *Gateway) takeDigest(d *gossip.Digest, from string, now time.Time) {
+	if d.GetGateway() == g.Name {
+		return
+	}
+	f := g.fleet.Load()
+	held := make(map[*usage]share, len(d.GetUses()))
+	for _, use := range d.GetUses() {
+		b := f.byID[use.GetEndpoint()]
+		if b == nil {
+			continue
+		}
+		held[b.use] = share{active: int64(use.GetActive()), held: int64(use.GetHeld())}
+		if use.GetAvoidedMillis() > 0 {
+			until := now.Add(time.Duration(use.GetAvoidedMillis()) * time.Millisecond).UnixNano()
+			b.use.shortUntil.Store(max(b.use.shortUntil.Load(), until))
+		}
+	}
+	g.peers.heard(d, from, held, now)
 }
--- a/role/gateway/peers.go
+++ b/role/gateway/peers.go
@@ -3,54 +3,112 @@
 import (
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/grademill/grademill/port/kv"
+	"github.com/grademill/grademill/wire/gossip"
 )
 
 // The keys that gateways write.
 const (
-	// peerPrefix and a name hold the address of a gateway, under a lease.
+	// peerPrefix, a name and an incarnation hold the address of a gateway, under
+	// a lease.
 	peerPrefix = "grademill/gateways/"
 	// giverKey holds the name of the gateway that gives orders, under a lease.
 	giverKey = "grademill/giver"
 )
 
-// peers are the gateways that have announced themselves.
+// peers are the other gateways, by what the store and they themselves say.
 type peers struct {
-	mu sync.Mutex
-	// addresses are by name; guarded by mu.
-	addresses map[string]string
-	// giver is the gateway that gives orders, empty for none; guarded by mu.
+	mu sync.Mutex // guards what follows
+	// announced are the addresses in the store, by key.
+	announced map[string]string
+	// known are the gateways that were heard of lately, by name.
+	known map[string]*peer
+	// giver is the gateway that gives orders, empty for none.
 	giver string
 }
 
+// peer is a gateway that was heard of.
+type peer struct {
+	address     string
+	incarnation uint64
+	number      uint64
+	at          time.Time
+	shares      map[*usage]share
+}
+
+// share is what one gateway has at an endpoint.
+type share struct {
+	active, held int64
+}
+
 // put takes in a pair of the store, if it is about a gateway.
 func (p *peers) put(pair kv.Pair) bool {
-	name, ok := strings.CutPrefix(pair.Key, peerPrefix)
-	if !ok {
+	if !strings.HasPrefix(pair.Key, peerPrefix) {
 		return false
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.addresses == nil {
-		p.addresses = make(map[string]string)
+	if p.announced == nil {
+		p.announced = make(map[string]string)
 	}
-	p.addresses[name] = string(pair.Value)
+	p.announced[pair.Key] = string(pair.Value)
 	return true
 }
 
 // gone takes in that a key has gone, if it is about a gateway.
 func (p *peers) gone(key string) bool {
-	name, ok := strings.CutPrefix(key, peerPrefix)
-	if !ok {
+	if !strings.HasPrefix(key, peerPrefix) {
 		return false
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.addresses, name)
+	delete(p.announced, key)
 	return true
 }
 
+// heard takes in a digest, unless a newer one of that gateway has come.
+func (p *peers) heard(d *gossip.Digest, from string, shares map[*usage]share, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.known == nil {
+		p.known = make(map[string]*peer)
+	}
+	old := p.known[d.GetGateway()]
+	if old != nil && (d.GetIncarnation() < old.incarnation ||
+		d.GetIncarnation() == old.incarnation && d.GetNumber() <= old.number) {
+		return
+	}
+	old.count(-1)
+	next := &peer{address: from, incarnation: d.GetIncarnation(), number: d.GetNumber(), at: now, shares: shares}
+	next.count(1)
+	p.known[d.GetGateway()] = next
+}
+
+// count adds the shares of a gateway to the endpoints, sign times.
+func (p *peer) count(sign int64) {
+	if p == nil {
+		return
+	}
+	for use, s := range p.shares {
+		use.othersActive.Add(sign * s.active)
+		use.othersHeld.Add(sign * s.held)
+	}
+}
+
+// expire forgets the gateways that have fallen silent.
+func (p *peers) expire(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, one := range p.known {
+		if now.Sub(one.at) > gossipFresh {
+			one.count(-1)
+			delete(p.known, name)
+		}
+	}
+}
+
 // assumedPeers is the number of gateways while none is known.
 const assumedPeers = 5
 
@@ -58,22 +116,33 @@
 func (p *peers) count() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.addresses) == 0 {
+	n := max(len(p.announced), len(p.known)+1)
+	if n == 1 {
 		return assumedPeers
 	}
-	return len(p.addresses)
+	return n
 }
 
-// others returns the addresses of the other gateways.
+// others returns the addresses of the other gateways, announced or heard.
 func (p *peers) others(self string) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := make([]string, 0, len(p.addresses))
-	for name, address := range p.addresses {
-		if name != self {
+	seen := make(map[string]bool)
+	var list []string
+	add := func(address string) {
+		if !seen[address] {
+			seen[address] = true
 			list = append(list, address)
 		}
 	}
+	for key, address := range p.announced {
+		if !strings.HasPrefix(key, peerPrefix+self+"/") {
+			add(address)
+		}
+	}
+	for _, one := range p.known {
+		add(one.address)
+	}
 	return list
 }
 
