End kept connections of a stopping gateway without losing a request

Now adapter/ingress closes connections itself, each only while it rests; a request that meets the close is not passed on; one that comes to rest during a stop is closed. The new test failed before.

--- /dev/null
+++ b/adapter/ingress/server_test.go
@@ -0,0 +1,127 @@
+package ingress_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/adapter/ingress"
+)
+
+// patience bounds every wait: a test that reaches it has failed.
+const patience = 30 * time.Second
+
+// start serves handler and returns the server with its address.
+func start(t *testing.T, handler http.Handler, idle time.Duration) *ingress.Server {
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, free.Close())
+	s := &ingress.Server{
+		Address: free.Addr().String(), Handler: handler, Idle: func() time.Duration { return idle },
+		ErrorLog: log.New(io.Discard, "", 0),
+	}
+	require.NoError(t, s.Listen(make(chan error, 1)))
+	ctx, cancel := context.WithCancel(context.Background())
+	go s.Run(ctx)
+	t.Cleanup(func() {
+		s.Stop()
+		cancel()
+	})
+	return s
+}
+
+// dial opens a connection with a bound on all reads.
+func dial(t *testing.T, s *ingress.Server) (net.Conn, *bufio.Reader) {
+	c, err := net.Dial("tcp", s.Address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(patience)))
+	return c, bufio.NewReader(c)
+}
+
+const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+func ask(t *testing.T, c net.Conn, r *bufio.Reader) *http.Response {
+	_, err := io.WriteString(c, request)
+	require.NoError(t, err)
+	answer, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, answer.Body)
+	require.NoError(t, err)
+	return answer
+}
+
+// A stop closes the connection that rests, and not the one whose request is
+// being served.
+func TestStopClosesOnlyWhatRests(t *testing.T) {
+	entered, release := make(chan struct{}), make(chan struct{})
+	s := start(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		entered <- struct{}{}
+		<-release
+		_, _ = io.WriteString(w, "whole")
+	}), 0)
+	_, idle := dial(t, s)
+	busy, reader := dial(t, s)
+	_, err := io.WriteString(busy, request)
+	require.NoError(t, err)
+	<-entered
+	s.Stop()
+	_, err = idle.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	close(release)
+	answer, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(answer.Body)
+	require.NoError(t, err)
+	require.Equal(t, "whole", string(body))
+}
+
+func TestRetireEndsConnectionsWithTheirAnswers(t *testing.T) {
+	s := start(t, http.NotFoundHandler(), 0)
+	c, r := dial(t, s)
+	require.False(t, ask(t, c, r).Close)
+	s.Retire()
+	require.True(t, ask(t, c, r).Close)
+}
+
+func TestRestIsBounded(t *testing.T) {
+	s := start(t, http.NotFoundHandler(), 10*time.Millisecond)
+	c, r := dial(t, s)
+	ask(t, c, r)
+	_, err := r.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
+
+// An answer whose head went out before the stop cannot tell the caller that the
+// connection ends: it is closed once the answer is through, and takes no further
+// request.
+func TestConnectionEndsAfterAnAnswerBegunBefore(t *testing.T) {
+	entered, release := make(chan struct{}), make(chan struct{})
+	s := start(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = http.NewResponseController(w).Flush()
+		entered <- struct{}{}
+		<-release
+		_, _ = io.WriteString(w, "whole")
+	}), 0)
+	c, r := dial(t, s)
+	_, err := io.WriteString(c, request)
+	require.NoError(t, err)
+	<-entered
+	s.Retire()
+	close(release)
+	answer, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	require.False(t, answer.Close)
+	body, err := io.ReadAll(answer.Body)
+	require.NoError(t, err)
+	require.Equal(t, "whole", string(body))
+	_, err = r.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
--- a/cmd/grademill-gateway/daemon.go
+++ b/cmd/grademill-gateway/daemon.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	stdlog "log"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -12,12 +10,12 @@
 	"syscall"
 	"time"
 
-	"github.com/gravitational/trace"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
 
+	"github.com/grademill/grademill/adapter/ingress"
 	"github.com/grademill/grademill/adapter/meter"
 	"github.com/grademill/grademill/platform"
 	"github.com/grademill/grademill/role/gateway"
@@ -32,9 +30,6 @@
 	// logLines is the number of lines that wait for a slow reader of the log;
 	// further ones are dropped and counted.
 	logLines = 2048
-	// headerBytes bounds the head of a request, headerWait how long it may take.
-	headerBytes = 16 << 10
-	headerWait  = 10 * time.Second
 	// lingerWait is how long new connections are still taken after the signal to
 	// stop: the balancer notices within two questions, a second apart.
 	lingerWait = 2500 * time.Millisecond
@@ -102,18 +97,17 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	signal.Ignore(syscall.SIGPIPE)
 	failed := make(chan error, 3)
-	callers, err := d.listen(d.file.Gateway.Caller, d.gateway, failed)
-	if err != nil {
-		return err
-	}
-	if _, err := d.listen(d.file.Gateway.Ready, d.gateway.ReadyHandler(), failed); err != nil {
-		return err
-	}
+	callers := d.server(d.file.Gateway.Caller, d.gateway, d.gateway.IdleTimeout)
+	servers := []*ingress.Server{callers, d.server(d.file.Gateway.Ready, d.gateway.ReadyHandler(), unbounded)}
 	if d.file.Admin != "" {
-		if _, err := d.listen(d.file.Admin, d.admin(), failed); err != nil {
+		servers = append(servers, d.server(d.file.Admin, d.admin(), unbounded))
+	}
+	for _, s := range servers {
+		if err := s.Listen(failed); err != nil {
 			return err
 		}
 	}
+	go callers.Run(ctx)
 	stopped := make(chan struct{})
 	go func() {
 		d.gateway.Run(ctx)
@@ -150,30 +144,32 @@
 }
 
 // stop ends the process without cutting a request: it is not ready at once,
-// takes connections until the balancer has noticed, and waits for what runs.
-// Idle connections are left open until the end: closing one may meet a request
-// that is being read.
-func (d *daemon) stop(callers net.Listener) {
+// takes connections until the balancer has noticed, then closes those that rest,
+// and waits for what runs.
+func (d *daemon) stop(callers *ingress.Server) {
 	begun := time.Now()
 	limit := d.file.Gateway.StopTimeout.Or(defaultStopTimeout) - stopMargin
 	d.log.Info().Int("running", d.gateway.Running()).Msg("gateway stops")
 	d.gateway.Drain()
+	callers.Retire()
 	time.Sleep(min(lingerWait, limit))
-	_ = callers.Close() // takes no more connections
+	callers.Stop()
 	for !d.gateway.Close(time.Since(begun) >= limit) {
 		time.Sleep(stopPoll)
 	}
 	d.log.Info().Int("running", d.gateway.Running()).Dur("took_ms", time.Since(begun)).Msg("gateway has drained")
 }
 
-// server returns a server of handler.
-func (d *daemon) server(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler: handler, MaxHeaderBytes: headerBytes, ReadHeaderTimeout: headerWait,
-		ErrorLog: stdlog.New(errorLog{d.log}, "", 0), DisableGeneralOptionsHandler: true,
+// server returns a server of handler at address.
+func (d *daemon) server(address string, handler http.Handler, idle func() time.Duration) *ingress.Server {
+	return &ingress.Server{
+		Address: address, Handler: handler, Idle: idle, ErrorLog: stdlog.New(errorLog{d.log}, "", 0),
 	}
 }
 
+// unbounded lets connections rest as long as they like.
+func unbounded() time.Duration { return 0 }
+
 // errorLog takes the lines of an HTTP server into the log.
 type errorLog struct{ log zerolog.Logger }
 
@@ -183,22 +179,6 @@
 	return len(line), nil
 }
 
-// listen serves handler at address in the background. A listener that is closed
-// is no failure.
-func (d *daemon) listen(address string, handler http.Handler, failed chan<- error) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, trace.ConvertSystemError(err)
-	}
-	server := d.server(handler)
-	go func() {
-		if err := server.Serve(listener); !errors.Is(err, net.ErrClosed) {
-			failed <- trace.Wrap(err)
-		}
-	}()
-	return listener, nil
-}
-
 // admin serves the metrics.
 func (d *daemon) admin() http.Handler {
 	mux := http.NewServeMux()
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -121,6 +121,15 @@
 	g.draining.Store(true)
 }
 
+// IdleTimeout returns how long a caller's connection may rest, 0 for no bound.
+func (g *Gateway) IdleTimeout() time.Duration {
+	c := g.catalog.Load()
+	if c == nil {
+		return 0
+	}
+	return c.Limits.IdleTimeout
+}
+
 // Running returns the number of requests in flight.
 func (g *Gateway) Running() int {
 	return g.running.count()
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -47,9 +47,6 @@
 		return
 	}
 	defer g.running.leave()
-	if g.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	abort := false
 	if g.admit(q) {
 		if q.service != nil && q.service.Model != nil {
