--- a/decide/catalog/service.go
+++ b/decide/catalog/service.go
@@ -28,6 +28,9 @@
 	Step, PerSequence, PerContext time.Duration
 	// ReadRate is the number of prompt tokens read in a second.
 	ReadRate float64
+	// Handed is what an endpoint hands on for one token, and LinkRate what the
+	// line between two halls carries in a second, both in MB; 0 for no bound.
+	Handed, LinkRate float64
 	// Slots is the number of requests that an engine runs together.
 	Slots int
 	// Load is the time to load all layers onto one card.
--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -67,6 +67,9 @@
 	// stalledUntil is when it may be tried again after it held requests up, in
 	// nanoseconds of Unix time; stalls counts how often it did.
 	stalledUntil, stalls atomic.Int64
+	// eventAt is when an event last came from it, as the first of a chain, in
+	// nanoseconds of Unix time.
+	eventAt atomic.Int64
 	// waiting is the number of requests that wait, as it last said, and said
 	// when that was, in nanoseconds of Unix time.
 	waiting, said atomic.Int64
--- a/role/gateway/follow.go
+++ b/role/gateway/follow.go
@@ -12,10 +12,10 @@
 // The figures of following the store.
 const (
 	// changesWait bounds the age of the proof that the configuration is current.
-	changesWait = time.Second
+	changesWait = 1500 * time.Millisecond
 	// changesSettle takes changes that come together in one answer; it is small
 	// beside the seconds in which a change must be in force.
-	changesSettle = 100 * time.Millisecond
+	changesSettle = 300 * time.Millisecond
 	// lapseGrace is how long after an outage of the store a record that lapsed
 	// may be missing: endpoints that live are back within two seconds.
 	lapseGrace = 2200 * time.Millisecond
--- a/role/gateway/seat.go
+++ b/role/gateway/seat.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -74,7 +75,8 @@
 	shortageRoom   shortage = "no chain has room"
 )
 
-// takeSeat takes room along the cheapest chain for a request.
+// takeSeat takes room along the cheapest chain for a request, inside one hall if
+// one has room.
 func (g *Gateway) takeSeat(q *query) (*seat, shortage) {
 	f := g.fleet.Load()
 	c := choosers.Get().(*chooser)
@@ -82,7 +84,7 @@
 	need := q.tokens()
 	c.prepare(q.service.Model, f, g.Hall)
 	c.collect(q, f, need, false)
-	found, ok := c.finder.Find(c.holders)
+	found, ok := g.find(c, q, need)
 	if !ok {
 		c.collect(q, f, need, true)
 		if _, exists := c.finder.Find(c.holders); exists {
@@ -90,7 +92,19 @@
 		}
 		return nil, shortageLayers
 	}
-	return newSeat(f, found, need), shortageNone
+	return newSeat(found, need, func(id string) *backend { return f.byID[id] }), shortageNone
+}
+
+// find finds the cheapest chain inside one hall, or else, as far as the lines
+// between halls allow, the cheapest of all.
+func (g *Gateway) find(c *chooser, q *query, need int) (chain.Chain, bool) {
+	c.hops(math.Inf(1))
+	if found, ok := c.finder.Find(c.holders); ok {
+		return found, true
+	}
+	c.hops(hopFar)
+	found, ok := c.finder.Find(c.holders)
+	return found, ok && g.lines.allow(q.service.Model, need, g.peers.count())
 }
 
 // moveSeat takes room along the cheapest chain that a request may be moved to
@@ -104,18 +118,33 @@
 	c.prepare(q.service.Model, f, g.Hall)
 	c.collect(q, f, need, false)
 	c.keep(old, q, time.Now())
-	found, ok := c.finder.Find(c.holders)
+	found, ok := g.find(c, q, need)
 	if !ok || found[0] != old.chain[0] {
 		return nil, shortageLayers
 	}
-	return newSeat(f, found, need), shortageNone
+	return newSeat(found, need, func(id string) *backend {
+		if b := old.part(id); b != nil {
+			return b // it may have left the fleet, and still serves what it has
+		}
+		return f.byID[id]
+	}), shortageNone
+}
+
+// part returns the backend of the seat with an ID, nil for none.
+func (s *seat) part(id string) *backend {
+	for _, b := range s.parts {
+		if b.ID == id {
+			return b
+		}
+	}
+	return nil
 }
 
-// newSeat takes room along a chain.
-func newSeat(f *fleet, found chain.Chain, need int) *seat {
+// newSeat takes room along a chain of backends that byID knows.
+func newSeat(found chain.Chain, need int, byID func(string) *backend) *seat {
 	s := &seat{chain: found}
 	for _, p := range found {
-		b := f.byID[p.ID]
+		b := byID(p.ID)
 		memory := int64(need * p.Layers.Len())
 		b.use.take(memory)
 		s.parts, s.memory = append(s.parts, b), append(s.memory, memory)
@@ -157,19 +186,27 @@
 	c.holders = holders
 }
 
-// prepare sets the costs between halls.
+// prepare sets the model and the costs of beginning in a hall.
 func (c *chooser) prepare(m *catalog.Model, f *fleet, home string) {
 	c.finder.Layers = m.Layers
-	c.finder.Entry, c.finder.Hops = c.finder.Entry[:0], c.finder.Hops[:0]
-	for i, hall := range f.halls {
+	c.finder.Entry = c.finder.Entry[:0]
+	for _, hall := range f.halls {
 		entry := entryFar
 		if hall == home {
 			entry = 0
 		}
 		c.finder.Entry = append(c.finder.Entry, entry)
-		row := make([]float64, len(f.halls))
+	}
+}
+
+// hops sets the costs of handing a token on, between two halls that of far.
+func (c *chooser) hops(far float64) {
+	halls := len(c.finder.Entry)
+	c.finder.Hops = c.finder.Hops[:0]
+	for i := range halls {
+		row := make([]float64, halls)
 		for j := range row {
-			row[j] = hopFar
+			row[j] = far
 		}
 		row[i] = hopNear
 		c.finder.Hops = append(c.finder.Hops, row)
--- a/role/gateway/watchdog.go
+++ b/role/gateway/watchdog.go
@@ -61,6 +61,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.last = time.Now()
+	w.seat.first.use.eventAt.Store(w.last.UnixNano())
 	w.timer.Reset(part(overdueNext, allowedPause(w.relay.q.route)))
 }
 
@@ -89,7 +90,7 @@
 	if ended || w.ctx.Err() != nil {
 		return
 	}
-	if w.over(last) {
+	if w.over(seat, last) {
 		w.giveUp()
 		return
 	}
@@ -112,15 +113,21 @@
 	return allowedPause(w.relay.q.route)
 }
 
+// lively is how recent an event of another stream must be for its first endpoint
+// to count as working: then a wait is due to load, and another try would add to
+// it.
+const lively = 400 * time.Millisecond
+
 // over reports whether the try has waited long enough.
-func (w *watchdog) over(last time.Time) bool {
-	if !w.relay.q.route.Repeats() {
+func (w *watchdog) over(seat *seat, last time.Time) bool {
+	q, now := w.relay.q, time.Now()
+	if !q.route.Repeats() || now.UnixNano()-seat.first.use.eventAt.Load() < int64(lively) {
 		return false
 	}
 	if last.IsZero() {
-		return time.Since(w.begun) > firstWait*objective(w.relay.q.route)
+		return now.Sub(w.begun) > firstWait*objective(q.route)
 	}
-	return time.Since(last) > pauseWait*allowedPause(w.relay.q.route)
+	return now.Sub(last) > pauseWait*allowedPause(q.route)
 }
 
 // giveUp ends the try.
