Test the gateway against a stand-in of the platform

standin/site speaks the published protocol: the store with leases, watches and a history that can be forgotten, plain endpoints and runners that walk a chain and can be moved, with a mode for each way to fail. It remembers what truly ran. Found by it: a refusal that does not name the request was taken for an answer of another one, and the caller waited for its whole deadline; a stream that had begun gave up after 0.1 s without a chain, where its caller bears a pause of 1.2 s.

--- /dev/null
+++ b/role/gateway/store_test.go
@@ -0,0 +1,146 @@
+package gateway_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/standin/site"
+)
+
+// A configuration that takes the key away is in force soon.
+func TestRevokedKeyIsRejected(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, plain("a"))
+	require.Equal(t, http.StatusOK, w.do(w.request("POST", "/renew/", "x")).StatusCode)
+	w.configure(false)
+	w.eventually(func() bool { return w.do(w.request("POST", "/renew/", "x")).StatusCode == http.StatusUnauthorized })
+}
+
+// A gateway that is out of touch with the store does not know whether a key has
+// been taken away: it refuses requests with a key, in time, and serves the others.
+func TestKeysAreNotServedWithoutProof(t *testing.T) {
+	t.Parallel()
+	e := plain("a")
+	w := newWorld(t, e)
+	begun := time.Now()
+	w.site.Store.Break(func(*http.Request) site.Fault { return site.Fault{Silent: true} })
+	var last time.Time
+	w.eventually(func() bool {
+		r := w.request("POST", "/renew/", "x")
+		sent := time.Now()
+		answer := w.do(r)
+		if answer.StatusCode == http.StatusOK {
+			last = sent
+			return false
+		}
+		notRun(t, answer, r.Header.Get("X-Request-Id"), e)
+		return true
+	})
+	require.Less(t, last.Sub(begun), w.gateway.Revocation)
+	require.False(t, w.gateway.Ready())
+	require.Equal(t, http.StatusOK, w.do(w.request("GET", "/open/", "")).StatusCode)
+	w.site.Store.Break(nil)
+	w.eventually(func() bool { return w.do(w.request("POST", "/renew/", "x")).StatusCode == http.StatusOK })
+}
+
+// What cannot be read leaves the former configuration and records in force, with
+// a line that says so.
+func TestGarbledRecordsAreNotTakenIn(t *testing.T) {
+	t.Parallel()
+	e := plain("a")
+	w := newWorld(t, e)
+	w.site.Store.SetText("op/config", []byte(`{"version": 99, "routes": [{"kind": "whatever"}]}`))
+	w.site.Store.SetText("servers/a", []byte(`{"service": 7}`))
+	w.logged("configuration not understood")
+	w.logged("record not understood")
+	require.Equal(t, http.StatusOK, w.do(w.request("POST", "/renew/", "x")).StatusCode)
+}
+
+// A configuration never goes back.
+func TestOlderConfigurationIsIgnored(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, plain("a"))
+	former := w.site.Store.Value("op/config")
+	w.configure(false)
+	w.eventually(func() bool { return w.do(w.request("POST", "/renew/", "x")).StatusCode == http.StatusUnauthorized })
+	w.site.Store.SetText("op/config", []byte(former))
+	w.site.Store.Set("servers/marker", site.Record{Service: records, Addr: "127.0.0.1:1"})
+	w.logged(`"endpoint":"marker"`)
+	require.Equal(t, http.StatusUnauthorized, w.do(w.request("POST", "/renew/", "x")).StatusCode)
+}
+
+// A store that forgets its history is read anew, and what happened meanwhile is
+// seen.
+func TestForgottenHistory(t *testing.T) {
+	t.Parallel()
+	a, b := plain("a"), plain("b")
+	w := newWorld(t, a, b)
+	w.site.Store.Break(func(r *http.Request) site.Fault {
+		if strings.HasPrefix(r.URL.Path, "/-/kv-watch") {
+			return site.Fault{Status: http.StatusServiceUnavailable}
+		}
+		return site.Fault{}
+	})
+	w.logged("the store does not answer")
+	w.site.Withdraw(a)
+	w.site.Store.Compact()
+	w.site.Store.Break(nil)
+	w.logged("the store forgot its history")
+	w.logged(`"endpoint":"a","message":"endpoint gone"`)
+	before := len(a.Seen())
+	require.Equal(t, http.StatusOK, w.do(w.request("POST", "/renew/", "x")).StatusCode)
+	require.Len(t, a.Seen(), before)
+}
+
+// Without a configuration nothing is rejected: another gateway may know better.
+func TestNothingIsRejectedWithoutAConfiguration(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, plain("a"))
+	w.site.Store.Break(func(*http.Request) site.Fault { return site.Fault{Silent: true} })
+	other := w.start("gateway-2")
+	require.False(t, other.Ready())
+	w.target = w.serve(other)
+	answer := w.do(w.request("POST", "/nowhere/", "x"))
+	require.Equal(t, http.StatusServiceUnavailable, answer.StatusCode)
+	require.NotEmpty(t, answer.Header.Get("Retry-After"))
+}
+
+// One gateway gives orders at a time; when it ends, another goes on.
+func TestAnotherGatewayTakesOverTheOrders(t *testing.T) {
+	t.Parallel()
+	w, cards := newModel(t)
+	second := w.start("gateway-2")
+	w.eventually(second.Ready)
+	require.Equal(t, "gateway-1", w.site.Store.Value("grademill/giver"))
+	w.gateway.Drain()
+	w.eventually(func() bool { return w.site.Store.Value("grademill/giver") == "gateway-2" })
+	more := card("card-more", "south")
+	require.NoError(t, w.site.Start(more))
+	w.eventually(func() bool { from, to := more.Layers(); return to > from })
+	require.True(t, covered(cards, 1))
+}
+
+// What one gateway learns of a dead endpoint, another knows without asking.
+func TestGatewaysTellEachOtherOfStalls(t *testing.T) {
+	t.Parallel()
+	w, cards := newModel(t)
+	second := w.start("gateway-2")
+	w.eventually(second.Ready)
+	w.eventually(func() bool { return len(w.site.Store.Keys("grademill/gateways/")) == 2 })
+	answer, _, later := w.mid(cards, 200)
+	later[0].Kill()
+	w.logged("endpoint holds requests up")
+	w.rest(answer)
+	w.target = w.serve(second)
+	w.eventually(func() bool {
+		r := w.plan("/plan/1", 3)
+		if w.do(r).body != whole(3) {
+			return false
+		}
+		return !strings.Contains(usesOf(t, w, r.Header.Get("X-Request-Id")), later[0].Address())
+	})
+}
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -93,9 +93,14 @@
 	return false
 }
 
-// seat takes a seat, and waits a little for one when there is no room.
+// seat takes a seat, and waits a little for one when there is none: a request
+// that has not been sent for a part of its objective, since it can come back, and
+// a stream that has begun for as long as its caller bears a pause.
 func (s *relay) seat() (*seat, shortage) {
-	until := time.Now().Add(time.Duration(roomWait * float64(objective(s.q.route))))
+	until := time.Now().Add(part(roomWait, objective(s.q.route)))
+	if s.headSent {
+		until = s.lastAt.Add(pauseWait * allowedPause(s.q.route))
+	}
 	for {
 		taken, short := s.g.takeSeat(s.q)
 		if short == shortageNone || !time.Now().Before(until) {
--- a/role/gateway/try.go
+++ b/role/gateway/try.go
@@ -55,7 +55,10 @@
 	call := upstream.Call{
 		Address: b.Address, Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: header,
 		Body: q.body, HasBody: q.hasBody, Rest: connectionRest,
-		Mine: func(h http.Header) bool { return g.Dialect.Reply(0, h).ID == q.ID },
+		Mine: func(h http.Header) bool {
+			id := g.Dialect.Reply(0, h).ID
+			return id == q.ID || id == "" // a refusal need not name the request
+		},
 	}
 	if !q.route.Repeats() {
 		call.Rest = connectionRestOnce
@@ -70,7 +73,7 @@
 	case t.reply.NotRun:
 		t.verdict = verdictNotRun
 		_, _ = answer.ReadAll() // only so that the connection can be kept
-	case t.reply.Signed:
+	case t.reply.Signed && t.reply.ID == q.ID:
 		q.mayHaveRun = true
 	default:
 		q.mayHaveRun = true
--- /dev/null
+++ b/role/gateway/world_test.go
@@ -0,0 +1,227 @@
+package gateway_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/adapter/meter"
+	"github.com/grademill/grademill/platform"
+	"github.com/grademill/grademill/role/gateway"
+	"github.com/grademill/grademill/standin/site"
+)
+
+// patience bounds every wait: a test that reaches it has failed.
+const patience = 30 * time.Second
+
+// The names of the configuration of the tests.
+const (
+	host    = "club.example"
+	key     = "key-of-desk"
+	layers  = 8
+	records = "records"
+	model   = "assistant"
+)
+
+// world is a site with a gateway before it.
+type world struct {
+	t       *testing.T
+	site    *site.Site
+	gateway *gateway.Gateway
+	// target is the address of the gateway that requests go to.
+	target  string
+	log     *syncBuffer
+	version int
+	ids     atomic.Int64
+}
+
+// syncBuffer collects the log.
+type syncBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// newWorld starts a site with the endpoints and a gateway that knows them.
+func newWorld(t *testing.T, endpoints ...*site.Endpoint) *world {
+	s, err := site.New(layers)
+	require.NoError(t, err)
+	t.Cleanup(s.Close)
+	w := &world{t: t, site: s, log: new(syncBuffer)}
+	for _, e := range endpoints {
+		require.NoError(t, s.Start(e))
+	}
+	w.configure(true)
+	w.gateway = w.start("gateway-1")
+	w.target = w.serve(w.gateway)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(w.log.String())
+		}
+	})
+	w.eventually(w.gateway.Ready)
+	return w
+}
+
+// start runs a gateway.
+func (w *world) start(name string) *gateway.Gateway {
+	metrics := meter.NewGateway()
+	g := &gateway.Gateway{
+		Name: name, Hall: "north", Address: freePort(w.t),
+		Store: platform.NewStore(w.site.StoreAddress, metrics.PlatformCall),
+		Records: gateway.Records{
+			Catalog: platform.ConfigKey, DecodeCatalog: platform.DecodeCatalog,
+			EndpointID: platform.EndpointID, DecodeEndpoint: platform.DecodeEndpoint,
+		},
+		Dialect: platform.Dialect{}, Runners: platform.NewControl(metrics.PlatformCall),
+		Revocation: 5 * time.Second, RetryShare: 0.2, RetryReserve: 200, RetryWindow: 10 * time.Second,
+		Log: zerolog.New(w.log).Level(zerolog.InfoLevel), Meter: metrics,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		g.Run(ctx)
+		close(done)
+	}()
+	w.t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return g
+}
+
+// serve serves a gateway over HTTP and returns its address.
+func (w *world) serve(g *gateway.Gateway) string {
+	server := httptest.NewServer(g)
+	w.t.Cleanup(server.Close)
+	return server.URL
+}
+
+// freePort returns a local address for datagrams.
+func freePort(t *testing.T) string {
+	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer c.Close() //nolint:errcheck // a test's socket
+	return c.LocalAddr().String()
+}
+
+// configure writes the next version of the configuration, with or without the
+// key of the team.
+func (w *world) configure(withKey bool) {
+	w.version += 3
+	keys := []string{"another-key"}
+	if withKey {
+		keys = append(keys, key)
+	}
+	route := func(prefix, kind, service string, more map[string]any) map[string]any {
+		r := map[string]any{
+			"name": "r-" + service + prefix, "host": host, "path_prefix": prefix, "kind": kind, "service": service,
+			"timeout_ms": 20000, "slo_ms": 500, "attempts": 2, "prio": 1,
+		}
+		for name, value := range more {
+			r[name] = value
+		}
+		return r
+	}
+	w.site.Store.Set("op/config", map[string]any{
+		"version": w.version,
+		"routes": []any{
+			route("/renew/", "non_idempotent", records, map[string]any{"attempts": 1}),
+			route("/freeze/", "idempotent", records, nil),
+			route("/open/", "idempotent", records, map[string]any{"public": true}),
+			route("/plan/", "streaming", model, map[string]any{"resumable": true, "gap_aim_ms": 200}),
+			route("/once/", "streaming", model, map[string]any{"gap_aim_ms": 200}),
+		},
+		"services": []any{
+			map[string]any{"name": records, "max_conns": 100},
+			map[string]any{"name": model, "max_conns": 100, "engine": map[string]any{
+				"slots": 64, "kv_token_bytes": 80000, "step_ms": 1, "per_seq_ms": 0.01, "read_per_s": 100000,
+				"layers": layers, "layer_mb": 1000, "act_bytes": 1000, "pipe_mbps": 10000,
+				"models": []any{map[string]any{"load_s": 1}}, "usual": map[string]any{"prompt": 100, "answer": 20},
+				"kinds": []any{map[string]any{"name": "big", "mb": 8000, "pace": 1, "read_x": 1}},
+			}},
+		},
+		"limits":  map[string]any{"max_body_bytes": 1000, "idle_timeout_ms": 15000},
+		"tenants": []any{map[string]any{"name": "desk", "api_keys": keys}},
+	})
+}
+
+// eventually waits for a condition.
+func (w *world) eventually(ok func() bool) {
+	w.t.Helper()
+	require.Eventually(w.t, ok, patience, 2*time.Millisecond)
+}
+
+// logged waits for a line of the log that holds a text.
+func (w *world) logged(text string) {
+	w.t.Helper()
+	w.eventually(func() bool { return bytes.Contains([]byte(w.log.String()), []byte(text)) })
+}
+
+// request makes a request of the team with an ID of its own.
+func (w *world) request(method, path, body string) *http.Request {
+	r, err := http.NewRequest(method, w.target+path, bytes.NewBufferString(body))
+	require.NoError(w.t, err)
+	r.Host = host
+	r.Header.Set("Authorization", "Token "+key)
+	r.Header.Set("X-Request-Id", fmt.Sprintf("id-%d", w.ids.Add(1)))
+	r.Header.Set("X-Deadline-Ms", "20000")
+	return r
+}
+
+// reply is a whole answer.
+type reply struct {
+	*http.Response
+	body string
+	// cut is set when the answer broke off.
+	cut bool
+}
+
+// do sends a request and reads the answer.
+func (w *world) do(r *http.Request) reply {
+	w.t.Helper()
+	answer, err := http.DefaultClient.Do(r)
+	require.NoError(w.t, err)
+	defer answer.Body.Close() //nolint:errcheck // read to its end
+	body, err := io.ReadAll(answer.Body)
+	return reply{answer, string(body), err != nil}
+}
+
+// plain is an endpoint of the plain service.
+func plain(id string) *site.Endpoint {
+	return &site.Endpoint{ID: id, Service: records, Hall: "north"}
+}
+
+// notRun checks that an answer says that the request has not run and when to come
+// back, and that this is true.
+func notRun(t *testing.T, r reply, id string, endpoints ...*site.Endpoint) {
+	t.Helper()
+	require.Equal(t, http.StatusServiceUnavailable, r.StatusCode)
+	require.NotEmpty(t, r.Header.Get("Retry-After"))
+	require.Empty(t, r.Header.Get("X-Response-Seal"))
+	for _, e := range endpoints {
+		require.Zero(t, e.Ran(id))
+	}
+}
--- /dev/null
+++ b/standin/site/site.go
@@ -0,0 +1,175 @@
+package site
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+)
+
+// Site is a store with endpoints. Make one with New.
+type Site struct {
+	// Store is the platform's store, at StoreAddress.
+	Store        *Store
+	StoreAddress string
+	// Layers is the number of layers of the model.
+	Layers int
+
+	mu sync.Mutex // guards what follows
+	// endpoints are by address.
+	endpoints map[string]*Endpoint
+	servers   []*http.Server
+	// faults are the chains that did not run each layer once and in order.
+	faults []string
+	// modes are those of the next requests of a service.
+	modes map[string][]Mode
+}
+
+// New starts a site with a store and no endpoints.
+func New(layers int) (*Site, error) {
+	s := &Site{Store: new(Store), Layers: layers, endpoints: make(map[string]*Endpoint)}
+	address, err := s.serve(s.Store)
+	s.StoreAddress = address
+	return s, err
+}
+
+// serve serves a handler at an address of its own.
+func (s *Site) serve(handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: handler}
+	go server.Serve(listener) //nolint:errcheck // ends with Close
+	s.mu.Lock()
+	s.servers = append(s.servers, server)
+	s.mu.Unlock()
+	return listener.Addr().String(), nil
+}
+
+// Start starts an endpoint and announces it.
+func (s *Site) Start(e *Endpoint) error {
+	e.Site = s
+	address, err := s.serve(e)
+	if err != nil {
+		return err
+	}
+	e.address = address
+	s.mu.Lock()
+	s.endpoints[address] = e
+	s.mu.Unlock()
+	s.Announce(e)
+	return nil
+}
+
+// Next sets the modes of the next requests that any endpoint of a service gets, in
+// the order of their arrival.
+func (s *Site) Next(service string, modes ...Mode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.modes == nil {
+		s.modes = make(map[string][]Mode)
+	}
+	s.modes[service] = append(s.modes[service], modes...)
+}
+
+// nextMode takes the mode of the next request of a service, if one is set.
+func (s *Site) nextMode(service string) (Mode, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	modes := s.modes[service]
+	if len(modes) == 0 {
+		return Serve, false
+	}
+	s.modes[service] = modes[1:]
+	return modes[0], true
+}
+
+// Record is what an endpoint writes about itself.
+type Record struct {
+	Service string         `json:"service"`
+	Addr    string         `json:"addr"`
+	Zone    string         `json:"zone"`
+	Slots   int            `json:"slots"`
+	State   string         `json:"state"`
+	Kind    string         `json:"kind,omitempty"`
+	Layers  map[string]int `json:"layers,omitempty"`
+}
+
+// slots is the number of requests that an endpoint runs together.
+const slots = 64
+
+// Announce writes the record of an endpoint.
+func (s *Site) Announce(e *Endpoint) { s.announce(e, "ready") }
+
+// Leave writes that an endpoint is about to end.
+func (s *Site) Leave(e *Endpoint) { s.announce(e, "draining") }
+
+// Withdraw removes the record of an endpoint, which goes on serving.
+func (s *Site) Withdraw(e *Endpoint) { s.Store.Remove("servers/" + e.ID) }
+
+func (s *Site) announce(e *Endpoint, state string) {
+	r := Record{Service: e.Service, Addr: e.address, Zone: e.Hall, Slots: slots, State: state, Kind: e.Card}
+	if e.Card != "" {
+		from, to := e.Layers()
+		r.Layers = map[string]int{"from": from, "to_version": to, "version": 1}
+	}
+	s.Store.Set("servers/"+e.ID, r)
+}
+
+// at returns the endpoint at an address, nil for none.
+func (s *Site) at(address string) *Endpoint {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.endpoints[address]
+}
+
+// lacks returns the first part of a chain that cannot be run, with the status of
+// the refusal; 0 when there is none. A dead part shows only as a standstill.
+func (s *Site) lacks(chain []part) (string, int) {
+	for _, p := range chain {
+		e := s.at(p.address)
+		if e == nil {
+			return p.address, http.StatusServiceUnavailable
+		}
+		if from, to := e.Layers(); p.from < from || p.to > to {
+			return p.address, http.StatusMisdirectedRequest
+		}
+	}
+	return "", 0
+}
+
+// check notes a chain that does not run each layer once and in order.
+func (s *Site) check(id string, chain []part) {
+	next := 0
+	seen := make(map[string]bool)
+	for _, p := range chain {
+		if p.from != next || p.to <= p.from || seen[p.address] {
+			next = -1
+			break
+		}
+		seen[p.address] = true
+		next = p.to
+	}
+	if next != s.Layers {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.faults = append(s.faults, fmt.Sprintf("request %s: chain %v", id, chain))
+	}
+}
+
+// Faults returns the chains that did not run each layer once and in order.
+func (s *Site) Faults() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.faults...)
+}
+
+// Close ends the servers.
+func (s *Site) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, server := range s.servers {
+		_ = server.Close() // a stand-in's connections
+	}
+}
