--- /dev/null
+++ b/adapter/ingress/conn.go
@@ -0,0 +1,73 @@
+package ingress
+
+import (
+	"bytes"
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+// The states of a connection.
+const (
+	resting int32 = iota
+	serving
+	closed
+)
+
+// conn is a connection of a caller. It is only closed while it rests, and serves
+// only what came before it was closed.
+type conn struct {
+	net.Conn
+	state atomic.Int32
+	// since is when it began to rest, in nanoseconds of Unix time.
+	since atomic.Int64
+	// head is what was read since it began to rest: the head of the next request,
+	// and what came with it. Only the goroutine that serves the connection uses
+	// it.
+	head []byte
+}
+
+// Read reads and keeps what may be the head of a request.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.state.Load() == resting && len(c.head) < headerBytes {
+		c.head = append(c.head, b[:n]...)
+	}
+	return n, err
+}
+
+// rest marks the connection as resting.
+func (c *conn) rest() {
+	c.head = c.head[:0]
+	c.since.Store(time.Now().UnixNano())
+	c.state.Store(resting)
+}
+
+// closeResting closes the connection if it rests.
+func (c *conn) closeResting() {
+	if c.state.CompareAndSwap(resting, closed) {
+		_ = c.Close() // the caller sees the end either way
+	}
+}
+
+// ambiguous reports whether the head of a request in chunks names a length, too,
+// so that two readers may see its end in different places; the HTTP server passes
+// over the length. A head that was not kept as a whole counts as ambiguous.
+func (c *conn) ambiguous() bool {
+	head, _, whole := bytes.Cut(c.head, []byte("\r\n\r\n"))
+	return !whole || bytes.Contains(bytes.ToLower(head), []byte("\ncontent-length"))
+}
+
+// listener makes conns.
+type listener struct{ net.Listener }
+
+// Accept waits for the next connection.
+func (l listener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: raw}
+	c.rest()
+	return c, nil
+}
--- a/adapter/ingress/server.go
+++ b/adapter/ingress/server.go
@@ -38,77 +38,60 @@
 	stopping atomic.Bool
 	mu       sync.Mutex
 	// conns are the open connections; guarded by mu.
-	conns map[net.Conn]*tenure
+	conns map[*conn]bool
 }
 
-// The states of a connection.
-const (
-	resting int32 = iota
-	serving
-	closed
-)
-
-// tenure is the state of one connection. It is only closed while it rests, and
-// serves only what came before it was closed.
-type tenure struct {
-	state atomic.Int32
-	// since is when it began to rest, in nanoseconds of Unix time.
-	since atomic.Int64
-}
-
-// close closes the connection if it rests.
-func (t *tenure) close(c net.Conn) {
-	if t.state.CompareAndSwap(resting, closed) {
-		_ = c.Close()
-	}
-}
-
-// tenureKey is the key of a connection's tenure in a request's context.
-type tenureKey struct{}
+// connKey is the key of a connection in a request's context.
+type connKey struct{}
 
 // Listen begins to listen and serves in the background. A failure of the server
 // is sent to failed.
 func (s *Server) Listen(failed chan<- error) error {
-	listener, err := net.Listen("tcp", s.Address)
+	raw, err := net.Listen("tcp", s.Address)
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
-	s.listener = listener
-	s.conns = make(map[net.Conn]*tenure)
+	s.listener = listener{raw}
+	s.conns = make(map[*conn]bool)
 	server := &http.Server{
 		Handler: http.HandlerFunc(s.serve), MaxHeaderBytes: headerBytes, ReadHeaderTimeout: headerWait,
 		ErrorLog: s.ErrorLog, DisableGeneralOptionsHandler: true, ConnContext: s.connected, ConnState: s.changed,
 	}
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, net.ErrClosed) {
+		if err := server.Serve(s.listener); !errors.Is(err, net.ErrClosed) {
 			failed <- trace.Wrap(err)
 		}
 	}()
 	return nil
 }
 
-// connected begins the tenure of a connection.
-func (s *Server) connected(ctx context.Context, c net.Conn) context.Context {
-	t := new(tenure)
-	t.since.Store(time.Now().UnixNano())
+// connected notes a new connection.
+func (s *Server) connected(ctx context.Context, raw net.Conn) context.Context {
+	c, ok := raw.(*conn)
+	if !ok {
+		return ctx
+	}
 	s.mu.Lock()
-	s.conns[c] = t
-	s.mu.Unlock()
-	return context.WithValue(ctx, tenureKey{}, t)
+	defer s.mu.Unlock()
+	s.conns[c] = true
+	return context.WithValue(ctx, connKey{}, c)
 }
 
-// changed ends the tenure of a connection that is closed, and closes one that
-// comes to rest while the server stops: its answer may have begun too early to
-// say so.
-func (s *Server) changed(c net.Conn, state http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// changed forgets a connection that is closed, and closes one that comes to rest
+// while the server stops: its answer may have begun too early to say so.
+func (s *Server) changed(raw net.Conn, state http.ConnState) {
+	c, ok := raw.(*conn)
+	if !ok {
+		return
+	}
 	switch state {
 	case http.StateClosed, http.StateHijacked:
+		s.mu.Lock()
+		defer s.mu.Unlock()
 		delete(s.conns, c)
 	case http.StateIdle:
-		if t := s.conns[c]; t != nil && s.stopping.Load() {
-			t.close(c)
+		if s.stopping.Load() {
+			c.closeResting()
 		}
 	}
 }
@@ -116,17 +99,19 @@
 // serve serves a request, unless its connection was closed before it had been
 // read: then nothing of it is passed on.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	t, ok := r.Context().Value(tenureKey{}).(*tenure)
-	if !ok || !t.state.CompareAndSwap(resting, serving) {
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	if !ok || !c.state.CompareAndSwap(resting, serving) {
 		panic(http.ErrAbortHandler)
 	}
-	defer func() {
-		t.since.Store(time.Now().UnixNano())
-		t.state.Store(resting)
-	}()
+	defer c.rest()
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if len(r.TransferEncoding) > 0 && c.ambiguous() {
+		w.Header().Set("Connection", "close")
+		http.Error(w, "the request has a length beside its chunks", http.StatusBadRequest)
+		return
+	}
 	s.Handler.ServeHTTP(w, r)
 }
 
@@ -162,9 +147,9 @@
 func (s *Server) closeResting(since time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for c, t := range s.conns {
-		if t.since.Load() <= since.UnixNano() {
-			t.close(c)
+	for c := range s.conns {
+		if c.since.Load() <= since.UnixNano() {
+			c.closeResting()
 		}
 	}
 }
--- a/layout_test.go
+++ b/layout_test.go
@@ -7,6 +7,7 @@
 	"go/token"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strconv"
 	"strings"
 	"testing"
@@ -26,10 +27,12 @@
 	"decide/claim",
 	"decide/config",
 	"decide/endpoint",
+	"decide/event",
 	"decide/fair",
 	"decide/fence",
 	"decide/fleet",
 	"decide/flow",
+	"decide/health",
 	"decide/layer",
 	"decide/limit",
 	"decide/member",
@@ -43,6 +46,7 @@
 	"decide/rendezvous",
 	"decide/retry",
 	"decide/route",
+	"decide/spread",
 	"decide/timeout",
 	"decide/view",
 }
@@ -139,3 +143,43 @@
 	})
 	require.NoError(t, err)
 }
+
+// platformNames are the names of the users' platform on the wire and in its
+// store.
+var platformNames = regexp.MustCompile(
+	`X-(Request-Id|Deadline-Ms|Expect-Instance|Tenant|Token-Usage|Prefix-Hash|Model|Response-Seal|Not-Executed|Instance-)` +
+		`|At-Server|Length-Hint|Last-Event-Id|"Priority"|"Path"|"Versions"|/-/|"op/|"servers/|GRADEMILL_BOOT` +
+		`|path_prefix|api_keys|slo_ms|gap_aim_ms|kv_used|kv_total|to_version|busy_slots|read_x|act_bytes|pipe_mbps|cold_left_ms`)
+
+// The platform's names stand in platform/ alone, and in the stand-in that speaks
+// its protocol.
+func TestPlatformNamesStayInTheirFolder(t *testing.T) {
+	err := filepath.WalkDir(".", func(path string, entry os.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") ||
+			strings.HasPrefix(path, "platform/") || strings.HasPrefix(path, "standin/") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		require.NoError(t, err)
+		require.Empty(t, platformNames.FindString(string(text)), path)
+		return nil
+	})
+	require.NoError(t, err)
+}
+
+// The folder that only translates stays small.
+func TestPlatformFolderIsSmall(t *testing.T) {
+	const most = 1500
+	paths, err := filepath.Glob("platform/*.go")
+	require.NoError(t, err)
+	lines := 0
+	for _, path := range paths {
+		if strings.HasSuffix(path, "_test.go") {
+			continue
+		}
+		text, err := os.ReadFile(path)
+		require.NoError(t, err)
+		lines += strings.Count(string(text), "\n")
+	}
+	require.Less(t, lines, most)
+}
--- /dev/null
+++ b/role/gateway/malformed_test.go
@@ -0,0 +1,90 @@
+package gateway_test
+
+import (
+	"bufio"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/adapter/ingress"
+)
+
+// raw writes text to a server of the gateway and returns the status of the answer,
+// 0 for none, and whether the connection was closed after it.
+func raw(t *testing.T, address, text string) (int, bool) {
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer c.Close() //nolint:errcheck // a test's connection
+	require.NoError(t, c.SetDeadline(time.Now().Add(patience)))
+	_, err = io.WriteString(c, text)
+	require.NoError(t, err)
+	r := bufio.NewReader(c)
+	answer, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return 0, true
+	}
+	_, _ = io.Copy(io.Discard, answer.Body) // only the end of the connection counts
+	_, err = r.ReadByte()
+	return answer.StatusCode, err == io.EOF
+}
+
+// head is the head of a good request, without its body's framing.
+const head = "POST /renew/1 HTTP/1.1\r\nHost: " + host + "\r\nAuthorization: Token " + key + "\r\nX-Request-Id: raw\r\n"
+
+// Requests whose end two readers may see in different places never reach an
+// endpoint, and their connection ends.
+func TestMalformedRequestsNeverReachAnEndpoint(t *testing.T) {
+	t.Parallel()
+	e := plain("a")
+	w := newWorld(t, e)
+	s := &ingress.Server{
+		Address: freeTCP(t), Handler: w.gateway, Idle: func() time.Duration { return 0 },
+		ErrorLog: log.New(io.Discard, "", 0),
+	}
+	require.NoError(t, s.Listen(make(chan error, 1)))
+	t.Cleanup(s.Stop)
+	cases := []struct{ name, text string }{
+		{"two lengths", head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nxx"},
+		{"length and chunks", head + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /renew/2"},
+		{"unknown encoding", head + "Transfer-Encoding: gzip\r\n\r\nxx"},
+		{"chunked twice", head + "Transfer-Encoding: chunked, chunked\r\n\r\n0\r\n\r\n"},
+		{"bad length", head + "Content-Length: +1\r\n\r\nx"},
+		{"bad chunk", head + "Transfer-Encoding: chunked\r\n\r\nzz\r\nxx\r\n0\r\n\r\n"},
+		{"space before a colon", head + "Content-Length : 1\r\n\r\nx"},
+		{"no host", "POST /renew/1 HTTP/1.1\r\nX-Request-Id: raw\r\n\r\n"},
+		{"two hosts", head + "Host: " + host + "\r\nContent-Length: 0\r\n\r\n"},
+		{"bad name", head + "Bad Name: 1\r\n\r\n"},
+		{"bad value", head + "X-Bad: \x00\r\n\r\n"},
+		{"long head", head + "X-Long: " + strings.Repeat("x", 64<<10) + "\r\n\r\n"},
+		{"no HTTP", "hello\r\n\r\n"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			status, closed := raw(t, s.Address, c.text)
+			require.True(t, closed)
+			if status != 0 {
+				require.GreaterOrEqual(t, status, 400)
+				require.Less(t, status, 600)
+			}
+		})
+	}
+	for _, seen := range e.Seen() {
+		require.Failf(t, "a malformed request arrived", "%s %v", seen.RequestURI, seen.Header)
+	}
+	status, _ := raw(t, s.Address, head+"Connection: close\r\nContent-Length: 1\r\n\r\nx")
+	require.Equal(t, http.StatusOK, status, "the good one is served")
+}
+
+// freeTCP returns a local address that nobody listens at.
+func freeTCP(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close() //nolint:errcheck // a test's listener
+	return l.Addr().String()
+}
--- /dev/null
+++ b/state/mirror/mirror_test.go
@@ -0,0 +1,208 @@
+package mirror_test
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/port/kv"
+	"github.com/grademill/grademill/state/mirror"
+)
+
+// feed is a store in memory whose pages hold two pairs.
+type feed struct {
+	mu      sync.Mutex
+	pairs   map[string]kv.Pair
+	history []kv.Pair
+	rev     uint64
+	floor   uint64
+	down    bool
+}
+
+var errDown = errors.New("down")
+
+func (f *feed) set(key, value string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rev++
+	p := kv.Pair{Key: key, Value: []byte(value), Revision: f.rev}
+	if f.pairs == nil {
+		f.pairs = make(map[string]kv.Pair)
+	}
+	f.pairs[key] = p
+	f.history = append(f.history, p)
+}
+
+func (f *feed) remove(key string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rev++
+	delete(f.pairs, key)
+	f.history = append(f.history, kv.Pair{Key: key, Revision: f.rev, Deleted: true})
+}
+
+func (f *feed) compact() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.floor, f.history = f.rev, nil
+}
+
+func (f *feed) setDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
+func (f *feed) Scan(_ context.Context, _, after string) (kv.Page, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return kv.Page{}, errDown
+	}
+	var list []kv.Pair
+	for key, p := range f.pairs {
+		if key > after {
+			list = append(list, p)
+		}
+	}
+	slices.SortFunc(list, func(a, b kv.Pair) int { return cmp.Compare(a.Key, b.Key) })
+	return kv.Page{Pairs: list[:min(2, len(list))], More: len(list) > 2, At: f.rev}, nil
+}
+
+func (f *feed) Changes(ctx context.Context, _ string, revision uint64, wait time.Duration) (kv.Page, error) {
+	until := time.Now().Add(wait)
+	for {
+		page, err := f.since(revision)
+		if err != nil || len(page.Pairs) > 0 || !time.Now().Before(until) {
+			return page, err
+		}
+		select {
+		case <-ctx.Done():
+			return kv.Page{}, ctx.Err()
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+func (f *feed) since(revision uint64) (kv.Page, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return kv.Page{}, errDown
+	}
+	if revision < f.floor {
+		return kv.Page{}, &kv.CompactedError{Revision: revision}
+	}
+	page := kv.Page{At: f.rev}
+	for _, p := range f.history {
+		if p.Revision > revision {
+			page.Pairs = append(page.Pairs, p)
+		}
+	}
+	return page, nil
+}
+
+const grace = 2 * time.Second
+
+// copyOf runs a mirror of f on a virtual clock; its copy is read while all wait.
+func copyOf(t *testing.T, f *feed) map[string]string {
+	held := make(map[string]string)
+	m := &mirror.Mirror{
+		Feed: f, Wait: time.Second, Grace: grace, Log: zerolog.Nop(),
+		Put:     func(p kv.Pair) { held[p.Key] = string(p.Value) },
+		Gone:    func(key string) { delete(held, key) },
+		Confirm: func(time.Time) {},
+		Lost:    func(error) {},
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		m.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return held
+}
+
+// pass lets d pass on the virtual clock.
+func pass(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+func TestCopyFollows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := new(feed)
+		for _, key := range []string{"a", "b", "c", "d", "e"} {
+			f.set(key, "1")
+		}
+		held := copyOf(t, f)
+		pass(time.Second)
+		require.Len(t, held, 5)
+		f.set("a", "2")
+		f.remove("b")
+		pass(time.Second)
+		require.Equal(t, map[string]string{"a": "2", "c": "1", "d": "1", "e": "1"}, held)
+	})
+}
+
+func TestForgottenHistoryIsReadAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := new(feed)
+		f.set("a", "1")
+		f.set("b", "1")
+		held := copyOf(t, f)
+		pass(time.Second)
+		f.remove("a")
+		f.set("b", "2")
+		f.compact()
+		pass(2 * time.Second)
+		require.Equal(t, map[string]string{"b": "2"}, held)
+	})
+}
+
+// What lapses while the store is away is kept for a grace after its return: its
+// owner may come back. What is still missing then has gone.
+func TestLapsedKeysAreKeptForAGraceAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := new(feed)
+		f.set("returns", "1")
+		f.set("dead", "1")
+		held := copyOf(t, f)
+		pass(time.Second)
+		f.setDown(true)
+		pass(5 * time.Second)
+		f.remove("returns")
+		f.remove("dead")
+		f.setDown(false)
+		pass(time.Second)
+		require.Len(t, held, 2)
+		f.set("returns", "2")
+		pass(2 * grace)
+		require.Equal(t, map[string]string{"returns": "2"}, held)
+	})
+}
+
+// In calm times what has gone has gone, also after a single lost answer.
+func TestRemovalIsTakenAtOnceInCalmTimes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := new(feed)
+		f.set("a", "1")
+		held := copyOf(t, f)
+		pass(time.Second)
+		f.remove("a")
+		pass(100 * time.Millisecond)
+		require.Empty(t, held)
+	})
+}
