A fault soak of the real programs, the story of a request from logs

test/soak runs gateways as processes and breaks what is around them: links to the store and to endpoints that are slow, silent, deaf one way or reset, processes that are stopped, killed, frozen and told to reload, endpoints that crash, leave, fail and answer twice, keys taken away, a history forgotten; several at once. It checks what callers were told against what ran.

--- /dev/null
+++ b/cmd/grademill/explain.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/grademill/grademill/decide/story"
+)
+
+// storyBefore is how long before a request what its gateway learnt of the
+// endpoints matters: an endpoint that holds requests up is avoided for at most
+// 12 s.
+const storyBefore = 15 * time.Second
+
+type explainCommand struct{ before time.Duration }
+
+func (*explainCommand) Name() string     { return "explain" }
+func (*explainCommand) Synopsis() string { return "tell from logs what became of a request, and why" }
+
+func (*explainCommand) Usage() string {
+	return `grademill explain [-before DURATION] REQUEST FILE...
+  Reads the logs of gateways and prints, in the order of time, each decision about
+  the request and what its gateways came to believe of the endpoints it used.
+  Exit codes: 0 told, 1 a log cannot be read, 2 wrong arguments, 4 no such request.
+`
+}
+
+func (c *explainCommand) SetFlags(f *flag.FlagSet) {
+	f.DurationVar(&c.before, "before", storyBefore, "how long before the request beliefs matter")
+}
+
+func (c *explainCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() < 2 {
+		fmt.Fprint(os.Stderr, c.Usage())
+		return subcommands.ExitUsageError
+	}
+	s := &story.Story{Request: f.Arg(0), Before: c.before}
+	for _, path := range f.Args()[1:] {
+		if err := readLog(s, path); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return subcommands.ExitFailure
+		}
+	}
+	if len(s.Lines()) == 0 {
+		fmt.Fprintf(os.Stderr, "no line names request %s\n", f.Arg(0))
+		return exitRefused
+	}
+	return finish(s.Write(os.Stdout))
+}
+
+// readLog reads one file into a story.
+func readLog(s *story.Story, path string) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer file.Close() //nolint:errcheck // only read
+	skipped, err := s.Read(file)
+	if skipped > 0 {
+		fmt.Fprintf(os.Stderr, "%s: %d lines are no log lines\n", path, skipped)
+	}
+	return err
+}
--- a/cmd/grademill/main.go
+++ b/cmd/grademill/main.go
@@ -26,6 +26,7 @@
 	subcommands.Register(&agentCommand{}, "roles")
 	subcommands.Register(&checkCommand{}, "operators")
 	subcommands.Register(&ctlCommand{}, "operators")
+	subcommands.Register(&explainCommand{}, "operators")
 	flag.Parse()
 	return subcommands.Execute(context.Background())
 }
--- /dev/null
+++ b/decide/story/story_test.go
@@ -0,0 +1,58 @@
+package story_test
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/decide/story"
+)
+
+const log = `{"process":"g1","time":"2026-12-02T10:00:00Z","endpoint":"old","address":"10.0.0.1:80","message":"endpoint gone"}
+{"process":"g1","time":"2026-12-02T10:00:50Z","endpoint":"e","address":"10.0.0.1:80","request":"other","message":"endpoint holds requests up"}
+{"process":"g2","time":"2026-12-02T10:00:51Z","endpoint":"e","address":"10.0.0.1:80","message":"endpoint changed"}
+{"process":"g1","time":"2026-12-02T10:00:52Z","endpoint":"x","address":"10.0.0.9:80","message":"endpoint changed"}
+panic: not JSON
+{"process":"g1","time":"2026-12-02T10:00:53Z","request":"r1","chain":"10.0.0.1:80[0,8)","events":3,"message":"chain broke"}
+{"process":"g1","time":"2026-12-02T10:00:54.5Z","request":"r1","outcome":"broken off","message":"request ended"}
+{"process":"g1","time":"2026-12-02T10:00:55Z","request":"r2","outcome":"served","message":"request ended"}
+`
+
+func TestStory(t *testing.T) {
+	s := &story.Story{Request: "r1", Before: 10 * time.Second}
+	skipped, err := s.Read(strings.NewReader(log))
+	require.NoError(t, err)
+	require.Equal(t, 1, skipped)
+	var messages []string
+	for _, l := range s.Lines() {
+		messages = append(messages, l.Message)
+	}
+	require.Equal(t, []string{"endpoint holds requests up", "chain broke", "request ended"}, messages)
+}
+
+func ExampleStory() {
+	s := &story.Story{Request: "r1", Before: time.Second}
+	if _, err := s.Read(strings.NewReader(log)); err != nil {
+		fmt.Println(err)
+	}
+	if err := s.Write(os.Stdout); err != nil {
+		fmt.Println(err)
+	}
+	// Output:
+	//    +0.000s  g1  chain broke  chain="10.0.0.1:80[0,8)"  events=3  request="r1"
+	//    +1.500s  g1  request ended  outcome="broken off"  request="r1"
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(log)
+	f.Fuzz(func(t *testing.T, text string) {
+		s := &story.Story{Request: "r1", Before: time.Hour}
+		if _, err := s.Read(strings.NewReader(text)); err == nil {
+			require.NoError(t, s.Write(&strings.Builder{}))
+		}
+	})
+}
--- a/layout_test.go
+++ b/layout_test.go
@@ -47,6 +47,7 @@
 	"decide/retry",
 	"decide/route",
 	"decide/spread",
+	"decide/story",
 	"decide/timeout",
 	"decide/view",
 }
--- a/standin/site/endpoint.go
+++ b/standin/site/endpoint.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -48,15 +49,20 @@
 	// Site knows the other endpoints.
 	Site *Site
 
+	// Public is where others reach the endpoint; empty for the address at which
+	// it listens.
+	Public string
+
 	address string
-	server  *http.Server
 
 	mu sync.Mutex // guards what follows
 	// mode is that of requests for which the site has none.
 	mode Mode
 	ran  map[string]int
 	seen []*http.Request
-	dead bool
+	// arrived are the times of the requests in seen.
+	arrived []time.Time
+	dead    bool
 	// running are the streams that run, by request, with their chains.
 	running map[string][]part
 	layers  [2]int
@@ -66,8 +72,13 @@
 	left int
 }
 
-// Address returns where the endpoint listens.
-func (e *Endpoint) Address() string { return e.address }
+// Address returns where others reach the endpoint.
+func (e *Endpoint) Address() string {
+	if e.Public != "" {
+		return e.Public
+	}
+	return e.address
+}
 
 // Stay sets the mode of all requests from now on.
 func (e *Endpoint) Stay(mode Mode) {
@@ -98,6 +109,13 @@
 	return append([]*http.Request(nil), e.seen...)
 }
 
+// Arrived returns when the requests of Seen arrived.
+func (e *Endpoint) Arrived() []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]time.Time(nil), e.arrived...)
+}
+
 // Left returns how many callers closed the connection while their request ran.
 func (e *Endpoint) Left() int {
 	e.mu.Lock()
@@ -159,7 +177,8 @@
 func (e *Endpoint) arrive(r *http.Request) Mode {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.seen = append(e.seen, r.Clone(r.Context()))
+	e.seen = append(e.seen, r.Clone(context.Background()))
+	e.arrived = append(e.arrived, time.Now())
 	if mode, ok := e.Site.nextMode(e.Service); ok {
 		return mode
 	}
--- a/standin/site/model.go
+++ b/standin/site/model.go
@@ -32,7 +32,7 @@
 func (e *Endpoint) stream(w http.ResponseWriter, r *http.Request, mode Mode) {
 	id := r.Header.Get("X-Request-Id")
 	chain, err := parseChain(r.Header.Get("Path"))
-	if err != nil || chain[0].address != e.address {
+	if err != nil || chain[0].address != e.Address() {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -110,7 +110,7 @@
 	chain := e.running[id]
 	e.mu.Unlock()
 	for _, p := range chain {
-		if other := e.Site.at(p.address); p.address != e.address && (other == nil || other.isDead()) {
+		if other := e.Site.at(p.address); p.address != e.Address() && (other == nil || other.isDead()) {
 			return p.address
 		}
 	}
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -49,17 +49,28 @@
 
 // Start starts an endpoint and announces it.
 func (s *Site) Start(e *Endpoint) error {
-	e.Site = s
-	address, err := s.serve(e)
-	if err != nil {
+	if err := s.Open(e); err != nil {
 		return err
 	}
+	s.Enter(e)
+	return nil
+}
+
+// Open has an endpoint listen without anybody knowing of it, so that Public can
+// be set to a link before it.
+func (s *Site) Open(e *Endpoint) error {
+	e.Site = s
+	address, err := s.serve(e)
 	e.address = address
+	return err
+}
+
+// Enter announces an endpoint that is open.
+func (s *Site) Enter(e *Endpoint) {
 	s.mu.Lock()
-	s.endpoints[address] = e
+	s.endpoints[e.Address()] = e
 	s.mu.Unlock()
 	s.Announce(e)
-	return nil
 }
 
 // Next sets the modes of the next requests that any endpoint of a service gets, in
@@ -109,7 +120,7 @@
 func (s *Site) Withdraw(e *Endpoint) { s.Store.Remove("servers/" + e.ID) }
 
 func (s *Site) announce(e *Endpoint, state string) {
-	r := Record{Service: e.Service, Addr: e.address, Zone: e.Hall, Slots: slots, State: state, Kind: e.Card}
+	r := Record{Service: e.Service, Addr: e.Address(), Zone: e.Hall, Slots: slots, State: state, Kind: e.Card}
 	if e.Card != "" {
 		from, to := e.Layers()
 		r.Layers = map[string]int{"from": from, "to_version": to, "version": 1}
--- /dev/null
+++ b/test/soak/check_test.go
@@ -0,0 +1,135 @@
+package soak_test
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// The bounds of the promises, with the slack that the machine needs.
+const (
+	// revokeBound is how long after it was taken away a key may still work.
+	revokeBound = 5 * time.Second
+	// leaveBound is how long after an endpoint said that it leaves it may still
+	// get work from a gateway that is in touch with the store.
+	leaveBound = 2500 * time.Millisecond
+	// touch is how long around a fault of the store gateways count as out of
+	// touch.
+	touch = 5 * time.Second
+	// handOver is how long after the signal to stop a request may be taken and
+	// must still end.
+	handOver = 3 * time.Second
+)
+
+// check compares what callers were told with what ran.
+func (w *world) check(c *callers, mended time.Time) {
+	assert.Empty(w.t, w.backs.site.Faults(), "each layer once and in order")
+	served, late := 0, 0
+	for _, s := range c.all {
+		runs := w.runs(s.id)
+		switch {
+		case !s.repeats():
+			assert.LessOrEqual(w.t, runs, 1, "%s %s ran more than once", s.id, s.path)
+		}
+		if s.status == http.StatusServiceUnavailable || s.status == http.StatusTooManyRequests {
+			if !assert.Zero(w.t, runs, "%s %s was refused as not run", s.id, s.path) {
+				w.t.Log(s.body)
+			}
+		}
+		if s.status == http.StatusOK {
+			w.checkAnswer(s)
+		}
+		w.checkStop(s)
+		if s.at.After(mended) {
+			late++
+			if s.status == http.StatusOK && s.whole {
+				served++
+			}
+		}
+	}
+	w.checkKeys(c)
+	w.checkLeaving()
+	assert.Greater(w.t, len(c.all), 50, "requests were sent")
+	assert.GreaterOrEqual(w.t, float64(served), 0.7*float64(late), "served again after all is mended")
+	w.t.Logf("%d requests, %d of %d served after the faults", len(c.all), served, late)
+}
+
+// checkAnswer checks that an answer is the right one, or visibly cut.
+func (w *world) checkAnswer(s sent) {
+	if s.whole {
+		assert.Equal(w.t, s.want(), s.body, "%s %s", s.id, s.path)
+		return
+	}
+	assert.True(w.t, strings.HasPrefix(s.want(), s.body), "%s %s: other bytes than its own: %q", s.id, s.path, s.body)
+}
+
+// checkStop checks that a planned stop cut nothing, when it was the only thing
+// that happened.
+func (w *world) checkStop(s sent) {
+	_, stop := s.node.state()
+	if s.stop.IsZero() && stop.IsZero() || len(w.unplanned) > 0 {
+		return
+	}
+	if s.status == 0 && w.runs(s.id) > 0 {
+		assert.Fail(w.t, "a planned stop cut a request", "%s %s sent %s", s.id, s.path, s.at)
+	}
+}
+
+// runs returns how often a request ran.
+func (w *world) runs(id string) int {
+	n := 0
+	for _, e := range w.backs.all {
+		n += e.Ran(id)
+	}
+	return n
+}
+
+// checkKeys checks that no request ran with a key that was taken away long before
+// it was sent, in touch or not.
+func (w *world) checkKeys(c *callers) {
+	for _, s := range c.all {
+		revoked, ok := w.backs.revoked[s.key]
+		if ok && s.at.After(revoked.Add(revokeBound)) {
+			assert.Zero(w.t, w.runs(s.id), "%s ran with a key taken away %s before", s.id, s.at.Sub(revoked))
+		}
+	}
+}
+
+// checkLeaving checks that endpoints that leave get no new work, around which the
+// store was well.
+func (w *world) checkLeaving() {
+	for e, left := range w.backs.left {
+		if w.storeHarmed(left) {
+			continue
+		}
+		seen := e.Seen()
+		for i, at := range e.Arrived() {
+			if at.After(left.Add(leaveBound)) {
+				assert.Fail(w.t, "a leaving endpoint got work", "%s %s after it left", seen[i].Header.Get("X-Request-Id"), at.Sub(left))
+			}
+		}
+	}
+}
+
+// storeHarmed reports whether a gateway may have been out of touch around a time.
+func (w *world) storeHarmed(around time.Time) bool {
+	for _, at := range w.storeFaults {
+		if d := at.Sub(around); d > -touch && d < touch {
+			return true
+		}
+	}
+	return len(w.unplanned) > 0 && w.frozen(around)
+}
+
+// frozen reports whether another fault came near a time: a frozen gateway hears of
+// nothing.
+func (w *world) frozen(around time.Time) bool {
+	for _, at := range w.unplanned {
+		if d := at.Sub(around); d > -touch && d < touch {
+			return true
+		}
+	}
+	return false
+}
