--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -16,6 +16,7 @@
 	subcommands.Register(&recoveryCommand{}, "")
 	subcommands.Register(&overloadCommand{}, "")
 	subcommands.Register(&slopesCommand{}, "")
+	subcommands.Register(&daysCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -56,6 +56,9 @@
 	// active is the number of requests of this gateway that it runs, held the
 	// memory that they need, in tokens times layers.
 	active, held atomic.Int64
+	// reading is the number of requests of this gateway whose prompt it reads,
+	// othersReading that of the other gateways.
+	reading, othersReading atomic.Int64
 	// othersActive and othersHeld are those of the other gateways.
 	othersActive, othersHeld atomic.Int64
 	// pace is above 1000 for an endpoint that is slower than its kind, in
--- a/role/gateway/gossip.go
+++ b/role/gateway/gossip.go
@@ -117,6 +117,7 @@
 		d.Uses = append(d.Uses, &gossip.Use{
 			Endpoint: id, Active: uint32(max(active, 0)), Held: uint64(max(held, 0)),
 			AvoidedMillis: uint32(max(avoided.Milliseconds(), 0)), Pace: pace,
+			Reading: uint32(max(b.use.reading.Load(), 0)),
 		})
 	}
 	return d
@@ -151,7 +152,9 @@
 		if b == nil {
 			continue
 		}
-		held[b.use] = share{active: int64(use.GetActive()), held: int64(use.GetHeld())}
+		held[b.use] = share{
+			active: int64(use.GetActive()), held: int64(use.GetHeld()), reading: int64(use.GetReading()),
+		}
 		if use.GetPace() > 0 {
 			b.use.pace.Store(int64(use.GetPace()))
 		}
--- a/role/gateway/peers.go
+++ b/role/gateway/peers.go
@@ -40,7 +40,7 @@
 
 // share is what one gateway has at an endpoint.
 type share struct {
-	active, held int64
+	active, held, reading int64
 }
 
 // put takes in a pair of the store, if it is about a gateway.
@@ -94,6 +94,7 @@
 	for use, s := range p.shares {
 		use.othersActive.Add(sign * s.active)
 		use.othersHeld.Add(sign * s.held)
+		use.othersReading.Add(sign * s.reading)
 	}
 }
 
--- a/role/gateway/seat.go
+++ b/role/gateway/seat.go
@@ -30,10 +30,24 @@
 	first  *backend
 	parts  []*backend
 	memory []int64
+	// reading is set while the prompt is read.
+	reading bool
+}
+
+// read notes that the prompt has been read.
+func (s *seat) read() {
+	if !s.reading {
+		return
+	}
+	s.reading = false
+	for _, b := range s.parts {
+		b.use.reading.Add(-1)
+	}
 }
 
 // release gives the room back.
 func (s *seat) release() {
+	s.read()
 	for i, b := range s.parts {
 		b.use.release(s.memory[i])
 	}
@@ -142,11 +156,12 @@
 
 // newSeat takes room along a chain of backends that byID knows.
 func newSeat(found chain.Chain, need int, byID func(string) *backend) *seat {
-	s := &seat{chain: found}
+	s := &seat{chain: found, reading: true}
 	for _, p := range found {
 		b := byID(p.ID)
 		memory := int64(need * p.Layers.Len())
 		b.use.take(memory)
+		b.use.reading.Add(1)
 		s.parts, s.memory = append(s.parts, b), append(s.memory, memory)
 	}
 	s.first = s.parts[0]
@@ -180,7 +195,7 @@
 		card := q.service.Model.Cards[b.Card]
 		holders = append(holders, chain.Holder{
 			ID: p.ID, Address: p.Address, Hall: b.hall, Layers: p.Layers,
-			PerLayer: layerTime(q.service.Model, card, q, int(b.use.active.Load())) * keptCost,
+			PerLayer: layerTime(q.service.Model, card, q, b.use) * keptCost,
 		})
 	}
 	c.holders = holders
@@ -234,16 +249,19 @@
 		}
 		c.holders = append(c.holders, chain.Holder{
 			ID: b.ID, Address: b.Address, Hall: b.hall, Layers: b.Layers,
-			PerLayer: layerTime(m, card, q, int(active)) * float64(b.use.pace.Load()) / paceUnit * crowding(free, room),
+			PerLayer: layerTime(m, card, q, b.use) * float64(b.use.pace.Load()) / paceUnit * crowding(free, room),
 		})
 	}
 }
 
-// layerTime returns the seconds that one layer adds to a token, the reading of
-// the prompt spread over the tokens of the answer.
-func layerTime(m *catalog.Model, card catalog.Card, q *query, active int) float64 {
+// layerTime returns the seconds that one layer adds to a token. The reading of the
+// prompt, after those that are being read there, is spread over the tokens of the
+// answer.
+func layerTime(m *catalog.Model, card catalog.Card, q *query, u *usage) float64 {
+	active := u.active.Load() + u.othersActive.Load()
+	reading := u.reading.Load() + u.othersReading.Load()
 	step := m.Step.Seconds() + float64(active)*m.PerSequence.Seconds()
-	read := float64(q.Prompt) / m.ReadRate / float64(max(q.LikelyAnswer, 1))
+	read := float64(1+reading) * float64(q.Prompt) / m.ReadRate / float64(max(q.LikelyAnswer, 1))
 	return (step*card.Pace + read*card.Read) / float64(m.Layers)
 }
 
--- a/role/gateway/watchdog.go
+++ b/role/gateway/watchdog.go
@@ -61,6 +61,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.last = time.Now()
+	w.seat.read()
 	w.seat.first.use.eventAt.Store(w.last.UnixNano())
 	w.timer.Reset(part(overdueNext, allowedPause(w.relay.q.route)))
 }
