Forget ended gateways sooner, give orders at the same time, say what a refusal saw

Cause: after a planned stop the others counted its requests for two seconds more (1,420 tokens reserved for each request where 820 were used). A gateway now says farewell, and one that is silent for six digests is forgotten; a request reserves its prompt and 0.6 of the guessed answer. A test of the gateway took the wrong cards for its chain and waited in vain once in 13 runs; it now takes all of them.

--- a/role/gateway/give.go
+++ b/role/gateway/give.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/grademill/grademill/decide/catalog"
@@ -28,6 +30,9 @@
 	// given: the record of the endpoint tells of it within a heartbeat or two
 	// after the loading.
 	orderWait = 8 * time.Second
+	// ordersAtOnce is the number of orders that are given at the same time: a
+	// fleet of thousands is to hold its layers before callers come.
+	ordersAtOnce = 32
 	// surveyEvery is the time between two rounds of questions for the pace of
 	// all endpoints; a question costs as much as a hundredth of a request.
 	surveyEvery = 2 * time.Second
@@ -150,15 +155,34 @@
 		if service.Model == nil {
 			continue
 		}
-		for _, m := range (spread.Planner{}).Plan(service.Model, o.cards(service.Model, f.open[name], now)) {
-			if !o.order(ctx, f.byID[m.ID], m.Layers) {
-				return false
-			}
+		moves := (spread.Planner{}).Plan(service.Model, o.cards(service.Model, f.open[name], now))
+		if !o.orders(ctx, f, moves, now) {
+			return false
 		}
 	}
 	return true
 }
 
+// orders gives the orders of a plan, several at the same time. It returns false
+// when another giver has taken over.
+func (o *giver) orders(ctx context.Context, f *fleet, moves []spread.Move, now time.Time) bool {
+	var replaced atomic.Bool
+	var group sync.WaitGroup
+	turns := make(chan struct{}, ordersAtOnce)
+	for _, m := range moves {
+		o.given[m.ID] = given{layers: m.Layers, until: now.Add(orderWait)}
+		turns <- struct{}{}
+		group.Go(func() {
+			defer func() { <-turns }()
+			if !o.order(ctx, f.byID[m.ID], m.Layers) {
+				replaced.Store(true)
+			}
+		})
+	}
+	group.Wait()
+	return !replaced.Load()
+}
+
 // cards lists the endpoints of a model as the planner sees them.
 func (o *giver) cards(m *catalog.Model, open []*backend, now time.Time) []spread.Card {
 	cards := make([]spread.Card, 0, len(open))
@@ -187,7 +211,6 @@
 	if err == nil && !report.Busy && report.Layers != layers {
 		err = o.g.Runners.Place(ctx, b.Address, runner.Order{Fence: o.fence, After: report.Orders, Layers: layers})
 	}
-	o.given[b.ID] = given{layers: layers, until: time.Now().Add(orderWait)}
 	result := "taken"
 	var refused *runner.RefusedError
 	if err != nil {
--- a/role/gateway/gossip.go
+++ b/role/gateway/gossip.go
@@ -20,8 +20,9 @@
 	// gossipFleet is the size up to which the time stays the same. In a larger
 	// fleet it grows, so that a gateway sends and gets as much as in a small one.
 	gossipFleet = 6
-	// gossipFresh is how long a digest counts without a newer one.
-	gossipFresh = 2 * time.Second
+	// gossipMissed is the number of digests after which a gateway that sends none
+	// is taken to have ended, with all it used.
+	gossipMissed = 6
 	// announceLease is how long a gateway stays announced without renewal, and
 	// announceEvery the time between two renewals.
 	announceLease = 6 * time.Second
@@ -69,22 +70,31 @@
 		g.Log.Error().Err(err).Msg("nothing is heard of other gateways")
 		return
 	}
-	stop := context.AfterFunc(ctx, func() { _ = socket.Close() })
-	defer stop()
+	defer socket.Close() //nolint:errcheck // datagrams that are not read
 	go g.hear(socket)
-	for number := uint64(1); ctx.Err() == nil; number++ {
+	number := uint64(1)
+	defer func() { g.farewell(socket, number) }()
+	for ; ctx.Err() == nil; number++ {
 		others := g.peers.others(g.Name)
 		if len(others) > 0 {
-			g.tell(socket, others, number)
+			g.tell(socket, others, g.digest(number))
 		}
-		g.peers.expire(time.Now())
-		wait(ctx, gossipEvery*time.Duration(max(len(others), gossipFleet))/gossipFleet)
+		every := gossipEvery * time.Duration(max(len(others), gossipFleet)) / gossipFleet
+		g.peers.expire(time.Now(), gossipMissed*every)
+		wait(ctx, every)
+	}
+}
+
+// farewell tells the other gateways that this one uses nothing more.
+func (g *Gateway) farewell(socket net.PacketConn, number uint64) {
+	if others := g.peers.others(g.Name); len(others) > 0 {
+		g.tell(socket, others, &gossip.Digest{Gateway: g.Name, Incarnation: uint64(g.started.UnixNano()), Number: number})
 	}
 }
 
 // tell sends a digest to the other gateways.
-func (g *Gateway) tell(socket net.PacketConn, others []string, number uint64) {
-	text, err := proto.Marshal(g.digest(number))
+func (g *Gateway) tell(socket net.PacketConn, others []string, d *gossip.Digest) {
+	text, err := proto.Marshal(d)
 	if err != nil {
 		g.Log.Error().Err(err).Msg("digest not encoded")
 		return
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -230,5 +230,8 @@
 	if q.events > 0 {
 		line = line.Int("events", q.events).Dur("pause_ms", q.pause).Int("carried", q.carried)
 	}
+	if q.seen.need > 0 {
+		line = line.Int("need", q.seen.need).Int("open", q.seen.open).Int("avoided", q.seen.avoided).Int("crowded", q.seen.crowded)
+	}
 	line.Msg("request ended")
 }
--- a/role/gateway/peers.go
+++ b/role/gateway/peers.go
@@ -98,12 +98,12 @@
 	}
 }
 
-// expire forgets the gateways that have fallen silent.
-func (p *peers) expire(now time.Time) {
+// expire forgets the gateways that have been silent for a time.
+func (p *peers) expire(now time.Time, silence time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for name, one := range p.known {
-		if now.Sub(one.at) > gossipFresh {
+		if now.Sub(one.at) > silence {
 			one.count(-1)
 			delete(p.known, name)
 		}
--- a/role/gateway/query.go
+++ b/role/gateway/query.go
@@ -36,6 +36,8 @@
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
 
+	// seen is what it saw when it last found no chain.
+	seen sight
 	// cause is that of the next send, out of a closed set.
 	cause string
 	// status, outcome and reason are what became of it, for the log.
--- a/role/gateway/seat.go
+++ b/role/gateway/seat.go
@@ -21,7 +21,7 @@
 	maxCrowding = 12
 	// likelyMargin is the part of its answer that a request holds on average, with
 	// a margin: it grows to the whole only in the end.
-	likelyMargin = 0.75
+	likelyMargin = 0.6
 )
 
 // seat is the room that a request takes along a chain.
@@ -75,11 +75,24 @@
 type chooser struct {
 	finder  chain.Finder
 	holders []chain.Holder
+	// open, avoided and crowded count the endpoints of the model, and those that
+	// were left out because they are passed over or have no room.
+	open, avoided, crowded int
 }
 
 // choosers keep their working memory between requests.
 var choosers = sync.Pool{New: func() any { return new(chooser) }}
 
+// sight is what a request saw of the endpoints when it found no chain, for the
+// log.
+type sight struct {
+	// need is the number of tokens that it was taken to need.
+	need int
+	// open, avoided and crowded count the endpoints with layers, those that were
+	// passed over, and those without room.
+	open, avoided, crowded int
+}
+
 // shortage says why there is no chain.
 type shortage string
 
@@ -100,6 +113,7 @@
 	c.collect(q, f, need, false)
 	found, ok := g.find(c, q, need)
 	if !ok {
+		q.seen = sight{need: need, open: c.open, avoided: c.avoided, crowded: c.crowded}
 		c.collect(q, f, need, true)
 		if _, exists := c.finder.Find(c.holders); exists {
 			return nil, shortageRoom
@@ -232,11 +246,17 @@
 // leaves out those without room for it.
 func (c *chooser) collect(q *query, f *fleet, need int, full bool) {
 	c.holders = c.holders[:0]
+	c.open, c.avoided, c.crowded = 0, 0, 0
 	m := q.service.Model
 	now := time.Now()
 	for _, b := range f.open[q.service.Name] {
 		layers := b.Layers.Len()
-		if layers == 0 || q.avoids(b.Address) || b.use.avoided(now) {
+		if layers == 0 {
+			continue
+		}
+		c.open++
+		if q.avoids(b.Address) || b.use.avoided(now) {
+			c.avoided++
 			continue
 		}
 		card := m.Cards[b.Card]
@@ -245,6 +265,7 @@
 		free := room - held - float64(need*layers)
 		active := b.use.active.Load() + b.use.othersActive.Load()
 		if !full && (free < 0 || int(active) >= b.Slots) {
+			c.crowded++
 			continue
 		}
 		c.holders = append(c.holders, chain.Holder{
--- a/role/gateway/stream_test.go
+++ b/role/gateway/stream_test.go
@@ -198,7 +198,8 @@
 	require.NoError(t, w.site.Start(more))
 	w.eventually(func() bool { from, to := more.Layers(); return to > from })
 	w.knows(more)
-	answer, _, later := w.mid(append(cards, more), 400)
+	cards = append(cards, more)
+	answer, _, later := w.mid(cards, 400)
 	for _, c := range cards {
 		if c != later[0] && c.Running() > 0 {
 			w.site.Withdraw(c)
