--- a/cmd/grademill-gateway/daemon.go
+++ b/cmd/grademill-gateway/daemon.go
@@ -67,7 +67,7 @@
 			EndpointID: platform.EndpointID, DecodeEndpoint: platform.DecodeEndpoint,
 		},
 		Dialect: platform.Dialect{}, Runners: platform.NewControl(d.metrics.PlatformCall),
-		Revocation: time.Duration(s.Revocation), First: s.First,
+		Revocation: time.Duration(s.Revocation),
 		RetryShare: s.RetryShare, RetryReserve: s.RetryReserve, RetryWindow: s.RetryWindow.Or(defaultRetryWindow),
 		Log: d.log, Meter: d.metrics,
 	}
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -36,8 +36,13 @@
 
 // Store is what a gateway needs of the store.
 type Store interface {
-	kv.Store
 	kv.Feed
+	// Grant makes a lease that lapses unless it is kept alive.
+	Grant(ctx context.Context, ttl time.Duration) (string, error)
+	// KeepAlive renews a lease, or returns a kv.NotFoundError when it lapsed.
+	KeepAlive(ctx context.Context, lease string) error
+	// Put writes if the condition holds and returns the new revision.
+	Put(ctx context.Context, w kv.Write) (uint64, error)
 	// Revoke ends a lease; its keys go with it.
 	Revoke(ctx context.Context, lease string) error
 }
@@ -64,9 +69,7 @@
 	RetryShare   float64
 	RetryReserve int
 	RetryWindow  time.Duration
-	// First is set when the whole system starts for the first time.
-	First bool
-	Log   zerolog.Logger
+	Log          zerolog.Logger
 	// Meter counts what is done.
 	Meter Meter
 
--- a/role/gateway/give.go
+++ b/role/gateway/give.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/grademill/grademill/adapter/pause"
 	"github.com/grademill/grademill/decide/catalog"
 	"github.com/grademill/grademill/decide/layer"
 	"github.com/grademill/grademill/decide/spread"
@@ -63,7 +64,7 @@
 // until ctx ends.
 func (g *Gateway) give(ctx context.Context) {
 	for ctx.Err() == nil {
-		wait(ctx, time.Duration(float64(giverRound)*(1+rand.Float64())))
+		pause.For(ctx, time.Duration(float64(giverRound)*(1+rand.Float64())))
 		if !g.loaded.Load() || g.draining.Load() || g.catalog.Load() == nil || g.peers.giverHeld() {
 			continue
 		}
@@ -73,7 +74,7 @@
 			if !errors.As(err, &held) {
 				g.Log.Warn().Err(err).Msg("the right to give orders was not taken")
 			}
-			wait(ctx, renewEvery)
+			pause.For(ctx, renewEvery)
 			continue
 		}
 		holder.hold(ctx)
@@ -112,7 +113,7 @@
 			surveyed = now
 			go o.survey(ctx)
 		}
-		wait(ctx, giverRound)
+		pause.For(ctx, giverRound)
 	}
 }
 
@@ -225,13 +226,3 @@
 		Str("result", result).AnErr("error", err).Msg("order given")
 	return refused == nil || !refused.Fenced
 }
-
-// wait waits for d or until ctx ends.
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/role/gateway/gossip.go
+++ b/role/gateway/gossip.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/grademill/grademill/adapter/pause"
 	"github.com/grademill/grademill/port/kv"
 	"github.com/grademill/grademill/wire/gossip"
 )
@@ -42,7 +43,7 @@
 		if lease == "" && g.loaded.Load() {
 			lease = g.enrol(ctx, key)
 		}
-		wait(ctx, announceEvery)
+		pause.For(ctx, announceEvery)
 	}
 	if lease != "" {
 		_ = g.Store.Revoke(context.WithoutCancel(ctx), lease) // it lapses otherwise
@@ -81,7 +82,7 @@
 		}
 		every := gossipEvery * time.Duration(max(len(others), gossipFleet)) / gossipFleet
 		g.peers.expire(time.Now(), gossipMissed*every)
-		wait(ctx, every)
+		pause.For(ctx, every)
 	}
 }
 
--- a/role/settings/file.go
+++ b/role/settings/file.go
@@ -145,8 +145,6 @@
 	RetryShare   float64  `toml:"retry_share" validate:"min=0,max=1"`
 	RetryReserve int      `toml:"retry_reserve" validate:"min=0,max=1000000"`
 	RetryWindow  Duration `toml:"retry_window" validate:"min=0"`
-	// First is set when the whole system starts for the first time.
-	First bool `toml:"first"`
 }
 
 // Error is a fault in a file of settings.
--- a/role/settings/file_test.go
+++ b/role/settings/file_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -61,7 +63,7 @@
 
 func TestExamplesAreFitForUse(t *testing.T) {
 	for _, name := range []string{
-		"ramdin/entry.toml", "ramdin/agent-engine.toml", "ramdin/agent-records.toml",
+		"ramdin/entry.toml", "ramdin/agent-engine.toml", "ramdin/agent-records.toml", "ramdin/gateway.toml",
 		"greenbough/entry.toml", "greenbough/agent-engine.toml", "greenbough/agent-stock.toml",
 	} {
 		_, err := settings.Load("../../examples/" + name)
@@ -69,6 +71,24 @@
 	}
 }
 
+// The template of the users' platform, filled with the facts of a host, is fit for
+// use.
+func TestDeployTemplateIsFitForUse(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/gateway.toml")
+	require.NoError(t, err)
+	filled := strings.NewReplacer(
+		"{{node}}", "front-1", "{{zone}}", "ikeja", "{{ip}}", "10.1.0.40", "{{port_range.0}}", "7340",
+		"{{listen.front}}", "10.1.0.40:8227", "{{listen.ready}}", "10.1.0.40:8220", "{{listen.control}}", "10.1.0.40:8229",
+		"{{provider.addr}}", "10.200.1.7:8223", "{{bounds.revoke_ms}}", "5000", "{{bounds.grace_s}}", "8",
+		"{{bounds.retry_ratio}}", "0.2", "{{bounds.retry_slack}}", "200", "{{bounds.retry_window_s}}", "10",
+	).Replace(string(text))
+	require.NotContains(t, filled, "{{")
+	f, err := settings.Parse("gateway.toml", []byte(filled))
+	require.NoError(t, err)
+	require.Equal(t, 5*time.Second, time.Duration(f.Gateway.Revocation))
+	require.Equal(t, 200, f.Gateway.RetryReserve)
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add(good)
 	f.Add("role = 7")
--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/grademill/grademill/adapter/pause"
 	"github.com/grademill/grademill/decide/backoff"
 	"github.com/grademill/grademill/port/kv"
 )
@@ -81,7 +82,7 @@
 			loaded = true
 			m.expire()
 			m.Confirm(sent)
-			pause(ctx, m.Settle-time.Since(sent))
+			pause.For(ctx, m.Settle-time.Since(sent))
 		}
 	}
 }
@@ -187,7 +188,7 @@
 	if m.failures == 1 && ctx.Err() == nil {
 		m.Lost(err)
 	}
-	pause(ctx, retryWait.Delay(m.failures, rand.Float64()))
+	pause.For(ctx, retryWait.Delay(m.failures, rand.Float64()))
 }
 
 // outage is the number of failures in a row that count as an outage of the
@@ -202,16 +203,3 @@
 	}
 	m.failures = 0
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
