--- a/role/agent/agent.go
+++ b/role/agent/agent.go
@@ -93,7 +93,7 @@
 	introduced map[string]*wire.Introduction
 	// failures are the entries whose connections broke.
 	failures map[string]failure
-	beats      uint64
+	beats    uint64
 }
 
 // maxCalls bounds the calls that are remembered, and callEpoch is the length of
