Derive the waits for changes from the bound of revocation

Cause (found by reading): while one question for changes waits, the newest proof is that of the question before, so that a proof gets as old as two of them: 3.0 s with waits of 1.5 s, which is where readiness ends; with a smaller bound of revocation, as other deployments may have, keys would have been refused in calm times. decide/freshness derives the wait, and its test fails for the former constants. Changes of 0.6 s are taken together.

--- a/layout_test.go
+++ b/layout_test.go
@@ -32,6 +32,7 @@
 	"decide/fence",
 	"decide/fleet",
 	"decide/flow",
+	"decide/freshness",
 	"decide/health",
 	"decide/layer",
 	"decide/limit",
--- a/role/gateway/follow.go
+++ b/role/gateway/follow.go
@@ -5,26 +5,19 @@
 	"time"
 
 	"github.com/grademill/grademill/decide/endpoint"
+	"github.com/grademill/grademill/decide/freshness"
 	"github.com/grademill/grademill/port/kv"
 	"github.com/grademill/grademill/state/mirror"
 )
 
 // The figures of following the store.
 const (
-	// changesWait bounds the age of the proof that the configuration is current.
-	changesWait = 1500 * time.Millisecond
 	// changesSettle takes changes that come together in one answer; it is small
 	// beside the seconds in which a change must be in force.
-	changesSettle = 300 * time.Millisecond
+	changesSettle = 600 * time.Millisecond
 	// lapseGrace is how long after an outage of the store a record that lapsed
 	// may be missing: endpoints that live are back within two seconds.
 	lapseGrace = 2200 * time.Millisecond
-	// deafness is how long a watch of the store may have missed changes without
-	// its knowing, by the users' pages.
-	deafness = time.Second
-	// proofMargin is the time between the last check of a proof and the moment
-	// at which an endpoint gets the request.
-	proofMargin = 300 * time.Millisecond
 )
 
 // members are the records of the store; only the mirror's goroutine uses them.
@@ -39,7 +32,7 @@
 func (g *Gateway) follow(ctx context.Context) {
 	g.members = members{endpoints: make(map[string]endpoint.Endpoint), usage: make(map[string]*usage)}
 	m := mirror.Mirror{
-		Feed: g.Store, Wait: changesWait, Settle: changesSettle, Grace: lapseGrace,
+		Feed: g.Store, Wait: g.policy().Wait(), Settle: min(changesSettle, g.policy().Wait()), Grace: lapseGrace,
 		Put: g.put, Gone: g.gone, Confirm: g.confirm, Log: g.Log,
 		Lost: func(err error) { g.Log.Warn().Err(err).Msg("the store does not answer") },
 	}
@@ -139,7 +132,12 @@
 	return now.Sub(g.started) - time.Duration(g.proof.Load())
 }
 
+// policy returns what the age of the proof allows.
+func (g *Gateway) policy() freshness.Policy {
+	return freshness.Policy{Revocation: g.Revocation}
+}
+
 // fresh reports whether requests with a key may be served.
 func (g *Gateway) fresh(now time.Time) bool {
-	return g.Revocation == 0 || g.proofAge(now) < g.Revocation-deafness-proofMargin
+	return g.policy().Serves(g.proofAge(now))
 }
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -118,14 +118,9 @@
 // time before it has to refuse requests, so that callers are led elsewhere.
 func (g *Gateway) Ready() bool {
 	return g.loaded.Load() && !g.draining.Load() && g.catalog.Load() != nil &&
-		(g.Revocation == 0 || g.proofAge(time.Now()) < part(readyProof, g.Revocation))
+		g.policy().Ready(g.proofAge(time.Now()))
 }
 
-// readyProof is how old the proof of the configuration may be while the gateway
-// is ready, in parts of the bound of revocation. Proofs of a calm store are half
-// as old.
-const readyProof = 0.6
-
 // Drain makes the gateway not ready, and has it give up the right to give orders.
 func (g *Gateway) Drain() {
 	g.draining.Store(true)
