Keep the logs of a soak that fails at its start, and its seed; ports of its own

Seed 360 failed once: the fleet was not ready within 60 s, before any fault, while four soaks ran side by side. Its log was not kept. Not traced; the finding is open. The check is as it was; logs are now kept for every failure, and ports come from a range of the soak's own, as in the other process tests.

--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -54,12 +54,12 @@
 	return path, nil
 })
 
-// port returns a free local address.
-func port(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close() //nolint:errcheck // a test's listener
-	return l.Addr().String()
+var ports atomic.Int32
+
+// port returns a local address of this test's own: a port that was free a moment
+// ago may be taken by a connection of another process before a gateway listens.
+func port() string {
+	return fmt.Sprintf("127.%d.88.1:%d", 1+os.Getpid()%250, 22000+ports.Add(1))
 }
 
 // newNode writes the settings of a gateway.
@@ -67,11 +67,11 @@
 	link, err := newProxy(store)
 	require.NoError(t, err)
 	n := &node{
-		t: t, name: name, settings: filepath.Join(dir, name+".toml"), store: link, caller: port(t), ready: port(t),
+		t: t, name: name, settings: filepath.Join(dir, name+".toml"), store: link, caller: port(), ready: port(),
 	}
 	text := fmt.Sprintf("role = \"gateway\"\nname = %q\nhall = \"north\"\naddress = %q\n[gateway]\ncaller = %q\nready = %q\n"+
 		"store = %q\nrevocation = \"5s\"\nstop_timeout = %q\nretry_share = 0.2\nretry_reserve = 200\nretry_window = \"10s\"\n",
-		name, port(t), n.caller, n.ready, link.address, graceTime.String())
+		name, port(), n.caller, n.ready, link.address, graceTime.String())
 	require.NoError(t, os.WriteFile(n.settings, []byte(text), 0o600))
 	n.out, err = os.Create(filepath.Join(dir, name+".log"))
 	require.NoError(t, err)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -22,6 +22,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/grademill/grademill/standin/site"
@@ -80,6 +81,11 @@
 // soak plays one seed.
 func soak(t *testing.T, seed uint64) {
 	dir := t.TempDir()
+	t.Cleanup(func() {
+		if t.Failed() && *keep != "" {
+			assert.NoError(t, os.CopyFS(fmt.Sprintf("%s/seed-%d", *keep, seed), os.DirFS(dir)))
+		}
+	})
 	w := &world{t: t, backs: newBacks(t), r: rand.New(rand.NewPCG(seed, 1))}
 	for i := range gateways {
 		w.nodes = append(w.nodes, newNode(t, dir, fmt.Sprint("gateway-", i), w.backs.site.StoreAddress))
@@ -101,9 +107,6 @@
 	cancel()
 	group.Wait()
 	w.check(c, mended)
-	if t.Failed() && *keep != "" {
-		require.NoError(t, os.CopyFS(fmt.Sprintf("%s/seed-%d", *keep, seed), os.DirFS(dir)))
-	}
 }
 
 // serves reports whether all gateways are ready and the layers are held.
