Place second copies where a failure hurts, close holes at once, and break herds

A hall that lost the only holder of a range had no chain for 7 to 8 s: the record lapses after 3.6 s, the planner waited 1.2 s more after each change of the fleet, and moved one card a round. 2. Second copies lay over the first layers. A stream can be moved, but never away from its first endpoint, so a copy there helps no stream that runs. 3. On the grown sites all gateways took the same cheapest chain until the next digest (0.75 s in a fleet of 30): of four halls one had prompts waiting for 0.5 to 1.7 s, while another answered in 60 ms. Waiting prompts weighed a tenth of what they cost. 5. Every part of a chain counted a slot; only the first one takes it. 190 streams filled a hall whose memory was half empty.

Changes: holes are closed in one round by cards whose layers others hold, or by the neighbours, as soon as two gateways find an endpoint dead for 0.7 s; further copies go where holders and supply are fewest, from the last layer back; halls too small for a copy are planned as one; a hall's and an endpoint's cost vary by chance for each request, and reading is spread over 32 tokens.

--- /dev/null
+++ b/decide/spread/repair.go
@@ -0,0 +1,170 @@
+package spread
+
+import (
+	"math"
+	"slices"
+
+	"github.com/grademill/grademill/decide/catalog"
+	"github.com/grademill/grademill/decide/layer"
+)
+
+// The parts of a card's memory up to which it may take on layers next to its own,
+// to close a hole: it goes on serving meanwhile, with less room. A few layers cost
+// little; more are taken on only where no other card can be had.
+const (
+	stretchedLittle = 0.68
+	stretchedFar    = 0.8
+)
+
+// holderWeight is how much less a layer needs another holder for each that it has:
+// more than the supply of cards differs.
+const holderWeight = 8
+
+// floor is what holds each layer of a place.
+type floor struct {
+	planner Planner
+	model   *catalog.Model
+	// copies are the numbers of holders.
+	copies []int
+	// supply is what the holders offer: the tokens that fit beside their layers, no
+	// more than if they held their fill, nor than the slots of a first endpoint let
+	// in; less for slow cards, by the root of their pace. With the tokens alone the
+	// fast cards that come back after a failure go where slow ones do the work
+	// already; with the pace itself the layers of slow cards get all copies.
+	supply []float64
+}
+
+// newFloor returns the floor of cards.
+func newFloor(p Planner, m *catalog.Model, cards []Card) *floor {
+	f := &floor{planner: p, model: m, copies: make([]int, m.Layers), supply: make([]float64, m.Layers)}
+	for _, c := range cards {
+		f.count(c, c.Holds, 1)
+	}
+	return f
+}
+
+// count adds a card that holds a range n times.
+func (f *floor) count(c Card, r layer.Range, n int) {
+	kind := f.model.Cards[c.Kind]
+	room := float64(max(f.model.Room(kind, max(r.Len(), f.planner.size(f.model, c))), 0))
+	if r.First == 0 && f.model.Slots > 0 {
+		room = min(room, float64(f.model.Slots*(f.model.Prompt+f.model.Answer)))
+	}
+	offer := room / math.Sqrt(max(kind.Pace, 1))
+	for l := max(r.First, 0); l < min(r.End, len(f.copies)); l++ {
+		f.copies[l] += n
+		f.supply[l] += float64(n) * offer
+	}
+}
+
+// hole returns the first run of layers that no card holds, empty for none.
+func (f *floor) hole() layer.Range {
+	first := slices.Index(f.copies, 0)
+	if first < 0 {
+		return layer.Range{}
+	}
+	return f.run(first)
+}
+
+// run returns the run of layers from first on that have as many copies.
+func (f *floor) run(first int) layer.Range {
+	end := first
+	for end < len(f.copies) && f.copies[end] == f.copies[first] {
+		end++
+	}
+	return layer.Range{First: first, End: end}
+}
+
+// scarcest returns the range for a card that holds so many layers. Holes come
+// first; a hole that is smaller stays so: the memory it leaves holds requests.
+// Otherwise it is the range with the fewest holders and, among those, the least
+// supply; the last of equal ones, since a request can be moved while it runs, but not
+// away from its first endpoint.
+func (f *floor) scarcest(size int) layer.Range {
+	if hole := f.hole(); !hole.Empty() {
+		return layer.Range{First: hole.First, End: min(hole.End, hole.First+size)}
+	}
+	best, at := 0.0, 0
+	for first := f.model.Layers - size; first >= 0; first-- {
+		need := 0.0
+		for l := first; l < first+size; l++ {
+			need += math.Pow(holderWeight, -float64(f.copies[l])) / (f.supply[l] + 1)
+		}
+		if need > best*(1+1e-9) {
+			best, at = need, first
+		}
+	}
+	return layer.Range{First: at, End: at + size}
+}
+
+// place plans the moves of one place.
+func (p Planner) place(m *catalog.Model, cards []Card) []Move {
+	cards = slices.Clone(cards)
+	f := newFloor(p, m, cards)
+	var moves []Move
+	move := func(i int, r layer.Range) {
+		f.count(cards[i], cards[i].Holds, -1)
+		f.count(cards[i], r, 1)
+		cards[i].Holds, cards[i].Settled = r, true
+		moves = append(moves, Move{ID: cards[i].ID, Layers: r})
+	}
+	for i, c := range cards {
+		if size := p.size(m, c); c.Holds.Empty() && !c.Settled && size > 0 {
+			move(i, f.scarcest(size))
+		}
+	}
+	for hole := f.hole(); !hole.Empty(); hole = f.hole() {
+		i, r := f.stretch(cards, hole, stretchedLittle)
+		if i < 0 || r.Len()-cards[i].Holds.Len() < hole.Len() {
+			i, r = p.donate(f, cards, hole)
+		}
+		if i < 0 {
+			i, r = f.stretch(cards, hole, stretchedFar)
+		}
+		if i < 0 {
+			break
+		}
+		move(i, r)
+	}
+	return moves
+}
+
+// stretch finds the card beside a hole that can take most of it on, up to a part of
+// its memory, with its new range; -1 for none.
+func (f *floor) stretch(cards []Card, hole layer.Range, fill float64) (int, layer.Range) {
+	best, wider, gain := -1, layer.Range{}, 0
+	for i, c := range cards {
+		if c.Settled || c.Holds.Empty() {
+			continue
+		}
+		spare := min(int(fill*f.model.Cards[c.Kind].Memory/f.model.LayerSize)-c.Holds.Len(), hole.Len())
+		r := c.Holds
+		switch {
+		case r.End == hole.First:
+			r.End += spare
+		case r.First == hole.End:
+			r.First -= spare
+		default:
+			continue
+		}
+		if spare > gain {
+			best, wider, gain = i, r, spare
+		}
+	}
+	return best, wider
+}
+
+// donate finds the slowest card whose layers others hold, too, with the part of a
+// hole that it can take; -1 for none.
+func (p Planner) donate(f *floor, cards []Card, hole layer.Range) (int, layer.Range) {
+	for i := len(cards) - 1; i >= 0; i-- {
+		c := cards[i]
+		if c.Settled || c.Holds.Empty() || slices.Min(f.copies[c.Holds.First:c.Holds.End]) < 2 {
+			continue
+		}
+		if size := min(p.size(f.model, c), hole.Len()); size > 0 {
+			return i, layer.Range{First: hole.First, End: hole.First + size}
+		}
+	}
+	return -1, layer.Range{}
+}
--- a/decide/spread/spread.go
+++ b/decide/spread/spread.go
@@ -42,95 +42,70 @@
 // card fails; more leaves too little room for requests.
 const DefaultFill = 0.6
 
+// fullest is the part of a card's memory that its layers may take at most.
+const fullest = 0.9
+
 // Plan returns the moves that give each hall chains of its own. It is a pure
-// function of what the cards hold: cards that hold layers keep them, but for one
-// whose layers others in the hall hold too and which fills a hole; cards without
-// layers take the first range that the fewest cards of their hall hold.
+// function of what the cards hold. Cards that hold layers keep them, but for those
+// that close a hole. Cards without layers take those that the fewest others hold,
+// the fastest cards first. Halls that cannot hold a copy of the model are planned
+// as one.
 func (p Planner) Plan(m *catalog.Model, cards []Card) []Move {
 	if p.Fill <= 0 {
 		p.Fill = DefaultFill
 	}
-	halls := make(map[string][]Card)
-	for _, c := range cards {
-		halls[c.Hall] = append(halls[c.Hall], c)
-	}
 	var moves []Move
-	for _, list := range halls {
-		moves = append(moves, p.hall(m, list)...)
+	for _, list := range places(m, cards) {
+		moves = append(moves, p.place(m, list)...)
 	}
 	slices.SortFunc(moves, func(a, b Move) int { return cmp.Compare(a.ID, b.ID) })
 	return moves
 }
 
-// hall plans the moves of one hall.
-func (p Planner) hall(m *catalog.Model, cards []Card) []Move {
-	slices.SortFunc(cards, func(a, b Card) int {
-		return cmp.Or(cmp.Compare(m.Cards[a.Kind].Pace, m.Cards[b.Kind].Pace), cmp.Compare(a.ID, b.ID))
-	})
-	copies := make([]int, m.Layers)
+// places returns the cards of each hall, the fastest first. The halls that cannot
+// hold a copy of the model make one place together.
+func places(m *catalog.Model, cards []Card) [][]Card {
+	halls := make(map[string][]Card)
 	for _, c := range cards {
-		count(copies, c.Holds, 1)
+		halls[c.Hall] = append(halls[c.Hall], c)
 	}
-	var moves []Move
-	for _, c := range cards {
-		if !c.Holds.Empty() || c.Settled {
-			continue
-		}
-		size := size(m, c, p.Fill)
-		if size == 0 {
+	var list [][]Card
+	var small []Card
+	for _, hall := range halls {
+		if capacity(m, hall) < m.Layers {
+			small = append(small, hall...)
 			continue
 		}
-		r := thinnest(copies, size)
-		count(copies, r, 1)
-		moves = append(moves, Move{ID: c.ID, Layers: r})
+		list = append(list, hall)
 	}
-	if move, ok := p.mend(m, cards, copies); ok && len(moves) == 0 {
-		moves = append(moves, move)
+	if len(small) > 0 {
+		list = append(list, small)
 	}
-	return moves
-}
-
-// mend finds a card whose layers others hold too, and which can fill a hole.
-func (p Planner) mend(m *catalog.Model, cards []Card, copies []int) (Move, bool) {
-	if !slices.Contains(copies, 0) || slices.Max(copies) < 2 {
-		return Move{}, false
+	for _, place := range list {
+		slices.SortFunc(place, func(a, b Card) int {
+			return cmp.Or(cmp.Compare(m.Cards[a.Kind].Pace, m.Cards[b.Kind].Pace), cmp.Compare(a.ID, b.ID))
+		})
 	}
-	for i := len(cards) - 1; i >= 0; i-- {
-		c := cards[i]
-		if c.Settled || c.Holds.Empty() || slices.Min(copies[c.Holds.First:c.Holds.End]) < 2 {
-			continue
-		}
-		r := thinnest(copies, size(m, c, p.Fill))
-		if copies[r.First] > 0 {
-			continue
-		}
-		return Move{ID: c.ID, Layers: r}, true
-	}
-	return Move{}, false
+	return list
 }
 
-// size returns the number of layers that fill a part of a card's memory, 0 for a
-// card of an unknown kind.
-func size(m *catalog.Model, c Card, fill float64) int {
-	return min(int(math.Round(fill*m.Cards[c.Kind].Memory/m.LayerSize)), m.Layers)
+// capacity returns the number of layers that cards hold at most.
+func capacity(m *catalog.Model, cards []Card) int {
+	layers := 0
+	for _, c := range cards {
+		layers += most(m, c)
+	}
+	return layers
 }
 
-// count adds n to the copies of a range.
-func count(copies []int, r layer.Range, n int) {
-	for l := max(r.First, 0); l < min(r.End, len(copies)); l++ {
-		copies[l] += n
-	}
+// most returns the number of layers that a card holds at most, 0 for a card of an
+// unknown kind.
+func most(m *catalog.Model, c Card) int {
+	return min(int(fullest*m.Cards[c.Kind].Memory/m.LayerSize), m.Layers)
 }
 
-// thinnest returns the first run of layers with the fewest copies, of size
-// layers at most. A run that is shorter stays so: the memory it leaves holds
-// requests.
-func thinnest(copies []int, size int) layer.Range {
-	least := slices.Min(copies)
-	first := slices.Index(copies, least)
-	end := first
-	for end < len(copies) && end-first < size && copies[end] == least {
-		end++
-	}
-	return layer.Range{First: first, End: end}
+// size returns the number of layers that fill a part of a card's memory, 0 for a
+// card of an unknown kind.
+func (p Planner) size(m *catalog.Model, c Card) int {
+	return min(int(math.Round(p.Fill*m.Cards[c.Kind].Memory/m.LayerSize)), most(m, c))
 }
--- a/role/gateway/chooser.go
+++ b/role/gateway/chooser.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +15,8 @@
 type chooser struct {
 	finder  chain.Finder
 	holders []chain.Holder
+	// chance is by how much each hall is dearer for this request.
+	chance []float64
 	// open, avoided and crowded count the endpoints of the model, and those that
 	// were left out because they are passed over or have no room.
 	open, avoided, crowded int
@@ -54,30 +58,45 @@
 	c.holders = holders
 }
 
-// prepare sets the model and the costs of beginning in a hall.
+// chanceHall and chanceEndpoint are by how much a hall and an endpoint are dearer
+// for one request, at most, drawn anew for each: what gateways know of each other's
+// requests is some 0.2 s old, in a large fleet 0.8 s, and without chance they all
+// take the same cheapest chain meanwhile. Measured on the grown sites, mean worth
+// of their four days of high load: 0.58 without, 0.67 with these.
+const (
+	chanceHall     = 0.7
+	chanceEndpoint = 0.2
+)
+
+// prepare sets the model, the costs of beginning in a hall, and what chance adds.
 func (c *chooser) prepare(m *catalog.Model, f *fleet, home string) {
 	c.finder.Layers = m.Layers
 	c.finder.Entry = c.finder.Entry[:0]
+	c.chance = c.chance[:0]
 	for _, hall := range f.halls {
 		entry := entryFar
 		if hall == home {
 			entry = 0
 		}
 		c.finder.Entry = append(c.finder.Entry, entry)
+		c.chance = append(c.chance, 1+chanceHall*rand.Float64())
 	}
 }
 
 // hops sets the costs of handing a token on, between two halls that of far.
 func (c *chooser) hops(far float64) {
 	halls := len(c.finder.Entry)
-	c.finder.Hops = c.finder.Hops[:0]
-	for i := range halls {
-		row := make([]float64, halls)
+	for len(c.finder.Hops) < halls {
+		c.finder.Hops = append(c.finder.Hops, nil)
+	}
+	c.finder.Hops = c.finder.Hops[:halls]
+	for i := range c.finder.Hops {
+		row := slices.Grow(c.finder.Hops[i][:0], halls)[:halls]
 		for j := range row {
 			row[j] = far
 		}
 		row[i] = hopNear
-		c.finder.Hops = append(c.finder.Hops, row)
+		c.finder.Hops[i] = row
 	}
 }
 
@@ -86,7 +105,6 @@
 func (c *chooser) collect(q *query, f *fleet, need int, full bool) {
 	c.holders = c.holders[:0]
 	c.open, c.avoided, c.crowded = 0, 0, 0
-	m := q.service.Model
 	now := time.Now()
 	for _, b := range f.open[q.service.Name] {
 		layers := b.Layers.Len()
@@ -98,30 +116,47 @@
 			c.avoided++
 			continue
 		}
-		card := m.Cards[b.Card]
-		room := float64(m.Room(card, layers) * layers)
-		held := float64(b.use.held.Load() + b.use.othersHeld.Load())
-		free := room - held - float64(need*layers)
-		active := b.use.active.Load() + b.use.othersActive.Load()
-		if !full && (free < 0 || int(active) >= b.Slots) {
+		room := float64(q.service.Model.Room(q.service.Model.Cards[b.Card], layers) * layers)
+		free := room - float64(b.use.held.Load()+b.use.othersHeld.Load()) - float64(need*layers)
+		if !full && (free < 0 || b.noSlot()) {
 			c.crowded++
 			continue
 		}
 		c.holders = append(c.holders, chain.Holder{
 			ID: b.ID, Address: b.Address, Hall: b.hall, Layers: b.Layers,
-			PerLayer: layerTime(m, card, q, b.use) * float64(b.use.pace.Load()) / paceUnit * crowding(free, room),
+			PerLayer: c.perLayer(q, b) * crowding(free, room),
 		})
 	}
 }
 
-// layerTime returns the seconds that one layer adds to a token. The reading of the
-// prompt, after those that are being read there, is spread over the tokens of the
-// answer.
+// noSlot reports whether a backend takes no more requests. Only what comes to it
+// as the first of a chain takes one of its slots.
+func (b *backend) noSlot() bool {
+	return b.Layers.First == 0 && int(b.use.active.Load()+b.use.othersActive.Load()) >= b.Slots
+}
+
+// perLayer returns what a layer of a backend costs a request, in seconds a token,
+// before memory counts.
+func (c *chooser) perLayer(q *query, b *backend) float64 {
+	chance := c.chance[b.hall] * (1 + chanceEndpoint*rand.Float64())
+	slow := float64(b.use.pace.Load()) / paceUnit
+	return layerTime(q.service.Model, q.service.Model.Cards[b.Card], q, b.use) * slow * chance
+}
+
+// readOver is the number of tokens over which the reading of a prompt is spread in
+// the cost of a chain. An answer has some 200, but a first event that comes too
+// late costs half of its worth: spread over the answer, 60 prompts that wait at an
+// endpoint weighed less than another hall. Mean worth of the grown sites' four days
+// of high load: 0.66 with 10, 0.67 with 32.
+const readOver = 32
+
+// layerTime returns the seconds that one layer adds to a token, with a part of the
+// reading of the prompt, after those that are being read there.
 func layerTime(m *catalog.Model, card catalog.Card, q *query, u *usage) float64 {
 	active := u.active.Load() + u.othersActive.Load()
 	reading := u.reading.Load() + u.othersReading.Load()
 	step := m.Step.Seconds() + float64(active)*m.PerSequence.Seconds()
-	read := float64(1+reading) * float64(q.Prompt) / m.ReadRate / float64(max(q.LikelyAnswer, 1))
+	read := float64(1+reading) * float64(q.Prompt) / m.ReadRate / readOver
 	return (step*card.Pace + read*card.Read) / float64(m.Layers)
 }
 
--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -74,8 +74,11 @@
 	stalledUntil, othersStalled, stalls atomic.Int64
 	// eventAt is when an event last came through it, in nanoseconds of Unix time.
 	eventAt atomic.Int64
-	// down is set while it does not answer, checking while it is checked.
-	down, checking atomic.Bool
+	// downSince is when it was found not to answer, 0 while it does, and othersDown
+	// when another gateway last said so, in nanoseconds of Unix time.
+	downSince, othersDown atomic.Int64
+	// checking is set while it is checked.
+	checking atomic.Bool
 	// checkedAt is when it last answered a check, in nanoseconds of Unix time.
 	checkedAt atomic.Int64
 	// watchers watch the streams that pass through it.
@@ -125,7 +128,12 @@
 // now.
 func (u *usage) dead(now time.Time) bool {
 	at := now.UnixNano()
-	return u.down.Load() || at < u.stalledUntil.Load() || at < u.othersStalled.Load() || u.health.Load().Avoided(now)
+	return u.down() || at < u.stalledUntil.Load() || at < u.othersStalled.Load() || u.health.Load().Avoided(now)
+}
+
+// down reports whether the endpoint does not answer this gateway.
+func (u *usage) down() bool {
+	return u.downSince.Load() != 0
 }
 
 // passed reports whether an event has just come through the endpoint.
--- a/role/gateway/give.go
+++ b/role/gateway/give.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -149,14 +150,15 @@
 	if len(f.byID) != o.size {
 		o.size, o.changed = len(f.byID), now
 	}
-	if now.Sub(o.changed) < gatherTime {
-		return true
-	}
 	for name, service := range c.Services {
 		if service.Model == nil {
 			continue
 		}
-		moves := (spread.Planner{}).Plan(service.Model, o.cards(service.Model, f.open[name], now))
+		cards := o.cards(service.Model, f.open[name], now)
+		if now.Sub(o.changed) < gatherTime && !holdsAny(cards) {
+			continue
+		}
+		moves := (spread.Planner{}).Plan(service.Model, cards)
 		if !o.orders(ctx, f, moves, now) {
 			return false
 		}
@@ -164,6 +166,11 @@
 	return true
 }
 
+// holdsAny reports whether any card holds layers.
+func holdsAny(cards []spread.Card) bool {
+	return slices.ContainsFunc(cards, func(c spread.Card) bool { return !c.Holds.Empty() })
+}
+
 // orders gives the orders of a plan, several at the same time. It returns false
 // when another giver has taken over.
 func (o *giver) orders(ctx context.Context, f *fleet, moves []spread.Move, now time.Time) bool {
@@ -188,7 +195,7 @@
 func (o *giver) cards(m *catalog.Model, open []*backend, now time.Time) []spread.Card {
 	cards := make([]spread.Card, 0, len(open))
 	for _, b := range open {
-		if _, known := m.Cards[b.Card]; !known {
+		if _, known := m.Cards[b.Card]; !known || o.g.hasEnded(b, now) {
 			continue
 		}
 		c := spread.Card{ID: b.ID, Hall: b.Hall, Kind: b.Card, Holds: b.Layers}
--- a/role/gateway/gossip.go
+++ b/role/gateway/gossip.go
@@ -127,7 +127,7 @@
 	giving := g.peers.gives(g.Name)
 	for id, b := range g.fleet.Load().byID {
 		avoided := time.Duration(b.use.stalledUntil.Load() - now.UnixNano())
-		active, held, down := b.use.active.Load(), b.use.held.Load(), b.use.down.Load()
+		active, held, down := b.use.active.Load(), b.use.held.Load(), b.use.down()
 		pace := uint32(0)
 		if giving {
 			pace = uint32(b.use.pace.Load())
@@ -183,6 +183,7 @@
 			g.adoptStall(b, now, time.Duration(use.GetAvoidedMillis())*time.Millisecond)
 		}
 		if use.GetDown() {
+			b.use.othersDown.Store(now.UnixNano())
 			g.doubt(b, now) // the other gateway may be the one that is cut off
 		}
 	}
--- a/role/gateway/peers.go
+++ b/role/gateway/peers.go
@@ -134,6 +134,13 @@
 	return anywhere, near
 }
 
+// alone reports whether no other gateway has been heard of lately.
+func (p *peers) alone() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.known) == 0
+}
+
 // assumedPeers is the number of gateways while none is known.
 const assumedPeers = 5
 
--- a/role/gateway/suspect.go
+++ b/role/gateway/suspect.go
@@ -66,7 +66,7 @@
 // at a time. Streams through one that does not answer are moved at once: a
 // report of the endpoints before it tells of it only some 200 ms later.
 func (g *Gateway) suspect(b *backend) {
-	if b.Card == "" || b.use.down.Load() || !b.use.checking.CompareAndSwap(false, true) {
+	if b.Card == "" || b.use.down() || !b.use.checking.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
@@ -96,7 +96,7 @@
 	if time.Since(begun) > starved {
 		return
 	}
-	b.use.down.Store(true)
+	b.use.downSince.Store(time.Now().UnixNano())
 	g.Log.Info().Str("endpoint", b.ID).Str("address", b.Address).Err(err).
 		Dur("took_ms", time.Since(begun)).Msg("endpoint does not answer")
 	g.spreadLoss(b)
@@ -134,19 +134,37 @@
 	}
 }
 
+// The figures of giving an endpoint up.
+const (
+	// lostAfter is how long an endpoint must have given no answer to count as lost:
+	// a process that was paused, or a connection that lost packets, is back sooner.
+	lostAfter = 700 * time.Millisecond
+	// wordFresh is how long the word of another gateway counts: several digests.
+	wordFresh = time.Second
+)
+
+// hasEnded reports whether an endpoint holds nothing that can be used, although its
+// record is there: it does not answer this gateway, nor another one.
+func (g *Gateway) hasEnded(b *backend, now time.Time) bool {
+	if !b.use.down() || now.UnixNano()-b.use.downSince.Load() < int64(lostAfter) {
+		return false
+	}
+	return g.peers.alone() || now.UnixNano()-b.use.othersDown.Load() < int64(wordFresh)
+}
+
 // revive checks the endpoints that are down until ctx ends: requests go to them
 // only after they have answered again.
 func (g *Gateway) revive(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause.For(ctx, reviveEvery)
 		for _, b := range g.fleet.Load().byID {
-			if !b.use.down.Load() || !b.use.checking.CompareAndSwap(false, true) {
+			if !b.use.down() || !b.use.checking.CompareAndSwap(false, true) {
 				continue
 			}
 			go func() {
 				defer b.use.checking.Store(false)
 				if _, err := g.probes.ask(ctx, g.Runners, b.Address); !silent(err) {
-					b.use.down.Store(false)
+					b.use.downSince.Store(0)
 					g.Log.Info().Str("endpoint", b.ID).Str("address", b.Address).Msg("endpoint answers again")
 				}
 			}()
--- a/standin/site/endpoint.go
+++ b/standin/site/endpoint.go
@@ -44,6 +44,8 @@
 	Hall    string
 	// Card is its kind of accelerator, empty for a plain endpoint.
 	Card string
+	// Slots is the number of requests that it says it runs together, 0 for 64.
+	Slots int
 	// EventEvery is the time between two events of a stream.
 	EventEvery time.Duration
 	// ReportLag is how long ago its reports tell of.
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/http"
@@ -107,7 +108,8 @@
 	Layers  map[string]int `json:"layers,omitempty"`
 }
 
-// slots is the number of requests that an endpoint runs together.
+// slots is the number of requests that an endpoint runs together when nothing else
+// is said.
 const slots = 64
 
 // Announce writes the record of an endpoint.
@@ -120,7 +122,7 @@
 func (s *Site) Withdraw(e *Endpoint) { s.Store.Remove("servers/" + e.ID) }
 
 func (s *Site) announce(e *Endpoint, state string) {
-	r := Record{Service: e.Service, Addr: e.Address(), Zone: e.Hall, Slots: slots, State: state, Kind: e.Card}
+	r := Record{Service: e.Service, Addr: e.Address(), Zone: e.Hall, Slots: cmp.Or(e.Slots, slots), State: state, Kind: e.Card}
 	if e.Card != "" {
 		from, to := e.Layers()
 		r.Layers = map[string]int{"from": from, "to_version": to, "version": 1}
