Allow for a busy process before an endpoint counts as silent; try doubtful ones last

A check now waits up to four times as long while the process uses more than a tenth of a processor (calm verdicts: 0.001 to 0.048), and where no other chain is left, one through endpoints that seem to be down is tried. A check also tells the pace. Ruled out: judging by how late the timer fires (60.2 of 60 ms in the wrong verdicts).

--- a/role/gateway/chooser.go
+++ b/role/gateway/chooser.go
@@ -100,9 +100,20 @@
 	}
 }
 
-// collect lists the backends that a request may use. Unless full is set it
-// leaves out those without room for it.
-func (c *chooser) collect(q *query, f *fleet, need int, full bool) {
+// choice says which backends a request may use.
+type choice uint8
+
+const (
+	// useSound leaves out those that are passed over, and those without room.
+	useSound choice = iota
+	// useFull leaves out those that are passed over.
+	useFull
+	// useDoubtful leaves out those without room.
+	useDoubtful
+)
+
+// collect lists the backends that a request may use.
+func (c *chooser) collect(q *query, f *fleet, need int, use choice) {
 	c.holders = c.holders[:0]
 	c.open, c.avoided, c.crowded = 0, 0, 0
 	now := time.Now()
@@ -112,13 +123,13 @@
 			continue
 		}
 		c.open++
-		if q.avoids(b.Address) || b.use.avoided(now) {
+		if q.avoids(b.Address) || use != useDoubtful && b.use.avoided(now) {
 			c.avoided++
 			continue
 		}
 		room := float64(q.service.Model.Room(q.service.Model.Cards[b.Card], layers) * layers)
 		free := room - float64(b.use.held.Load()+b.use.othersHeld.Load()) - float64(need*layers)
-		if !full && (free < 0 || b.noSlot()) {
+		if use != useFull && (free < 0 || b.noSlot()) {
 			c.crowded++
 			continue
 		}
--- a/role/gateway/probes.go
+++ b/role/gateway/probes.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"errors"
+	"fmt"
 	"sync"
 	"time"
 
+	"github.com/grademill/grademill/adapter/cputime"
 	"github.com/grademill/grademill/port/runner"
 )
 
@@ -14,6 +15,11 @@
 	// probeWait bounds one question: an endpoint answers within a few milliseconds,
 	// and a stream that waits for the answer may pause for 200 ms in all.
 	probeWait = 60 * time.Millisecond
+	// probeSpans is how often a busy process waits for so long before it gives up,
+	// and busyShare the part of a processor from which on it counts as busy: the
+	// users' hosts have from 0.14 of one, and a calm gateway uses 0.03.
+	probeSpans = 4
+	busyShare  = 0.1
 	// probeTurn is the time for answers that have come while this process was held
 	// up: some hosts get their processor in slices of a tenth of a second.
 	probeTurn = 10 * time.Millisecond
@@ -39,8 +45,7 @@
 }
 
 // ask returns the report of the endpoint at an address, asking it when the last
-// answer is old. An error after probeWait means that no answer has come, and not
-// that this process had no time to read it.
+// answer is old.
 func (p *probes) ask(ctx context.Context, control runner.Control, address string) (runner.Report, error) {
 	one := p.of(address)
 	one.mu.Lock()
@@ -50,18 +55,59 @@
 	}
 	ctx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cancel(nil)
-	patience := time.AfterFunc(probeWait, func() {
-		time.Sleep(probeTurn) // what has come meanwhile is read first
-		cancel(errSilent)
-	})
-	defer patience.Stop()
+	answered := make(chan struct{})
+	defer close(answered)
+	go func() {
+		if err := silence(answered); err != nil {
+			cancel(err)
+		}
+	}()
 	one.report, one.err = control.Report(ctx, address)
 	one.at = time.Now()
 	return one.report, one.err
 }
 
-// errSilent ends a question that got no answer in time.
-var errSilent = errors.New("no answer in time")
+// silence returns why a question is given up, or nil once it has been answered. A
+// busy process waits longer: the answer may lie unread.
+func silence(answered <-chan struct{}) error {
+	busy := 0.0
+	for range probeSpans {
+		begun, used := time.Now(), cputime.Used()
+		if waited(answered, probeWait) {
+			return nil
+		}
+		if busy = float64(cputime.Used()-used) / float64(time.Since(begun)); busy <= busyShare {
+			break
+		}
+	}
+	if waited(answered, probeTurn) {
+		return nil
+	}
+	return &silentError{busy: busy}
+}
+
+// waited waits for an answer, and reports whether it has come.
+func waited(answered <-chan struct{}, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-answered:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
+// silentError is a question that got no answer in time.
+type silentError struct {
+	// busy is the part of a processor that this process used meanwhile.
+	busy float64
+}
+
+// Error says so.
+func (e *silentError) Error() string {
+	return fmt.Sprintf("no answer in time, while this process used %.3f of a processor", e.busy)
+}
 
 // of returns the probe of an address.
 func (p *probes) of(address string) *probe {
--- a/role/gateway/seat.go
+++ b/role/gateway/seat.go
@@ -110,15 +110,20 @@
 	defer choosers.Put(c)
 	need := q.tokens()
 	c.prepare(q.service.Model, f, g.Hall)
-	c.collect(q, f, need, false)
+	c.collect(q, f, need, useSound)
 	found, ok := g.find(c, q, need)
 	if !ok {
 		q.seen = sight{need: need, open: c.open, avoided: c.avoided, crowded: c.crowded}
-		c.collect(q, f, need, true)
+		c.collect(q, f, need, useFull)
 		if _, exists := c.finder.Find(c.holders); exists {
 			return nil, shortageRoom
 		}
-		return nil, shortageLayers
+		// Those that seem to be down may be cut off from this gateway alone, or it
+		// may be too slow to hear them.
+		c.collect(q, f, need, useDoubtful)
+		if found, ok = g.find(c, q, need); !ok {
+			return nil, shortageLayers
+		}
 	}
 	return newSeat(found, need, func(id string) *backend { return f.byID[id] }), shortageNone
 }
@@ -144,7 +149,7 @@
 	defer choosers.Put(c)
 	need := q.tokens()
 	c.prepare(q.service.Model, f, g.Hall)
-	c.collect(q, f, need, false)
+	c.collect(q, f, need, useSound)
 	c.keep(old, q, time.Now())
 	found, ok := g.find(c, q, need)
 	if !ok || found[0] != old.chain[0] {
--- a/role/gateway/stream_test.go
+++ b/role/gateway/stream_test.go
@@ -301,6 +301,22 @@
 	w.logged("endpoint answers again")
 }
 
+// Where nothing else holds the layers, an endpoint that seemed to be down is tried:
+// this gateway may have been too slow to hear it.
+func TestDoubtfulEndpointIsBetterThanNone(t *testing.T) {
+	t.Parallel()
+	cards := []*site.Endpoint{card("card-0", "north"), card("card-1", "north")}
+	w := newWorld(t, cards...)
+	w.eventually(func() bool { return covered(cards, 1) })
+	w.knows(cards...)
+	answer, _, later := w.mid(cards, 400)
+	later[0].Kill()
+	w.logged("endpoint does not answer")
+	later[0].Revive()
+	require.Equal(t, whole(3), w.do(w.plan("/plan/1", 3)).body)
+	answer.Body.Close() //nolint:errcheck // the stream may have broken
+}
+
 // An endpoint that has left the fleet may still serve a part of a chain: a move
 // must not look for it there. The gateway crashed on it.
 func TestStreamMovesWithAPartThatHasLeftTheFleet(t *testing.T) {
--- a/role/gateway/suspect.go
+++ b/role/gateway/suspect.go
@@ -15,9 +15,6 @@
 	// passedFresh is how recent an event that came through an endpoint must be to
 	// show that it lives: the usual time between two events of a stream.
 	passedFresh = 50 * time.Millisecond
-	// starved is how long a check takes at most; after that it is this process that
-	// was held up, and the check says nothing.
-	starved = probeWait + 2*probeTurn
 	// checkedFresh is how long a check that was passed counts, where nothing but a
 	// late event speaks against the endpoint: a check costs as much as a hundredth
 	// of a request.
@@ -90,10 +87,10 @@
 	report, err := g.probes.ask(context.Background(), g.Runners, b.Address)
 	if !silent(err) {
 		b.use.checkedAt.Store(time.Now().UnixNano())
-		g.noteStalls(report)
-		return
-	}
-	if time.Since(begun) > starved {
+		if err == nil {
+			b.use.setPace(report.Pace)
+			g.noteStalls(report)
+		}
 		return
 	}
 	b.use.downSince.Store(time.Now().UnixNano())
@@ -102,7 +99,7 @@
 	g.spreadLoss(b)
 }
 
-// silent reports whether an error of a call shows that the endpoint is not there:
+// silent reports whether an error of a check shows that the endpoint is not there:
 // one that refuses lives.
 func silent(err error) bool {
 	var refused *runner.RefusedError
