Take the bounds on heads from the configuration; remove what nothing uses

The size of a request's head and the time it may take were fixed at 16 KB and 10 s, whatever the configuration said (3 s on the users' sites). They follow it now, like the time that a connection may rest; the server's own bounds are 64 KB and 30 s. A connection in the middle of a head is no longer closed as one that rests.

The doubling waits of `health` are `backoff`'s.

--- a/adapter/ingress/conn.go
+++ b/adapter/ingress/conn.go
@@ -19,8 +19,9 @@
 type conn struct {
 	net.Conn
 	state atomic.Int32
-	// since is when it began to rest, in nanoseconds of Unix time.
-	since atomic.Int64
+	// since is when it began to rest, begun when the first byte of the next head
+	// came, 0 before; both in nanoseconds of Unix time.
+	since, begun atomic.Int64
 	// head is what was read since it began to rest: the head of the next request,
 	// and what came with it. Only the goroutine that serves the connection uses
 	// it.
@@ -30,7 +31,11 @@
 // Read reads and keeps what may be the head of a request.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if c.state.Load() == resting && len(c.head) < headerBytes {
+	if n == 0 || c.state.Load() != resting {
+		return n, err
+	}
+	c.begun.CompareAndSwap(0, time.Now().UnixNano())
+	if len(c.head) < headBytes {
 		c.head = append(c.head, b[:n]...)
 	}
 	return n, err
@@ -39,6 +44,7 @@
 // rest marks the connection as resting.
 func (c *conn) rest() {
 	c.head = c.head[:0]
+	c.begun.Store(0)
 	c.since.Store(time.Now().UnixNano())
 	c.state.Store(resting)
 }
@@ -50,6 +56,22 @@
 	}
 }
 
+// overdue reports whether the connection has rested, or has been in the middle of a
+// head, for longer than it may at now.
+func (c *conn) overdue(l Limits, now time.Time) bool {
+	if begun := c.begun.Load(); begun != 0 {
+		return l.HeadWait > 0 && now.UnixNano()-begun > int64(l.HeadWait)
+	}
+	return l.Idle > 0 && now.UnixNano()-c.since.Load() > int64(l.Idle)
+}
+
+// headSize returns the size of the head that was read, with what came with it when
+// its end is not there.
+func (c *conn) headSize() int {
+	head, _, _ := bytes.Cut(c.head, []byte("\r\n\r\n"))
+	return len(head)
+}
+
 // ambiguous reports whether the head of a request in chunks names a length, too,
 // so that two readers may see its end in different places; the HTTP server passes
 // over the length. A head that was not kept as a whole counts as ambiguous.
--- a/adapter/ingress/server.go
+++ b/adapter/ingress/server.go
@@ -16,12 +16,21 @@
 	"github.com/gravitational/trace"
 )
 
-// The bounds of the head of a request.
+// The bounds of the head of a request whatever the limits in force say.
 const (
-	headerBytes = 16 << 10
-	headerWait  = 10 * time.Second
+	headBytes = 64 << 10
+	headWait  = 30 * time.Second
 )
 
+// Limits bound what callers may do. A zero field is no bound.
+type Limits struct {
+	// Idle is how long a connection may rest between requests.
+	Idle time.Duration
+	// HeadBytes is the size of the head of a request, HeadWait how long it may take.
+	HeadBytes int
+	HeadWait  time.Duration
+}
+
 // sweepEvery is how often resting connections are looked through.
 const sweepEvery = 500 * time.Millisecond
 
@@ -29,8 +38,8 @@
 type Server struct {
 	Address string
 	Handler http.Handler
-	// Idle returns how long a connection may rest, 0 for no bound.
-	Idle func() time.Duration
+	// Limits returns those in force; nil for none.
+	Limits func() Limits
 	// ErrorLog takes the lines of the HTTP server.
 	ErrorLog *log.Logger
 
@@ -54,7 +63,7 @@
 	s.listener = listener{raw}
 	s.conns = make(map[*conn]bool)
 	server := &http.Server{
-		Handler: http.HandlerFunc(s.serve), MaxHeaderBytes: headerBytes, ReadHeaderTimeout: headerWait,
+		Handler: http.HandlerFunc(s.serve), MaxHeaderBytes: headBytes, ReadHeaderTimeout: headWait,
 		ErrorLog: s.ErrorLog, DisableGeneralOptionsHandler: true, ConnContext: s.connected, ConnState: s.changed,
 	}
 	go func() {
@@ -107,6 +116,11 @@
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if most := s.limits().HeadBytes; most > 0 && c.headSize() > most {
+		w.Header().Set("Connection", "close")
+		http.Error(w, "the head of the request is too long", http.StatusRequestHeaderFieldsTooLarge)
+		return
+	}
 	if len(r.TransferEncoding) > 0 && c.ambiguous() {
 		w.Header().Set("Connection", "close")
 		http.Error(w, "the request has a length beside its chunks", http.StatusBadRequest)
@@ -115,7 +129,8 @@
 	s.Handler.ServeHTTP(w, r)
 }
 
-// Run closes connections that rest longer than they may, until ctx ends.
+// Run closes connections that rest longer than they may, or take too long over a
+// head, until ctx ends.
 func (s *Server) Run(ctx context.Context) {
 	ticker := time.NewTicker(sweepEvery)
 	defer ticker.Stop()
@@ -124,9 +139,8 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			if bound := s.Idle(); bound > 0 {
-				s.closeResting(now.Add(-bound))
-			}
+			limits := s.limits()
+			s.closeResting(func(c *conn) bool { return c.overdue(limits, now) })
 		}
 	}
 }
@@ -140,16 +154,24 @@
 func (s *Server) Stop() {
 	s.stopping.Store(true)
 	_ = s.listener.Close() // only a second call fails
-	s.closeResting(time.Now())
+	s.closeResting(func(*conn) bool { return true })
 }
 
-// closeResting closes the connections that have rested since a time or longer.
-func (s *Server) closeResting(since time.Time) {
+// closeResting closes those of the connections that rest that are to be closed.
+func (s *Server) closeResting(due func(*conn) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.since.Load() <= since.UnixNano() {
+		if due(c) {
 			c.closeResting()
 		}
 	}
 }
+
+// limits returns the limits in force.
+func (s *Server) limits() Limits {
+	if s.Limits == nil {
+		return Limits{}
+	}
+	return s.Limits()
+}
--- a/adapter/ingress/server_test.go
+++ b/adapter/ingress/server_test.go
@@ -7,6 +7,7 @@
 	"log"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -19,12 +20,12 @@
 const patience = 30 * time.Second
 
 // start serves handler and returns the server with its address.
-func start(t *testing.T, handler http.Handler, idle time.Duration) *ingress.Server {
+func start(t *testing.T, handler http.Handler, limits ingress.Limits) *ingress.Server {
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	require.NoError(t, free.Close())
 	s := &ingress.Server{
-		Address: free.Addr().String(), Handler: handler, Idle: func() time.Duration { return idle },
+		Address: free.Addr().String(), Handler: handler, Limits: func() ingress.Limits { return limits },
 		ErrorLog: log.New(io.Discard, "", 0),
 	}
 	require.NoError(t, s.Listen(make(chan error, 1)))
@@ -66,7 +67,7 @@
 		entered <- struct{}{}
 		<-release
 		_, _ = io.WriteString(w, "whole")
-	}), 0)
+	}), ingress.Limits{})
 	_, idle := dial(t, s)
 	busy, reader := dial(t, s)
 	_, err := io.WriteString(busy, request)
@@ -84,7 +85,7 @@
 }
 
 func TestRetireEndsConnectionsWithTheirAnswers(t *testing.T) {
-	s := start(t, http.NotFoundHandler(), 0)
+	s := start(t, http.NotFoundHandler(), ingress.Limits{})
 	c, r := dial(t, s)
 	require.False(t, ask(t, c, r).Close)
 	s.Retire()
@@ -92,7 +93,7 @@
 }
 
 func TestRestIsBounded(t *testing.T) {
-	s := start(t, http.NotFoundHandler(), 10*time.Millisecond)
+	s := start(t, http.NotFoundHandler(), ingress.Limits{Idle: 10 * time.Millisecond})
 	c, r := dial(t, s)
 	ask(t, c, r)
 	_, err := r.ReadByte()
@@ -109,7 +110,7 @@
 		entered <- struct{}{}
 		<-release
 		_, _ = io.WriteString(w, "whole")
-	}), 0)
+	}), ingress.Limits{})
 	c, r := dial(t, s)
 	_, err := io.WriteString(c, request)
 	require.NoError(t, err)
@@ -125,3 +126,32 @@
 	_, err = r.ReadByte()
 	require.ErrorIs(t, err, io.EOF)
 }
+
+// A head that is longer than the limit in force is refused, and its connection ends.
+func TestLongHeadIsRefused(t *testing.T) {
+	s := start(t, http.NotFoundHandler(), ingress.Limits{HeadBytes: 200})
+	c, r := dial(t, s)
+	require.Equal(t, http.StatusNotFound, ask(t, c, r).StatusCode)
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\nX-Long: "+strings.Repeat("x", 200)+"\r\n\r\n")
+	require.NoError(t, err)
+	answer, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, answer.StatusCode)
+	_, err = io.Copy(io.Discard, answer.Body)
+	require.NoError(t, err)
+	_, err = r.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
+
+// A head that takes longer than the limit in force ends its connection; one that has
+// not begun does not.
+func TestSlowHeadEndsTheConnection(t *testing.T) {
+	s := start(t, http.NotFoundHandler(), ingress.Limits{HeadWait: 10 * time.Millisecond})
+	idle, rested := dial(t, s)
+	slow, r := dial(t, s)
+	_, err := io.WriteString(slow, "GET / HTTP/1.1\r\nHo")
+	require.NoError(t, err)
+	_, err = r.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	require.Equal(t, http.StatusNotFound, ask(t, idle, rested).StatusCode)
+}
--- a/adapter/upstream/call.go
+++ b/adapter/upstream/call.go
@@ -3,10 +3,8 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -36,9 +34,7 @@
 type SendError struct {
 	// Sent is set when a part of the request may have reached the endpoint.
 	Sent bool
-	// Silent is set when nothing at all came back, not even a refusal.
-	Silent bool
-	Err    error
+	Err  error
 }
 
 // Error returns the cause.
@@ -75,7 +71,7 @@
 func (p *Pool) Do(ctx context.Context, c Call) (*Answer, error) {
 	link, err := p.take(ctx, c.Address, c.Rest)
 	if err != nil {
-		return nil, &SendError{Silent: silent(err), Err: err}
+		return nil, &SendError{Err: err}
 	}
 	a := &Answer{pool: p, conn: link, address: c.Address}
 	a.stop = context.AfterFunc(ctx, func() { _ = link.Close() })
@@ -85,7 +81,7 @@
 	}
 	if err := a.readHead(c); err != nil {
 		a.Close()
-		return nil, &SendError{Sent: true, Silent: silent(err), Err: cause(ctx, err)}
+		return nil, &SendError{Sent: true, Err: cause(ctx, err)}
 	}
 	return a, nil
 }
@@ -98,12 +94,6 @@
 	return err
 }
 
-// silent reports whether an error is a wait that ran out.
-func silent(err error) bool {
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
-
 // Answer is an answer whose body is still to be read.
 type Answer struct {
 	Status int
@@ -222,11 +212,6 @@
 	return io.ReadAll(io.LimitReader(a, maxBody))
 }
 
-// SetReadDeadline bounds the reads to come.
-func (a *Answer) SetReadDeadline(t time.Time) {
-	_ = a.conn.SetReadDeadline(t)
-}
-
 // Close ends the call: the connection is kept when the answer was read to its
 // end and nothing about it was odd, and closed otherwise, which tells the
 // endpoint to stop its work. It may be called again.
--- a/cmd/grademill-gateway/daemon.go
+++ b/cmd/grademill-gateway/daemon.go
@@ -97,10 +97,10 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	signal.Ignore(syscall.SIGPIPE)
 	failed := make(chan error, 3)
-	callers := d.server(d.file.Gateway.Caller, d.gateway, d.gateway.IdleTimeout)
-	servers := []*ingress.Server{callers, d.server(d.file.Gateway.Ready, d.gateway.ReadyHandler(), unbounded)}
+	callers := d.server(d.file.Gateway.Caller, d.gateway, d.callerLimits)
+	servers := []*ingress.Server{callers, d.server(d.file.Gateway.Ready, d.gateway.ReadyHandler(), nil)}
 	if d.file.Admin != "" {
-		servers = append(servers, d.server(d.file.Admin, d.admin(), unbounded))
+		servers = append(servers, d.server(d.file.Admin, d.admin(), nil))
 	}
 	for _, s := range servers {
 		if err := s.Listen(failed); err != nil {
@@ -161,14 +161,17 @@
 }
 
 // server returns a server of handler at address.
-func (d *daemon) server(address string, handler http.Handler, idle func() time.Duration) *ingress.Server {
+func (d *daemon) server(address string, handler http.Handler, limits func() ingress.Limits) *ingress.Server {
 	return &ingress.Server{
-		Address: address, Handler: handler, Idle: idle, ErrorLog: stdlog.New(errorLog{d.log}, "", 0),
+		Address: address, Handler: handler, Limits: limits, ErrorLog: stdlog.New(errorLog{d.log}, "", 0),
 	}
 }
 
-// unbounded lets connections rest as long as they like.
-func unbounded() time.Duration { return 0 }
+// callerLimits returns what callers may do.
+func (d *daemon) callerLimits() ingress.Limits {
+	l := d.gateway.CallerLimits()
+	return ingress.Limits{Idle: l.IdleTimeout, HeadBytes: l.HeaderBytes, HeadWait: l.HeaderTimeout}
+}
 
 // errorLog takes the lines of an HTTP server into the log.
 type errorLog struct{ log zerolog.Logger }
--- a/decide/catalog/service.go
+++ b/decide/catalog/service.go
@@ -5,9 +5,6 @@
 // Service is what a set of endpoints offers.
 type Service struct {
 	Name string
-	// MaxConns is the number of connections that an endpoint takes from all
-	// callers together.
-	MaxConns int
 	// Model is set for services whose endpoints hold layers of a model.
 	Model *Model
 }
--- a/decide/endpoint/endpoint.go
+++ b/decide/endpoint/endpoint.go
@@ -1,11 +1,7 @@
 // Package endpoint describes what is known of an endpoint.
 package endpoint
 
-import (
-	"time"
-
-	"github.com/grademill/grademill/decide/layer"
-)
+import "github.com/grademill/grademill/decide/layer"
 
 // Endpoint is one life of a back end, as it last described itself. It is
 // immutable.
@@ -23,16 +19,9 @@
 	Slots int
 	// Leaving is set once it has said that it is about to end.
 	Leaving bool
-	// Cold is how long it stays slow after its start.
-	Cold time.Duration
 	// Card names its kind of accelerator; empty for a plain endpoint.
 	Card string
 	// Layers are those that it holds, Version that of their weights.
 	Layers  layer.Range
 	Version int
 }
-
-// Same reports whether e and other say the same.
-func (e Endpoint) Same(other Endpoint) bool {
-	return e == other
-}
--- a/decide/health/health.go
+++ b/decide/health/health.go
@@ -2,20 +2,23 @@
 // sent to it, and not by what it says of itself.
 package health
 
-import "time"
+import (
+	"time"
+
+	"github.com/grademill/grademill/decide/backoff"
+)
 
 // The figures of the judgement.
 const (
 	// fade is the weight of the newest request in the share of failures: some
 	// ten requests make an endpoint's name.
 	fade = 0.1
-	// firstWait is how long an endpoint is passed over after it could not be
-	// reached, doubled for each further time, up to lastWait. A restarted
-	// process is back within seconds.
-	firstWait = 300 * time.Millisecond
-	lastWait  = 2400 * time.Millisecond
 )
 
+// lossWait is how long an endpoint is passed over after it could not be reached. A
+// restarted process is back within seconds.
+var lossWait = backoff.Backoff{Base: 300 * time.Millisecond, Max: 2400 * time.Millisecond}
+
 // Record is what is remembered of an endpoint. It is immutable; the zero Record
 // is that of an endpoint without a fault.
 type Record struct {
@@ -42,9 +45,8 @@
 // silent or broke off at now.
 func (r Record) WithLoss(now time.Time) Record {
 	r = r.WithFailure()
-	wait := min(firstWait<<min(r.lost, 8), lastWait)
 	r.lost++
-	r.until = now.Add(wait)
+	r.until = now.Add(lossWait.Delay(r.lost, 0))
 	return r
 }
 
--- a/role/gateway/follow.go
+++ b/role/gateway/follow.go
@@ -64,7 +64,7 @@
 		g.Log.Warn().Err(err).Uint64("revision", p.Revision).Msg("record not understood, the former one stays in force")
 		return
 	}
-	if g.members.endpoints[id].Same(e) {
+	if g.members.endpoints[id] == e {
 		return
 	}
 	g.members.endpoints[id] = e
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -134,17 +134,18 @@
 	g.draining.Store(true)
 }
 
-// IdleTimeout returns how long a caller's connection may rest, 0 for no bound.
-// Callers of a gateway that alone has lost the store should make new ones.
-func (g *Gateway) IdleTimeout() time.Duration {
-	if g.apart() {
-		return restApart
-	}
+// CallerLimits returns what the configuration lets callers do. Callers of a gateway
+// that alone has lost the store should make new connections.
+func (g *Gateway) CallerLimits() catalog.Limits {
 	c := g.catalog.Load()
 	if c == nil {
-		return 0
+		return catalog.Limits{}
+	}
+	limits := c.Limits
+	if g.apart() {
+		limits.IdleTimeout = restApart
 	}
-	return c.Limits.IdleTimeout
+	return limits
 }
 
 // Running returns the number of requests in flight.
--- a/role/gateway/malformed_test.go
+++ b/role/gateway/malformed_test.go
@@ -44,7 +44,9 @@
 	e := plain("a")
 	w := newWorld(t, e)
 	s := &ingress.Server{
-		Address: freeTCP(t), Handler: w.gateway, Idle: func() time.Duration { return 0 },
+		Address: freeTCP(t), Handler: w.gateway, Limits: func() ingress.Limits {
+			return ingress.Limits{HeadBytes: w.gateway.CallerLimits().HeaderBytes}
+		},
 		ErrorLog: log.New(io.Discard, "", 0),
 	}
 	require.NoError(t, s.Listen(make(chan error, 1)))
@@ -62,6 +64,7 @@
 		{"bad name", head + "Bad Name: 1\r\n\r\n"},
 		{"bad value", head + "X-Bad: \x00\r\n\r\n"},
 		{"long head", head + "X-Long: " + strings.Repeat("x", 64<<10) + "\r\n\r\n"},
+		{"head above the limit in force", head + "X-Long: " + strings.Repeat("x", 16<<10) + "\r\n\r\n"},
 		{"no HTTP", "hello\r\n\r\n"},
 	}
 	for _, c := range cases {
--- a/role/gateway/plain.go
+++ b/role/gateway/plain.go
@@ -12,9 +12,9 @@
 
 // The figures of plain services.
 const (
-	// silence is how long a repeatable request waits for an endpoint before it
-	// goes to another, in parts of the route's objective; without an objective
-	// it is silenceDefault.
+	// silenceDefault is how long a repeatable request waits for an endpoint before
+	// it goes to another where the route has no objective; otherwise it waits for
+	// as long as that.
 	silenceDefault = 400 * time.Millisecond
 	// maxSends bounds the endpoints that one request is sent to.
 	maxSends = 4
--- a/role/gateway/store_test.go
+++ b/role/gateway/store_test.go
@@ -85,7 +85,7 @@
 	w.logged(`"apart":true`)
 	require.False(t, second.Ready())
 	require.True(t, w.gateway.Ready())
-	require.Less(t, second.IdleTimeout(), time.Second)
+	require.Less(t, second.CallerLimits().IdleTimeout, time.Second)
 	var refused reply
 	served := 0
 	w.eventually(func() bool {
--- a/role/gateway/world_test.go
+++ b/role/gateway/world_test.go
@@ -168,7 +168,9 @@
 				"kinds": []any{map[string]any{"name": "big", "mb": 8000, "pace": 1, "read_x": 1}},
 			}},
 		},
-		"limits":  map[string]any{"max_body_bytes": 1000, "idle_timeout_ms": 15000},
+		"limits": map[string]any{
+			"max_body_bytes": 1000, "max_header_bytes": 16384, "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
+		},
 		"tenants": []any{map[string]any{"name": "desk", "api_keys": keys}},
 	})
 }
