--- a/role/gateway/watchdog.go
+++ b/role/gateway/watchdog.go
@@ -18,7 +18,7 @@
 	// overdueLeast and overdueMost bound when a later event is overdue, in parts
 	// of the allowed pause; between them it is learned from the stream. What is
 	// left of the pause is to mend the chain.
-	overdueLeast = 0.25
+	overdueLeast = 0.35
 	overdueMost  = 0.5
 	// overdueAgain is when the next look follows, in parts of the objective or the
 	// allowed pause.
