--- a/adapter/meter/gateway.go
+++ b/adapter/meter/gateway.go
@@ -17,6 +17,7 @@
 	total       *prometheus.HistogramVec
 	pause       prometheus.Histogram
 	retries     *prometheus.CounterVec
+	checks      *prometheus.CounterVec
 	orders      *prometheus.CounterVec
 	platform    *prometheus.CounterVec
 	connections prometheus.Counter
@@ -48,6 +49,9 @@
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "gateway_retries_total", Help: "Sends after the first, by cause.",
 		}, []string{"cause"}),
+		checks: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "gateway_checks_total", Help: "Checks whether an endpoint lives, by result.",
+		}, []string{"result"}),
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "gateway_orders_total", Help: "Orders to endpoints, by result.",
 		}, []string{"result"}),
@@ -62,7 +66,7 @@
 		}),
 	}
 	m.Registry.MustRegister(
-		m.ended, m.first, m.total, m.pause, m.retries, m.orders, m.platform, m.connections, m.dropped)
+		m.ended, m.first, m.total, m.pause, m.retries, m.checks, m.orders, m.platform, m.connections, m.dropped)
 	return m
 }
 
@@ -84,6 +88,9 @@
 // Retry counts a second send.
 func (m *Gateway) Retry(cause string) { m.retries.WithLabelValues(cause).Inc() }
 
+// Check counts a check whether an endpoint lives.
+func (m *Gateway) Check(result string) { m.checks.WithLabelValues(result).Inc() }
+
 // Order counts an order.
 func (m *Gateway) Order(result string) { m.orders.WithLabelValues(result).Inc() }
 
--- a/decide/chain/finder.go
+++ b/decide/chain/finder.go
@@ -10,6 +10,9 @@
 // MaxParts is the most parts that a chain may have: engines refuse longer ones.
 const MaxParts = 32
 
+// usualParts is the room that a new chain has.
+const usualParts = 12
+
 // Holder is an endpoint that holds layers, with what it costs to use it now.
 type Holder struct {
 	ID, Address string
@@ -149,7 +152,7 @@
 	if math.IsInf(end[at], 1) {
 		return nil, false
 	}
-	chain := Chain{}
+	chain := make(Chain, 0, usualParts)
 	for ; k > 0; k-- {
 		if len(chain) > 0 && chain[len(chain)-1].ID == holders[at].ID {
 			chain[len(chain)-1].Layers.First = f.cuts[k-1]
--- a/role/gateway/meter.go
+++ b/role/gateway/meter.go
@@ -13,6 +13,8 @@
 	Pause(d time.Duration)
 	// Retry counts a second send, by its cause.
 	Retry(cause string)
+	// Check counts a check whether an endpoint lives, by its result.
+	Check(result string)
 	// Order counts an order, by its result.
 	Order(result string)
 }
--- a/role/gateway/stream_test.go
+++ b/role/gateway/stream_test.go
@@ -4,18 +4,14 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/grademill/grademill/standin/site"
-	"github.com/grademill/grademill/wire/gossip"
 )
 
 // card is an endpoint of the model without layers.
@@ -219,104 +215,6 @@
 	require.Equal(t, whole(200), w.rest(two))
 }
 
-// The layers of an endpoint that has died are given to others before its record
-// lapses.
-func TestLayersOfADeadEndpointAreReplacedAtOnce(t *testing.T) {
-	t.Parallel()
-	w, cards := newModel(t)
-	answer, _, later := w.mid(cards, 200)
-	var left []*site.Endpoint
-	for _, c := range cards {
-		if c != later[0] {
-			left = append(left, c)
-		}
-	}
-	for _, c := range left {
-		if from, to := c.Layers(); overlaps(later[0], from, to) {
-			c.Kill() // nobody else holds those layers then
-			left = slices.DeleteFunc(left, func(e *site.Endpoint) bool { return e == c })
-			break
-		}
-	}
-	later[0].Kill()
-	defer answer.Body.Close() //nolint:errcheck // the stream may have broken
-	w.eventually(func() bool { return w.do(w.plan("/plan/1", 3)).StatusCode == http.StatusOK && covered(left, 1) })
-	require.NotContains(t, w.log.String(), "endpoint gone")
-}
-
-// overlaps reports whether an endpoint holds one of the layers from first to end.
-func overlaps(e *site.Endpoint, first, end int) bool {
-	from, to := e.Layers()
-	return from < end && first < to
-}
-
-// A part that has died is found by asking it, before a report of the endpoints
-// before it tells of it: those lag, and a caller bears only a short pause.
-func TestDeadPartIsFoundBeforeReportsTellOfIt(t *testing.T) {
-	t.Parallel()
-	var cards []*site.Endpoint
-	for i := range 4 {
-		cards = append(cards, card(fmt.Sprint("card-", i), "north"))
-		cards[i].ReportLag = patience
-	}
-	w := newWorld(t, cards...)
-	w.eventually(func() bool { return covered(cards, 2) })
-	w.knows(cards...)
-	answer, r, later := w.mid(cards, 200)
-	later[0].Kill()
-	require.Equal(t, whole(200), w.rest(answer))
-	require.Contains(t, usesOf(t, w, r.Header.Get("X-Request-Id")), "moved: ")
-	layersHold(t, w)
-}
-
-// What another gateway says of an endpoint that it cannot reach is checked: that
-// gateway may be the one that is cut off.
-func TestWordOfADownEndpointIsChecked(t *testing.T) {
-	t.Parallel()
-	w, cards := newModel(t)
-	text, err := proto.Marshal(&gossip.Digest{
-		Gateway: "gateway-2", Incarnation: 1, Number: 1, Uses: []*gossip.Use{{Endpoint: "card-0", Down: true}},
-	})
-	require.NoError(t, err)
-	socket, err := net.Dial("udp4", w.gateway.Address)
-	require.NoError(t, err)
-	defer socket.Close() //nolint:errcheck // a test's socket
-	cards[0].Kill()
-	w.eventually(func() bool {
-		_, err := socket.Write(text)
-		return err == nil && strings.Contains(w.log.String(), `"endpoint":"card-0","address":"`+cards[0].Address()+`","error"`)
-	})
-	require.NotContains(t, w.log.String(), `"endpoint":"card-1","address":"`+cards[1].Address()+`","error"`)
-}
-
-// An endpoint that answers again is used again.
-func TestRevivedEndpointIsUsedAgain(t *testing.T) {
-	t.Parallel()
-	w, cards := newModel(t)
-	answer, _, later := w.mid(cards, 200)
-	later[0].Kill()
-	w.rest(answer)
-	w.logged("endpoint does not answer")
-	later[0].Revive()
-	w.logged("endpoint answers again")
-}
-
-// Where nothing else holds the layers, an endpoint that seemed to be down is tried:
-// this gateway may have been too slow to hear it.
-func TestDoubtfulEndpointIsBetterThanNone(t *testing.T) {
-	t.Parallel()
-	cards := []*site.Endpoint{card("card-0", "north"), card("card-1", "north")}
-	w := newWorld(t, cards...)
-	w.eventually(func() bool { return covered(cards, 1) })
-	w.knows(cards...)
-	answer, _, later := w.mid(cards, 400)
-	later[0].Kill()
-	w.logged("endpoint does not answer")
-	later[0].Revive()
-	require.Equal(t, whole(3), w.do(w.plan("/plan/1", 3)).body)
-	answer.Body.Close() //nolint:errcheck // the stream may have broken
-}
-
 // An endpoint that has left the fleet may still serve a part of a chain: a move
 // must not look for it there. The gateway crashed on it.
 func TestStreamMovesWithAPartThatHasLeftTheFleet(t *testing.T) {
--- a/role/gateway/suspect.go
+++ b/role/gateway/suspect.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"github.com/grademill/grademill/adapter/pause"
@@ -21,43 +20,20 @@
 	checkedFresh = 800 * time.Millisecond
 	// reviveEvery is the time between two checks of an endpoint that is down.
 	reviveEvery = 400 * time.Millisecond
+	// endedAfter is how long an endpoint must have given no answer to count as ended:
+	// a process that was paused, or a connection that lost packets, is back sooner.
+	endedAfter = 700 * time.Millisecond
+	// wordFresh is how long the word of another gateway counts: several digests.
+	wordFresh = time.Second
 )
 
-// watchers are the watchdogs of the streams that pass through an endpoint. The
-// zero watchers is empty.
-type watchers struct {
-	mu  sync.Mutex
-	set map[*watchdog]struct{}
-}
-
-// add and remove change the set.
-func (s *watchers) add(w *watchdog) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.set == nil {
-		s.set = make(map[*watchdog]struct{})
-	}
-	s.set[w] = struct{}{}
-}
-
-func (s *watchers) remove(w *watchdog) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.set, w)
-}
-
-// kick has all of them look soon.
-func (s *watchers) kick() {
-	s.mu.Lock()
-	list := make([]*watchdog, 0, len(s.set))
-	for w := range s.set {
-		list = append(list, w)
-	}
-	s.mu.Unlock()
-	for _, w := range list {
-		w.kick()
-	}
-}
+// The results of checks, as the metrics name them.
+const (
+	checkPassed  = "passed"
+	checkSilent  = "silent"
+	checkHeldUp  = "held up"
+	checkRevived = "revived"
+)
 
 // suspect has an endpoint that holds layers checked, in the background and once
 // at a time. Streams through one that does not answer are moved at once: a
@@ -85,10 +61,12 @@
 func (g *Gateway) check(b *backend) {
 	begun := time.Now()
 	report, err := g.probes.ask(context.Background(), g.Runners, b.Address)
-	if errors.Is(err, errHeldUp) {
+	switch {
+	case errors.Is(err, errHeldUp):
+		g.Meter.Check(checkHeldUp)
 		return
-	}
-	if !silent(err) {
+	case !silent(err):
+		g.Meter.Check(checkPassed)
 		b.use.checkedAt.Store(time.Now().UnixNano())
 		if err == nil {
 			b.use.setPace(report.Pace)
@@ -96,6 +74,7 @@
 		}
 		return
 	}
+	g.Meter.Check(checkSilent)
 	b.use.downSince.Store(time.Now().UnixNano())
 	g.Log.Info().Str("endpoint", b.ID).Str("address", b.Address).Err(err).
 		Dur("took_ms", time.Since(begun)).Msg("endpoint does not answer")
@@ -134,19 +113,10 @@
 	}
 }
 
-// The figures of giving an endpoint up.
-const (
-	// lostAfter is how long an endpoint must have given no answer to count as lost:
-	// a process that was paused, or a connection that lost packets, is back sooner.
-	lostAfter = 700 * time.Millisecond
-	// wordFresh is how long the word of another gateway counts: several digests.
-	wordFresh = time.Second
-)
-
 // hasEnded reports whether an endpoint holds nothing that can be used, although its
 // record is there: it does not answer this gateway, nor another one.
 func (g *Gateway) hasEnded(b *backend, now time.Time) bool {
-	if !b.use.down() || now.UnixNano()-b.use.downSince.Load() < int64(lostAfter) {
+	if !b.use.down() || now.UnixNano()-b.use.downSince.Load() < int64(endedAfter) {
 		return false
 	}
 	return g.peers.alone() || now.UnixNano()-b.use.othersDown.Load() < int64(wordFresh)
@@ -163,11 +133,20 @@
 			}
 			go func() {
 				defer b.use.checking.Store(false)
-				if _, err := g.probes.ask(ctx, g.Runners, b.Address); !silent(err) && !errors.Is(err, errHeldUp) {
-					b.use.downSince.Store(0)
-					g.Log.Info().Str("endpoint", b.ID).Str("address", b.Address).Msg("endpoint answers again")
-				}
+				g.recheck(ctx, b)
 			}()
 		}
 	}
 }
+
+// recheck asks an endpoint that is down for its report, and uses it again when it
+// gives one.
+func (g *Gateway) recheck(ctx context.Context, b *backend) {
+	_, err := g.probes.ask(ctx, g.Runners, b.Address)
+	if silent(err) || errors.Is(err, errHeldUp) {
+		return
+	}
+	g.Meter.Check(checkRevived)
+	b.use.downSince.Store(0)
+	g.Log.Info().Str("endpoint", b.ID).Str("address", b.Address).Msg("endpoint answers again")
+}
