--- a/role/gateway/store_test.go
+++ b/role/gateway/store_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/grademill/grademill/role/gateway"
 	"github.com/grademill/grademill/standin/site"
 )
 
@@ -50,6 +51,24 @@
 	w.eventually(func() bool { return w.do(w.request("POST", "/renew/", "x")).StatusCode == http.StatusOK })
 }
 
+// Without the bound of revocation a gateway that is out of touch goes on running
+// requests with a key that was taken away: the bound is what keeps the promise.
+func TestRevokedKeyRunsWithoutTheBound(t *testing.T) {
+	t.Parallel()
+	e := plain("a")
+	w := newWorld(t, e)
+	unbound := w.startWith("gateway-2", w.site.StoreAddress, func(g *gateway.Gateway) { g.Revocation = 0 })
+	w.eventually(unbound.Ready)
+	w.site.Store.Break(func(*http.Request) site.Fault { return site.Fault{Silent: true} })
+	w.configure(false)
+	refused := func() bool { return w.do(w.request("POST", "/renew/", "x")).StatusCode == http.StatusServiceUnavailable }
+	w.eventually(refused)
+	w.target = w.serve(unbound)
+	r := w.request("POST", "/renew/", "x")
+	require.Equal(t, http.StatusOK, w.do(r).StatusCode)
+	require.Equal(t, 1, e.Ran(r.Header.Get("X-Request-Id")))
+}
+
 // switched serves the store until it is cut, and refuses all calls meanwhile.
 type switched struct {
 	store *site.Store
--- a/role/gateway/world_test.go
+++ b/role/gateway/world_test.go
@@ -92,6 +92,11 @@
 
 // startAt runs a gateway that reaches the store at an address.
 func (w *world) startAt(name, store string) *gateway.Gateway {
+	return w.startWith(name, store, func(*gateway.Gateway) {})
+}
+
+// startWith runs a gateway that is changed before.
+func (w *world) startWith(name, store string, change func(*gateway.Gateway)) *gateway.Gateway {
 	metrics := meter.NewGateway()
 	g := &gateway.Gateway{
 		Name: name, Hall: "north", Address: freePort(w.t),
@@ -104,6 +109,7 @@
 		Revocation: 5 * time.Second, RetryShare: 0.2, RetryReserve: 200, RetryWindow: 10 * time.Second,
 		Log: zerolog.New(w.log).Level(zerolog.InfoLevel), Meter: metrics,
 	}
+	change(g)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
