Leave cards alone whose record tells of layers that the model does not have

Read over: the giver of orders crashed when such a card was to give its layers up (TestStrangeLayersAreLeftAlone panicked before). The configuration may change the model while records still tell of the former one.

--- a/decide/spread/spread.go
+++ b/decide/spread/spread.go
@@ -67,6 +67,9 @@
 func places(m *catalog.Model, cards []Card) [][]Card {
 	halls := make(map[string][]Card)
 	for _, c := range cards {
+		if c.Holds.First < 0 || c.Holds.End > m.Layers {
+			continue // it holds another model's layers, or its record is wrong
+		}
 		halls[c.Hall] = append(halls[c.Hall], c)
 	}
 	var list [][]Card
--- a/decide/spread/spread_test.go
+++ b/decide/spread/spread_test.go
@@ -152,6 +152,22 @@
 	require.GreaterOrEqual(t, n[0], slices.Max(n[40:]))
 }
 
+// A card whose record tells of layers that the model does not have is left alone, and
+// the others are planned without it.
+func TestStrangeLayersAreLeftAlone(t *testing.T) {
+	cards := hall("h", 1, 3, 8)
+	carry(cards, spread.Planner{}.Plan(model, cards))
+	left := slices.Delete(slices.Clone(cards), 0, 1)
+	strange := &left[len(left)-1]
+	strange.Holds = layer.Range{First: 70, End: 95}
+	require.Contains(t, copies(left[:len(left)-1], "h"), 0, "there is a hole to close")
+	moves := spread.Planner{}.Plan(model, left)
+	require.NotEmpty(t, moves)
+	for _, m := range moves {
+		require.NotEqual(t, strange.ID, m.ID)
+	}
+}
+
 // Halls that cannot hold a copy of the model hold one together.
 func TestSmallHallsArePlannedAsOne(t *testing.T) {
 	cards := append(hall("east", 1, 0, 2), hall("west", 0, 2, 1)...)
