--- a/role/gateway/store_test.go
+++ b/role/gateway/store_test.go
@@ -61,7 +61,9 @@
 	w.eventually(unbound.Ready)
 	w.site.Store.Break(func(*http.Request) site.Fault { return site.Fault{Silent: true} })
 	w.configure(false)
-	refused := func() bool { return w.do(w.request("POST", "/renew/", "x")).StatusCode == http.StatusServiceUnavailable }
+	refused := func() bool {
+		return w.do(w.request("POST", "/renew/", "x")).StatusCode == http.StatusServiceUnavailable
+	}
 	w.eventually(refused)
 	w.target = w.serve(unbound)
 	r := w.request("POST", "/renew/", "x")
