Leave a try only for another that can follow at once

Change: only a failed check or a report of a standstill makes an endpoint dead for what runs there. A try is left only with a seat on another chain and a part of the retry budget in hand; else it goes on, and the caller may yet be served. A send that never arrived is no retry. A request that cannot be moved says so once for a part.

--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -119,16 +119,17 @@
 	}
 }
 
-// avoided reports whether the endpoint is passed over at now.
+// avoided reports whether new requests pass the endpoint over at now.
 func (u *usage) avoided(now time.Time) bool {
-	return u.dead(now) || now.UnixNano() < u.shortUntil.Load()
+	return u.dead(now) || now.UnixNano() < u.shortUntil.Load() || u.health.Load().Avoided(now)
 }
 
 // dead reports whether the endpoint is taken to have ended, or to be cut off, at
-// now.
+// now: what runs there is lost. That one request was lost there says nothing of the
+// others.
 func (u *usage) dead(now time.Time) bool {
 	at := now.UnixNano()
-	return u.down() || at < u.stalledUntil.Load() || at < u.othersStalled.Load() || u.health.Load().Avoided(now)
+	return u.down() || at < u.stalledUntil.Load() || at < u.othersStalled.Load()
 }
 
 // down reports whether the endpoint does not answer this gateway.
--- /dev/null
+++ b/role/gateway/leave_test.go
@@ -0,0 +1,95 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/role/gateway"
+	"github.com/grademill/grademill/standin/site"
+)
+
+// slow is how far apart the events of a slow endpoint come: more than the wait after
+// which a stream is looked after, less than its caller bears.
+const slow = 400 * time.Millisecond
+
+// newSlowModel starts a world with one chain of slow endpoints.
+func newSlowModel(t *testing.T, change func(*gateway.Gateway)) (*world, []*site.Endpoint) {
+	cards := []*site.Endpoint{card("card-0", "north"), card("card-1", "north")}
+	for _, c := range cards {
+		c.EventEvery = slow
+	}
+	w := newWorldWith(t, change, cards...)
+	w.eventually(func() bool { return covered(cards, 1) })
+	w.knows(cards...)
+	return w, cards
+}
+
+// A stream whose events are late is not given up because its first endpoint has lost
+// another request: the endpoint answers, and another try would only add to the load.
+func TestOneLostRequestDoesNotEndOthers(t *testing.T) {
+	t.Parallel()
+	w, _ := newSlowModel(t, func(*gateway.Gateway) {})
+	r := w.plan("/plan/1", 8)
+	answer, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	done := make(chan string, 1)
+	go func() {
+		defer answer.Body.Close()          //nolint:errcheck // read to its end
+		text, _ := io.ReadAll(answer.Body) // a stream that breaks is not whole
+		done <- string(text)
+	}()
+	for range 3 { // each is broken off after its first event
+		w.site.Next(model, site.Cut)
+		w.do(w.plan("/once/1", 4))
+	}
+	require.Equal(t, whole(8), <-done)
+	line := usesOf(t, w, r.Header.Get("X-Request-Id"))
+	require.Contains(t, line, `"sends":1,`)
+}
+
+// Where the retry budget is used up, or no other chain is there, a stream is not given
+// up when a part of its chain is lost: the part may come back.
+func TestStreamWaitsWhereNoOtherTryCanFollow(t *testing.T) {
+	t.Parallel()
+	for name, change := range map[string]func(*gateway.Gateway){
+		"no budget":      func(g *gateway.Gateway) { g.RetryShare, g.RetryReserve = 0, 0 },
+		"no other chain": func(*gateway.Gateway) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var cards []*site.Endpoint
+			for i := range 2 {
+				cards = append(cards, card(fmt.Sprint("card-", i), "north"))
+				cards[i].ReportLag = patience
+			}
+			w := newWorldWith(t, change, cards...)
+			w.eventually(func() bool { return covered(cards, 1) })
+			w.knows(cards...)
+			answer, r, later := w.mid(cards, 200)
+			later[0].Kill()
+			w.logged("whether a try is left for another")
+			later[0].Revive()
+			require.Equal(t, whole(200), w.rest(answer))
+			require.Contains(t, usesOf(t, w, r.Header.Get("X-Request-Id")), `"sends":1,`)
+		})
+	}
+}
+
+// A send that never arrived is no retry when the request is sent again.
+func TestSendThatDidNotArriveIsNotChargedToTheBudget(t *testing.T) {
+	t.Parallel()
+	gone := plain("plain-1")
+	gone.Public = freePort(t) // nothing listens there
+	w := newWorldWith(t, func(g *gateway.Gateway) { g.RetryShare, g.RetryReserve = 0, 0 }, gone, plain("plain-2"))
+	w.logged(`"endpoint":"plain-2"`)
+	w.logged(`"endpoint":"plain-1"`)
+	for range 8 {
+		require.Equal(t, http.StatusOK, w.do(w.request("POST", "/freeze/1", "x")).StatusCode)
+	}
+	require.Contains(t, w.log.String(), `"sends":2,`)
+}
--- a/role/gateway/plain.go
+++ b/role/gateway/plain.go
@@ -34,7 +34,7 @@
 		if b == nil {
 			break
 		}
-		if q.sends > 0 && !g.again(q) {
+		if q.arrived.Load() && !g.again(q, q.cause) {
 			reason = "the retry budget is used up: " + reason
 			break
 		}
--- a/role/gateway/query.go
+++ b/role/gateway/query.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/grademill/grademill/decide/catalog"
@@ -35,6 +36,9 @@
 	sends, runs int
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
+	// arrived is set once a send may have reached an endpoint: only what follows it
+	// counts as a retry.
+	arrived atomic.Bool
 
 	// seen is what it saw when it last found no chain.
 	seen sight
--- a/role/gateway/seat.go
+++ b/role/gateway/seat.go
@@ -100,8 +100,23 @@
 	shortageNone   shortage = ""
 	shortageLayers shortage = "no chain holds all layers"
 	shortageRoom   shortage = "no chain has room"
+	shortageBudget shortage = "the retry budget is used up"
 )
 
+// takeTry takes a seat for a try of a request, with its part of the retry budget
+// when the request has reached an endpoint before.
+func (g *Gateway) takeTry(q *query, cause string) (*seat, shortage) {
+	taken, short := g.takeSeat(q)
+	if short != shortageNone {
+		return nil, short
+	}
+	if q.arrived.Load() && !g.again(q, cause) {
+		taken.release()
+		return nil, shortageBudget
+	}
+	return taken, shortageNone
+}
+
 // takeSeat takes room along the cheapest chain for a request, inside one hall if
 // one has room.
 func (g *Gateway) takeSeat(q *query) (*seat, shortage) {
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -54,6 +54,9 @@
 	// lastAt is when an event last went out.
 	lastAt time.Time
 	flush  *http.ResponseController
+	// reserved is the seat of the next try, with its part of the retry budget, when
+	// the last try was left for it; nil otherwise.
+	reserved *seat
 }
 
 // serveModel serves a request of a model. It reports whether the answer has
@@ -64,16 +67,12 @@
 	for q.sends < maxSends {
 		seat, short := s.seat()
 		if short != shortageNone {
-			reason = string(short)
-			break
-		}
-		if q.sends > 0 && !g.again(q) {
-			seat.release()
-			reason = "the retry budget is used up: " + reason
+			reason = joinReasons(short, reason)
 			break
 		}
 		done, why := s.try(seat)
 		if done {
+			s.drop()
 			return false
 		}
 		reason = why
@@ -82,6 +81,7 @@
 			break
 		}
 	}
+	s.drop()
 	if s.headSent {
 		q.set(q.status, outcomeBroken, reason)
 		if q.r.Context().Err() != nil {
@@ -93,17 +93,38 @@
 	return false
 }
 
-// seat takes a seat, and waits a little for one when there is none: a request
-// that has not been sent for a part of its objective, since it can come back, and
-// a stream that has begun for as long as its caller bears a pause.
+// joinReasons returns why there is no further try, after why the last one ended.
+func joinReasons(short shortage, last string) string {
+	if last == "" {
+		return string(short)
+	}
+	return string(short) + ": " + last
+}
+
+// drop gives back a seat that was reserved and is not used.
+func (s *relay) drop() {
+	if s.reserved != nil {
+		s.reserved.release()
+		s.reserved = nil
+	}
+}
+
+// seat returns the seat that the last try was left for, or takes one, and waits a
+// little when there is none: a request that has not been sent for a part of its
+// objective, since it can come back, and a stream that has begun for as long as its
+// caller bears a pause.
 func (s *relay) seat() (*seat, shortage) {
+	if taken := s.reserved; taken != nil {
+		s.reserved = nil
+		return taken, shortageNone
+	}
 	until := time.Now().Add(part(roomWait, objective(s.q.route)))
 	if s.headSent {
 		until = s.lastAt.Add(pauseWait * allowedPause(s.q.route))
 	}
 	for {
-		taken, short := s.g.takeSeat(s.q)
-		if short == shortageNone || !time.Now().Before(until) {
+		taken, short := s.g.takeTry(s.q, s.q.cause)
+		if short == shortageNone || !time.Now().Before(until) || short == shortageBudget && !s.headSent {
 			return taken, short
 		}
 		select {
@@ -138,7 +159,7 @@
 	ctx, cancel := context.WithDeadlineCause(q.r.Context(), q.deadline, context.DeadlineExceeded)
 	defer cancel()
 	w := newWatchdog(ctx, s, seat, cancel)
-	defer w.stop()
+	defer func() { s.reserved = w.stop() }()
 	t := g.send(ctx, q, seat.first, seat.chain, s.last)
 	if t.answer != nil {
 		defer t.answer.Close()
@@ -264,12 +285,7 @@
 	}
 	stalled := w.gaveUp()
 	q.avoid(seat.first.Address)
-	seat.first.use.judge(func(r health.Record) health.Record {
-		if stalled {
-			return r.WithFailure()
-		}
-		return r.WithLoss(time.Now())
-	})
+	seat.first.use.judge(health.Record.WithFailure)
 	s.g.suspect(seat.first)
 	q.carried++
 	q.cause = causeBroken
--- a/role/gateway/try.go
+++ b/role/gateway/try.go
@@ -67,6 +67,7 @@
 	if err != nil {
 		return g.lost(ctx, q, b, err)
 	}
+	q.arrived.Store(true)
 	t := try{answer: answer, reply: g.Dialect.Reply(answer.Status, answer.Header)}
 	g.noteLoad(b, t.reply)
 	switch {
@@ -93,6 +94,7 @@
 	sent := !errors.As(err, &failed) || failed.Sent
 	if sent {
 		q.mayHaveRun = true
+		q.arrived.Store(true)
 	} else {
 		t.verdict = verdictNotRun
 	}
@@ -100,12 +102,14 @@
 		t.verdict = verdictOver
 		return t
 	}
-	if ctx.Err() == nil || !sent {
+	if !sent || b.Card == "" && ctx.Err() == nil {
 		b.use.judge(func(r health.Record) health.Record { return r.WithLoss(time.Now()) })
-		g.suspect(b)
 	} else {
 		b.use.judge(health.Record.WithFailure)
 	}
+	if ctx.Err() == nil || !sent {
+		g.suspect(b)
+	}
 	return t
 }
 
@@ -123,14 +127,15 @@
 	causeLost   = "lost"
 	causeFailed = "failed"
 	causeBroken = "broken off"
+	causeLeft   = "left"
 )
 
 // again reports whether a request may be sent once more, and counts it.
-func (g *Gateway) again(q *query) bool {
+func (g *Gateway) again(q *query, cause string) bool {
 	if !g.allowRetry(q.service.Name) {
 		return false
 	}
-	g.Meter.Retry(q.cause)
+	g.Meter.Retry(cause)
 	return true
 }
 
--- a/role/gateway/watchdog.go
+++ b/role/gateway/watchdog.go
@@ -39,6 +39,8 @@
 	relay  *relay
 	cancel context.CancelFunc
 	begun  time.Time
+	// final is set when no other try may follow.
+	final bool
 
 	mu    sync.Mutex // guards what follows
 	seat  *seat
@@ -51,6 +53,13 @@
 	looking bool
 	// ended is set by stop, expired when the try was given up.
 	ended, expired bool
+	// stuckAt is the part that the request could last not be moved away from; only
+	// the look that is under way uses it.
+	stuckAt string
+	// stays is why the try was not left when that was last looked for.
+	stays shortage
+	// reserved is the seat of the next try when this one was given up for it.
+	reserved *seat
 }
 
 // newWatchdog starts to watch a try along a seat, which it releases in the end.
@@ -58,7 +67,8 @@
 	pause := allowedPause(s.q.route)
 	w := &watchdog{
 		ctx: ctx, relay: s, seat: taken, cancel: cancel, begun: time.Now(),
-		gaps: timeout.Estimator{Min: part(overdueLeast, pause), Max: part(overdueMost, pause)},
+		final: !s.q.route.Repeats() || s.q.runs+1 >= s.q.route.Attempts || s.q.sends+1 >= maxSends,
+		gaps:  timeout.Estimator{Min: part(overdueLeast, pause), Max: part(overdueMost, pause)},
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -99,14 +109,16 @@
 	w.timer.Reset(max(time.Until(w.last.Add(w.gaps.Mean())), 0))
 }
 
-// stop ends the watch and releases the seat.
-func (w *watchdog) stop() {
+// stop ends the watch, releases the seat, and returns the one that the try was left
+// for, nil for none.
+func (w *watchdog) stop() *seat {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.ended = true
 	w.timer.Stop()
 	w.seat.unwatch(w)
 	w.seat.release()
+	return w.reserved
 }
 
 // gaveUp reports whether the try was given up.
@@ -132,8 +144,7 @@
 	w.looking = true
 	w.mu.Unlock()
 
-	if w.over(seat, last) || !w.mend(seat) && w.relay.q.route.Repeats() {
-		w.giveUp()
+	if (w.over(seat, last) || !w.mend(seat)) && w.leave(seat) {
 		return
 	}
 	w.mu.Lock()
@@ -169,12 +180,34 @@
 	return now.Sub(last) > pauseWait*allowedPause(q.route)
 }
 
-// giveUp ends the try.
-func (w *watchdog) giveUp() {
+// leave ends the try if the request can be sent along another chain at once, and
+// reports whether it has. Otherwise the try goes on: what it waits for may come while
+// the caller does, and without another way nothing is won by ending it.
+func (w *watchdog) leave(seat *seat) bool {
+	if w.final {
+		return false
+	}
+	q := w.relay.q
+	q.arrived.Store(true)
+	q.avoid(seat.first.Address)
+	next, short := w.relay.g.takeTry(q, causeLeft)
 	w.mu.Lock()
-	w.expired = true
-	w.mu.Unlock()
+	defer w.mu.Unlock()
+	if short != w.stays || short == shortageNone {
+		w.relay.g.Log.Info().Str("request", q.ID).Str("first", seat.first.Address).Bool("down", seat.first.use.down()).
+			Str("shortage", string(short)).Msg("whether a try is left for another")
+	}
+	w.stays = short
+	if short != shortageNone {
+		return false
+	}
+	if w.ended {
+		next.release()
+		return true
+	}
+	w.expired, w.reserved = true, next
 	w.cancel()
+	return true
 }
 
 // mend moves the request away from a part of its chain that is lost, and has the
@@ -182,11 +215,13 @@
 // the first endpoint does not answer, or there is no other way.
 func (w *watchdog) mend(seat *seat) bool {
 	now := time.Now()
-	for i, b := range seat.parts {
-		if !b.use.dead(now) {
-			continue
+	if seat.first.use.down() {
+		return false
+	}
+	for _, b := range seat.parts[1:] {
+		if b.use.dead(now) {
+			return w.move(seat, b.Address)
 		}
-		return i > 0 && w.move(seat, b.Address)
 	}
 	for _, b := range seat.parts {
 		w.relay.g.doubt(b, now)
@@ -202,7 +237,10 @@
 	for range maxMoves {
 		next, short := g.moveSeat(q, seat)
 		if short != shortageNone {
-			g.Log.Info().Str("request", q.ID).Str("lost", address).Str("reason", string(short)).Msg("request cannot be moved")
+			if w.stuckAt != address {
+				w.stuckAt = address
+				g.Log.Info().Str("request", q.ID).Str("lost", address).Str("reason", string(short)).Msg("request cannot be moved")
+			}
 			return false
 		}
 		ctx, cancel := context.WithTimeout(w.ctx, moveWait)
--- a/role/gateway/world_test.go
+++ b/role/gateway/world_test.go
@@ -66,6 +66,11 @@
 
 // newWorld starts a site with the endpoints and a gateway that knows them.
 func newWorld(t *testing.T, endpoints ...*site.Endpoint) *world {
+	return newWorldWith(t, func(*gateway.Gateway) {}, endpoints...)
+}
+
+// newWorldWith starts a world whose gateway is changed before.
+func newWorldWith(t *testing.T, change func(*gateway.Gateway), endpoints ...*site.Endpoint) *world {
 	s, err := site.New(layers)
 	require.NoError(t, err)
 	t.Cleanup(s.Close)
@@ -74,7 +79,7 @@
 		require.NoError(t, s.Start(e))
 	}
 	w.configure(true)
-	w.gateway = w.start("gateway-1")
+	w.gateway = w.startWith("gateway-1", w.site.StoreAddress, change)
 	w.target = w.serve(w.gateway)
 	t.Cleanup(func() {
 		if t.Failed() {
