Close the holes of a hall whole, and give orders that do not wait for what is lost

Its two spare cards could not hold 29 layers, neighbours may take on only what lies beside the hole, and the large card, when it came back, was given the 8 layers that were still missing. Orders waited 2.5 s for streams that hung on the dead endpoint, and one that met a busy endpoint counted as taken for 8 s.

Change: a hole is closed by the tiling of the hall's cards with the fewest loads, by dynamic programming, at the least fill at which there is one; a fast card takes the layers of slow stand-ins over; an order to an endpoint that no gateway uses cuts what is lost there; refused and busy orders are given again in the next round; a stream whose first endpoint has ended gives its room back.

--- a/decide/spread/floor.go
+++ b/decide/spread/floor.go
@@ -67,11 +67,10 @@
 	return layer.Range{First: first, End: end}
 }
 
-// scarcest returns the range for a card that holds so many layers. Holes come
-// first; a hole that is smaller stays so: the memory it leaves holds requests.
-// Otherwise it is the range with the fewest holders and, among those, the least
-// supply; the last of equal ones, since a request can be moved while it runs, but not
-// away from its first endpoint.
+// scarcest returns the range for a card that holds so many layers. Holes come first; a
+// hole that is smaller stays so: the memory it leaves holds requests. Otherwise it is the
+// range with the fewest holders and, among those, the least supply; the last of equal
+// ones, since a request can be moved while it runs, but not away from its first endpoint.
 func (f *floor) scarcest(size int) layer.Range {
 	if hole := f.hole(); !hole.Empty() {
 		return layer.Range{First: hole.First, End: min(hole.End, hole.First+size)}
@@ -88,3 +87,32 @@
 	}
 	return layer.Range{First: at, End: at + size}
 }
+
+// over returns the range of a card that closes a hole, extended over the layers beside it
+// that only slower cards hold, up to its size: a fast card that comes back takes its layers
+// over from those that stood in for it.
+func (f *floor) over(cards []Card, c Card, r layer.Range, size int) layer.Range {
+	fastest := make([]float64, f.model.Layers)
+	for _, other := range cards {
+		pace := f.model.Cards[other.Kind].Pace
+		for l := max(other.Holds.First, 0); l < min(other.Holds.End, f.model.Layers); l++ {
+			if fastest[l] == 0 || pace < fastest[l] {
+				fastest[l] = pace
+			}
+		}
+	}
+	slower := func(l int) bool {
+		return l >= 0 && l < f.model.Layers && fastest[l] > f.model.Cards[c.Kind].Pace
+	}
+	for r.Len() < size {
+		switch {
+		case slower(r.First - 1):
+			r.First--
+		case slower(r.End):
+			r.End++
+		default:
+			return r
+		}
+	}
+	return r
+}
--- a/decide/spread/place.go
+++ b/decide/spread/place.go
@@ -7,12 +7,12 @@
 	"github.com/grademill/grademill/decide/layer"
 )
 
-// The parts of a card's memory up to which it may take on layers next to its own,
-// to close a hole: it goes on serving meanwhile, with less room. A few layers cost
-// little; more are taken on only where no other card can be had.
+// The parts of a card's memory that its layers may take to close a hole are tried from
+// the planner's own on, in steps of closeStep, up to closeMost: room for a few requests
+// is worth more than a place without a chain.
 const (
-	stretchedLittle = 0.68
-	stretchedFar    = 0.8
+	closeStep = 0.04
+	closeMost = 0.88
 )
 
 // place plans the moves of one place.
@@ -28,61 +28,72 @@
 	}
 	for i, c := range cards {
 		if size := p.size(m, c); c.Holds.Empty() && !c.Settled && size > 0 {
-			move(i, f.scarcest(size))
+			move(i, f.over(cards, c, f.scarcest(size), size))
 		}
 	}
-	for hole := f.hole(); !hole.Empty(); hole = f.hole() {
-		i, r := f.stretch(cards, hole, stretchedLittle)
-		if i < 0 || r.Len()-cards[i].Holds.Len() < hole.Len() {
-			i, r = p.donate(f, cards, hole)
+	for fill := p.Fill; !f.hole().Empty() && fill <= closeMost; fill += closeStep {
+		for i, r := range f.closing(Planner{Fill: fill}, cards) {
+			move(i, r)
 		}
-		if i < 0 {
-			i, r = f.stretch(cards, hole, stretchedFar)
-		}
-		if i < 0 {
-			break
-		}
-		move(i, r)
 	}
 	return moves
 }
 
-// stretch finds the card beside a hole that can take most of it on, up to a part of
-// its memory, with its new range; -1 for none.
-func (f *floor) stretch(cards []Card, hole layer.Range, fill float64) (int, layer.Range) {
-	best, wider, gain := -1, layer.Range{}, 0
-	for i, c := range cards {
-		if c.Settled || c.Holds.Empty() {
-			continue
-		}
-		spare := min(int(fill*f.model.Cards[c.Kind].Memory/f.model.LayerSize)-c.Holds.Len(), hole.Len())
-		r := c.Holds
-		switch {
-		case r.End == hole.First:
-			r.End += spare
-		case r.First == hole.End:
-			r.First -= spare
-		default:
+// spares returns the cards that can give up all their layers, since others hold them,
+// the slowest first.
+func (f *floor) spares(cards []Card) []int {
+	copies := slices.Clone(f.copies)
+	var list []int
+	for i := len(cards) - 1; i >= 0; i-- {
+		c := cards[i]
+		if c.Settled || c.Holds.Empty() || slices.Min(copies[c.Holds.First:c.Holds.End]) < 2 {
 			continue
 		}
-		if spare > gain {
-			best, wider, gain = i, r, spare
+		list = append(list, i)
+		for l := c.Holds.First; l < c.Holds.End; l++ {
+			copies[l]--
 		}
 	}
-	return best, wider
+	return list
 }
 
-// donate finds the slowest card whose layers others hold, too, with the part of a
-// hole that it can take; -1 for none.
-func (p Planner) donate(f *floor, cards []Card, hole layer.Range) (int, layer.Range) {
-	for i := len(cards) - 1; i >= 0; i-- {
+// closing returns the new ranges, by card, that have the cards hold all layers again
+// with the fewest loads, when none holds more than the planner's fill; nil when they
+// cannot. The cards keep the order in which they hold the layers, and those that can be
+// spared come in at the hole.
+func (f *floor) closing(p Planner, cards []Card) map[int]layer.Range {
+	spares := f.spares(cards)
+	var order []int
+	for i, c := range cards {
+		if !c.Holds.Empty() && !slices.Contains(spares, i) {
+			order = append(order, i)
+		}
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cards[a].Holds.First - cards[b].Holds.First })
+	hole := f.hole()
+	at := 0
+	for at < len(order) && cards[order[at]].Holds.First < hole.First {
+		at++
+	}
+	order = slices.Insert(order, at, spares...)
+	t := tiling{layers: f.model.Layers}
+	for _, i := range order {
 		c := cards[i]
-		if c.Settled || c.Holds.Empty() || slices.Min(f.copies[c.Holds.First:c.Holds.End]) < 2 {
-			continue
+		most := p.size(f.model, c)
+		if c.Settled {
+			most = 0
 		}
-		if size := min(p.size(f.model, c), hole.Len()); size > 0 {
-			return i, layer.Range{First: hole.First, End: hole.First + size}
+		t.add(c.Holds, most)
+	}
+	ranges := t.solve()
+	if ranges == nil {
+		return nil
+	}
+	moves := make(map[int]layer.Range)
+	for k, i := range order {
+		if r := ranges[k]; !r.Empty() && (r.First < cards[i].Holds.First || r.End > cards[i].Holds.End) {
+			moves[i] = r
 		}
 	}
-	return -1, layer.Range{}
+	return moves
 }
--- a/port/runner/control.go
+++ b/port/runner/control.go
@@ -43,6 +43,9 @@
 	After uint64
 	// Layers are what it is to hold in place of what it holds.
 	Layers layer.Range
+	// Cut is set when what still passes through the layers given up is to be cut;
+	// otherwise the endpoint waits for it.
+	Cut bool
 }
 
 // Control reaches the controls of endpoints. Its methods are safe for concurrent
--- a/role/gateway/give.go
+++ b/role/gateway/give.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/grademill/grademill/adapter/pause"
@@ -32,6 +31,9 @@
 	// given: the record of the endpoint tells of it within a heartbeat or two
 	// after the loading.
 	orderWait = 8 * time.Second
+	// unansweredWait is how long an order without an answer is taken to be under way.
+	// The next one names the same count of orders, so that only one is carried out.
+	unansweredWait = 2 * time.Second
 	// ordersAtOnce is the number of orders that are given at the same time: a
 	// fleet of thousands is to hold its layers before callers come.
 	ordersAtOnce = 32
@@ -174,23 +176,46 @@
 // orders gives the orders of a plan, several at the same time. It returns false
 // when another giver has taken over.
 func (o *giver) orders(ctx context.Context, f *fleet, moves []spread.Move, now time.Time) bool {
-	var replaced atomic.Bool
 	var group sync.WaitGroup
 	turns := make(chan struct{}, ordersAtOnce)
-	for _, m := range moves {
-		o.given[m.ID] = given{layers: m.Layers, until: now.Add(orderWait)}
+	results := make([]orderResult, len(moves))
+	for i, m := range moves {
 		turns <- struct{}{}
 		group.Go(func() {
 			defer func() { <-turns }()
-			if !o.order(ctx, f.byID[m.ID], m.Layers) {
-				replaced.Store(true)
-			}
+			results[i] = o.order(ctx, f.byID[m.ID], m.Layers)
 		})
 	}
 	group.Wait()
-	return !replaced.Load()
+	for i, m := range moves {
+		switch results[i] {
+		case orderReplaced:
+			return false
+		case orderTaken:
+			o.given[m.ID] = given{layers: m.Layers, until: now.Add(orderWait)}
+		case orderUnanswered:
+			o.given[m.ID] = given{layers: m.Layers, until: now.Add(unansweredWait)}
+		}
+	}
+	return true
 }
 
+// orderResult says what became of an order.
+type orderResult string
+
+const (
+	// orderTaken is an order that the endpoint carries out.
+	orderTaken orderResult = "taken"
+	// orderBusy is one that was not given, since another is being carried out.
+	orderBusy orderResult = "busy"
+	// orderRefused is one that the endpoint has not taken.
+	orderRefused orderResult = "refused"
+	// orderReplaced is one that it has not taken since another gateway gives orders.
+	orderReplaced orderResult = "replaced"
+	// orderUnanswered is one that may be carried out, now or later.
+	orderUnanswered orderResult = "no answer"
+)
+
 // cards lists the endpoints of a model as the planner sees them.
 func (o *giver) cards(m *catalog.Model, open []*backend, now time.Time) []spread.Card {
 	cards := make([]spread.Card, 0, len(open))
@@ -211,25 +236,40 @@
 	return cards
 }
 
-// order gives one order. It returns false when another giver has taken over.
-func (o *giver) order(ctx context.Context, b *backend, layers layer.Range) bool {
+// order gives one order. What still passes through an endpoint that no gateway uses is
+// lost already, and is not waited for.
+func (o *giver) order(ctx context.Context, b *backend, layers layer.Range) orderResult {
 	ctx, cancel := context.WithTimeout(ctx, giverLease)
 	defer cancel()
+	result := orderTaken
+	unused := b.use.active.Load()+b.use.othersActive.Load() == 0 && o.g.peers.allHeard(o.g.Name)
 	report, err := o.g.Runners.Report(ctx, b.Address)
-	if err == nil && !report.Busy && report.Layers != layers {
-		err = o.g.Runners.Place(ctx, b.Address, runner.Order{Fence: o.fence, After: report.Orders, Layers: layers})
+	switch {
+	case err == nil && report.Busy:
+		result = orderBusy
+	case err == nil && report.Layers != layers:
+		err = o.g.Runners.Place(ctx, b.Address, runner.Order{
+			Fence: o.fence, After: report.Orders, Layers: layers, Cut: unused,
+		})
 	}
-	result := "taken"
-	var refused *runner.RefusedError
 	if err != nil {
-		result = "no answer"
-		if errors.As(err, &refused) {
-			result = "refused"
-		}
+		result = resultOf(err)
 	}
-	o.g.Meter.Order(result)
+	o.g.Meter.Order(string(result))
 	o.g.Log.Info().Str("endpoint", b.ID).Str("address", b.Address).Stringer("layers", layers).
-		Stringer("held", b.Layers).Uint64("fence", o.fence).Uint64("after", report.Orders).
-		Str("result", result).AnErr("error", err).Msg("order given")
-	return refused == nil || !refused.Fenced
+		Stringer("held", b.Layers).Uint64("fence", o.fence).Uint64("after", report.Orders).Bool("cut", unused).
+		Str("result", string(result)).AnErr("error", err).Msg("order given")
+	return result
+}
+
+// resultOf returns what an error of an order means.
+func resultOf(err error) orderResult {
+	var refused *runner.RefusedError
+	switch {
+	case !errors.As(err, &refused):
+		return orderUnanswered
+	case refused.Fenced:
+		return orderReplaced
+	}
+	return orderRefused
 }
--- a/role/gateway/leave_test.go
+++ b/role/gateway/leave_test.go
@@ -93,3 +93,24 @@
 	}
 	require.Contains(t, w.log.String(), `"sends":2,`)
 }
+
+// An order does not wait for streams that are lost already: their first endpoint has
+// ended, and the endpoints after it hold room for them in vain.
+func TestOrderDoesNotWaitForLostStreams(t *testing.T) {
+	t.Parallel()
+	var cards []*site.Endpoint
+	for i := range 4 {
+		cards = append(cards, card(fmt.Sprint("card-", i), "north"))
+	}
+	w := newWorldWith(t, func(g *gateway.Gateway) { g.RetryShare, g.RetryReserve = 0, 0 }, cards...)
+	w.eventually(func() bool { return covered(cards, 2) })
+	w.knows(cards...)
+	answer, _, _ := w.mid(cards, 4000)
+	defer answer.Body.Close() //nolint:errcheck // the stream is lost
+	for _, c := range cards {
+		if from, _ := c.Layers(); from == 0 {
+			c.Kill()
+		}
+	}
+	w.logged(`"cut":true,"result":"taken"`)
+}
--- a/role/gateway/peers.go
+++ b/role/gateway/peers.go
@@ -141,6 +141,20 @@
 	return len(p.known) == 0
 }
 
+// allHeard reports whether every other gateway that is announced has been heard of
+// lately.
+func (p *peers) allHeard(self string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key := range p.announced {
+		name, _, _ := strings.Cut(strings.TrimPrefix(key, peerPrefix), "/")
+		if name != self && p.known[name] == nil {
+			return false
+		}
+	}
+	return true
+}
+
 // assumedPeers is the number of gateways while none is known.
 const assumedPeers = 5
 
--- a/role/gateway/seat.go
+++ b/role/gateway/seat.go
@@ -32,6 +32,8 @@
 	memory []int64
 	// reading is set while the prompt is read.
 	reading bool
+	// released is set once the room has been given back.
+	released bool
 }
 
 // read notes that the prompt has been read.
@@ -45,8 +47,12 @@
 	}
 }
 
-// release gives the room back.
+// release gives the room back, once.
 func (s *seat) release() {
+	if s.released {
+		return
+	}
+	s.released = true
 	s.read()
 	for i, b := range s.parts {
 		b.use.release(s.memory[i])
--- a/role/gateway/watchdog.go
+++ b/role/gateway/watchdog.go
@@ -180,6 +180,14 @@
 	return now.Sub(last) > pauseWait*allowedPause(q.route)
 }
 
+// forsake gives the room of the seat back although the try goes on: its first endpoint
+// has ended, so that the other ones work for it in vain, and may be given other layers.
+func (w *watchdog) forsake() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.seat.release()
+}
+
 // leave ends the try if the request can be sent along another chain at once, and
 // reports whether it has. Otherwise the try goes on: what it waits for may come while
 // the caller does, and without another way nothing is won by ending it.
@@ -216,6 +224,7 @@
 func (w *watchdog) mend(seat *seat) bool {
 	now := time.Now()
 	if seat.first.use.down() {
+		w.forsake()
 		return false
 	}
 	for _, b := range seat.parts[1:] {
