Have requests wait in one line for room, and callers come back one after the other

Change: requests wait in the product's gate (lanes by service, fair shares of teams): a new one while its first event can still come in time by what first events take, one that has less time than its route gives, since it has come back, before it and for as long as callers wait. Refused callers are given times one after the other at a quarter of the rate at which requests are admitted, up to a third of their time.

Left: those that came back are cut by a closing loss of power, since they have no further try.

--- /dev/null
+++ b/decide/comeback/book_test.go
@@ -0,0 +1,43 @@
+package comeback_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/decide/comeback"
+)
+
+// Callers that are refused together come back one after the other, at a quarter of the
+// rate at which requests are admitted, and never later than they would.
+func TestCallersComeBackOneAfterTheOther(t *testing.T) {
+	var b comeback.Book
+	now := time.Unix(1000, 0)
+	perSecond := make(map[int]int)
+	for range 165 {
+		wait := b.Wait(now, 40, 6*time.Second)
+		require.GreaterOrEqual(t, wait, 500*time.Millisecond)
+		require.LessOrEqual(t, wait, 6*time.Second)
+		perSecond[int(wait/time.Second)]++
+	}
+	for second := 1; second < 6; second++ {
+		require.InDelta(t, 30, perSecond[second], 2, second) // 165 over 5.5 s: the times began anew
+	}
+}
+
+func TestTheFirstCallerComesBackSoon(t *testing.T) {
+	var b comeback.Book
+	now := time.Unix(1000, 0)
+	require.Equal(t, 500*time.Millisecond, b.Wait(now, 40, 6*time.Second))
+	later := now.Add(time.Minute)
+	require.Equal(t, 500*time.Millisecond, b.Wait(later, 40, 6*time.Second), "former times are over")
+}
+
+// A caller whose time is short is not told to stay away for longer than it would.
+func TestShortPatience(t *testing.T) {
+	var b comeback.Book
+	for range 20 {
+		require.LessOrEqual(t, b.Wait(time.Unix(1000, 0), 0, 150*time.Millisecond), 150*time.Millisecond)
+	}
+}
--- a/decide/retry/budget.go
+++ b/decide/retry/budget.go
@@ -48,6 +48,13 @@
 	return true
 }
 
+// Return gives back the retry that was allowed last, since it did not start.
+func (b *Budget) Return() {
+	if n := len(b.again); n > 0 {
+		b.again = b.again[:n-1]
+	}
+}
+
 // turn drops what is older than the window.
 func (b *Budget) turn(now time.Time) {
 	old := 0
--- a/role/gate/gate.go
+++ b/role/gate/gate.go
@@ -123,6 +123,13 @@
 	return n
 }
 
+// Admitted returns how much is admitted to a lane in a second, 0 while that is not known.
+func (g *Gate[G]) Admitted(lane string) float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.lane(lane).admitted.PerSecond(time.Now())
+}
+
 func (g *Gate[G]) lane(name string) *lane[G] {
 	l := g.lanes[name]
 	if l == nil {
--- /dev/null
+++ b/role/gateway/admission_test.go
@@ -0,0 +1,97 @@
+package gateway_test
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/standin/site"
+)
+
+// newNarrowModel starts a world that has room for one stream at a time.
+func newNarrowModel(t *testing.T) (*world, []*site.Endpoint) {
+	cards := []*site.Endpoint{card("card-0", "north"), card("card-1", "north")}
+	for _, c := range cards {
+		c.Slots = 1
+	}
+	w := newWorld(t, cards...)
+	w.eventually(func() bool { return covered(cards, 1) })
+	w.knows(cards...)
+	return w, cards
+}
+
+// hold starts a stream of so many events, and returns once it runs.
+func (w *world) hold(events int) *http.Response {
+	w.t.Helper()
+	answer, err := http.DefaultClient.Do(w.plan("/plan/1", events))
+	require.NoError(w.t, err)
+	return answer
+}
+
+// Requests wait in line for room. One with less time than its route gives has come back
+// already and goes first: refused again, it would be lost.
+func TestReturnedRequestGoesFirst(t *testing.T) {
+	t.Parallel()
+	w, cards := newNarrowModel(t)
+	answer := w.hold(60)      // at 5 ms an event
+	defer answer.Body.Close() //nolint:errcheck // it runs to its end
+	first, again := w.plan("/plan/1", 3), w.plan("/plan/1", 3)
+	again.Header.Set("X-Deadline-Ms", "12000")
+	var group sync.WaitGroup
+	for _, r := range []*http.Request{first, again} {
+		group.Go(func() {
+			got, err := http.DefaultClient.Do(r)
+			if err == nil {
+				got.Body.Close() //nolint:errcheck // only the order counts
+			}
+		})
+		time.Sleep(40 * time.Millisecond)
+	}
+	group.Wait()
+	var order []string
+	for _, c := range cards {
+		for _, seen := range c.Seen() {
+			order = append(order, seen.Header.Get("X-Request-Id"))
+		}
+	}
+	require.Len(t, order, 3)
+	require.Equal(t, []string{again.Header.Get("X-Request-Id"), first.Header.Get("X-Request-Id")}, order[1:])
+}
+
+// Callers that are refused for want of room are told different times to come back.
+func TestRefusedCallersComeBackApart(t *testing.T) {
+	t.Parallel()
+	w, cards := newNarrowModel(t)
+	answer := w.hold(4000)
+	defer answer.Body.Close() //nolint:errcheck // it need not end
+	var mu sync.Mutex
+	times := make(map[float64]bool)
+	var group sync.WaitGroup
+	for range 5 {
+		r := w.plan("/plan/1", 3)
+		group.Go(func() {
+			got, err := http.DefaultClient.Do(r)
+			if err != nil {
+				return
+			}
+			defer got.Body.Close() //nolint:errcheck // a refusal
+			after, err := strconv.ParseFloat(got.Header.Get("Retry-After"), 64)
+			if err == nil && got.StatusCode == http.StatusServiceUnavailable {
+				mu.Lock()
+				defer mu.Unlock()
+				times[after] = true
+			}
+		})
+	}
+	group.Wait()
+	require.Len(t, times, 5)
+	ran := 0
+	for _, c := range cards {
+		ran += len(c.Seen())
+	}
+	require.Equal(t, 1, ran, "what is refused has not run")
+}
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -15,11 +15,13 @@
 
 	"github.com/grademill/grademill/adapter/upstream"
 	"github.com/grademill/grademill/decide/catalog"
+	"github.com/grademill/grademill/decide/comeback"
 	"github.com/grademill/grademill/decide/endpoint"
 	"github.com/grademill/grademill/decide/retry"
 	"github.com/grademill/grademill/port/exchange"
 	"github.com/grademill/grademill/port/kv"
 	"github.com/grademill/grademill/port/runner"
+	"github.com/grademill/grademill/role/gate"
 )
 
 // Records decodes what others keep in the store.
@@ -96,9 +98,17 @@
 	// news has a digest sent before it is due.
 	news chan struct{}
 
+	// line is where requests wait for room, lineWake has it looked through.
+	line     gate.Gate[*seat]
+	lineWake chan struct{}
+	// firstEvents learns how long first events take.
+	firstEvents firsts
+
 	mu sync.Mutex
 	// retries are by service; guarded by mu.
 	retries map[string]*retry.Budget
+	// returns are the times at which refused callers come back; guarded by mu.
+	returns comeback.Book
 	// members is written by the mirror's goroutine alone.
 	members members
 }
@@ -110,6 +120,8 @@
 	g.retries = make(map[string]*retry.Budget)
 	g.fleet.Store(new(fleet))
 	g.news = make(chan struct{}, 1)
+	g.lineWake = make(chan struct{}, 1)
+	g.line.MaxQueue = maxLine
 	g.pool.Opened = g.Meter.Connection
 	var group sync.WaitGroup
 	group.Go(func() { g.follow(ctx) })
@@ -118,6 +130,7 @@
 	group.Go(func() { g.announce(ctx) })
 	group.Go(func() { g.gossip(ctx) })
 	group.Go(func() { g.revive(ctx) })
+	group.Go(func() { g.serveLine(ctx) })
 	group.Wait()
 }
 
@@ -193,6 +206,13 @@
 	return g.budget(service).Allow(time.Now())
 }
 
+// returnRetry gives a retry back that was taken out of the budget and not used.
+func (g *Gateway) returnRetry(service string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget(service).Return()
+}
+
 // countFirst counts a request for a service.
 func (g *Gateway) countFirst(service string) {
 	g.mu.Lock()
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -193,6 +193,8 @@
 	switch {
 	case errors.Is(q.r.Context().Err(), context.Canceled):
 		q.set(0, outcomeLeft, reason)
+	case !q.mayHaveRun && q.service.Model != nil:
+		g.refuse(q, g.comeBack(q, time.Now()), reason)
 	case !q.mayHaveRun:
 		g.refuse(q, comeBackSoon, reason)
 	case q.left(time.Now()) <= 0:
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/grademill/grademill/adapter/pause"
 	"github.com/grademill/grademill/decide/catalog"
 	"github.com/grademill/grademill/decide/event"
 	"github.com/grademill/grademill/decide/health"
@@ -37,10 +38,6 @@
 	// shortWait is how long an endpoint that refused for want of room is not
 	// tried again.
 	shortWait = 200 * time.Millisecond
-	// roomWait is how long a request waits for room, in parts of the objective,
-	// before it is refused, and roomPoll how often it looks.
-	roomWait = 0.2
-	roomPoll = 20 * time.Millisecond
 )
 
 // relay is a stream on its way to a caller.
@@ -54,6 +51,8 @@
 	// lastAt is when an event last went out.
 	lastAt time.Time
 	flush  *http.ResponseController
+	// sentAt is when the request was last sent.
+	sentAt time.Time
 	// reserved is the seat of the next try, with its part of the retry budget, when
 	// the last try was left for it; nil otherwise.
 	reserved *seat
@@ -109,30 +108,37 @@
 	}
 }
 
-// seat returns the seat that the last try was left for, or takes one, and waits a
-// little when there is none: a request that has not been sent for a part of its
-// objective, since it can come back, and a stream that has begun for as long as its
-// caller bears a pause.
+// seat returns the seat that the last try was left for, or takes one, with its part of
+// the retry budget when the request has reached an endpoint before. It waits in line for
+// as long as the request may.
 func (s *relay) seat() (*seat, shortage) {
 	if taken := s.reserved; taken != nil {
 		s.reserved = nil
 		return taken, shortageNone
 	}
-	until := time.Now().Add(part(roomWait, objective(s.q.route)))
-	if s.headSent {
-		until = s.lastAt.Add(pauseWait * allowedPause(s.q.route))
+	until := s.patience(time.Now())
+	retry := s.q.arrived.Load()
+	if retry && !s.allowed(until) {
+		return nil, shortageBudget
 	}
-	for {
-		taken, short := s.g.takeTry(s.q, s.q.cause)
-		if short == shortageNone || !time.Now().Before(until) || short == shortageBudget && !s.headSent {
-			return taken, short
-		}
-		select {
-		case <-s.q.r.Context().Done():
-			return nil, short
-		case <-time.After(roomPoll):
+	taken, short := s.g.admitUntil(s.q, until)
+	if short != shortageNone && retry {
+		s.g.returnRetry(s.q.service.Name)
+	}
+	return taken, short
+}
+
+// allowed takes a retry out of the budget, and reports whether it has. A stream that has
+// begun waits for one as long as its caller does; another one is told at once, since its
+// caller can try again.
+func (s *relay) allowed(until time.Time) bool {
+	for !s.g.again(s.q, s.q.cause) {
+		if !s.headSent || !time.Now().Before(until) || s.q.r.Context().Err() != nil {
+			return false
 		}
+		pause.For(s.q.r.Context(), pollRoom)
 	}
+	return true
 }
 
 // objective returns how soon the first event is wanted.
@@ -160,6 +166,7 @@
 	defer cancel()
 	w := newWatchdog(ctx, s, seat, cancel)
 	defer func() { s.reserved = w.stop() }()
+	s.sentAt = time.Now()
 	t := g.send(ctx, q, seat.first, seat.chain, s.last)
 	if t.answer != nil {
 		defer t.answer.Close()
@@ -239,6 +246,7 @@
 	if !s.headSent {
 		s.head(t)
 		s.q.first = now
+		s.g.firstEvents.note(s.q.service.Name, now.Sub(s.sentAt))
 	} else {
 		s.q.pause = max(s.q.pause, now.Sub(s.lastAt))
 	}
