--- a/decide/spread/closing_test.go
+++ b/decide/spread/closing_test.go
@@ -35,6 +35,22 @@
 	return cards
 }
 
+// rests checks that further plans keep all layers held, move one card at a time, and come
+// to an end.
+func rests(t *testing.T, cards []spread.Card) {
+	t.Helper()
+	for range cards {
+		moves := spread.Planner{}.Plan(tight, cards)
+		if len(moves) == 0 {
+			return
+		}
+		require.Len(t, moves, 1)
+		carry(cards, moves)
+		require.NotContains(t, copies(cards, "h"), 0)
+	}
+	require.Fail(t, "plans go on for ever")
+}
+
 // Whichever card of a hall goes, one plan has the others hold all layers again, also
 // where no card is to spare and none beside the hole has enough memory: then all of them
 // shift a little.
@@ -50,7 +66,7 @@
 			for _, c := range left {
 				require.Positive(t, tight.Room(tight.Cards[c.Kind], c.Holds.Len()), c.ID)
 			}
-			require.Empty(t, spread.Planner{}.Plan(tight, left), "it comes to rest")
+			rests(t, left)
 		}
 	}
 }
@@ -93,3 +109,48 @@
 	}
 	require.Fail(t, "the card got no layers")
 }
+
+// What was crowded to close a hole is eased again, one card at a time, once the missing
+// card is back: no card stays fuller than its share where another holds its ends, and
+// the place never loses a layer.
+func TestCrowdedPlaceIsEased(t *testing.T) {
+	cards := []spread.Card{
+		{ID: "a", Hall: "h", Kind: "large", Holds: layer.Range{First: 0, End: 27}},
+		{ID: "b", Hall: "h", Kind: "large", Holds: layer.Range{First: 27, End: 62}},
+		{ID: "c", Hall: "h", Kind: "small", Holds: layer.Range{First: 54, End: 59}},
+		{ID: "d", Hall: "h", Kind: "small", Holds: layer.Range{First: 59, End: 64}},
+		{ID: "e", Hall: "h", Kind: "large", Holds: layer.Range{First: 60, End: 80}},
+	}
+	moves := spread.Planner{}.Plan(tight, cards)
+	require.Equal(t, []spread.Move{{ID: "b", Layers: layer.Range{First: 27, End: 54}}}, moves)
+	carry(cards, moves)
+	rests(t, cards)
+}
+
+// Nothing is eased on the word of a card that is still loading.
+func TestNothingIsEasedWhileACardLoads(t *testing.T) {
+	cards := []spread.Card{
+		{ID: "a", Hall: "h", Kind: "large", Holds: layer.Range{First: 0, End: 35}},
+		{ID: "b", Hall: "h", Kind: "large", Holds: layer.Range{First: 27, End: 54}, Settled: true},
+		{ID: "c", Hall: "h", Kind: "large", Holds: layer.Range{First: 54, End: 80}},
+	}
+	require.Empty(t, spread.Planner{}.Plan(tight, cards))
+}
+
+// A card that is in use is not moved only because it would be worth more elsewhere.
+func TestCardsInUseAreNotEased(t *testing.T) {
+	for _, used := range []bool{false, true} {
+		cards := []spread.Card{
+			{ID: "a", Hall: "h", Kind: "large", Holds: layer.Range{First: 0, End: 27}},
+			{ID: "b", Hall: "h", Kind: "large", Holds: layer.Range{First: 27, End: 54}},
+			{ID: "c1", Hall: "h", Kind: "small", Holds: layer.Range{First: 54, End: 59}},
+			{ID: "c2", Hall: "h", Kind: "small", Holds: layer.Range{First: 59, End: 64}},
+			{ID: "c3", Hall: "h", Kind: "small", Holds: layer.Range{First: 64, End: 69}},
+			{ID: "c4", Hall: "h", Kind: "small", Holds: layer.Range{First: 69, End: 74}},
+			{ID: "c5", Hall: "h", Kind: "small", Holds: layer.Range{First: 74, End: 80}},
+			{ID: "d", Hall: "h", Kind: "slow", Holds: layer.Range{First: 0, End: 8}, InUse: true},
+			{ID: "e", Hall: "h", Kind: "slow", Holds: layer.Range{First: 0, End: 8}, InUse: used},
+		}
+		require.Equal(t, used, len(spread.Planner{}.Plan(tight, cards)) == 0)
+	}
+}
--- a/decide/spread/spread.go
+++ b/decide/spread/spread.go
@@ -20,6 +20,8 @@
 	Holds layer.Range
 	// Settled is set when it must not get another range now.
 	Settled bool
+	// InUse is set while requests pass through it: it is moved only to close a hole.
+	InUse bool
 }
 
 // Move is a decision to have a card hold layers.
--- a/decide/spread/tiling.go
+++ b/decide/spread/tiling.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 
 	"github.com/grademill/grademill/decide/layer"
 )
@@ -15,34 +14,33 @@
 // cards come in the order of their layers, and each may be left out.
 type tiling struct {
 	layers int
-	holds  []layer.Range
-	// most are the layers that each card may hold in a new range, 0 for one that
-	// keeps its own.
-	most []int
+	tiles  []tile
 }
 
-// add adds the next card.
-func (t *tiling) add(holds layer.Range, most int) {
-	t.holds, t.most = append(t.holds, holds), append(t.most, most)
+// tile is a card of a tiling.
+type tile struct {
+	holds layer.Range
+	// most are the layers that it may hold in a new range, 0 for one that keeps its own.
+	most int
 }
 
 // cost returns what it costs to have a card hold a range, infinite where it cannot.
 func (t *tiling) cost(card int, r layer.Range) float64 {
-	holds := t.holds[card]
+	holds := t.tiles[card].holds
 	if holds.First <= r.First && r.End <= holds.End {
 		return 0
 	}
-	if r.Len() > t.most[card] {
+	if r.Len() > t.tiles[card].most {
 		return math.Inf(1)
 	}
 	kept := layer.Range{First: max(r.First, holds.First), End: min(r.End, holds.End)}
 	return float64(moveCost + r.Len() - kept.Len())
 }
 
-// solve returns the range of each card, empty for one that is left out, or nil when the
-// cards cannot hold all layers.
-func (t *tiling) solve() []layer.Range {
-	n, width := len(t.holds), t.layers+1
+// solve returns the range of each card, empty for one that is left out, and what they
+// cost; nil when the cards cannot hold all layers.
+func (t *tiling) solve() ([]layer.Range, float64) {
+	n, width := len(t.tiles), t.layers+1
 	// least[k*width+end] is the least cost at which the first k cards hold [0, end),
 	// from[...] the first layer of card k there, -1 when it is left out.
 	least := make([]float64, (n+1)*width)
@@ -61,7 +59,7 @@
 			}
 			for end := first + 1; end <= t.layers; end++ {
 				cost := base + t.cost(k, layer.Range{First: first, End: end})
-				if math.IsInf(cost, 1) && end-first > t.most[k] && end > t.holds[k].End {
+				if math.IsInf(cost, 1) && end-first > t.tiles[k].most && end > t.tiles[k].holds.End {
 					break
 				}
 				if cost < after[end] {
@@ -71,8 +69,9 @@
 			}
 		}
 	}
-	if math.IsInf(least[n*width+t.layers], 1) {
-		return nil
+	total := least[n*width+t.layers]
+	if math.IsInf(total, 1) {
+		return nil, total
 	}
 	ranges := make([]layer.Range, n)
 	end := t.layers
@@ -82,5 +81,5 @@
 			end = first
 		}
 	}
-	return slices.Clip(ranges)
+	return ranges, total
 }
--- a/role/gateway/chooser.go
+++ b/role/gateway/chooser.go
@@ -8,6 +8,7 @@
 
 	"github.com/grademill/grademill/decide/catalog"
 	"github.com/grademill/grademill/decide/chain"
+	"github.com/grademill/grademill/decide/layer"
 )
 
 // chooser chooses chains of one model; it may be used by one goroutine at a
@@ -118,10 +119,11 @@
 	c.open, c.avoided, c.crowded = 0, 0, 0
 	now := time.Now()
 	for _, b := range f.open[q.service.Name] {
-		layers := b.Layers.Len()
-		if layers == 0 {
+		usable := b.usable(now)
+		if usable.Empty() {
 			continue
 		}
+		layers := b.Layers.Len()
 		c.open++
 		if q.avoids(b.Address) || use != useDoubtful && b.use.avoided(now) {
 			c.avoided++
@@ -134,12 +136,26 @@
 			continue
 		}
 		c.holders = append(c.holders, chain.Holder{
-			ID: b.ID, Address: b.Address, Hall: b.hall, Layers: b.Layers,
+			ID: b.ID, Address: b.Address, Hall: b.hall, Layers: usable,
 			PerLayer: c.perLayer(q, b) * crowding(free, room),
 		})
 	}
 }
 
+// usable returns the layers of a backend that new requests may use: those that it has
+// been ordered to give up take nothing new.
+func (b *backend) usable(now time.Time) layer.Range {
+	order := b.use.orderedLayers(now)
+	if order.Empty() {
+		return b.Layers
+	}
+	kept := layer.Range{First: max(b.Layers.First, order.First), End: min(b.Layers.End, order.End)}
+	if kept.Empty() {
+		return layer.Range{}
+	}
+	return kept
+}
+
 // noSlot reports whether a backend takes no more requests. Only what comes to it
 // as the first of a chain takes one of its slots.
 func (b *backend) noSlot() bool {
--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -7,6 +7,7 @@
 	"github.com/grademill/grademill/decide/backoff"
 	"github.com/grademill/grademill/decide/endpoint"
 	"github.com/grademill/grademill/decide/health"
+	"github.com/grademill/grademill/decide/layer"
 )
 
 // fleet is what is known of all endpoints at one moment. It is immutable; the
@@ -81,6 +82,8 @@
 	checking atomic.Bool
 	// checkedAt is when it last answered a check, in nanoseconds of Unix time.
 	checkedAt atomic.Int64
+	// ordered is the order that it carries out, nil for none that is known of.
+	ordered atomic.Pointer[ordered]
 	// watchers watch the streams that pass through it.
 	watchers watchers
 	// waiting is the number of requests that wait, as it last said, and said
@@ -108,6 +111,25 @@
 	u.pace.Store(int64(pace * paceUnit))
 }
 
+// orderedLayers returns the layers of the order that the endpoint carries out at now,
+// empty for none.
+func (u *usage) orderedLayers(now time.Time) layer.Range {
+	order := u.ordered.Load()
+	if order == nil || now.After(order.until) {
+		return layer.Range{}
+	}
+	return order.layers
+}
+
+// setOrdered notes what the gateway that gives orders says of them.
+func (u *usage) setOrdered(layers layer.Range, now time.Time) {
+	if layers.Empty() {
+		u.ordered.Store(nil)
+		return
+	}
+	u.ordered.Store(&ordered{layers: layers, until: now.Add(orderWait)})
+}
+
 // judge replaces the record of health by what change makes of it.
 func (u *usage) judge(change func(health.Record) health.Record) {
 	for {
--- a/role/gateway/follow.go
+++ b/role/gateway/follow.go
@@ -123,7 +123,9 @@
 		}
 		g.fleet.Store(newFleet(all))
 	}
-	g.failing.Store(false)
+	if g.failing.Swap(false) || !g.loaded.Load() {
+		g.currentSince.Store(time.Now().UnixNano())
+	}
 	g.proof.Store(max(g.proof.Load(), int64(sent.Sub(g.started))))
 	if !g.loaded.Swap(true) {
 		g.Log.Info().Int("endpoints", len(g.members.endpoints)).Msg("the store has been read")
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -98,6 +98,11 @@
 	// news has a digest sent before it is due.
 	news chan struct{}
 
+	// giving is set while this gateway gives orders.
+	giving atomic.Bool
+	// currentSince is when the store was first read, or read again after it did not
+	// answer, in nanoseconds of Unix time.
+	currentSince atomic.Int64
 	// line is where requests wait for room, lineWake has it looked through.
 	line     gate.Gate[*seat]
 	lineWake chan struct{}
--- a/role/gateway/give.go
+++ b/role/gateway/give.go
@@ -13,27 +13,21 @@
 	"github.com/grademill/grademill/decide/layer"
 	"github.com/grademill/grademill/decide/spread"
 	"github.com/grademill/grademill/port/kv"
-	"github.com/grademill/grademill/port/runner"
 )
 
 // The figures of giving orders.
 const (
-	// giverLease is how long the right to give orders lasts without renewal.
-	giverLease = 3 * time.Second
+	// giverLease is how long the right to give orders lasts without renewal: a hall that
+	// loses a card meanwhile stands without a chain. The store grants no less than one
+	// second, and answers within 0.3 s also when it is slow.
+	giverLease = 1500 * time.Millisecond
 	// giverRound is the time between two rounds of orders.
 	giverRound = 250 * time.Millisecond
 	// renewEvery is the time between two renewals of the lease.
-	renewEvery = time.Second
+	renewEvery = 500 * time.Millisecond
 	// gatherTime is how long the fleet must stay the same before a first plan:
 	// all endpoints of a new system announce themselves within a second or two.
 	gatherTime = 1200 * time.Millisecond
-	// orderWait is how long an order is taken to be under way after it was
-	// given: the record of the endpoint tells of it within a heartbeat or two
-	// after the loading.
-	orderWait = 8 * time.Second
-	// unansweredWait is how long an order without an answer is taken to be under way.
-	// The next one names the same count of orders, so that only one is carried out.
-	unansweredWait = 2 * time.Second
 	// ordersAtOnce is the number of orders that are given at the same time: a
 	// fleet of thousands is to hold its layers before callers come.
 	ordersAtOnce = 32
@@ -50,17 +44,17 @@
 	// fence is the revision at which the right was taken.
 	fence uint64
 	lease string
-	// given are the orders that are under way, by endpoint.
-	given map[string]given
 	// size and changed are the size of the fleet and when it last changed.
 	size    int
 	changed time.Time
 }
 
-// given is an order under way.
-type given struct {
+// ordered is an order that an endpoint carries out. All gateways know of it, so that
+// one that takes the right over goes on from there.
+type ordered struct {
 	layers layer.Range
-	until  time.Time
+	// until is when it counts as lost.
+	until time.Time
 }
 
 // give takes the right to give orders whenever nobody holds it, and uses it
@@ -71,7 +65,7 @@
 		if !g.loaded.Load() || g.draining.Load() || g.catalog.Load() == nil || g.peers.giverHeld() {
 			continue
 		}
-		holder := giver{g: g, given: make(map[string]given)}
+		holder := giver{g: g}
 		if err := holder.take(ctx); err != nil {
 			var held *kv.ConflictError
 			if !errors.As(err, &held) {
@@ -99,6 +93,8 @@
 // hold gives orders until the right is lost.
 func (o *giver) hold(ctx context.Context) {
 	o.g.Log.Info().Uint64("fence", o.fence).Msg("this gateway gives orders")
+	o.g.giving.Store(true)
+	defer o.g.giving.Store(false)
 	renewed, surveyed := time.Now(), time.Now()
 	for ctx.Err() == nil && !o.g.draining.Load() {
 		if now := time.Now(); now.Sub(renewed) >= renewEvery {
@@ -157,7 +153,11 @@
 			continue
 		}
 		cards := o.cards(service.Model, f.open[name], now)
-		if now.Sub(o.changed) < gatherTime && !holdsAny(cards) {
+		if holdsAny(cards) {
+			if now.UnixNano()-o.g.currentSince.Load() < int64(lapseGrace) {
+				continue // records that lapsed with the store come back
+			}
+		} else if now.Sub(o.changed) < gatherTime {
 			continue
 		}
 		moves := (spread.Planner{}).Plan(service.Model, cards)
@@ -176,6 +176,12 @@
 // orders gives the orders of a plan, several at the same time. It returns false
 // when another giver has taken over.
 func (o *giver) orders(ctx context.Context, f *fleet, moves []spread.Move, now time.Time) bool {
+	for _, m := range moves {
+		f.byID[m.ID].use.setOrdered(m.Layers, now)
+	}
+	if len(moves) > 0 {
+		o.g.sendDigest() // should this process end now, another one goes on
+	}
 	var group sync.WaitGroup
 	turns := make(chan struct{}, ordersAtOnce)
 	results := make([]orderResult, len(moves))
@@ -187,35 +193,9 @@
 		})
 	}
 	group.Wait()
-	for i, m := range moves {
-		switch results[i] {
-		case orderReplaced:
-			return false
-		case orderTaken:
-			o.given[m.ID] = given{layers: m.Layers, until: now.Add(orderWait)}
-		case orderUnanswered:
-			o.given[m.ID] = given{layers: m.Layers, until: now.Add(unansweredWait)}
-		}
-	}
-	return true
+	return !slices.Contains(results, orderReplaced)
 }
 
-// orderResult says what became of an order.
-type orderResult string
-
-const (
-	// orderTaken is an order that the endpoint carries out.
-	orderTaken orderResult = "taken"
-	// orderBusy is one that was not given, since another is being carried out.
-	orderBusy orderResult = "busy"
-	// orderRefused is one that the endpoint has not taken.
-	orderRefused orderResult = "refused"
-	// orderReplaced is one that it has not taken since another gateway gives orders.
-	orderReplaced orderResult = "replaced"
-	// orderUnanswered is one that may be carried out, now or later.
-	orderUnanswered orderResult = "no answer"
-)
-
 // cards lists the endpoints of a model as the planner sees them.
 func (o *giver) cards(m *catalog.Model, open []*backend, now time.Time) []spread.Card {
 	cards := make([]spread.Card, 0, len(open))
@@ -223,10 +203,13 @@
 		if _, known := m.Cards[b.Card]; !known || o.g.hasEnded(b, now) {
 			continue
 		}
-		c := spread.Card{ID: b.ID, Hall: b.Hall, Kind: b.Card, Holds: b.Layers}
-		if order, under := o.given[b.ID]; under {
+		c := spread.Card{
+			ID: b.ID, Hall: b.Hall, Kind: b.Card, Holds: b.Layers,
+			InUse: b.use.active.Load()+b.use.othersActive.Load() > 0,
+		}
+		if order := b.use.ordered.Load(); order != nil {
 			if b.Layers == order.layers || now.After(order.until) {
-				delete(o.given, b.ID)
+				b.use.ordered.CompareAndSwap(order, nil)
 			} else {
 				c.Holds, c.Settled = order.layers, true
 			}
@@ -235,41 +218,3 @@
 	}
 	return cards
 }
-
-// order gives one order. What still passes through an endpoint that no gateway uses is
-// lost already, and is not waited for.
-func (o *giver) order(ctx context.Context, b *backend, layers layer.Range) orderResult {
-	ctx, cancel := context.WithTimeout(ctx, giverLease)
-	defer cancel()
-	result := orderTaken
-	unused := b.use.active.Load()+b.use.othersActive.Load() == 0 && o.g.peers.allHeard(o.g.Name)
-	report, err := o.g.Runners.Report(ctx, b.Address)
-	switch {
-	case err == nil && report.Busy:
-		result = orderBusy
-	case err == nil && report.Layers != layers:
-		err = o.g.Runners.Place(ctx, b.Address, runner.Order{
-			Fence: o.fence, After: report.Orders, Layers: layers, Cut: unused,
-		})
-	}
-	if err != nil {
-		result = resultOf(err)
-	}
-	o.g.Meter.Order(string(result))
-	o.g.Log.Info().Str("endpoint", b.ID).Str("address", b.Address).Stringer("layers", layers).
-		Stringer("held", b.Layers).Uint64("fence", o.fence).Uint64("after", report.Orders).Bool("cut", unused).
-		Str("result", string(result)).AnErr("error", err).Msg("order given")
-	return result
-}
-
-// resultOf returns what an error of an order means.
-func resultOf(err error) orderResult {
-	var refused *runner.RefusedError
-	switch {
-	case !errors.As(err, &refused):
-		return orderUnanswered
-	case refused.Fenced:
-		return orderReplaced
-	}
-	return orderRefused
-}
--- a/role/gateway/gossip.go
+++ b/role/gateway/gossip.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/grademill/grademill/adapter/pause"
+	"github.com/grademill/grademill/decide/layer"
 	"github.com/grademill/grademill/port/kv"
 	"github.com/grademill/grademill/wire/gossip"
 )
@@ -96,6 +97,14 @@
 	}
 }
 
+// sendDigest has a digest sent before it is due.
+func (g *Gateway) sendDigest() {
+	select {
+	case g.news <- struct{}{}:
+	default: // one that is due at once tells all
+	}
+}
+
 // farewell tells the other gateways that this one uses nothing more.
 func (g *Gateway) farewell(socket net.PacketConn, number uint64) {
 	if others := g.peers.others(g.Name); len(others) > 0 {
@@ -127,13 +136,14 @@
 		Gateway: g.Name, Incarnation: uint64(g.started.UnixNano()), Number: number, Hall: g.Hall,
 		Proven: g.loaded.Load() && !g.failing.Load(), ProofAgeMillis: uint32(max(g.proofAge(now).Milliseconds(), 0)),
 	}
-	giving := g.peers.gives(g.Name)
+	giving := g.giving.Load()
 	for id, b := range g.fleet.Load().byID {
 		avoided := time.Duration(b.use.stalledUntil.Load() - now.UnixNano())
 		active, held, down := b.use.active.Load(), b.use.held.Load(), b.use.down()
-		pace := uint32(0)
+		pace, order := uint32(0), layer.Range{}
 		if giving {
 			pace = uint32(b.use.pace.Load())
+			order = b.use.orderedLayers(now)
 		}
 		if active == 0 && held == 0 && avoided <= 0 && pace == 0 && !down {
 			continue
@@ -142,6 +152,7 @@
 			Endpoint: id, Active: uint32(max(active, 0)), Held: uint64(max(held, 0)),
 			AvoidedMillis: uint32(max(avoided.Milliseconds(), 0)), Pace: pace,
 			Reading: uint32(max(b.use.reading.Load(), 0)), Down: down,
+			OrderedFirst: uint32(order.First), OrderedEnd: uint32(order.End),
 		})
 	}
 	return d
@@ -179,8 +190,9 @@
 		held[b.use] = share{
 			active: int64(use.GetActive()), held: int64(use.GetHeld()), reading: int64(use.GetReading()),
 		}
-		if use.GetPace() > 0 {
+		if use.GetPace() > 0 { // the sender gives orders
 			b.use.pace.Store(int64(use.GetPace()))
+			b.use.setOrdered(layer.Range{First: int(use.GetOrderedFirst()), End: int(use.GetOrderedEnd())}, now)
 		}
 		if use.GetAvoidedMillis() > 0 {
 			g.adoptStall(b, now, time.Duration(use.GetAvoidedMillis())*time.Millisecond)
--- a/role/gateway/leave_test.go
+++ b/role/gateway/leave_test.go
@@ -86,7 +86,9 @@
 	t.Parallel()
 	gone := plain("plain-1")
 	gone.Public = freePort(t) // nothing listens there
-	w := newWorldWith(t, func(g *gateway.Gateway) { g.RetryShare, g.RetryReserve = 0, 0 }, gone, plain("plain-2"))
+	far := plain("plain-2")
+	far.Hall = "south" // so that the other one is tried first
+	w := newWorldWith(t, func(g *gateway.Gateway) { g.RetryShare, g.RetryReserve = 0, 0 }, gone, far)
 	w.logged(`"endpoint":"plain-2"`)
 	w.logged(`"endpoint":"plain-1"`)
 	for range 8 {
--- a/role/gateway/peers.go
+++ b/role/gateway/peers.go
@@ -205,10 +205,3 @@
 	defer p.mu.Unlock()
 	return p.giver != ""
 }
-
-// gives reports whether a gateway is the one that gives orders.
-func (p *peers) gives(name string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.giver == name
-}
--- a/role/gateway/suspect.go
+++ b/role/gateway/suspect.go
@@ -92,10 +92,7 @@
 // gateways told at once.
 func (g *Gateway) spreadLoss(b *backend) {
 	b.use.watchers.kick()
-	select {
-	case g.news <- struct{}{}:
-	default: // the digest that is due tells of it
-	}
+	g.sendDigest()
 }
 
 // noteStalls notes which endpoints hold requests up.
