Mend the two red process tests, and streams cut after two endpoints that ended

(1) An agent refused first steps that were under way when it began to leave: it now tells the entries first and takes new work for three heartbeats more. (2) Two entries with one key settled each other's claim within 0 to 25 ms until one had no try left: the pause is now half fixed, and a duel in which nothing was sent takes no part of the retry budget. An endpoint that is found to have ended does not count any more; it is checked before the next try is decided.

--- a/role/agent/agent.go
+++ b/role/agent/agent.go
@@ -16,6 +16,7 @@
 
 	"github.com/grademill/grademill/adapter/link"
 	"github.com/grademill/grademill/adapter/listen"
+	"github.com/grademill/grademill/adapter/pause"
 	"github.com/grademill/grademill/adapter/process"
 	"github.com/grademill/grademill/adapter/rpc"
 	"github.com/grademill/grademill/decide/limit"
@@ -67,9 +68,11 @@
 	Unfenced bool
 
 	incarnation uint64
-	leaving     atomic.Bool
-	links       *link.Set
-	process     *process.Process
+	// announced is set once the entries are told that the agent leaves, leaving once it
+	// refuses new work.
+	announced, leaving atomic.Bool
+	links              *link.Set
+	process            *process.Process
 
 	mu       sync.Mutex // guards what follows
 	sessions map[string]*session
@@ -171,11 +174,19 @@
 	return a.leaving.Load()
 }
 
-// drain refuses new work, tells the entries, and waits for what is in flight.
+// noticeBeats is the number of heartbeats for which an agent that leaves still takes new
+// work: entries hear of it with the first, and what they had sent before arrives.
+const noticeBeats = 3
+
+// drain tells the entries, takes what they sent before they heard of it, then refuses new
+// work and waits for what is in flight.
 func (a *Agent) drain(ctx context.Context) error {
+	a.announced.Store(true)
+	a.Log.Info().Int("sessions", a.inFlight()).Msg("agent announces that it leaves")
+	a.report()
+	pause.For(ctx, noticeBeats*a.Heartbeat)
 	a.leaving.Store(true)
 	a.Log.Info().Int("sessions", a.inFlight()).Msg("agent is leaving")
-	a.report()
 	drain.Wait(ctx, a.DrainTimeout, a.inFlight)
 	a.evict()
 	a.Log.Info().Int("sessions", a.inFlight()).Msg("agent has drained")
--- a/role/agent/beat.go
+++ b/role/agent/beat.go
@@ -52,7 +52,7 @@
 // introduction returns what seldom changes; a.mu is held.
 func (a *Agent) introduction() *wire.Introduction {
 	self := &wire.Introduction{
-		Endpoint: a.Name, Address: a.Address, Hall: a.Hall, Service: a.Service, Leaving: a.leaving.Load(),
+		Endpoint: a.Name, Address: a.Address, Hall: a.Hall, Service: a.Service, Leaving: a.announced.Load(),
 	}
 	if a.Engine != nil && !a.loading {
 		self.Service = a.status.Service
--- a/role/agent/orders.go
+++ b/role/agent/orders.go
@@ -18,7 +18,7 @@
 		return &wire.OrderReply{Detail: err.Error(), Term: a.fence.Term}, nil
 	}
 	a.fence = fence
-	if a.Engine == nil || a.leaving.Load() || a.loading || a.active > 0 {
+	if a.Engine == nil || a.announced.Load() || a.loading || a.active > 0 {
 		return &wire.OrderReply{Detail: "endpoint is in use", Term: a.fence.Term}, nil
 	}
 	a.loading = true
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -229,7 +229,7 @@
 		g.Meter.Pause(q.pause)
 	}
 	line := g.Log.Info().Str("request", q.ID).Str("route", route).Str("team", q.team).Str("outcome", q.outcome).
-		Int("status", q.status).Str("reason", q.reason).Strs("used", q.used).Int("sends", q.sends).Int("runs", q.runs).
+		Int("status", q.status).Str("reason", q.reason).Strs("used", q.used).Int("sends", q.sends).Int("runs", len(q.ran)).
 		Dur("first_ms", first).Dur("total_ms", now.Sub(q.start)).
 		Uint64("version", q.version).Dur("proof_age_ms", q.proofAge)
 	if q.events > 0 {
--- a/role/gateway/leave_test.go
+++ b/role/gateway/leave_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"regexp"
+	"slices"
 	"testing"
 	"time"
 
@@ -130,3 +131,33 @@
 	w.eventually(func() bool { return order.MatchString(w.log.String()) })
 	require.Equal(t, "true", order.FindStringSubmatch(w.log.String())[1])
 }
+
+// An endpoint that has ended does not count as one of those that a request may be sent
+// to: a stream that loses its first endpoint twice goes on at a third one.
+func TestEndedEndpointsAreNoTries(t *testing.T) {
+	t.Parallel()
+	var cards []*site.Endpoint
+	for i := range 6 {
+		cards = append(cards, card(fmt.Sprint("card-", i), "north"))
+	}
+	w := newWorld(t, cards...)
+	w.eventually(func() bool { return covered(cards, 3) })
+	w.knows(cards...)
+	answer, r, _ := w.mid(cards, 400) // the route allows two endpoints
+	id := r.Header.Get("X-Request-Id")
+	for range 2 {
+		var at *site.Endpoint
+		w.eventually(func() bool {
+			for _, c := range cards {
+				if c.Running() > 0 && !slices.Contains(w.killed, c) {
+					at = c
+				}
+			}
+			return at != nil
+		})
+		at.Kill()
+		w.killed = append(w.killed, at)
+	}
+	require.Equal(t, whole(400), w.rest(answer))
+	require.Contains(t, usesOf(t, w, id), `"sends":3,`)
+}
--- a/role/gateway/plain.go
+++ b/role/gateway/plain.go
@@ -45,7 +45,7 @@
 		}
 		reason = why
 		q.avoid(b.Address)
-		if q.mayHaveRun && (!q.route.Repeats() || q.runs >= q.route.Attempts) {
+		if q.mayHaveRun && (!q.route.Repeats() || q.runs() >= q.route.Attempts) {
 			break
 		}
 		if q.left(time.Now()) <= 0 {
@@ -98,7 +98,7 @@
 	b.use.take(0)
 	defer b.use.release(0)
 	until := q.deadline
-	last := !q.route.Repeats() || q.runs+1 >= q.route.Attempts
+	last := !q.route.Repeats() || q.runs()+1 >= q.route.Attempts
 	if !last {
 		wait := q.route.Objective
 		if wait <= 0 {
@@ -120,10 +120,10 @@
 		return false, notRunReason(t)
 	case verdictLost, verdictOver:
 		q.cause = causeLost
-		q.runs++
+		q.ran = append(q.ran, b)
 		return false, t.err.Error()
 	}
-	q.runs++
+	q.ran = append(q.ran, b)
 	body, err := t.answer.ReadAll()
 	if err != nil {
 		b.use.judge(health.Record.WithFailure)
--- a/role/gateway/query.go
+++ b/role/gateway/query.go
@@ -31,9 +31,10 @@
 	start    time.Time
 	deadline time.Time
 
-	// sends counts the endpoints that the request was sent to, runs those that
-	// may have run it and were not lost since.
-	sends, runs int
+	// sends counts the endpoints that the request was sent to, ran are those that may
+	// have run it.
+	sends int
+	ran   []*backend
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
 	// arrived is set once a send may have reached an endpoint: only what follows it
@@ -86,6 +87,18 @@
 	q.used = append(q.used, used)
 }
 
+// runs returns the number of endpoints that may have run the request and have not ended
+// since: a route allows only so many.
+func (q *query) runs() int {
+	n := 0
+	for _, b := range q.ran {
+		if !b.use.down() {
+			n++
+		}
+	}
+	return n
+}
+
 // left returns how long the answer is still of use.
 func (q *query) left(now time.Time) time.Duration {
 	return q.deadline.Sub(now)
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -76,7 +76,7 @@
 		}
 		reason = why
 		if q.r.Context().Err() != nil || q.left(time.Now()) <= 0 ||
-			q.mayHaveRun && (!q.route.Repeats() || q.runs >= q.route.Attempts) {
+			q.mayHaveRun && (!q.route.Repeats() || q.runs() >= q.route.Attempts) {
 			break
 		}
 	}
@@ -178,11 +178,14 @@
 		return false, notRunReason(t)
 	case verdictLost, verdictOver:
 		q.cause = causeLost
-		q.runs++
+		q.ran = append(q.ran, seat.first)
+		if t.verdict == verdictLost {
+			g.verify(q.r.Context(), seat.first)
+		}
 		q.avoid(seat.first.Address)
 		return false, t.err.Error()
 	}
-	q.runs++
+	q.ran = append(q.ran, seat.first)
 	if t.answer.Status != http.StatusOK {
 		return s.whole(t, seat)
 	}
@@ -294,7 +297,7 @@
 	stalled := w.gaveUp()
 	q.avoid(seat.first.Address)
 	seat.first.use.judge(health.Record.WithFailure)
-	s.g.suspect(seat.first)
+	s.g.verify(q.r.Context(), seat.first)
 	q.carried++
 	q.cause = causeBroken
 	s.g.Log.Info().Str("request", q.ID).Stringer("chain", seat.chain).Bool("stalled", stalled).Err(err).
--- a/role/gateway/suspect.go
+++ b/role/gateway/suspect.go
@@ -23,6 +23,9 @@
 	// endedAfter is how long an endpoint must have given no answer to count as ended:
 	// a process that was paused, or a connection that lost packets, is back sooner.
 	endedAfter = 700 * time.Millisecond
+	// verifyPoll is how often the end of another's check is looked for: a check of an
+	// endpoint that lives takes a few milliseconds.
+	verifyPoll = 2 * time.Millisecond
 	// wordFresh is how long the word of another gateway counts: several digests.
 	wordFresh = time.Second
 )
@@ -48,6 +51,24 @@
 	}()
 }
 
+// verify checks an endpoint that has broken off an answer, and returns once it is known
+// whether it has ended: what has ended does not count as a try of the request.
+func (g *Gateway) verify(ctx context.Context, b *backend) {
+	if b.Card == "" {
+		return
+	}
+	for !b.use.checking.CompareAndSwap(false, true) {
+		if ctx.Err() != nil || b.use.down() {
+			return
+		}
+		pause.For(ctx, verifyPoll)
+	}
+	defer b.use.checking.Store(false)
+	if !b.use.down() {
+		g.check(b)
+	}
+}
+
 // doubt has an endpoint checked through which an event is late, unless one has
 // just come through it, or a check was passed.
 func (g *Gateway) doubt(b *backend, now time.Time) {
--- a/role/gateway/try.go
+++ b/role/gateway/try.go
@@ -107,7 +107,7 @@
 	} else {
 		b.use.judge(health.Record.WithFailure)
 	}
-	if ctx.Err() == nil || !sent {
+	if !sent {
 		g.suspect(b)
 	}
 	return t
--- a/role/gateway/world_test.go
+++ b/role/gateway/world_test.go
@@ -40,8 +40,10 @@
 	site    *site.Site
 	gateway *gateway.Gateway
 	// target is the address of the gateway that requests go to.
-	target  string
-	log     *syncBuffer
+	target string
+	log    *syncBuffer
+	// killed are the endpoints that a test has killed.
+	killed  []*site.Endpoint
 	version int
 	ids     atomic.Int64
 }
--- a/state/runonce/runner.go
+++ b/state/runonce/runner.go
@@ -63,16 +63,26 @@
 	avoid map[string]bool
 	// duels counts how often another claim held the key.
 	duels int
+	// sent is set when the last attempt sent the call: only another send after it is a
+	// retry.
+	sent bool
 }
 
-// The pause before another's claim is settled. It doubles each time, and its
-// length is drawn, so that two entries that ask for the same key at the same
-// moment do not bar each other's claims for ever.
+// The pause before another's claim is settled. It doubles each time, so that it gets
+// longer than a busy host takes to start a call, and a part of its length is drawn, so
+// that two entries that ask for the same key at the same moment do not bar each other's
+// claims for ever.
 const (
 	firstPause = 25 * time.Millisecond
 	maxDoubles = 5
 )
 
+// duelPause returns the pause before another's claim is settled, after so many duels.
+func duelPause(duels int) time.Duration {
+	most := firstPause << min(duels, maxDoubles)
+	return most/2 + rand.N(most/2)
+}
+
 // SettleTimeout bounds the question what became of a call.
 const SettleTimeout = 500 * time.Millisecond
 
@@ -100,7 +110,7 @@
 		if ctx.Err() != nil {
 			return nil, outcome.Refuse(outcome.DeadlineOver, ctx.Err().Error(), retryAfter)
 		}
-		if !r.MayRetry() {
+		if r.sent && !r.MayRetry() {
 			return nil, outcome.Refuse(outcome.RetryExceeded, why, retryAfter)
 		}
 	}
@@ -114,11 +124,13 @@
 		ID: uuid.NewString(), Key: r.Key, Digest: r.Digest, Former: former,
 		Endpoint: at.Name, Address: at.Address, Incarnation: at.Incarnation, Epoch: at.Epoch, At: time.Now(),
 	}
+	r.sent = false
 	if r.Shared {
 		if err := r.Claims.Claim(c); err != nil {
 			return r.notClaimed(ctx, err)
 		}
 	}
+	r.sent = true
 	reply, err := r.Agents.Send(ctx, at, c, why)
 	if err != nil {
 		reply = r.settle(c)
@@ -177,7 +189,7 @@
 	if holder.Digest != r.Digest {
 		return nil, "", outcome.Refuse(outcome.Conflict, "the idempotency key was used for another request", 0)
 	}
-	pause := rand.N(firstPause << min(r.duels, maxDoubles))
+	pause := duelPause(r.duels)
 	r.duels++
 	select {
 	case <-ctx.Done():
--- /dev/null
+++ b/state/runonce/runner_test.go
@@ -0,0 +1,88 @@
+package runonce_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/decide/claim"
+	"github.com/grademill/grademill/decide/fleet"
+	"github.com/grademill/grademill/decide/outcome"
+	"github.com/grademill/grademill/state/claimlog"
+	"github.com/grademill/grademill/state/runonce"
+	"github.com/grademill/grademill/wire"
+)
+
+// rival holds the key for the first claims, each of which turns out not to have run.
+type rival struct {
+	claims int
+	// sends are the times of the calls, settles those of the questions.
+	sends   int
+	settles []time.Time
+}
+
+func (r *rival) Claim(claim.Claim) error {
+	if r.claims--; r.claims >= 0 {
+		return &claimlog.TakenError{Holder: claim.Claim{ID: "rival"}}
+	}
+	return nil
+}
+
+func (r *rival) Send(context.Context, fleet.Endpoint, claim.Claim, string) (*wire.CallReply, error) {
+	r.sends++
+	return &wire.CallReply{Outcome: wire.CallReply_DONE}, nil
+}
+
+func (r *rival) Settle(context.Context, claim.Claim) (*wire.CallReply, error) {
+	r.settles = append(r.settles, time.Now())
+	return &wire.CallReply{Outcome: wire.CallReply_NOT_RUN}, nil
+}
+
+func (r *rival) Enter(context.Context, map[string]bool) (fleet.Endpoint, func(), *outcome.Report) {
+	return fleet.Endpoint{Name: "a"}, func() {}, nil
+}
+
+// An entry whose key another one claims again and again has sent nothing: it needs no
+// part of the retry budget to go on, and leaves its rival more and more time to start.
+func TestDuelsAreNoRetries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &rival{claims: 6}
+		runner := runonce.Runner{
+			Claims: r, Agents: r, Seats: r, MayRetry: func() bool { return false }, Key: "k", Shared: true,
+		}
+		begun := time.Now()
+		reply, report := runner.Run(context.Background())
+		require.Nil(t, report)
+		require.Equal(t, wire.CallReply_DONE, reply.GetOutcome())
+		require.Equal(t, 1, r.sends)
+		require.Len(t, r.settles, 6)
+		for i, at := range r.settles {
+			least := 12500 * time.Microsecond << min(i, 5)
+			require.GreaterOrEqual(t, at.Sub(begun), least)
+			begun = at
+		}
+	})
+}
+
+// A call that was sent and refused needs a part of the budget to be sent again.
+func TestSecondSendIsARetry(t *testing.T) {
+	r := &refusing{rival: &rival{}}
+	runner := runonce.Runner{
+		Claims: r, Agents: r, Seats: r, MayRetry: func() bool { return false }, Key: "k", Shared: true,
+	}
+	_, report := runner.Run(context.Background())
+	require.Equal(t, outcome.RetryExceeded, report.Code)
+	require.Equal(t, 1, r.sends)
+}
+
+// refusing refuses all calls as not run.
+type refusing struct{ *rival }
+
+func (r *refusing) Send(ctx context.Context, at fleet.Endpoint, c claim.Claim, why string) (*wire.CallReply, error) {
+	_, err := r.rival.Send(ctx, at, c, why)
+	return &wire.CallReply{Outcome: wire.CallReply_NOT_RUN}, errors.Join(err)
+}
