--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -17,6 +17,7 @@
 	subcommands.Register(&overloadCommand{}, "")
 	subcommands.Register(&slopesCommand{}, "")
 	subcommands.Register(&daysCommand{}, "")
+	subcommands.Register(&accountCommand{}, "")
 	subcommands.Register(&placementsCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
