--- a/cmd/measure/account.go
+++ b/cmd/measure/account.go
@@ -18,8 +18,10 @@
 // accountCommand prints where played days lost their worth.
 type accountCommand struct{}
 
-func (*accountCommand) Name() string             { return "account" }
-func (*accountCommand) Synopsis() string         { return "print where played days lost their worth, from their reports" }
+func (*accountCommand) Name() string { return "account" }
+func (*accountCommand) Synopsis() string {
+	return "print where played days lost their worth, from their reports"
+}
 func (*accountCommand) SetFlags(_ *flag.FlagSet) {}
 
 func (*accountCommand) Usage() string {
