Count silent endpoints as tries: only a refused connection shows that a process has ended

A gateway that gets a fifth of its processor took endpoints for dead that went on, and since endpoints that had ended no longer counted as tries, it sent such requests a third time.

Change: an endpoint has ended when its host refuses connections to it. The stand-in can end a process. Tests: TestSilentEndpointsAreTries; TestEndedEndpointsAreNoTries now ends processes in place of silencing them, since silence is no proof.

--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -78,6 +78,8 @@
 	// downSince is when it was found not to answer, 0 while it does, and othersDown
 	// when another gateway last said so, in nanoseconds of Unix time.
 	downSince, othersDown atomic.Int64
+	// ended is set while its host refuses connections to it: its process has ended.
+	ended atomic.Bool
 	// checking is set while it is checked.
 	checking atomic.Bool
 	// checkedAt is when it last answered a check, in nanoseconds of Unix time.
--- a/role/gateway/query.go
+++ b/role/gateway/query.go
@@ -87,12 +87,13 @@
 	q.used = append(q.used, used)
 }
 
-// runs returns the number of endpoints that may have run the request and have not ended
-// since: a route allows only so many.
+// runs returns the number of endpoints that may have run the request and have not surely
+// ended since: a route allows only so many. Silence is no proof, since this process may
+// be too slow to hear an endpoint that goes on.
 func (q *query) runs() int {
 	n := 0
 	for _, b := range q.ran {
-		if !b.use.down() {
+		if !b.use.ended.Load() {
 			n++
 		}
 	}
--- a/role/gateway/suspect.go
+++ b/role/gateway/suspect.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"syscall"
 	"time"
 
 	"github.com/grademill/grademill/adapter/pause"
@@ -97,6 +98,7 @@
 	}
 	g.Meter.Check(checkSilent)
 	b.use.downSince.Store(time.Now().UnixNano())
+	b.use.ended.Store(errors.Is(err, syscall.ECONNREFUSED))
 	g.Log.Info().Str("endpoint", b.ID).Str("address", b.Address).Err(err).
 		Dur("took_ms", time.Since(begun)).Msg("endpoint does not answer")
 	g.spreadLoss(b)
@@ -166,5 +168,6 @@
 	}
 	g.Meter.Check(checkRevived)
 	b.use.downSince.Store(0)
+	b.use.ended.Store(false)
 	g.Log.Info().Str("endpoint", b.ID).Str("address", b.Address).Msg("endpoint answers again")
 }
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -20,6 +20,8 @@
 	// endpoints are by address.
 	endpoints map[string]*Endpoint
 	servers   []*http.Server
+	// byAddress are the servers by the address at which they listen.
+	byAddress map[string]*http.Server
 	// faults are the chains that did not run each layer once and in order.
 	faults []string
 	// modes are those of the next requests of a service.
@@ -44,6 +46,10 @@
 	go server.Serve(listener) //nolint:errcheck // ends with Close
 	s.mu.Lock()
 	s.servers = append(s.servers, server)
+	if s.byAddress == nil {
+		s.byAddress = make(map[string]*http.Server)
+	}
+	s.byAddress[listener.Addr().String()] = server
 	s.mu.Unlock()
 	return listener.Addr().String(), nil
 }
@@ -66,6 +72,16 @@
 	return err
 }
 
+// Stop ends the process of an endpoint: its host refuses connections from then on.
+func (s *Site) Stop(e *Endpoint) {
+	s.mu.Lock()
+	server := s.byAddress[e.address]
+	s.mu.Unlock()
+	if server != nil {
+		_ = server.Close() // a stand-in's connections
+	}
+}
+
 // Enter announces an endpoint that is open.
 func (s *Site) Enter(e *Endpoint) {
 	s.mu.Lock()
