--- a/adapter/watchhttp/watch.go
+++ b/adapter/watchhttp/watch.go
@@ -122,7 +122,7 @@
 	return c
 }
 
-// handler answers the questions of other gateways from a cache.
+// Handler answers the questions of other gateways from a cache.
 func Handler(h *watchcache.Cache) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, r *http.Request) {
