--- a/cmd/grademill/explain.go
+++ b/cmd/grademill/explain.go
@@ -25,7 +25,8 @@
 func (*explainCommand) Usage() string {
 	return `grademill explain [-before DURATION] REQUEST FILE...
   Reads the logs of gateways and prints, in the order of time, each decision about
-  the request and what its gateways came to believe of the endpoints it used.
+  the request and what its gateways came to believe of the endpoints it used; then
+  whether it ran and was acknowledged.
   Exit codes: 0 told, 1 a log cannot be read, 2 wrong arguments, 4 no such request.
 `
 }
@@ -50,7 +51,11 @@
 		fmt.Fprintf(os.Stderr, "no line names request %s\n", f.Arg(0))
 		return exitRefused
 	}
-	return finish(s.Write(os.Stdout))
+	if err := s.Write(os.Stdout); err != nil {
+		return finish(err)
+	}
+	_, err := fmt.Fprintln(os.Stdout, "verdict:", s.Verdict())
+	return finish(err)
 }
 
 // readLog reads one file into a story.
--- /dev/null
+++ b/decide/story/verdict_test.go
@@ -0,0 +1,43 @@
+package story_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/decide/story"
+)
+
+// What became of a renewal is told from logs alone, also when the gateway that took it
+// has lost its power.
+func TestVerdict(t *testing.T) {
+	const (
+		sent   = `{"time":"2026-12-02T10:00:00Z","process":"g-1","message":"request is sent","request":"r","address":"10.0.0.1:80"}`
+		served = `{"time":"2026-12-02T10:00:01Z","process":"g-1","message":"request ended","request":"r","outcome":"served","status":200,"runs":1,"used":["10.0.0.1:80"]}`
+		notRun = `{"time":"2026-12-02T10:00:01Z","process":"g-1","message":"request ended","request":"r","outcome":"not run","status":503,"runs":0,"used":["10.0.0.1:80"]}`
+		failed = `{"time":"2026-12-02T10:00:01Z","process":"g-1","message":"request ended","request":"r","outcome":"failed","status":502,"runs":1,"used":["10.0.0.1:80"]}`
+		other  = `{"time":"2026-12-02T10:00:01Z","process":"g-1","message":"endpoint gone","address":"10.0.0.1:80"}`
+	)
+	cases := []struct {
+		name string
+		log  []string
+		want story.Verdict
+	}{
+		{"acknowledged", []string{sent, served}, story.Verdict{Fate: story.FateAnswered, Process: "g-1", Endpoint: "10.0.0.1:80", Status: 200}},
+		{"refused", []string{sent, notRun}, story.Verdict{Fate: story.FateNotRun, Process: "g-1", Status: 503}},
+		{"failed", []string{sent, failed}, story.Verdict{Fate: story.FateRan, Process: "g-1", Endpoint: "10.0.0.1:80", Status: 502}},
+		{"power lost in between", []string{sent, other}, story.Verdict{Fate: story.FateUnknown, Process: "g-1", Endpoint: "10.0.0.1:80"}},
+		{"never sent", []string{other}, story.Verdict{Fate: story.FateUnsent}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := &story.Story{Request: "r", Before: time.Minute}
+			_, err := s.Read(strings.NewReader(strings.Join(c.log, "\n")))
+			require.NoError(t, err)
+			require.Equal(t, c.want, s.Verdict())
+			require.NotEmpty(t, s.Verdict().String())
+		})
+	}
+}
--- a/role/gateway/plain.go
+++ b/role/gateway/plain.go
@@ -110,6 +110,10 @@
 	}
 	ctx, cancel := context.WithDeadline(q.r.Context(), until)
 	defer cancel()
+	if !q.route.Repeats() { // should this process end now, that is all that is known
+		g.Log.Info().Str("request", q.ID).Str("endpoint", b.ID).Str("address", b.Address).
+			Uint64("version", q.version).Msg("request is sent")
+	}
 	t := g.send(ctx, q, b, nil, q.After)
 	if t.answer != nil {
 		defer t.answer.Close()
--- /dev/null
+++ b/role/gossip/gossip_test.go
@@ -0,0 +1,150 @@
+package gossip_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/decide/overlay"
+	"github.com/grademill/grademill/role/gossip"
+	"github.com/grademill/grademill/state/peers"
+	wire "github.com/grademill/grademill/wire/gossip"
+)
+
+// patience bounds every wait: a test that reaches it has failed.
+const patience = 30 * time.Second
+
+// node is a gateway that uses one endpoint.
+type node struct {
+	gossip.Gossip
+	table  peers.Table
+	active atomic.Int64
+	others atomic.Int64
+	heard  atomic.Int64
+	sent   atomic.Int64
+	drops  atomic.Int64
+	stop   func()
+}
+
+// Count implements peers.Counter.
+func (n *node) Count(s peers.Share) { n.others.Add(s.Active) }
+
+// Digest implements gossip.Local.
+func (n *node) Digest(_ time.Time, others map[string]peers.Share) *wire.Digest {
+	active := n.active.Load() + others["card"].Active
+	return &wire.Digest{Uses: []*wire.Use{{Endpoint: "card", Active: uint32(active)}}}
+}
+
+// Heard implements gossip.Local.
+func (n *node) Heard(*wire.Digest, time.Time) { n.heard.Add(1) }
+
+// Tick implements gossip.Local.
+func (n *node) Tick(time.Time) {}
+
+// start runs a fleet, each hall of a size, whose members the store has announced.
+func start(t *testing.T, halls, each int, rate float64) []*node {
+	var all []*node
+	for h := range halls {
+		for i := range each {
+			n := new(node)
+			n.active.Store(1)
+			n.table.Counter = func(string) peers.Counter { return n }
+			n.Gossip = gossip.Gossip{
+				Self:        overlay.Member{Name: fmt.Sprintf("gateway-%d-%d", h, i), Address: freePort(t), Hall: fmt.Sprint("hall-", h)},
+				Incarnation: 1, Local: n, Peers: &n.table, LinkRate: rate, Log: zerolog.Nop(),
+				Sent: func(bytes int, dropped bool) {
+					if dropped {
+						n.drops.Add(int64(bytes))
+					} else {
+						n.sent.Add(int64(bytes))
+					}
+				},
+			}
+			n.Init()
+			all = append(all, n)
+		}
+	}
+	for _, n := range all {
+		for _, m := range all {
+			n.table.Announce(m.Self.Name, m.Self)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var group sync.WaitGroup
+		group.Go(func() { n.Run(ctx) })
+		n.stop = func() {
+			cancel()
+			group.Wait()
+		}
+		t.Cleanup(n.stop)
+	}
+	return all
+}
+
+// freePort returns a local address for datagrams.
+func freePort(t *testing.T) string {
+	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer c.Close() //nolint:errcheck // only its address is used
+	return c.LocalAddr().String()
+}
+
+// know waits until each of the nodes knows of so many requests of the others.
+func know(t *testing.T, nodes []*node, active int64) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		for _, n := range nodes {
+			if n.others.Load() != active {
+				return false
+			}
+		}
+		return true
+	}, patience, 5*time.Millisecond)
+}
+
+// Each gateway of a small fleet knows what all others use.
+func TestSmallFleet(t *testing.T) {
+	t.Parallel()
+	all := start(t, 2, 3, 0)
+	know(t, all, 5)
+	all[0].active.Store(4)
+	all[0].News()
+	know(t, all[1:], 8)
+}
+
+// Each gateway of a large fleet knows what all others use, those of other halls by sums,
+// each counted once; and goes on doing so when the one that speaks for a hall ends.
+func TestLargeFleet(t *testing.T) {
+	t.Parallel()
+	all := start(t, 3, 6, 0)
+	know(t, all, 17)
+	var left []*node
+	ended := false
+	for _, n := range all {
+		if !ended && n.Overlay().Delegate() {
+			n.stop()
+			ended = true
+			continue
+		}
+		left = append(left, n)
+	}
+	require.True(t, ended)
+	know(t, left, 16)
+	left[0].active.Store(5)
+	know(t, left[1:], 20)
+}
+
+// Digests keep to their part of a thin link: what does not fit is dropped, and the rest
+// goes on.
+func TestDigestsKeepToTheirPartOfTheLink(t *testing.T) {
+	t.Parallel()
+	all := start(t, 1, 14, 1)
+	require.Eventually(t, func() bool { return all[0].drops.Load() > 0 }, 2*patience, 20*time.Millisecond)
+	require.LessOrEqual(t, all[0].sent.Load(), int64(70<<10))
+}
