Let whoever checks an endpoint tell its pace, in place of who gives orders

Only the gateway that gives orders asked for paces, 2 s after it got the right; it was killed at 20.0 s and its successor cut off at 21.6 s, so that nobody knew.

Change: each endpoint is asked by the gateway that looks after it, and each check tells its pace, with its age, in digests and sums.

--- a/role/gateway/chooser.go
+++ b/role/gateway/chooser.go
@@ -137,7 +137,7 @@
 		}
 		c.holders = append(c.holders, chain.Holder{
 			ID: b.ID, Address: b.Address, Hall: b.hall, Layers: usable,
-			PerLayer: c.perLayer(q, b) * crowding(free, room),
+			PerLayer: c.perLayer(q, b, now) * crowding(free, room),
 		})
 	}
 }
@@ -164,9 +164,9 @@
 
 // perLayer returns what a layer of a backend costs a request, in seconds a token,
 // before memory counts.
-func (c *chooser) perLayer(q *query, b *backend) float64 {
+func (c *chooser) perLayer(q *query, b *backend, now time.Time) float64 {
 	chance := c.chance[b.hall] * (1 + chanceEndpoint*rand.Float64())
-	slow := float64(b.use.pace.Load()) / paceUnit
+	slow := float64(b.use.slowness(now)) / paceUnit
 	return layerTime(q.service.Model, q.service.Model.Cards[b.Card], q, b.use) * slow * chance
 }
 
--- a/role/gateway/digest.go
+++ b/role/gateway/digest.go
@@ -24,11 +24,15 @@
 		d.Giving = true
 	}
 	for id, b := range g.fleet.Load().byID {
-		use := b.use.told(now, others[id])
+		checked := b.use.checkedAt.Load()
+		if others != nil && b.Hall == g.Hall { // the hall's word on its own endpoints
+			checked = max(checked, b.use.othersCheckedAt.Load())
+		}
+		use := b.use.told(now, others[id], checked)
 		if d.GetGiving() {
-			b.use.tellOrders(use, now)
+			b.use.tellOrder(use, now)
 		}
-		if use.GetActive() == 0 && use.GetHeld() == 0 && use.GetAvoidedMillis() == 0 && use.GetPace() == 0 && use.GetDown() == 0 {
+		if silentUse(use) {
 			continue
 		}
 		use.Endpoint = id
@@ -37,8 +41,9 @@
 	return d
 }
 
-// told returns what is told of an endpoint at now, with what others have there.
-func (u *usage) told(now time.Time, others peers.Share) *gossip.Use {
+// told returns what is told of an endpoint at now, with what others have there, and a check
+// that it passed at a time, in nanoseconds of Unix time.
+func (u *usage) told(now time.Time, others peers.Share, checked int64) *gossip.Use {
 	s := peers.Share{Active: u.active.Load(), Held: u.held.Load(), Reading: u.reading.Load()}
 	if u.down() && now.UnixNano()-u.silentAt.Load() < int64(wordFresh) {
 		s.Down = 1
@@ -49,26 +54,31 @@
 		Reading: uint32(max(s.Reading, 0)), Down: uint32(max(s.Down, 0)),
 		AvoidedMillis: uint32(max((u.stalledUntil.Load()-now.UnixNano())/int64(time.Millisecond), 0)),
 	}
-	if age := now.UnixNano() - u.checkedAt.Load(); age < int64(checkedTold) {
+	if age := now.UnixNano() - checked; age < int64(checkedTold) {
 		use.CheckedMillis = uint32(time.Duration(age).Milliseconds()) + 1
+		if pace := u.slowness(now); pace > paceUnit {
+			use.Pace = uint32(pace)
+		}
 	}
 	return use
 }
 
-// tellOrders adds what who gives orders says of the endpoint, if it is anything special.
-func (u *usage) tellOrders(use *gossip.Use, now time.Time) {
+// silentUse reports whether a use says nothing that others need to know.
+func silentUse(use *gossip.Use) bool {
+	return use.GetActive() == 0 && use.GetHeld() == 0 && use.GetAvoidedMillis() == 0 && use.GetDown() == 0 &&
+		use.GetCheckedMillis() == 0 && use.GetOrderedEnd() == 0
+}
+
+// tellOrder adds the order that the endpoint carries out, if there is one.
+func (u *usage) tellOrder(use *gossip.Use, now time.Time) {
 	order := u.orderedLayers(now)
-	pace := u.pace.Load()
-	if pace == paceUnit && order.Empty() {
-		return
-	}
-	use.Pace, use.OrderedFirst, use.OrderedEnd = uint32(pace), uint32(order.First), uint32(order.End)
+	use.OrderedFirst, use.OrderedEnd = uint32(order.First), uint32(order.End)
 }
 
 // Heard takes in a digest of another gateway, or of another hall.
 func (g *Gateway) Heard(d *gossip.Digest, now time.Time) {
 	f := g.fleet.Load()
-	if d.GetGiving() && !g.giving.Load() {
+	if d.GetGiving() {
 		g.directedAt.Store(now.UnixNano())
 		g.hearOrders(f, d, now)
 	}
@@ -77,11 +87,10 @@
 		if b == nil {
 			continue
 		}
-		if use.GetPace() > 0 && !d.GetGiving() { // a sender that names only some
-			b.use.hearOrder(use, now)
-		}
 		if age := use.GetCheckedMillis(); age > 0 {
-			b.use.noteOthersCheck(now.Add(-time.Duration(age) * time.Millisecond))
+			at := now.Add(-time.Duration(age) * time.Millisecond)
+			b.use.noteOthersCheck(at)
+			b.use.setPace(float64(use.GetPace())/paceUnit, at)
 		}
 		if use.GetAvoidedMillis() > 0 {
 			g.adoptStall(b, now, time.Duration(use.GetAvoidedMillis())*time.Millisecond)
@@ -105,30 +114,21 @@
 	}
 }
 
-// hearOrders takes in what who gives orders says of all endpoints.
+// hearOrders takes in the orders under way. While this gateway gives orders itself, those
+// of another one, whose right has ended, add to its own.
 func (g *Gateway) hearOrders(f *fleet, d *gossip.Digest, now time.Time) {
-	told := make(map[string]*gossip.Use, len(d.GetUses()))
+	told := make(map[string]layer.Range, len(d.GetUses()))
 	for _, use := range d.GetUses() {
-		if use.GetPace() > 0 {
-			told[use.GetEndpoint()] = use
-		}
+		told[use.GetEndpoint()] = layer.Range{First: int(use.GetOrderedFirst()), End: int(use.GetOrderedEnd())}
 	}
+	giving := g.giving.Load()
 	for id, b := range f.byID {
-		if use := told[id]; use != nil {
-			b.use.hearOrder(use, now)
-			continue
+		if layers := told[id]; !giving || !layers.Empty() {
+			b.use.setOrdered(layers, now)
 		}
-		b.use.pace.Store(paceUnit)
-		b.use.ordered.Store(nil)
 	}
 }
 
-// hearOrder takes in what who gives orders says of the endpoint.
-func (u *usage) hearOrder(use *gossip.Use, now time.Time) {
-	u.pace.Store(int64(use.GetPace()))
-	u.setOrdered(layer.Range{First: int(use.GetOrderedFirst()), End: int(use.GetOrderedEnd())}, now)
-}
-
 // directed reports whether the gateway that gives orders has been heard of lately.
 func (g *Gateway) directed(now time.Time) bool {
 	return now.UnixNano()-g.directedAt.Load() < int64(wordFresh)
--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -65,9 +65,8 @@
 	// othersActive and othersHeld are those of the other gateways, othersDown is the
 	// number of those that lately got no answer of the endpoint.
 	othersActive, othersHeld, othersDown atomic.Int64
-	// pace is above 1000 for an endpoint that is slower than its kind, in
-	// thousandths.
-	pace atomic.Int64
+	// pace is how slow it is, as it last said.
+	pace atomic.Pointer[pace]
 	// shortUntil is when it may be tried again after it refused for want of
 	// room, in nanoseconds of Unix time.
 	shortUntil atomic.Int64
@@ -104,7 +103,6 @@
 func newUsage() *usage {
 	u := new(usage)
 	u.health.Store(new(health.Record))
-	u.pace.Store(paceUnit)
 	return u
 }
 
@@ -126,12 +124,41 @@
 // paceUnit is the pace of an endpoint that is as fast as its kind.
 const paceUnit = 1000
 
-// setPace notes how slow the endpoint is, as a multiple of the time of its kind.
-func (u *usage) setPace(pace float64) {
-	if pace <= 0 {
-		pace = 1
+// paceFresh is how long the word of an endpoint about its pace counts: it is asked anew
+// several times meanwhile.
+const paceFresh = 3 * surveyEvery
+
+// pace is how slow an endpoint said it was. It is immutable.
+type pace struct {
+	// thousandths is paceUnit for one that is as fast as its kind, and more for a
+	// slower one.
+	thousandths int64
+	at          time.Time
+}
+
+// setPace notes how slow the endpoint said at a time that it was, as a multiple of the
+// time of its kind, unless it has said so since.
+func (u *usage) setPace(multiple float64, at time.Time) {
+	if multiple <= 0 {
+		multiple = 1
+	}
+	next := &pace{thousandths: int64(multiple * paceUnit), at: at}
+	for {
+		old := u.pace.Load()
+		if old != nil && !old.at.Before(at) || u.pace.CompareAndSwap(old, next) {
+			return
+		}
+	}
+}
+
+// slowness returns how slow the endpoint is at now, in thousandths of the time of its
+// kind.
+func (u *usage) slowness(now time.Time) int64 {
+	p := u.pace.Load()
+	if p == nil || now.Sub(p.at) > paceFresh {
+		return paceUnit
 	}
-	u.pace.Store(int64(pace * paceUnit))
+	return p.thousandths
 }
 
 // orderedLayers returns the layers of the order that the endpoint carries out at now,
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -152,6 +152,7 @@
 	group.Go(func() { g.announce(ctx) })
 	group.Go(func() { g.gossip.Run(ctx) })
 	group.Go(func() { g.revive(ctx) })
+	group.Go(func() { g.survey(ctx) })
 	group.Go(func() { g.serveLine(ctx) })
 	group.Wait()
 }
--- a/role/gateway/give.go
+++ b/role/gateway/give.go
@@ -31,11 +31,6 @@
 	// ordersAtOnce is the number of orders that are given at the same time: a
 	// fleet of thousands is to hold its layers before callers come.
 	ordersAtOnce = 32
-	// surveyEvery is the time between two rounds of questions for the pace of
-	// all endpoints; a question costs as much as a hundredth of a request.
-	surveyEvery = 2 * time.Second
-	// surveyAtOnce is the number of endpoints that are asked at the same time.
-	surveyAtOnce = 8
 )
 
 // giver gives orders while it holds the right to.
@@ -95,7 +90,7 @@
 	o.g.Log.Info().Uint64("fence", o.fence).Msg("this gateway gives orders")
 	o.g.giving.Store(true)
 	defer o.g.giving.Store(false)
-	renewed, surveyed := time.Now(), time.Now()
+	renewed := time.Now()
 	for ctx.Err() == nil && !o.g.draining.Load() {
 		if now := time.Now(); now.Sub(renewed) >= renewEvery {
 			if err := o.g.Store.KeepAlive(ctx, o.lease); err == nil {
@@ -108,38 +103,10 @@
 		if !o.round(ctx) {
 			return
 		}
-		if now := time.Now(); now.Sub(surveyed) >= surveyEvery {
-			surveyed = now
-			go o.survey(ctx)
-		}
 		pause.For(ctx, giverRound)
 	}
 }
 
-// survey asks all endpoints of models how fast they are. The digests tell the
-// other gateways.
-func (o *giver) survey(ctx context.Context) {
-	turns := make(chan struct{}, surveyAtOnce)
-	for _, b := range o.g.fleet.Load().byID {
-		if b.Card == "" || b.use.dead(time.Now()) {
-			continue
-		}
-		turns <- struct{}{}
-		go func() {
-			defer func() { <-turns }()
-			report, err := o.g.probes.ask(ctx, o.g.Runners, b.Address)
-			if err != nil {
-				return // requests will show whether the endpoint is lost
-			}
-			b.use.setPace(report.Pace)
-			o.g.Log.Debug().Str("endpoint", b.ID).Stringer("layers", report.Layers).Int("used", report.Used).
-				Int("total", report.Total).Int("active", report.Active).Int("queued", report.Queued).
-				Float64("pace", report.Pace).Int64("own_held", b.use.held.Load()).
-				Int64("others_held", b.use.othersHeld.Load()).Msg("endpoint reports")
-		}()
-	}
-}
-
 // round gives one round of orders. It returns false when another giver has taken
 // over.
 func (o *giver) round(ctx context.Context) bool {
--- a/role/gateway/suspect.go
+++ b/role/gateway/suspect.go
@@ -116,7 +116,7 @@
 		g.Meter.Check(checkPassed)
 		b.use.checkedAt.Store(time.Now().UnixNano())
 		if err == nil {
-			b.use.setPace(report.Pace)
+			b.use.setPace(report.Pace, begun)
 			g.noteStalls(report)
 		}
 		return
