Have gateways try for the right to give orders in turn, and leave a store that is away to few

Each vacancy made all 68 gateways try at once, two calls of the store each; an outage made all of them ask it again and again, since each had failed once.

--- a/decide/overlay/overlay.go
+++ b/decide/overlay/overlay.go
@@ -108,7 +108,12 @@
 	if o.Flat() {
 		return nil
 	}
-	able := slices.DeleteFunc(o.live(o.Self.Hall), func(m Member) bool { return m.Cut })
+	live := o.live(o.Self.Hall)
+	able := slices.DeleteFunc(slices.Clone(live), func(m Member) bool { return m.Cut })
+	eligible := !o.Self.Cut
+	if len(able) == 0 && o.Self.Cut { // the store is away: it is not to meet all when it is back
+		able, eligible = live, true
+	}
 	if len(able) == 0 {
 		return nil
 	}
@@ -117,7 +122,7 @@
 		names[i] = m.Name
 	}
 	before := rendezvous.Before(storeKey, o.Self.Name, names)
-	if !o.Self.Cut && before < seats {
+	if eligible && before < seats {
 		return nil
 	}
 	top := rendezvous.Top(storeKey, names, seats)
@@ -141,6 +146,12 @@
 	return len(near) + o.rank(key, o.outside(hall))
 }
 
+// Turn returns how many gateways come before this one in doing a thing of the whole fleet.
+// Those that are known to have ended do not count.
+func (o Overlay) Turn(key string) int {
+	return o.rank(key, append(o.live(o.Self.Hall), o.outside(o.Self.Hall)...))
+}
+
 // outside returns the other gateways that are not in a hall.
 func (o Overlay) outside(hall string) []Member {
 	var list []Member
--- a/role/gateway/give.go
+++ b/role/gateway/give.go
@@ -21,6 +21,14 @@
 	// loses a card meanwhile stands without a chain. The store grants no less than one
 	// second, and answers within 0.3 s also when it is slow.
 	giverLease = 1500 * time.Millisecond
+	// giverTurnWait is how long a gateway leaves the right to each one whose turn is
+	// before its own, for giverTurns of them at most: that long it takes until the
+	// others hear of a new holder, and each try is two calls of the store.
+	giverTurnWait = 350 * time.Millisecond
+	giverTurns    = 6
+	// giverSettle is how long the store must have been read before a gateway takes the
+	// right: at the start of a fleet the others are known only by the next changes.
+	giverSettle = changesSettle + 150*time.Millisecond
 	// giverRound is the time between two rounds of orders.
 	giverRound = 250 * time.Millisecond
 	// renewEvery is the time between two renewals of the lease.
@@ -55,9 +63,19 @@
 // give takes the right to give orders whenever nobody holds it, and uses it
 // until ctx ends.
 func (g *Gateway) give(ctx context.Context) {
+	var vacant time.Time
 	for ctx.Err() == nil {
 		pause.For(ctx, time.Duration(float64(giverRound)*(1+rand.Float64())))
-		if !g.loaded.Load() || g.draining.Load() || g.catalog.Load() == nil || g.giver.Load() {
+		now := time.Now()
+		if !g.loaded.Load() || g.draining.Load() || g.catalog.Load() == nil || g.giver.Load() || g.directed(now) {
+			vacant = time.Time{}
+			continue
+		}
+		if vacant.IsZero() {
+			vacant = now
+		}
+		read := time.Duration(now.UnixNano() - g.currentSince.Load())
+		if now.Sub(vacant) < g.giverTurn() || read < giverSettle {
 			continue
 		}
 		holder := giver{g: g}
@@ -74,6 +92,12 @@
 	}
 }
 
+// giverTurn returns how long this gateway leaves the right to others after nobody holds it.
+func (g *Gateway) giverTurn() time.Duration {
+	turn := min(g.gossip.Overlay().Turn(giverKey), giverTurns)
+	return time.Duration(turn) * giverTurnWait
+}
+
 // take takes the right.
 func (o *giver) take(ctx context.Context) error {
 	lease, err := o.g.Store.Grant(ctx, giverLease)
--- a/state/watchcache/feed.go
+++ b/state/watchcache/feed.go
@@ -20,9 +20,9 @@
 	relaySlack = 150 * time.Millisecond
 	// storeRest is the least time between two calls of the store by a gateway that
 	// asks others, while none of them has an answer: a store that is away or has just
-	// come back is not to meet the whole fleet. A part of it, drawn anew each time,
-	// is added.
-	storeRest = 800 * time.Millisecond
+	// come back is not to meet the whole fleet, and those that others ask go on asking
+	// it. As much again at most, drawn anew each time, is added.
+	storeRest = 2 * time.Second
 	// cutFor is how long after a failed call of the store a gateway leaves asking it to
 	// others.
 	cutFor = 5 * time.Second
@@ -130,6 +130,7 @@
 func (f *Feed) note(err error) {
 	var compacted *kv.CompactedError
 	if err == nil || errors.As(err, &compacted) {
+		f.failed.Store(0)
 		return
 	}
 	f.failed.Store(time.Now().UnixNano())
