--- a/adapter/watchhttp/watch.go
+++ b/adapter/watchhttp/watch.go
@@ -88,6 +88,9 @@
 	if err != nil {
 		return watchcache.Answer{}, trace.Wrap(err)
 	}
+	if response.StatusCode == http.StatusGone {
+		return watchcache.Answer{}, trace.Wrap(watchcache.ErrForgotten)
+	}
 	if response.StatusCode != http.StatusOK {
 		return watchcache.Answer{}, trace.Wrap(&RefusedError{Status: response.StatusCode, Reason: string(text)})
 	}
--- a/decide/freshness/freshness.go
+++ b/decide/freshness/freshness.go
@@ -49,15 +49,20 @@
 	return min(max(oldest/2, shortestWait), longestWait)
 }
 
+// LateIn returns how long it takes until a proof of an age is late, though calls of the
+// store do not fail.
+func (p Policy) LateIn(age time.Duration) time.Duration {
+	return 2*p.Wait() + margin - age
+}
+
 // Late reports whether a proof of an age is older than in calm times, when each
 // question for changes is answered as soon as it has waited. While calls of the
 // store fail it counts as late a whole question earlier.
 func (p Policy) Late(age time.Duration, failing bool) bool {
-	questions := 2
 	if failing {
-		questions = 1
+		age += p.Wait()
 	}
-	return age > time.Duration(questions)*p.Wait()+margin
+	return p.LateIn(age) < 0
 }
 
 func (p Policy) serves() time.Duration {
--- a/decide/layer/range.go
+++ b/decide/layer/range.go
@@ -12,6 +12,15 @@
 	End int
 }
 
+// Intersect returns the layers that both ranges hold, the zero Range when there are none.
+func (r Range) Intersect(s Range) Range {
+	both := Range{First: max(r.First, s.First), End: min(r.End, s.End)}
+	if both.Empty() {
+		return Range{}
+	}
+	return both
+}
+
 // Empty reports whether r holds no layer.
 func (r Range) Empty() bool {
 	return r.End <= r.First
--- a/decide/spread/tiling.go
+++ b/decide/spread/tiling.go
@@ -33,7 +33,7 @@
 	if r.Len() > t.tiles[card].most {
 		return math.Inf(1)
 	}
-	kept := layer.Range{First: max(r.First, holds.First), End: min(r.End, holds.End)}
+	kept := r.Intersect(holds)
 	return float64(moveCost + r.Len() - kept.Len())
 }
 
--- a/role/gateway/announce.go
+++ b/role/gateway/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"strings"
 	"time"
@@ -36,7 +37,7 @@
 	key := peerPrefix + g.Name + "/" + strconv.FormatInt(g.started.UnixNano(), 36)
 	lease := ""
 	for ctx.Err() == nil && !g.draining.Load() {
-		if lease != "" && g.Store.KeepAlive(ctx, lease) != nil {
+		if lease != "" && lapsed(g.Store.KeepAlive(ctx, lease)) {
 			lease = ""
 		}
 		if lease == "" && g.loaded.Load() {
@@ -49,6 +50,13 @@
 	}
 }
 
+// lapsed reports whether an error of a renewal says that the lease is over. While the store
+// gives no answer it may go on: a new one would find the key still there.
+func lapsed(err error) bool {
+	var missing *kv.NotFoundError
+	return errors.As(err, &missing)
+}
+
 // enrol writes the announcement under a new lease and returns the lease, empty when
 // that failed.
 func (g *Gateway) enrol(ctx context.Context, key string) string {
--- a/role/gateway/chooser.go
+++ b/role/gateway/chooser.go
@@ -143,17 +143,17 @@
 }
 
 // usable returns the layers of a backend that new requests may use: those that it has
-// been ordered to give up take nothing new.
+// been ordered to give up take nothing new, and those that it says it lacks are not there
+// whatever its record says.
 func (b *backend) usable(now time.Time) layer.Range {
-	order := b.use.orderedLayers(now)
-	if order.Empty() {
-		return b.Layers
+	layers := b.Layers
+	if order := b.use.orderedLayers(now); !order.Empty() {
+		layers = layers.Intersect(order)
 	}
-	kept := layer.Range{First: max(b.Layers.First, order.First), End: min(b.Layers.End, order.End)}
-	if kept.Empty() {
-		return layer.Range{}
+	if held, odd := b.misheld(now); odd {
+		layers = layers.Intersect(held)
 	}
-	return kept
+	return layers
 }
 
 // noSlot reports whether a backend takes no more requests. Only what comes to it
--- a/role/gateway/digest.go
+++ b/role/gateway/digest.go
@@ -29,6 +29,9 @@
 			checked = max(checked, b.use.othersCheckedAt.Load())
 		}
 		use := b.use.told(now, others[id], checked)
+		if held, odd := b.misheld(now); odd && use.GetCheckedMillis() > 0 {
+			use.Misheld, use.HeldFirst, use.HeldEnd = true, uint32(held.First), uint32(held.End)
+		}
 		if d.GetGiving() {
 			b.use.tellOrder(use, now)
 		}
@@ -91,6 +94,9 @@
 			at := now.Add(-time.Duration(age) * time.Millisecond)
 			b.use.noteOthersCheck(at)
 			b.use.setPace(float64(use.GetPace())/paceUnit, at)
+			if use.GetMisheld() {
+				b.noteHeld(layer.Range{First: int(use.GetHeldFirst()), End: int(use.GetHeldEnd())}, at)
+			}
 		}
 		if use.GetAvoidedMillis() > 0 {
 			g.adoptStall(b, now, time.Duration(use.GetAvoidedMillis())*time.Millisecond)
--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -89,6 +89,8 @@
 	// checkedAt is when it last answered a check, and othersCheckedAt when it answered
 	// one of another gateway, in nanoseconds of Unix time.
 	checkedAt, othersCheckedAt atomic.Int64
+	// holding is what it says that it holds while its record differs, nil for none.
+	holding atomic.Pointer[holding]
 	// ordered is the order that it carries out, nil for none that is known of.
 	ordered atomic.Pointer[ordered]
 	// watchers watch the streams that pass through it.
--- a/role/gateway/give.go
+++ b/role/gateway/give.go
@@ -119,7 +119,7 @@
 		if now := time.Now(); now.Sub(renewed) >= renewEvery {
 			if err := o.g.Store.KeepAlive(ctx, o.lease); err == nil {
 				renewed = now
-			} else if missing := new(kv.NotFoundError); errors.As(err, &missing) || now.Sub(renewed) > giverLease {
+			} else if lapsed(err) || now.Sub(renewed) > giverLease {
 				o.g.Log.Warn().Err(err).Uint64("fence", o.fence).Msg("the right to give orders is lost")
 				return
 			}
--- a/role/gateway/survey.go
+++ b/role/gateway/survey.go
@@ -38,6 +38,7 @@
 	}
 	b.use.checkedAt.Store(begun.UnixNano())
 	b.use.setPace(report.Pace, begun)
+	b.noteHeld(report.Layers, begun)
 	g.Log.Debug().Str("endpoint", b.ID).Stringer("layers", report.Layers).Int("used", report.Used).
 		Int("total", report.Total).Int("active", report.Active).Int("queued", report.Queued).
 		Float64("pace", report.Pace).Int64("own_held", b.use.held.Load()).
--- a/role/gateway/suspect.go
+++ b/role/gateway/suspect.go
@@ -117,6 +117,7 @@
 		b.use.checkedAt.Store(time.Now().UnixNano())
 		if err == nil {
 			b.use.setPace(report.Pace, begun)
+			b.noteHeld(report.Layers, begun)
 			g.noteStalls(report)
 		}
 		return
--- a/state/watchcache/cache.go
+++ b/state/watchcache/cache.go
@@ -62,7 +62,8 @@
 // Cache is what a gateway has lately learned of the store. The zero Cache is empty.
 type Cache struct {
 	mu sync.Mutex // guards what follows
-	// pairs are the changes after floor, in order, and bytes their size.
+	// pairs are the changes after floor, in the order in which they were learned, and bytes
+	// their size.
 	pairs []kv.Pair
 	bytes int
 	floor uint64
@@ -76,8 +77,7 @@
 	changed chan struct{}
 }
 
-// Reset forgets all: the copy was read anew, at a revision, by a question that was sent at
-// a time.
+// Reset begins anew: all was read, at a revision, by a question that was sent at a time.
 func (c *Cache) Reset(at uint64, sent time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -85,6 +85,13 @@
 	c.wake()
 }
 
+// At returns the revision up to which all is known.
+func (c *Cache) At() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.at
+}
+
 // Add notes the changes of a page, which was certainly all at a time; direct is set when
 // the store itself said so.
 func (c *Cache) Add(page kv.Page, proven time.Time, direct bool) {
@@ -97,7 +104,7 @@
 	drop := 0
 	for ; c.bytes > maxKept; drop++ {
 		c.bytes -= size(c.pairs[drop])
-		c.floor = c.pairs[drop].Revision
+		c.floor = max(c.floor, c.pairs[drop].Revision)
 	}
 	c.pairs = append([]kv.Pair(nil), c.pairs[drop:]...)
 	c.at, c.proven, c.direct = max(c.at, page.At), proven, direct
--- a/state/watchcache/feed.go
+++ b/state/watchcache/feed.go
@@ -15,9 +15,9 @@
 
 // The figures of asking other gateways.
 const (
-	// relaySlack is how much longer than the store's own questions one of another
-	// gateway waits: it gets its answer with the next of these.
-	relaySlack = 150 * time.Millisecond
+	// shortestWait is how long another gateway is given for a newer proof, however old
+	// this one's is: a way and back.
+	shortestWait = 100 * time.Millisecond
 	// storeRest is the least time between two calls of the store by a gateway that
 	// asks others, while none of them has an answer: a store that is away or has just
 	// come back is not to meet the whole fleet, and those that others ask go on asking
@@ -42,8 +42,9 @@
 	// Seats returns the addresses of the gateways to ask, in turn; none when this one is
 	// to ask the store.
 	Seats func() []string
-	// Age returns the age of this gateway's proof.
-	Age func() time.Duration
+	// Age returns the age of this gateway's proof, and LateIn how long it takes until that
+	// is late: so long another gateway may take to answer.
+	Age, LateIn func() time.Duration
 	// Cache is what others may ask of this gateway.
 	Cache *Cache
 	Log   zerolog.Logger
@@ -52,6 +53,9 @@
 	failed atomic.Int64
 	// next is when the store may next be asked although others are there for that.
 	next time.Time
+	// keys are those that are there, scan is the reading of all that is under way.
+	keys map[string]bool
+	scan scan
 	// source is whom the last answer came from, empty for the store.
 	source string
 }
@@ -66,13 +70,81 @@
 
 // Scan implements kv.Feed.
 func (f *Feed) Scan(ctx context.Context, prefix, after string) (kv.Page, error) {
-	sent := time.Now()
+	if after == "" {
+		f.scan = scan{sent: time.Now(), seen: make(map[string]bool)}
+	}
 	page, err := f.Store.Scan(ctx, prefix, after)
 	f.note(err)
-	if err == nil && after == "" {
-		f.Cache.Reset(page.At, sent)
+	if err != nil {
+		return page, err
+	}
+	f.scan.take(page)
+	if !page.More || len(page.Pairs) == 0 {
+		f.scanned()
+	}
+	return page, nil
+}
+
+// scan is a reading of all, page by page.
+type scan struct {
+	sent  time.Time
+	at    uint64
+	pairs []kv.Pair
+	seen  map[string]bool
+}
+
+// take takes a page in.
+func (s *scan) take(page kv.Page) {
+	if len(s.seen) == 0 {
+		s.at = page.At
+	}
+	for _, p := range page.Pairs {
+		s.seen[p.Key] = true
+	}
+	s.pairs = append(s.pairs, page.Pairs...)
+}
+
+// scanned notes that all has been read. Who asks this gateway is told what differs from
+// what had been known before, and need not read all again.
+func (f *Feed) scanned() {
+	if f.keys == nil {
+		f.Cache.Reset(f.scan.at, f.scan.sent)
+	} else {
+		page := kv.Page{Pairs: f.scan.differences(f.Cache.At(), f.keys), At: f.scan.at}
+		f.Cache.Add(page, f.scan.sent, true)
+	}
+	f.keys = f.scan.seen
+	f.scan = scan{}
+}
+
+// differences returns what has changed since a revision at which some keys were there.
+func (s *scan) differences(since uint64, keys map[string]bool) []kv.Pair {
+	var list []kv.Pair
+	for _, p := range s.pairs {
+		if p.Revision > since {
+			list = append(list, p)
+		}
+	}
+	for key := range keys {
+		if !s.seen[key] {
+			list = append(list, kv.Pair{Key: key, Revision: s.at, Deleted: true})
+		}
+	}
+	return list
+}
+
+// learn keeps the keys that are there current.
+func (f *Feed) learn(pairs []kv.Pair) {
+	if f.keys == nil {
+		return // all is still to be read
+	}
+	for _, p := range pairs {
+		if p.Deleted {
+			delete(f.keys, p.Key)
+		} else {
+			f.keys[p.Key] = true
+		}
 	}
-	return page, err
 }
 
 // Changes implements kv.Feed.
@@ -82,9 +154,9 @@
 		return f.ask(ctx, prefix, revision, wait)
 	}
 	sent := time.Now()
-	relayWait := wait
+	relayWait := time.Duration(0)
 	if wait > 0 {
-		relayWait += relaySlack
+		relayWait = max(f.LateIn(), shortestWait)
 	}
 	var last error
 	for _, address := range seats {
@@ -99,6 +171,9 @@
 		last = err
 		relayWait = 0 // the time of a question is over
 	}
+	if errors.Is(last, ErrForgotten) { // all is read again, which is one call
+		return kv.Page{}, trace.Wrap(&kv.CompactedError{Revision: revision})
+	}
 	if now := time.Now(); now.Before(f.next) {
 		return kv.Page{}, trace.Wrap(&kv.UnavailableError{Err: last})
 	}
@@ -111,6 +186,7 @@
 // time.
 func (f *Feed) relayed(a Answer, sent time.Time) kv.Page {
 	page := kv.Page{Pairs: a.Pairs, At: a.At, Lag: a.Age - a.Held, Paced: true}
+	f.learn(page.Pairs)
 	f.Cache.Add(page, sent.Add(-page.Lag), false)
 	return page
 }
@@ -121,6 +197,7 @@
 	page, err := f.Store.Changes(ctx, prefix, revision, wait)
 	f.note(err)
 	if err == nil {
+		f.learn(page.Pairs)
 		f.Cache.Add(page, sent, true)
 	}
 	return page, err
--- /dev/null
+++ b/state/watchcache/feed_test.go
@@ -0,0 +1,100 @@
+package watchcache_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/port/kv"
+	"github.com/grademill/grademill/state/watchcache"
+)
+
+// scripted is a store that answers with prepared pages and errors.
+type scripted struct {
+	scan    kv.Page
+	changes kv.Page
+	err     error
+	scans   int
+	asked   int
+}
+
+func (s *scripted) Scan(context.Context, string, string) (kv.Page, error) {
+	s.scans++
+	return s.scan, s.err
+}
+
+func (s *scripted) Changes(context.Context, string, uint64, time.Duration) (kv.Page, error) {
+	s.asked++
+	return s.changes, s.err
+}
+
+// newFeed returns a feed over a store whose questions go to seats.
+func newFeed(s kv.Feed, from watchcache.Source, seats ...string) *watchcache.Feed {
+	return &watchcache.Feed{
+		Store: s, Source: from, Cache: new(watchcache.Cache), Log: zerolog.Nop(),
+		Seats: func() []string { return seats },
+		Age:   func() time.Duration { return time.Second }, LateIn: func() time.Duration { return time.Second },
+	}
+}
+
+// asks answers from a cache, whatever the address.
+type asks struct{ cache *watchcache.Cache }
+
+func (a asks) Ask(ctx context.Context, _ string, q watchcache.Question) (watchcache.Answer, error) {
+	return a.cache.Ask(ctx, q)
+}
+
+// When the store has forgotten its history, those that ask another gateway go on without
+// reading all again: it tells them what differs.
+func TestForgottenHistoryIsBridged(t *testing.T) {
+	s := &scripted{scan: kv.Page{Pairs: []kv.Pair{{Key: "a", Revision: 1}, {Key: "b", Revision: 2}}, At: 2}}
+	seat := newFeed(s, nil)
+	_, err := seat.Scan(t.Context(), "", "")
+	require.NoError(t, err)
+	s.scan = kv.Page{Pairs: []kv.Pair{{Key: "b", Revision: 7}, {Key: "c", Revision: 8}}, At: 9}
+	_, err = seat.Scan(t.Context(), "", "")
+	require.NoError(t, err)
+
+	other := &scripted{}
+	page, err := newFeed(other, asks{seat.Cache}, "seat").Changes(t.Context(), "", 2, time.Second)
+	require.NoError(t, err)
+	require.ElementsMatch(t, []kv.Pair{
+		{Key: "b", Revision: 7}, {Key: "c", Revision: 8}, {Key: "a", Revision: 9, Deleted: true},
+	}, page.Pairs)
+	require.EqualValues(t, 9, page.At)
+	require.Zero(t, other.scans+other.asked)
+}
+
+// What another gateway no longer keeps is read from the store as a whole, at once.
+func TestOlderRevisionsAreReadAnew(t *testing.T) {
+	var cache watchcache.Cache
+	cache.Reset(100, time.Now())
+	s := &scripted{}
+	feed := newFeed(s, asks{&cache}, "seat")
+	for range 3 {
+		_, err := feed.Changes(t.Context(), "", 5, time.Second)
+		var compacted *kv.CompactedError
+		require.ErrorAs(t, err, &compacted)
+	}
+	require.Zero(t, s.asked)
+}
+
+// While neither the gateways to ask nor the store answer, the store is asked seldom.
+func TestStoreIsAskedSeldomByMany(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scripted{err: errLost}
+		feed := newFeed(s, asks{new(watchcache.Cache)}, "seat")
+		for begun := time.Now(); time.Since(begun) < 20*time.Second; {
+			_, err := feed.Changes(t.Context(), "", 5, time.Second)
+			require.Error(t, err)
+			time.Sleep(300 * time.Millisecond)
+		}
+		require.GreaterOrEqual(t, s.asked, 4)
+		require.LessOrEqual(t, s.asked, 11)
+		require.True(t, feed.Cut(time.Now()))
+	})
+}
--- a/state/watchcache/proof_test.go
+++ b/state/watchcache/proof_test.go
@@ -159,6 +159,7 @@
 		defer p.mu.Unlock()
 		return time.Since(p.proven)
 	}
+	p.feed.LateIn = func() time.Duration { return 2*questionWait - p.feed.Age() }
 	m := mirror.Mirror{
 		Feed: &p.feed, Wait: questionWait, Settle: settle, Log: zerolog.Nop(),
 		Put:  func(pair kv.Pair) { p.held[pair.Key] = max(p.held[pair.Key], pair.Revision) },
