--- a/role/gateway/loss_test.go
+++ b/role/gateway/loss_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
@@ -112,3 +113,24 @@
 	from, to := e.Layers()
 	return from < end && first < to
 }
+
+// An endpoint that has started anew behind its old record is not chosen by that record
+// again and again: its own word on its layers counts.
+func TestEndpointsOwnWordOnItsLayersCounts(t *testing.T) {
+	t.Parallel()
+	w, cards := newModel(t)
+	answer, _, later := w.mid(cards, 20)
+	w.rest(answer)
+	later[0].Restart()
+	refused := func() int {
+		return strings.Count(w.log.String(), `"blamed":"`+later[0].Address()+`"`)
+	}
+	w.eventually(func() bool {
+		w.do(w.plan("/plan/1", 1))
+		return refused() > 0
+	})
+	for begun := time.Now(); time.Since(begun) < 1500*time.Millisecond; {
+		require.Equal(t, http.StatusOK, w.do(w.plan("/plan/1", 1)).StatusCode)
+	}
+	require.LessOrEqual(t, refused(), 2)
+}
--- a/role/gateway/share_test.go
+++ b/role/gateway/share_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -12,6 +14,7 @@
 
 	"github.com/grademill/grademill/decide/overlay"
 	"github.com/grademill/grademill/role/gateway"
+	"github.com/grademill/grademill/standin/site"
 )
 
 // counted serves the store, and counts questions for changes by who asks.
@@ -89,3 +92,29 @@
 		require.True(t, g.Ready())
 	}
 }
+
+// A renewal without an answer takes no new lease: the old key is still there, and would
+// keep the gateway from being announced again.
+func TestAnnouncementOutlastsAnOutage(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, plain("a"))
+	const many = 6 // more than the lease of the right to give orders gets before it is lost
+	var mu sync.Mutex
+	renewals, most := make(map[string]int), 0
+	w.site.Store.Break(func(r *http.Request) site.Fault {
+		if !strings.HasPrefix(r.URL.Path, "/-/kv-keep/") {
+			return site.Fault{}
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		renewals[r.URL.Path]++
+		most = max(most, renewals[r.URL.Path])
+		return site.Fault{Status: http.StatusServiceUnavailable}
+	})
+	w.eventually(func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return most >= many || strings.Contains(w.log.String(), "this gateway is not announced")
+	})
+	require.NotContains(t, w.log.String(), "this gateway is not announced")
+}
--- a/standin/site/model.go
+++ b/standin/site/model.go
@@ -223,6 +223,14 @@
 	return http.StatusAccepted
 }
 
+// Restart has the endpoint start anew behind its old record: it holds no layers, and does
+// not say so to the store.
+func (e *Endpoint) Restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.layers, e.orders, e.fence = [2]int{}, 0, 0
+}
+
 // move moves a stream to another chain.
 func (e *Endpoint) move(w http.ResponseWriter, doc orderDoc) {
 	chain, err := parseChain(doc.Path)
