--- a/role/gateway/probes.go
+++ b/adapter/probe/prober.go
@@ -1,4 +1,6 @@
-package gateway
+// Package probe asks endpoints whether they live, and tells one that is silent from a
+// process that has no time to listen.
+package probe
 
 import (
 	"context"
@@ -8,13 +10,16 @@
 	"github.com/grademill/grademill/port/runner"
 )
 
-// probeFresh is how long an answer serves all who ask: a chain that breaks stops
+// fresh is how long an answer serves all who ask: a chain that breaks stops
 // many streams at once.
-const probeFresh = 60 * time.Millisecond
+const fresh = 60 * time.Millisecond
+
+// Prober shares the reports of endpoints among the streams that ask for them. Set the
+// exported field before the first use.
+type Prober struct {
+	// Control asks an endpoint.
+	Control runner.Control
 
-// probes shares the reports of endpoints among the streams that ask for them.
-// The zero probes is ready to use.
-type probes struct {
 	mu   sync.Mutex
 	last map[string]*probe
 }
@@ -28,13 +33,13 @@
 	err    error
 }
 
-// ask returns the report of the endpoint at an address, asking it when the last
-// answer is old. The error is errHeldUp when nothing can be said of the endpoint.
-func (p *probes) ask(ctx context.Context, control runner.Control, address string) (runner.Report, error) {
+// Ask returns the report of the endpoint at an address, asking it when the last
+// answer is old. The error is ErrHeldUp when nothing can be said of the endpoint.
+func (p *Prober) Ask(ctx context.Context, address string) (runner.Report, error) {
 	one := p.of(address)
 	one.mu.Lock()
 	defer one.mu.Unlock()
-	if time.Since(one.at) < probeFresh {
+	if time.Since(one.at) < fresh {
 		return one.report, one.err
 	}
 	ctx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
@@ -46,13 +51,13 @@
 			cancel(err)
 		}
 	}()
-	one.report, one.err = control.Report(ctx, address)
+	one.report, one.err = p.Control.Report(ctx, address)
 	one.at = time.Now()
 	return one.report, one.err
 }
 
 // of returns the probe of an address.
-func (p *probes) of(address string) *probe {
+func (p *Prober) of(address string) *probe {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.last == nil {
@@ -64,8 +69,8 @@
 	return p.last[address]
 }
 
-// forget drops the probe of an address whose endpoint has gone.
-func (p *probes) forget(address string) {
+// Forget drops the report of an address whose endpoint has gone.
+func (p *Prober) Forget(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.last, address)
--- a/role/gateway/silence.go
+++ b/adapter/probe/silence.go
@@ -1,4 +1,4 @@
-package gateway
+package probe
 
 import (
 	"errors"
@@ -47,13 +47,13 @@
 		late = took - silentWait - silentTurn
 		busy = float64(cputime.Used()-used) / float64(took)
 		if late <= lateTimers && busy <= busyShare {
-			return &silentError{busy: busy}
+			return &SilentError{Busy: busy}
 		}
 	}
 	if late <= veryLateTimers {
-		return &silentError{busy: busy}
+		return &SilentError{Busy: busy}
 	}
-	return errHeldUp
+	return ErrHeldUp
 }
 
 // waited waits for an answer, and reports whether it has come.
@@ -68,16 +68,16 @@
 	}
 }
 
-// silentError is a question that got no answer in time.
-type silentError struct {
-	// busy is the part of a processor that this process used meanwhile.
-	busy float64
+// SilentError is a question that got no answer in time.
+type SilentError struct {
+	// Busy is the part of a processor that this process used meanwhile.
+	Busy float64
 }
 
 // Error says so.
-func (e *silentError) Error() string {
-	return fmt.Sprintf("no answer in time, while this process used %.3f of a processor", e.busy)
+func (e *SilentError) Error() string {
+	return fmt.Sprintf("no answer in time, while this process used %.3f of a processor", e.Busy)
 }
 
-// errHeldUp is a question without an answer, of a process that was held up itself.
-var errHeldUp = errors.New("this process was held up, and cannot tell whether there is an answer")
+// ErrHeldUp is a question without an answer, of a process that was held up itself.
+var ErrHeldUp = errors.New("this process was held up, and cannot tell whether there is an answer")
--- a/role/gateway/admission.go
+++ b/role/gateway/admission.go
@@ -110,7 +110,7 @@
 	if s.headSent {
 		return s.lastAt.Add(pauseWait * allowedPause(q.route))
 	}
-	usual := s.g.firstEvents.usual(q.service.Name)
+	usual := s.g.firstEvents.Usual(q.service.Name)
 	if urgencyOf(q) == urgencyNew {
 		return q.start.Add(objective(q.route) - usual)
 	}
--- a/role/gateway/follow.go
+++ b/role/gateway/follow.go
@@ -89,7 +89,7 @@
 		return
 	}
 	g.pool.Drop(g.members.endpoints[id].Address)
-	g.probes.forget(g.members.endpoints[id].Address)
+	g.probes.Forget(g.members.endpoints[id].Address)
 	delete(g.members.endpoints, id)
 	delete(g.members.usage, id)
 	g.members.changed = true
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/grademill/grademill/adapter/probe"
 	"github.com/grademill/grademill/adapter/upstream"
 	"github.com/grademill/grademill/decide/catalog"
 	"github.com/grademill/grademill/decide/comeback"
@@ -24,7 +25,10 @@
 	"github.com/grademill/grademill/port/runner"
 	"github.com/grademill/grademill/role/gate"
 	"github.com/grademill/grademill/role/gossip"
+	"github.com/grademill/grademill/state/firsts"
+	"github.com/grademill/grademill/state/lines"
 	"github.com/grademill/grademill/state/peers"
+	"github.com/grademill/grademill/state/turnstile"
 	"github.com/grademill/grademill/state/watchcache"
 )
 
@@ -98,15 +102,15 @@
 	apartSince atomic.Int64
 	// running counts the requests in flight; it is closed before the process
 	// ends.
-	running turnstile
+	running turnstile.Turnstile
 	pool    upstream.Pool
 	peers   peers.Table
 	gossip  gossip.Gossip
 	// feed is where the store's changes come from, cache what others may ask of them.
 	feed   watchcache.Feed
 	cache  watchcache.Cache
-	probes probes
-	lines  lines
+	probes probe.Prober
+	lines  lines.Lines
 
 	// giving is set while this gateway gives orders, giver while the store says that
 	// any does.
@@ -121,7 +125,7 @@
 	line     gate.Gate[*seat]
 	lineWake chan struct{}
 	// firstEvents learns how long first events take.
-	firstEvents firsts
+	firstEvents firsts.Firsts
 
 	mu sync.Mutex
 	// retries are by service; guarded by mu.
@@ -139,6 +143,7 @@
 	g.retries = make(map[string]*retry.Budget)
 	g.fleet.Store(new(fleet))
 	g.peers.Counter = g.counter
+	g.probes.Control = g.Runners
 	g.initGossip()
 	g.initFeed()
 	g.lineWake = make(chan struct{}, 1)
@@ -204,13 +209,13 @@
 
 // Running returns the number of requests in flight.
 func (g *Gateway) Running() int {
-	return g.running.count()
+	return g.running.Count()
 }
 
 // Close refuses further requests if none is in flight, and reports whether it
 // has. With force it does so in any case.
 func (g *Gateway) Close(force bool) bool {
-	return g.running.close(force)
+	return g.running.Close(force)
 }
 
 // sweepEvery is how often idle connections are looked through.
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -41,12 +41,12 @@
 // ServeHTTP serves one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &query{w: w, r: r, start: time.Now()}
-	if !g.running.enter() {
+	if !g.running.Enter() {
 		w.Header().Set("Connection", "close")
 		g.refuse(q, 0, "the gateway ends")
 		return
 	}
-	defer g.running.leave()
+	defer g.running.Leave()
 	if g.apart() {
 		w.Header().Set("Connection", "close")
 	}
--- a/role/gateway/seat.go
+++ b/role/gateway/seat.go
@@ -158,7 +158,7 @@
 	}
 	c.hops(hopFar)
 	found, ok := c.finder.Find(c.holders)
-	return found, ok && g.lines.allow(q.service.Model, need, g.peers.Size())
+	return found, ok && g.lines.Allow(q.service.Model, need, g.peers.Size())
 }
 
 // moveSeat takes room along the cheapest chain that a request may be moved to
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -249,7 +249,7 @@
 	if !s.headSent {
 		s.head(t)
 		s.q.first = now
-		s.g.firstEvents.note(s.q.service.Name, now.Sub(s.sentAt))
+		s.g.firstEvents.Note(s.q.service.Name, now.Sub(s.sentAt))
 	} else {
 		s.q.pause = max(s.q.pause, now.Sub(s.lastAt))
 	}
--- a/role/gateway/survey.go
+++ b/role/gateway/survey.go
@@ -31,7 +31,7 @@
 // that gives none is lost.
 func (g *Gateway) ask(ctx context.Context, b *backend) {
 	begun := time.Now()
-	report, err := g.probes.ask(ctx, g.Runners, b.Address)
+	report, err := g.probes.Ask(ctx, b.Address)
 	if err != nil {
 		g.Log.Debug().Str("endpoint", b.ID).Err(err).Msg("endpoint gives no report")
 		return
--- a/role/gateway/suspect.go
+++ b/role/gateway/suspect.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/grademill/grademill/adapter/pause"
+	"github.com/grademill/grademill/adapter/probe"
 	"github.com/grademill/grademill/decide/backoff"
 	"github.com/grademill/grademill/port/runner"
 )
@@ -107,9 +108,9 @@
 // check asks an endpoint for its report and notes when it gives none.
 func (g *Gateway) check(b *backend) {
 	begun := time.Now()
-	report, err := g.probes.ask(context.Background(), g.Runners, b.Address)
+	report, err := g.probes.Ask(context.Background(), b.Address)
 	switch {
-	case errors.Is(err, errHeldUp):
+	case errors.Is(err, probe.ErrHeldUp):
 		g.Meter.Check(checkHeldUp)
 		return
 	case !silent(err):
@@ -215,8 +216,8 @@
 // recheck asks an endpoint that is down for its report, and uses it again when it
 // gives one.
 func (g *Gateway) recheck(ctx context.Context, b *backend) {
-	_, err := g.probes.ask(ctx, g.Runners, b.Address)
-	if silent(err) || errors.Is(err, errHeldUp) {
+	_, err := g.probes.Ask(ctx, b.Address)
+	if silent(err) || errors.Is(err, probe.ErrHeldUp) {
 		g.Meter.Check(checkStillSilent)
 		b.use.silentAt.Store(time.Now().UnixNano())
 		b.use.rechecks.Add(1)
--- a/role/gateway/firsts.go
+++ b/state/firsts/firsts.go
@@ -1,4 +1,5 @@
-package gateway
+// Package firsts learns how long the first events of services take.
+package firsts
 
 import (
 	"sync"
@@ -11,15 +12,15 @@
 // in five come sooner.
 const firstMargin = 2
 
-// firsts learns how long the first events of each service take. The zero firsts is ready
+// Firsts learns how long the first events of each service take. The zero Firsts is ready
 // to use.
-type firsts struct {
+type Firsts struct {
 	mu        sync.Mutex
 	byService map[string]timeout.Estimator
 }
 
-// note notes that a first event came so long after its request was sent.
-func (f *firsts) note(service string, took time.Duration) {
+// Note notes that a first event came so long after its request was sent.
+func (f *Firsts) Note(service string, took time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.byService == nil {
@@ -28,8 +29,8 @@
 	f.byService[service] = f.byService[service].WithSample(took)
 }
 
-// usual returns how long a first event is taken to take, 0 until there has been one.
-func (f *firsts) usual(service string) time.Duration {
+// Usual returns how long a first event is taken to take, 0 until there has been one.
+func (f *Firsts) Usual(service string) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return firstMargin * f.byService[service].Mean()
--- a/role/gateway/lines.go
+++ b/state/lines/lines.go
@@ -1,4 +1,5 @@
-package gateway
+// Package lines bounds what one gateway sends over the lines between halls.
+package lines
 
 import (
 	"time"
@@ -20,15 +21,15 @@
 	lineBurst = 4 * time.Second
 )
 
-// lines bounds what this gateway sends across halls. The zero lines is ready to
+// Lines bounds what this gateway sends across halls. The zero Lines is ready to
 // use.
-type lines struct {
+type Lines struct {
 	limiter rate.Limiter
 }
 
-// allow takes the crossing of so many tokens out of this gateway's part of the
+// Allow takes the crossing of so many tokens out of this gateway's part of the
 // lines, if there is enough left.
-func (l *lines) allow(m *catalog.Model, tokens, gateways int) bool {
+func (l *Lines) Allow(m *catalog.Model, tokens, gateways int) bool {
 	if m.LinkRate <= 0 || m.Handed <= 0 {
 		return true
 	}
