--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -202,7 +202,7 @@
 	if b := s.g.fleet.Load().byAddress[address]; b != nil {
 		b.use.shortUntil.Store(time.Now().Add(shortWait).UnixNano())
 		if address != seat.first.Address {
-			s.g.doubt(b, time.Now()) // it has no room, or has ended
+			s.g.doubtRefused(b, t.answer != nil && t.answer.Status == http.StatusMisdirectedRequest, s.sentAt)
 		}
 	}
 	s.g.Log.Info().Str("request", s.q.ID).Str("first", seat.first.Address).Str("blamed", address).
--- a/role/gateway/suspect.go
+++ b/role/gateway/suspect.go
@@ -93,6 +93,17 @@
 	g.suspect(b)
 }
 
+// doubtRefused does the same for an endpoint that a refusal names, of a request that was
+// sent at a time: it has no room, or has ended. One that lacks the layers of its record is
+// checked in any case, unless it has been since.
+func (g *Gateway) doubtRefused(b *backend, misdirected bool, sent time.Time) {
+	if misdirected && b.use.checkedAt.Load() < sent.UnixNano() {
+		g.suspect(b)
+		return
+	}
+	g.doubt(b, time.Now())
+}
+
 // doubtBehind does the same for an endpoint that this gateway reaches only through
 // another one, where a check that another gateway passed says as much as one of its own.
 // Of the gateways that use a slow endpoint one checks it first, and the others only when
--- a/role/gateway/world_test.go
+++ b/role/gateway/world_test.go
@@ -135,12 +135,21 @@
 	return server.URL
 }
 
-// freePort returns a local address for datagrams.
+// freePort returns a local address that is free for datagrams and for connections.
 func freePort(t *testing.T) string {
-	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer c.Close() //nolint:errcheck // a test's socket
-	return c.LocalAddr().String()
+	for range 100 {
+		c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		require.NoError(t, err)
+		address := c.LocalAddr().String()
+		l, err := net.Listen("tcp4", address)
+		require.NoError(t, c.Close())
+		if err == nil {
+			require.NoError(t, l.Close())
+			return address
+		}
+	}
+	require.Fail(t, "no port is free for datagrams and for connections")
+	return ""
 }
 
 // configure writes the next version of the configuration, with or without the
--- a/role/gossip/gossip.go
+++ b/role/gossip/gossip.go
@@ -65,6 +65,8 @@
 	// LinkRate is what the host's link carries, in bytes a second; 0 when it is not
 	// known.
 	LinkRate float64
+	// Listen opens the socket at an address; nil for UDP.
+	Listen func(address string) (net.PacketConn, error)
 	// Sent counts the bytes of a digest that was sent, or that had no part of the link.
 	Sent func(bytes int, dropped bool)
 	Log  zerolog.Logger
@@ -107,7 +109,11 @@
 
 // Run exchanges digests until ctx ends.
 func (s *Gossip) Run(ctx context.Context) {
-	socket, err := net.ListenPacket("udp4", s.Self.Address)
+	listen := s.Listen
+	if listen == nil {
+		listen = func(address string) (net.PacketConn, error) { return net.ListenPacket("udp4", address) }
+	}
+	socket, err := listen(s.Self.Address)
 	if err != nil {
 		s.Log.Error().Err(err).Msg("nothing is heard of other gateways")
 		return
--- a/state/watchcache/feed.go
+++ b/state/watchcache/feed.go
@@ -154,13 +154,13 @@
 		return f.ask(ctx, prefix, revision, wait)
 	}
 	sent := time.Now()
-	relayWait := time.Duration(0)
-	if wait > 0 {
-		relayWait = max(f.LateIn(), shortestWait)
-	}
 	var last error
 	for _, address := range seats {
-		answer, err := f.Source.Ask(ctx, address, Question{After: revision, Age: f.Age(), Wait: relayWait})
+		q := Question{After: revision, Age: f.Age()}
+		if wait > 0 {
+			q.Wait = max(f.LateIn(), shortestWait)
+		}
+		answer, err := f.Source.Ask(ctx, address, q)
 		if err == nil {
 			f.use(address, nil)
 			return f.relayed(answer, sent), nil
@@ -169,7 +169,6 @@
 			return kv.Page{}, err
 		}
 		last = err
-		relayWait = 0 // the time of a question is over
 	}
 	if errors.Is(last, ErrForgotten) { // all is read again, which is one call
 		return kv.Page{}, trace.Wrap(&kv.CompactedError{Revision: revision})
--- a/state/watchcache/feed_test.go
+++ b/state/watchcache/feed_test.go
@@ -98,3 +98,33 @@
 		require.True(t, feed.Cut(time.Now()))
 	})
 }
+
+// Where the first gateway to ask is not there, the second one has the time to answer with
+// its next proof.
+func TestSecondSeatHasTimeToAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var cache watchcache.Cache
+		cache.Reset(5, time.Now())
+		go func() {
+			time.Sleep(400 * time.Millisecond)
+			cache.Add(kv.Page{At: 5}, time.Now(), true)
+		}()
+		s := &scripted{}
+		feed := newFeed(s, halfDead{asks{&cache}}, "dead", "seat")
+		feed.Age = func() time.Duration { return 100 * time.Millisecond }
+		page, err := feed.Changes(t.Context(), "", 5, time.Second)
+		require.NoError(t, err)
+		require.Less(t, page.Lag, time.Duration(0))
+		require.Zero(t, s.asked)
+	})
+}
+
+// halfDead is a Source where the gateway named dead does not answer.
+type halfDead struct{ asks }
+
+func (h halfDead) Ask(ctx context.Context, address string, q watchcache.Question) (watchcache.Answer, error) {
+	if address == "dead" {
+		return watchcache.Answer{}, errLost
+	}
+	return h.asks.Ask(ctx, address, q)
+}
