Tell losses at once to all gateways, and believe two of them

The first gateway had found the loss after 70 to 130 ms, the middle one after 250, the last after 600: each checked for itself, and other halls heard with the next sums.

Change: a gateway that finds a loss sends a short datagram to all others, unless two have said so; by the word of two an endpoint is passed over and streams through it whose events stay away are moved.

--- a/decide/overlay/overlay.go
+++ b/decide/overlay/overlay.go
@@ -94,6 +94,23 @@
 	return slices.DeleteFunc(list, func(m Member) bool { return !m.Heard })
 }
 
+// relays is the number of gateways of a hall that by turns pass the sums of another hall on:
+// one may have ended without the others knowing.
+const relays = 2
+
+// Relay returns the gateway of another hall that passes this one's sums on there, at the
+// given turn. Each hall has others, so that none has all that work. The hall must have a
+// gateway.
+func (o Overlay) Relay(hall string, turn int) Member {
+	list := o.In(hall)
+	names := make([]string, len(list))
+	for i, m := range list {
+		names[i] = m.Name
+	}
+	top := rendezvous.Top(o.Self.Hall, names, relays)
+	return list[slices.Index(names, top[turn%len(top)])]
+}
+
 // seats is the number of gateways of a hall that ask the store for changes: one may be
 // slow, or end.
 const seats = 2
--- a/decide/overlay/overlay_test.go
+++ b/decide/overlay/overlay_test.go
@@ -63,6 +63,22 @@
 	}
 }
 
+// The sums of a hall reach another one through two gateways by turns, which are not the
+// same for all halls.
+func TestRelays(t *testing.T) {
+	through := make(map[string]bool)
+	for _, o := range views(fleet(5, 14)) {
+		for _, hall := range o.Halls() {
+			one, two := o.Relay(hall, 1), o.Relay(hall, 2)
+			require.NotEqual(t, one.Name, two.Name)
+			require.Equal(t, one, o.Relay(hall, 3))
+			require.Equal(t, hall, one.Hall)
+			through[one.Name] = true
+		}
+	}
+	require.Greater(t, len(through), 10)
+}
+
 // Each thing has a first gateway to look after it, in its own hall, and the ranks of the
 // gateways of that hall are all different.
 func TestRanks(t *testing.T) {
--- a/role/gateway/digest.go
+++ b/role/gateway/digest.go
@@ -101,18 +101,32 @@
 		if use.GetAvoidedMillis() > 0 {
 			g.adoptStall(b, now, time.Duration(use.GetAvoidedMillis())*time.Millisecond)
 		}
-		if use.GetDown() > 0 {
-			g.hearDown(b, now)
+		if use.GetDown() > 0 && d.GetMembers() == 0 {
+			g.hearDown(b, d.GetGateway(), now)
 		}
 	}
 }
 
-// hearDown has an endpoint checked that another gateway says is down, if this one uses it
-// or looks after it: the other gateway may be the one that is cut off.
-func (g *Gateway) hearDown(b *backend, now time.Time) {
-	news := now.UnixNano()-b.use.othersDownAt.Swap(now.UnixNano()) > int64(wordFresh)
+// Lost takes in that an endpoint gives another gateway no answer.
+func (g *Gateway) Lost(l *gossip.Loss, now time.Time) {
+	if b := g.fleet.Load().byID[l.GetEndpoint()]; b != nil {
+		g.hearDown(b, l.GetGateway(), now)
+	}
+}
+
+// hearDown takes in that another gateway says that an endpoint is down. The other one may
+// be cut off itself: its word alone has the endpoint checked, if this one uses it or looks
+// after it. By the word of two the endpoint is passed over, and streams through it whose
+// events stay away are moved.
+func (g *Gateway) hearDown(b *backend, from string, now time.Time) {
+	if b.use.down() {
+		return
+	}
+	news := b.use.witnesses.Count(now) == 0
+	if b.use.witnesses.Say(from, now) >= enoughWitnesses {
+		g.believe(b, now)
+	}
 	switch {
-	case b.use.down():
 	case news && b.use.active.Load() > 0 && !b.use.passed(now):
 		g.suspect(b)
 	case b.use.active.Load() > 0 || g.looksAfter(b):
@@ -120,6 +134,18 @@
 	}
 }
 
+// believe takes an endpoint for dead by the word of others.
+func (g *Gateway) believe(b *backend, now time.Time) {
+	known := b.use.dead(now)
+	b.use.toldUntil.Store(now.Add(wordFresh).UnixNano())
+	if known {
+		return
+	}
+	g.Log.Info().Str("endpoint", b.ID).Str("address", b.Address).Int("witnesses", b.use.witnesses.Count(now)).
+		Int64("active", b.use.active.Load()).Msg("endpoint is down by the word of others")
+	b.use.watchers.kick()
+}
+
 // hearOrders takes in the orders under way. While this gateway gives orders itself, those
 // of another one, whose right has ended, add to its own.
 func (g *Gateway) hearOrders(f *fleet, d *gossip.Digest, now time.Time) {
--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -9,6 +9,7 @@
 	"github.com/grademill/grademill/decide/health"
 	"github.com/grademill/grademill/decide/layer"
 	"github.com/grademill/grademill/state/peers"
+	"github.com/grademill/grademill/state/witnesses"
 )
 
 // fleet is what is known of all endpoints at one moment. It is immutable; the
@@ -77,9 +78,11 @@
 	// eventAt is when an event last came through it, in nanoseconds of Unix time.
 	eventAt atomic.Int64
 	// downSince is when it was found not to answer, 0 while it does, silentAt when it
-	// last gave no answer, and othersDownAt when another gateway last said so, in
-	// nanoseconds of Unix time.
-	downSince, silentAt, othersDownAt atomic.Int64
+	// last gave no answer, and toldUntil until when it is taken for dead by the word of
+	// other gateways, in nanoseconds of Unix time.
+	downSince, silentAt, toldUntil atomic.Int64
+	// witnesses are the other gateways that say that it is down.
+	witnesses witnesses.Witnesses
 	// rechecks counts the checks in a row without an answer since it was found down.
 	rechecks atomic.Int64
 	// ended is set while its host refuses connections to it: its process has ended.
@@ -103,7 +106,7 @@
 
 // newUsage returns the usage of an endpoint that is not used yet.
 func newUsage() *usage {
-	u := new(usage)
+	u := &usage{witnesses: witnesses.Witnesses{Fresh: wordFresh}}
 	u.health.Store(new(health.Record))
 	return u
 }
@@ -203,17 +206,17 @@
 // others.
 func (u *usage) dead(now time.Time) bool {
 	at := now.UnixNano()
-	return u.down() || at < u.stalledUntil.Load() || at < u.othersStalled.Load()
+	return u.down() || at < u.stalledUntil.Load() || at < u.othersStalled.Load() || at < u.toldUntil.Load()
 }
 
-// lostWords is the number of other gateways by whose word alone an endpoint gets nothing
-// new: a single one may be cut off itself.
-const lostWords = 2
+// enoughWitnesses is the number of other gateways by whose word alone an endpoint is taken
+// for dead: a single one may be cut off itself.
+const enoughWitnesses = 2
 
 // lost reports whether other gateways say that the endpoint is down, while nothing has
 // come through it here. It gets nothing new then; what runs there is checked.
 func (u *usage) lost(now time.Time) bool {
-	return u.othersDown.Load() >= lostWords && now.UnixNano()-u.eventAt.Load() > int64(lively)
+	return u.othersDown.Load() >= enoughWitnesses && now.UnixNano()-u.eventAt.Load() > int64(lively)
 }
 
 // down reports whether the endpoint does not answer this gateway.
--- a/role/gateway/suspect.go
+++ b/role/gateway/suspect.go
@@ -156,6 +156,9 @@
 // gateways told at once.
 func (g *Gateway) spreadLoss(b *backend) {
 	b.use.watchers.kick()
+	if b.use.down() && b.use.witnesses.Count(time.Now()) < enoughWitnesses {
+		g.gossip.TellLoss(b.ID)
+	}
 	g.gossip.News()
 }
 
--- a/role/gossip/gossip.go
+++ b/role/gossip/gossip.go
@@ -49,6 +49,8 @@
 	// Heard takes in a digest of another gateway, whose shares have been counted; held
 	// are those that it had been told before.
 	Heard(d *wire.Digest, now time.Time)
+	// Lost takes in that an endpoint gives another gateway no answer.
+	Lost(l *wire.Loss, now time.Time)
 	// Tick is called before each digest.
 	Tick(now time.Time)
 }
@@ -74,11 +76,13 @@
 	// current is the fleet by the last look.
 	current atomic.Pointer[overlay.Overlay]
 	news    chan struct{}
-	socket  net.PacketConn
-	budget  *rate.Limiter
-	number  uint64
-	// farAt is when the sums of the hall were last sent.
-	farAt time.Time
+	// socket is nil until Run has opened it.
+	socket atomic.Pointer[net.PacketConn]
+	budget *rate.Limiter
+	number uint64
+	// farAt is when the sums of the hall were last sent, spoken how often they were.
+	farAt  time.Time
+	spoken int
 }
 
 // Overlay returns the fleet as it was at the last digest.
@@ -119,8 +123,8 @@
 		return
 	}
 	defer socket.Close() //nolint:errcheck // datagrams that are not read
-	s.socket = socket
-	go s.hear()
+	s.socket.Store(&socket)
+	go s.hear(socket)
 	for ctx.Err() == nil {
 		every := s.round(time.Now())
 		s.wait(ctx, every)
@@ -142,7 +146,7 @@
 		}
 		return missed * every
 	})
-	s.send(d, o.Audience()...)
+	s.send(&wire.Packet{Digest: d}, o.Audience()...)
 	if o.Delegate() && now.Sub(s.farAt) >= farEvery {
 		s.farAt = now
 		s.speak(o, now)
@@ -156,20 +160,16 @@
 }
 
 // speak tells the other halls the sums of this one: whoever hears them there passes them
-// on. That is the gateway that speaks for the other hall, or while it is not known any.
+// on.
 func (s *Gossip) speak(o overlay.Overlay, now time.Time) {
 	shares, members, proven := s.Peers.Sum(s.Self.Hall)
 	d := s.digest(now, shares, members+1)
 	if age := now.Sub(proven); !proven.IsZero() && (!d.GetProven() || age < millis(d.GetProofAgeMillis())) {
 		d.Proven, d.ProofAgeMillis = true, uint32(max(age.Milliseconds(), 0))
 	}
+	s.spoken++
 	for _, hall := range o.Halls() {
-		to, known := s.Peers.Speaker(hall)
-		if !known {
-			list := o.In(hall)
-			to = list[int(s.number)%len(list)]
-		}
-		s.send(d, to)
+		s.send(&wire.Packet{Digest: d}, o.Relay(hall, s.spoken))
 	}
 }
 
@@ -204,19 +204,20 @@
 // farewell tells the other gateways that this one uses nothing more.
 func (s *Gossip) farewell() {
 	s.number++
-	s.send(&wire.Digest{Gateway: s.Self.Name, Incarnation: s.Incarnation, Number: s.number, Hall: s.Self.Hall},
-		s.Overlay().Audience()...)
+	last := &wire.Digest{Gateway: s.Self.Name, Incarnation: s.Incarnation, Number: s.number, Hall: s.Self.Hall}
+	s.send(&wire.Packet{Digest: last}, s.Overlay().Audience()...)
 }
 
-// send sends a digest to some gateways, as far as digests have a part of the link. The
+// send sends a datagram to some gateways, as far as these have a part of the link. The
 // next one makes up for what is lost.
-func (s *Gossip) send(d *wire.Digest, to ...overlay.Member) {
-	if len(to) == 0 {
+func (s *Gossip) send(p *wire.Packet, to ...overlay.Member) {
+	socket := s.socket.Load()
+	if len(to) == 0 || socket == nil {
 		return
 	}
-	text, err := proto.Marshal(d)
+	text, err := proto.Marshal(p)
 	if err != nil {
-		s.Log.Error().Err(err).Msg("digest not encoded")
+		s.Log.Error().Err(err).Msg("datagram not encoded")
 		return
 	}
 	for _, m := range to {
@@ -229,28 +230,37 @@
 			s.Log.Warn().Err(err).Str("address", m.Address).Msg("address of a gateway not understood")
 			continue
 		}
-		_, _ = s.socket.WriteTo(text, address) // the next digest makes up for a lost one
+		_, _ = (*socket).WriteTo(text, address) // the next digest makes up for a lost one
 		s.Sent(len(text), false)
 	}
 }
 
 // hear takes digests in until the socket is closed.
-func (s *Gossip) hear() {
+func (s *Gossip) hear(socket net.PacketConn) {
 	buffer := make([]byte, maxDatagram)
 	for {
-		n, from, err := s.socket.ReadFrom(buffer)
+		n, from, err := socket.ReadFrom(buffer)
 		if err != nil {
 			return
 		}
-		d := new(wire.Digest)
-		if err := proto.Unmarshal(buffer[:n], d); err != nil {
-			s.Log.Debug().Err(err).Stringer("from", from).Msg("digest not understood")
+		p := new(wire.Packet)
+		if err := proto.Unmarshal(buffer[:n], p); err != nil {
+			s.Log.Debug().Err(err).Stringer("from", from).Msg("datagram not understood")
 			continue
 		}
-		s.take(d, from.String(), time.Now())
+		if l := p.GetLoss(); l != nil {
+			s.Local.Lost(l, time.Now())
+		} else {
+			s.take(p.GetDigest(), from.String(), time.Now())
+		}
 	}
 }
 
+// TellLoss tells all other gateways at once that an endpoint gives this one no answer.
+func (s *Gossip) TellLoss(endpoint string) {
+	s.send(&wire.Packet{Loss: &wire.Loss{Gateway: s.Self.Name, Endpoint: endpoint}}, s.Overlay().Others...)
+}
+
 // take takes a digest in, and passes one of another hall on to the gateways of this one.
 func (s *Gossip) take(d *wire.Digest, from string, now time.Time) {
 	if d.GetGateway() == s.Self.Name {
@@ -279,7 +289,7 @@
 	s.Local.Heard(d, now)
 	if r.Members > 0 && !d.GetRelayed() {
 		d.Relayed, d.Address = true, from
-		s.send(d, s.Overlay().In(s.Self.Hall)...)
+		s.send(&wire.Packet{Digest: d}, s.Overlay().In(s.Self.Hall)...)
 	}
 }
 
--- a/role/gossip/gossip_test.go
+++ b/role/gossip/gossip_test.go
@@ -45,6 +45,9 @@
 // Heard implements gossip.Local.
 func (n *node) Heard(*wire.Digest, time.Time) { n.heard.Add(1) }
 
+// Lost implements gossip.Local.
+func (n *node) Lost(*wire.Loss, time.Time) {}
+
 // Tick implements gossip.Local.
 func (n *node) Tick(time.Time) {}
 
--- a/state/peers/table.go
+++ b/state/peers/table.go
@@ -174,17 +174,6 @@
 	return shares, members, proven
 }
 
-// Speaker returns the gateway that last spoke for a hall.
-func (t *Table) Speaker(hall string) (overlay.Member, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.known[Key{Hall: hall}]
-	if e == nil {
-		return overlay.Member{}, false
-	}
-	return e.From, true
-}
-
 // Members returns the other gateways, each once: those that were heard of and those
 // that the store names.
 func (t *Table) Members(self string) []overlay.Member {
