--- a/role/gateway/chooser.go
+++ b/role/gateway/chooser.go
@@ -18,6 +18,9 @@
 	holders []chain.Holder
 	// chance is by how much each hall is dearer for this request.
 	chance []float64
+	// together is how many requests of all gateways do for each of this one what the
+	// request does: 1 for one that comes alone, more for one that leaves a lost endpoint.
+	together float64
 	// open, avoided and crowded count the endpoints of the model, and those that
 	// were left out because they are passed over or have no room.
 	open, avoided, crowded int
@@ -53,7 +56,7 @@
 		card := q.service.Model.Cards[b.Card]
 		holders = append(holders, chain.Holder{
 			ID: p.ID, Address: p.Address, Hall: b.hall, Layers: p.Layers,
-			PerLayer: layerTime(q.service.Model, card, q, b.use) * keptCost,
+			PerLayer: c.layerTime(q.service.Model, card, q, b.use) * keptCost,
 		})
 	}
 	c.holders = holders
@@ -72,6 +75,7 @@
 // prepare sets the model, the costs of beginning in a hall, and what chance adds.
 func (c *chooser) prepare(m *catalog.Model, f *fleet, home string) {
 	c.finder.Layers = m.Layers
+	c.together = 1
 	c.finder.Entry = c.finder.Entry[:0]
 	c.chance = c.chance[:0]
 	for _, hall := range f.halls {
@@ -167,7 +171,7 @@
 func (c *chooser) perLayer(q *query, b *backend, now time.Time) float64 {
 	chance := c.chance[b.hall] * (1 + chanceEndpoint*rand.Float64())
 	slow := float64(b.use.slowness(now)) / paceUnit
-	return layerTime(q.service.Model, q.service.Model.Cards[b.Card], q, b.use) * slow * chance
+	return c.layerTime(q.service.Model, q.service.Model.Cards[b.Card], q, b.use) * slow * chance
 }
 
 // readOver is the number of tokens over which the reading of a prompt is spread in
@@ -179,11 +183,11 @@
 
 // layerTime returns the seconds that one layer adds to a token, with a part of the
 // reading of the prompt, after those that are being read there.
-func layerTime(m *catalog.Model, card catalog.Card, q *query, u *usage) float64 {
+func (c *chooser) layerTime(m *catalog.Model, card catalog.Card, q *query, u *usage) float64 {
 	active := u.active.Load() + u.othersActive.Load()
-	reading := u.reading.Load() + u.othersReading.Load()
+	reading := float64(u.reading.Load())*c.together + float64(u.othersReading.Load())
 	step := m.Step.Seconds() + float64(active)*m.PerSequence.Seconds()
-	read := float64(1+reading) * float64(q.Prompt) / m.ReadRate / readOver
+	read := (1 + reading) * float64(q.Prompt) / m.ReadRate / readOver
 	return (step*card.Pace + read*card.Read) / float64(m.Layers)
 }
 
--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -239,6 +239,20 @@
 	u.stalledUntil.Store(now.Add(stallWait.Delay(int(u.stalls.Add(1)), 0)).UnixNano())
 }
 
+// maxTogether bounds how many requests of other gateways count for each of this one: it
+// may have the only one of a few.
+const maxTogether = 32
+
+// together returns how many requests of all gateways there are at the endpoint for each of
+// this one. When it is lost they are all moved at once, and each gateway sees only its own.
+func (u *usage) together() float64 {
+	own, others := u.active.Load(), u.othersActive.Load()
+	if own <= 0 || others <= 0 {
+		return 1
+	}
+	return min(1+float64(others)/float64(own), maxTogether)
+}
+
 // take and release count a request that needs memory.
 func (u *usage) take(memory int64) {
 	u.active.Add(1)
--- a/role/gateway/seat.go
+++ b/role/gateway/seat.go
@@ -163,13 +163,14 @@
 
 // moveSeat takes room along the cheapest chain that a request may be moved to
 // while it runs: the first part stays, and the others do unless they are
-// avoided.
-func (g *Gateway) moveSeat(q *query, old *seat) (*seat, shortage) {
+// avoided, as the lost one is.
+func (g *Gateway) moveSeat(q *query, old *seat, lost *backend) (*seat, shortage) {
 	f := g.fleet.Load()
 	c := choosers.Get().(*chooser)
 	defer choosers.Put(c)
 	need := q.tokens()
 	c.prepare(q.service.Model, f, g.Hall)
+	c.together = lost.use.together()
 	c.collect(q, f, need, useSound)
 	c.keep(old, q, time.Now())
 	found, ok := g.find(c, q, need)
--- a/role/gateway/watchdog.go
+++ b/role/gateway/watchdog.go
@@ -229,7 +229,7 @@
 	}
 	for _, b := range seat.parts[1:] {
 		if b.use.dead(now) {
-			return w.move(seat, b.Address)
+			return w.move(seat, b)
 		}
 	}
 	w.relay.g.doubt(seat.first, now)
@@ -239,13 +239,13 @@
 	return true
 }
 
-// move moves the request to a chain without an address. It returns false when
+// move moves the request to a chain without a lost part. It returns false when
 // there is none, or the request cannot be moved.
-func (w *watchdog) move(seat *seat, address string) bool {
-	g, q := w.relay.g, w.relay.q
+func (w *watchdog) move(seat *seat, lost *backend) bool {
+	g, q, address := w.relay.g, w.relay.q, lost.Address
 	q.avoid(address)
 	for range maxMoves {
-		next, short := g.moveSeat(q, seat)
+		next, short := g.moveSeat(q, seat, lost)
 		if short != shortageNone {
 			if w.stuckAt != address {
 				w.stuckAt = address
