--- /dev/null
+++ b/state/lines/lines_test.go
@@ -0,0 +1,36 @@
+package lines_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/decide/catalog"
+	"github.com/grademill/grademill/state/lines"
+)
+
+// A gateway takes its part of a line and no more, once it has saved it up; where the line
+// has no rate it is free.
+func TestLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var free lines.Lines
+		require.True(t, free.Allow(new(catalog.Model), 1<<30, 5))
+		m := &catalog.Model{LinkRate: 1e6, Handed: 1000}
+		taken := func(gateways int) int {
+			var l lines.Lines
+			l.Allow(m, 1, gateways)
+			time.Sleep(time.Minute)
+			n := 0
+			for n < 10000 && l.Allow(m, 1, gateways) {
+				n++
+			}
+			return n
+		}
+		alone := taken(1)
+		require.Greater(t, alone, 100)
+		require.Less(t, alone, 10000)
+		require.InDelta(t, alone/10, taken(10), 2)
+	})
+}
