Tell on only the own word of who gives orders

The gateways that speak for halls told each other that one gives orders, each since another one had said so, and that held all others back; meanwhile no lost layers were placed anew.

Test seen failing.

--- a/role/gateway/digest.go
+++ b/role/gateway/digest.go
@@ -20,8 +20,8 @@
 		Giving:         g.giving.Load(),
 		Cut:            g.feed.Cut(now),
 	}
-	if others != nil && g.directed(now) {
-		d.Giving = true
+	if others != nil && now.UnixNano()-g.giverNear.Load() < int64(wordFresh) {
+		d.Giving = true // the one that gives orders is of this hall
 	}
 	for id, b := range g.fleet.Load().byID {
 		checked := b.use.checkedAt.Load()
@@ -83,6 +83,9 @@
 	f := g.fleet.Load()
 	if d.GetGiving() {
 		g.directedAt.Store(now.UnixNano())
+		if d.GetMembers() == 0 { // only its own word is told on: an echo would never end
+			g.giverNear.Store(now.UnixNano())
+		}
 		g.hearOrders(f, d, now)
 	}
 	for _, use := range d.GetUses() {
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -115,9 +115,9 @@
 	// giving is set while this gateway gives orders, giver while the store says that
 	// any does.
 	giving, giver atomic.Bool
-	// directedAt is when the gateway that gives orders was last heard of, in
-	// nanoseconds of Unix time.
-	directedAt atomic.Int64
+	// directedAt is when the gateway that gives orders was last heard of, and giverNear
+	// when it was by itself, in nanoseconds of Unix time.
+	directedAt, giverNear atomic.Int64
 	// currentSince is when the store was first read, or read again after it did not
 	// answer, in nanoseconds of Unix time.
 	currentSince atomic.Int64
--- a/role/gateway/give.go
+++ b/role/gateway/give.go
@@ -67,7 +67,7 @@
 	for ctx.Err() == nil {
 		pause.For(ctx, time.Duration(float64(giverRound)*(1+rand.Float64())))
 		now := time.Now()
-		if !g.loaded.Load() || g.draining.Load() || g.catalog.Load() == nil || g.giver.Load() || g.directed(now) {
+		if !g.loaded.Load() || g.draining.Load() || g.catalog.Load() == nil || g.giver.Load() {
 			vacant = time.Time{}
 			continue
 		}
@@ -75,7 +75,7 @@
 			vacant = now
 		}
 		read := time.Duration(now.UnixNano() - g.currentSince.Load())
-		if now.Sub(vacant) < g.giverTurn() || read < giverSettle {
+		if now.Sub(vacant) < g.giverTurn(now) || read < giverSettle {
 			continue
 		}
 		holder := giver{g: g}
@@ -92,9 +92,13 @@
 	}
 }
 
-// giverTurn returns how long this gateway leaves the right to others after nobody holds it.
-func (g *Gateway) giverTurn() time.Duration {
+// giverTurn returns how long this gateway leaves the right to others after the store has
+// said that nobody holds it: longer while one of them says that it does.
+func (g *Gateway) giverTurn(now time.Time) time.Duration {
 	turn := min(g.gossip.Overlay().Turn(giverKey), giverTurns)
+	if g.directed(now) {
+		turn = giverTurns
+	}
 	return time.Duration(turn) * giverTurnWait
 }
 
--- a/role/gateway/order_test.go
+++ b/role/gateway/order_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/grademill/grademill/standin/site"
+	"github.com/grademill/grademill/state/peers"
 	"github.com/grademill/grademill/wire/gossip"
 )
 
@@ -81,3 +82,37 @@
 	require.Equal(t, http.StatusOK, w.do(w.plan("/plan/1", 3)).StatusCode)
 	require.NotContains(t, w.log.String(), "order given")
 }
+
+// That a gateway of another hall gives orders is not told on to the halls: it would be told
+// back for ever, and nobody would take the right over when it has ended.
+func TestWordOfAGiverIsNotEchoed(t *testing.T) {
+	t.Parallel()
+	s, err := site.New(layers)
+	require.NoError(t, err)
+	t.Cleanup(s.Close)
+	s.Store.Set("grademill/giver", "another")
+	w := &world{t: t, site: s, log: new(syncBuffer)}
+	w.configure(true)
+	w.gateway = w.start("gateway-1")
+	w.eventually(w.gateway.Ready)
+	tells := func(d *gossip.Digest, number uint64) bool {
+		d.Incarnation, d.Number, d.Giving = 1, number, true
+		text, err := proto.Marshal(&gossip.Packet{Digest: d})
+		require.NoError(t, err)
+		socket, err := net.Dial("udp4", w.gateway.Address)
+		require.NoError(t, err)
+		defer socket.Close() //nolint:errcheck // a test's socket
+		_, err = socket.Write(text)
+		require.NoError(t, err)
+		time.Sleep(10 * time.Millisecond)
+		return w.gateway.Digest(time.Now(), map[string]peers.Share{}).GetGiving()
+	}
+	for n := range uint64(20) {
+		require.False(t, tells(&gossip.Digest{Gateway: "gateway-8", Hall: "south", Members: 3}, n+1))
+	}
+	number := uint64(0)
+	w.eventually(func() bool {
+		number++
+		return tells(&gossip.Digest{Gateway: "gateway-2", Hall: "north"}, number)
+	})
+}
