--- a/role/gateway/seat.go
+++ b/role/gateway/seat.go
@@ -185,6 +185,24 @@
 	}), shortageNone
 }
 
+// readTime returns how long the prompt of a request is expected to be read along the seat,
+// by the parts that an old seat has not; together is how many requests of all gateways
+// each of this one's counts for at those parts. The slowest part decides: they read at the
+// same time.
+func (s *seat) readTime(q *query, old *seat, together float64) time.Duration {
+	m := q.service.Model
+	most := 0.0
+	for i, b := range s.parts {
+		if old != nil && old.chain.Uses(b.Address) {
+			continue
+		}
+		waiting := float64(b.use.reading.Load()-1)*together + float64(b.use.othersReading.Load())
+		layers := float64(s.chain[i].Layers.Len()) / float64(m.Layers)
+		most = max(most, (1+max(waiting, 0))*layers*m.Cards[b.Card].Read)
+	}
+	return time.Duration(most * float64(q.Prompt) / m.ReadRate * float64(time.Second))
+}
+
 // part returns the backend of the seat with an ID, nil for none.
 func (s *seat) part(id string) *backend {
 	for _, b := range s.parts {
--- a/role/gateway/watchdog.go
+++ b/role/gateway/watchdog.go
@@ -188,6 +188,61 @@
 	w.seat.release()
 }
 
+// leaveGain is how many times sooner another try must be expected to give its next event
+// for a request to leave one that could be moved: a try costs a part of the retry budget,
+// and the whole prompt is read again.
+const leaveGain = 2
+
+// faster leaves the try for one along another chain if the request can be moved, but would
+// be late then and is expected much sooner there. When an endpoint is lost all streams
+// through it are read again by those few of its hall that hold its layers too.
+func (w *watchdog) faster(old, moved *seat, lost *backend) bool {
+	if w.final {
+		return false
+	}
+	q, now := w.relay.q, time.Now()
+	wait := moved.readTime(q, old, lost.use.together())
+	if wait < w.spare(now) {
+		return false
+	}
+	q.arrived.Store(true) // so that the try costs its part of the retry budget
+	next, short := w.relay.g.takeTry(q, causeLeft)
+	if short != shortageNone {
+		return false
+	}
+	if other := next.readTime(q, nil, 1); leaveGain*other > wait || !w.leaveFor(next) {
+		next.release()
+		w.relay.g.returnRetry(q.service.Name)
+		return false
+	}
+	w.relay.g.Log.Info().Str("request", q.ID).Str("lost", lost.Address).Dur("wait_ms", wait).
+		Stringer("chain", next.chain).Msg("a try is left for a faster one")
+	return true
+}
+
+// spare returns how long the next event may still take without being late.
+func (w *watchdog) spare(now time.Time) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.last.IsZero() {
+		return objective(w.relay.q.route) - now.Sub(w.relay.q.start)
+	}
+	return allowedPause(w.relay.q.route) - now.Sub(w.last)
+}
+
+// leaveFor ends the try for one along a seat, and reports whether it has: not when it has
+// ended already.
+func (w *watchdog) leaveFor(next *seat) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.ended {
+		return false
+	}
+	w.expired, w.reserved = true, next
+	w.cancel()
+	return true
+}
+
 // leave ends the try if the request can be sent along another chain at once, and
 // reports whether it has. Otherwise the try goes on: what it waits for may come while
 // the caller does, and without another way nothing is won by ending it.
@@ -246,6 +301,10 @@
 	q.avoid(address)
 	for range maxMoves {
 		next, short := g.moveSeat(q, seat, lost)
+		if short == shortageNone && w.faster(seat, next, lost) {
+			next.release()
+			return true
+		}
 		if short != shortageNone {
 			if w.stuckAt != address {
 				w.stuckAt = address
