--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -241,7 +241,7 @@
 
 // maxTogether bounds how many requests of other gateways count for each of this one: it
 // may have the only one of a few.
-const maxTogether = 32
+const maxTogether = 64
 
 // together returns how many requests of all gateways there are at the endpoint for each of
 // this one. When it is lost they are all moved at once, and each gateway sees only its own.
--- a/role/gateway/seat.go
+++ b/role/gateway/seat.go
@@ -196,9 +196,10 @@
 		if old != nil && old.chain.Uses(b.Address) {
 			continue
 		}
-		waiting := float64(b.use.reading.Load()-1)*together + float64(b.use.othersReading.Load())
+		// In the middle of those that each of this one's stands for.
+		waiting := (float64(b.use.reading.Load())-0.5)*together + float64(b.use.othersReading.Load())
 		layers := float64(s.chain[i].Layers.Len()) / float64(m.Layers)
-		most = max(most, (1+max(waiting, 0))*layers*m.Cards[b.Card].Read)
+		most = max(most, (0.5+max(waiting, 0.5))*layers*m.Cards[b.Card].Read)
 	}
 	return time.Duration(most * float64(q.Prompt) / m.ReadRate * float64(time.Second))
 }
