--- a/role/gateway/query.go
+++ b/role/gateway/query.go
@@ -35,6 +35,9 @@
 	// have run it.
 	sends int
 	ran   []*backend
+	// together is how many requests of all gateways are sent again for each of this one's,
+	// since the same endpoint was lost to them; 0 for a request that is alone.
+	together float64
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
 	// arrived is set once a send may have reached an endpoint: only what follows it
--- a/role/gateway/seat.go
+++ b/role/gateway/seat.go
@@ -131,6 +131,7 @@
 	defer choosers.Put(c)
 	need := q.tokens()
 	c.prepare(q.service.Model, f, g.Hall)
+	c.together = max(q.together, 1)
 	c.collect(q, f, need, useSound)
 	found, ok := g.find(c, q, need)
 	if !ok {
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -178,6 +178,7 @@
 		return false, notRunReason(t)
 	case verdictLost, verdictOver:
 		q.cause = causeLost
+		q.together = seat.first.use.together()
 		q.ran = append(q.ran, seat.first)
 		if t.verdict == verdictLost {
 			g.verify(q.r.Context(), seat.first)
@@ -295,6 +296,7 @@
 		return "the caller left"
 	}
 	stalled := w.gaveUp()
+	q.together = seat.first.use.together()
 	q.avoid(seat.first.Address)
 	seat.first.use.judge(health.Record.WithFailure)
 	s.g.verify(q.r.Context(), seat.first)
