--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -178,11 +178,11 @@
 		return false, notRunReason(t)
 	case verdictLost, verdictOver:
 		q.cause = causeLost
-		q.together = seat.first.use.together()
 		q.ran = append(q.ran, seat.first)
 		if t.verdict == verdictLost {
 			g.verify(q.r.Context(), seat.first)
 		}
+		s.noteLoss(seat.first)
 		q.avoid(seat.first.Address)
 		return false, t.err.Error()
 	}
@@ -210,6 +210,14 @@
 		Str("reason", notRunReason(t)).Msg("chain refused the request")
 }
 
+// noteLoss notes whether the first endpoint of a try has been lost to all gateways.
+func (s *relay) noteLoss(first *backend) {
+	s.q.together = 0
+	if first.use.dead(time.Now()) {
+		s.q.together = first.use.together()
+	}
+}
+
 // whole passes on an answer that is no stream.
 func (s *relay) whole(t try, seat *seat) (bool, string) {
 	body, err := t.answer.ReadAll()
@@ -296,10 +304,10 @@
 		return "the caller left"
 	}
 	stalled := w.gaveUp()
-	q.together = seat.first.use.together()
 	q.avoid(seat.first.Address)
 	seat.first.use.judge(health.Record.WithFailure)
 	s.g.verify(q.r.Context(), seat.first)
+	s.noteLoss(seat.first)
 	q.carried++
 	q.cause = causeBroken
 	s.g.Log.Info().Str("request", q.ID).Stringer("chain", seat.chain).Bool("stalled", stalled).Err(err).
