--- /dev/null
+++ b/decide/reread/reread_test.go
@@ -0,0 +1,39 @@
+package reread_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/decide/reread"
+)
+
+func TestTime(t *testing.T) {
+	const alone = 100 * time.Millisecond
+	cases := []struct {
+		name     string
+		parts    []reread.Part
+		together float64
+		want     time.Duration
+	}{
+		{"nothing to read", nil, 1, 0},
+		{"alone", []reread.Part{{Own: 1, Share: 0.1, Slow: 8}}, 1, 80 * time.Millisecond},
+		{"after others", []reread.Part{{Own: 1, Others: 4, Share: 0.1, Slow: 8}}, 1, 400 * time.Millisecond},
+		{"the slowest decides", []reread.Part{{Own: 1, Share: 0.1, Slow: 8}, {Own: 1, Share: 0.9, Slow: 3}}, 1, 270 * time.Millisecond},
+		{"with those of all gateways", []reread.Part{{Own: 2, Share: 0.1, Slow: 8}}, 20, 2440 * time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			require.InDelta(t, c.want, reread.Time(c.parts, alone, c.together), float64(time.Millisecond))
+		})
+	}
+}
+
+// A stream is moved where it is in time then, and where another chain is hardly sooner.
+func TestLeave(t *testing.T) {
+	require.False(t, reread.Leave(100*time.Millisecond, 0, 200*time.Millisecond))
+	require.False(t, reread.Leave(300*time.Millisecond, 200*time.Millisecond, 200*time.Millisecond))
+	require.True(t, reread.Leave(300*time.Millisecond, 100*time.Millisecond, 200*time.Millisecond))
+	require.True(t, reread.Leave(300*time.Millisecond, 100*time.Millisecond, -time.Second))
+}
--- a/layout_test.go
+++ b/layout_test.go
@@ -46,6 +46,7 @@
 	"decide/progress",
 	"decide/rate",
 	"decide/rendezvous",
+	"decide/reread",
 	"decide/retry",
 	"decide/route",
 	"decide/spread",
--- a/role/gateway/seat.go
+++ b/role/gateway/seat.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/grademill/grademill/decide/chain"
+	"github.com/grademill/grademill/decide/reread"
 )
 
 // The costs of a chain beside the engines' own times, in seconds a token.
@@ -188,21 +189,21 @@
 
 // readTime returns how long the prompt of a request is expected to be read along the seat,
 // by the parts that an old seat has not; together is how many requests of all gateways
-// each of this one's counts for at those parts. The slowest part decides: they read at the
-// same time.
+// each of this one's counts for.
 func (s *seat) readTime(q *query, old *seat, together float64) time.Duration {
 	m := q.service.Model
-	most := 0.0
+	parts := make([]reread.Part, 0, len(s.parts))
 	for i, b := range s.parts {
 		if old != nil && old.chain.Uses(b.Address) {
 			continue
 		}
-		// In the middle of those that each of this one's stands for.
-		waiting := (float64(b.use.reading.Load())-0.5)*together + float64(b.use.othersReading.Load())
-		layers := float64(s.chain[i].Layers.Len()) / float64(m.Layers)
-		most = max(most, (0.5+max(waiting, 0.5))*layers*m.Cards[b.Card].Read)
+		parts = append(parts, reread.Part{
+			Own: float64(b.use.reading.Load()), Others: float64(b.use.othersReading.Load()),
+			Share: float64(s.chain[i].Layers.Len()) / float64(m.Layers), Slow: m.Cards[b.Card].Read,
+		})
 	}
-	return time.Duration(most * float64(q.Prompt) / m.ReadRate * float64(time.Second))
+	alone := time.Duration(float64(q.Prompt) / m.ReadRate * float64(time.Second))
+	return reread.Time(parts, alone, together)
 }
 
 // part returns the backend of the seat with an ID, nil for none.
--- a/role/gateway/watchdog.go
+++ b/role/gateway/watchdog.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/grademill/grademill/decide/reread"
 	"github.com/grademill/grademill/decide/timeout"
 	"github.com/grademill/grademill/port/runner"
 )
@@ -188,11 +189,6 @@
 	w.seat.release()
 }
 
-// leaveGain is how many times sooner another try must be expected to give its next event
-// for a request to leave one that could be moved: a try costs a part of the retry budget,
-// and the whole prompt is read again.
-const leaveGain = 2
-
 // faster leaves the try for one along another chain if the request can be moved, but would
 // be late then and is expected much sooner there. When an endpoint is lost all streams
 // through it are read again by those few of its hall that hold its layers too.
@@ -200,9 +196,9 @@
 	if w.final {
 		return false
 	}
-	q, now := w.relay.q, time.Now()
-	wait := moved.readTime(q, old, lost.use.together())
-	if wait < w.spare(now) {
+	q := w.relay.q
+	wait, spare := moved.readTime(q, old, lost.use.together()), w.spare(time.Now())
+	if !reread.Leave(wait, 0, spare) {
 		return false
 	}
 	q.arrived.Store(true) // so that the try costs its part of the retry budget
@@ -210,7 +206,7 @@
 	if short != shortageNone {
 		return false
 	}
-	if other := next.readTime(q, nil, 1); leaveGain*other > wait || !w.leaveFor(next) {
+	if !reread.Leave(wait, next.readTime(q, nil, 1), spare) || !w.leaveFor(next) {
 		next.release()
 		w.relay.g.returnRetry(q.service.Name)
 		return false
