--- a/decide/overlay/overlay.go
+++ b/decide/overlay/overlay.go
@@ -3,6 +3,7 @@
 package overlay
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/grademill/grademill/decide/rendezvous"
@@ -36,6 +37,8 @@
 	Self Member
 	// Others are the other gateways, each once.
 	Others []Member
+	// FlatUpTo is the size up to which the fleet is flat, 0 for FlatSize.
+	FlatUpTo int
 }
 
 // Size returns the number of gateways.
@@ -45,7 +48,7 @@
 
 // Flat reports whether every gateway tells every other one all.
 func (o Overlay) Flat() bool {
-	return o.Size() <= FlatSize
+	return o.Size() <= cmp.Or(o.FlatUpTo, FlatSize)
 }
 
 // Audience returns the gateways that are told what this one uses.
--- a/decide/overlay/overlay_test.go
+++ b/decide/overlay/overlay_test.go
@@ -44,6 +44,9 @@
 		require.Len(t, o.Audience(), 11)
 		require.False(t, o.Delegate())
 		require.Empty(t, o.Seats())
+		o.FlatUpTo = 11
+		require.False(t, o.Flat())
+		require.Len(t, o.Audience(), 3)
 	}
 }
 
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -64,6 +64,9 @@
 	// Address is where other gateways reach it: digests by UDP, questions for changes of
 	// the store by TCP.
 	Address string
+	// FlatFleet is the size of a fleet up to which every gateway tells every other one all
+	// and asks the store itself, 0 for overlay.FlatSize.
+	FlatFleet int
 	// LinkRate is what the host's link carries, in bytes a second, 0 when it is not
 	// known: what gateways tell each other has a bounded part of it.
 	LinkRate float64
@@ -166,7 +169,7 @@
 func (g *Gateway) initGossip() {
 	g.gossip = gossip.Gossip{
 		Self:        overlay.Member{Name: g.Name, Address: g.Address, Hall: g.Hall},
-		Incarnation: uint64(g.started.UnixNano()), Local: g, Peers: &g.peers, LinkRate: g.LinkRate,
+		Incarnation: uint64(g.started.UnixNano()), Local: g, Peers: &g.peers, LinkRate: g.LinkRate, FlatUpTo: g.FlatFleet,
 		Sent: g.Meter.Digest, Log: g.Log,
 	}
 	g.gossip.Init()
--- a/role/gateway/give.go
+++ b/role/gateway/give.go
@@ -22,10 +22,10 @@
 	// second, and answers within 0.3 s also when it is slow.
 	giverLease = 1500 * time.Millisecond
 	// giverTurnWait is how long a gateway leaves the right to each one whose turn is
-	// before its own, for giverTurns of them at most: that long it takes until the
-	// others hear of a new holder, and each try is two calls of the store.
-	giverTurnWait = 350 * time.Millisecond
-	giverTurns    = 6
+	// before its own, for giverTurns of them at most: each try is two calls of the
+	// store, and a digest tells of a new holder at once.
+	giverTurnWait = 150 * time.Millisecond
+	giverTurns    = 8
 	// giverSettle is how long the store must have been read before a gateway takes the
 	// right: at the start of a fleet the others are known only by the next changes.
 	giverSettle = changesSettle + 150*time.Millisecond
@@ -117,6 +117,7 @@
 func (o *giver) hold(ctx context.Context) {
 	o.g.Log.Info().Uint64("fence", o.fence).Msg("this gateway gives orders")
 	o.g.giving.Store(true)
+	o.g.gossip.News()
 	defer o.g.giving.Store(false)
 	renewed := time.Now()
 	for ctx.Err() == nil && !o.g.draining.Load() {
--- a/role/gossip/gossip.go
+++ b/role/gossip/gossip.go
@@ -64,6 +64,8 @@
 	Local Local
 	// Peers are the other gateways.
 	Peers *peers.Table
+	// FlatUpTo is the size of a fleet up to which all tell all, 0 for overlay.FlatSize.
+	FlatUpTo int
 	// LinkRate is what the host's link carries, in bytes a second; 0 when it is not
 	// known.
 	LinkRate float64
@@ -136,7 +138,7 @@
 func (s *Gossip) round(now time.Time) time.Duration {
 	s.Local.Tick(now)
 	d := s.digest(now, nil, 0)
-	o := overlay.Overlay{Self: s.Self, Others: s.Peers.Members(s.Self.Name)}
+	o := overlay.Overlay{Self: s.Self, Others: s.Peers.Members(s.Self.Name), FlatUpTo: s.FlatUpTo}
 	o.Self.Cut = d.GetCut()
 	s.current.Store(&o)
 	every := s.interval(o)
--- a/role/settings/file.go
+++ b/role/settings/file.go
@@ -144,6 +144,9 @@
 	// gateways together.
 	RetryShare   float64 `toml:"retry_share" validate:"min=0,max=1"`
 	RetryReserve int     `toml:"retry_reserve" validate:"min=0,max=1000000"`
+	// FlatFleet is the size of a fleet up to which every gateway tells every other one
+	// all, and asks the platform's store itself; 0 for the usual size.
+	FlatFleet int `toml:"flat_fleet" validate:"min=0,max=10000"`
 	// LinkMegabits is what the host's link carries, in Mbit/s, 0 when that is not
 	// known: what gateways tell each other has a bounded part of it.
 	LinkMegabits float64  `toml:"link_megabits" validate:"min=0,max=10000000"`
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -62,16 +62,16 @@
 	return fmt.Sprintf("127.%d.88.1:%d", 1+os.Getpid()%250, 22000+ports.Add(1))
 }
 
-// newNode writes the settings of a gateway.
-func newNode(t *testing.T, dir, name, store string) *node {
+// newNode writes the settings of a gateway of a hall, in a fleet that is flat up to a size.
+func newNode(t *testing.T, dir, name, hall, store string, flat int) *node {
 	link, err := newProxy(store)
 	require.NoError(t, err)
 	n := &node{
 		t: t, name: name, settings: filepath.Join(dir, name+".toml"), store: link, caller: port(), ready: port(),
 	}
-	text := fmt.Sprintf("role = \"gateway\"\nname = %q\nhall = \"north\"\naddress = %q\n[gateway]\ncaller = %q\nready = %q\n"+
-		"store = %q\nrevocation = \"5s\"\nstop_timeout = %q\nretry_share = 0.2\nretry_reserve = 200\nretry_window = \"10s\"\n",
-		name, port(), n.caller, n.ready, link.address, graceTime.String())
+	text := fmt.Sprintf("role = \"gateway\"\nname = %q\nhall = %q\naddress = %q\n[gateway]\ncaller = %q\nready = %q\n"+
+		"store = %q\nrevocation = \"5s\"\nstop_timeout = %q\nretry_share = 0.2\nretry_reserve = 200\nretry_window = \"10s\"\nflat_fleet = %d\n",
+		name, hall, port(), n.caller, n.ready, link.address, graceTime.String(), flat)
 	require.NoError(t, os.WriteFile(n.settings, []byte(text), 0o600))
 	n.out, err = os.Create(filepath.Join(dir, name+".log"))
 	require.NoError(t, err)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -39,6 +39,11 @@
 const (
 	gateways    = 3
 	callerCount = 12
+	// flatFleet and its gateways make the fleet of every other seed like a large one: two
+	// of a hall ask the store for a third, and halls tell each other the sums.
+	flatFleet      = 2
+	gatewaysByHall = 4
+	otherHall      = "south"
 )
 
 // startWait is how long the gateways and the layers may take to be ready.
@@ -87,8 +92,16 @@
 		}
 	})
 	w := &world{t: t, backs: newBacks(t), r: rand.New(rand.NewPCG(seed, 1))}
-	for i := range gateways {
-		w.nodes = append(w.nodes, newNode(t, dir, fmt.Sprint("gateway-", i), w.backs.site.StoreAddress))
+	n, flat := gateways, 0
+	if seed%2 == 1 {
+		n, flat = gatewaysByHall, flatFleet
+	}
+	for i := range n {
+		hall := "north"
+		if i == gateways {
+			hall = otherHall
+		}
+		w.nodes = append(w.nodes, newNode(t, dir, fmt.Sprint("gateway-", i), hall, w.backs.site.StoreAddress, flat))
 	}
 	c := &callers{backs: w.backs, nodes: w.nodes, ready: make(map[*node]bool)}
 	ctx, cancel := context.WithCancel(context.Background())
