Let a gateway's own check contradict the word of others that an endpoint is down

Two gateways that are cut off from an endpoint would have had all others pass it over for as long as they said so. Test seen failing with the contradiction off.

--- a/role/gateway/digest.go
+++ b/role/gateway/digest.go
@@ -126,7 +126,7 @@
 		return
 	}
 	news := b.use.witnesses.Count(now) == 0
-	if b.use.witnesses.Say(from, now) >= enoughWitnesses {
+	if b.use.witnesses.Say(from, now) >= enoughWitnesses && !b.use.contradicted(now) {
 		g.believe(b, now)
 	}
 	switch {
@@ -140,6 +140,9 @@
 // believe takes an endpoint for dead by the word of others.
 func (g *Gateway) believe(b *backend, now time.Time) {
 	known := b.use.dead(now)
+	if now.UnixNano() > b.use.toldUntil.Load() {
+		b.use.toldSince.Store(now.UnixNano())
+	}
 	b.use.toldUntil.Store(now.Add(wordFresh).UnixNano())
 	if known {
 		return
--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -81,6 +81,10 @@
 	// last gave no answer, and toldUntil until when it is taken for dead by the word of
 	// other gateways, in nanoseconds of Unix time.
 	downSince, silentAt, toldUntil atomic.Int64
+	// toldSince is since when it is taken for dead by their word, and contradictedUntil
+	// until when that does not count, since it has answered this gateway meanwhile, in
+	// nanoseconds of Unix time.
+	toldSince, contradictedUntil atomic.Int64
 	// witnesses are the other gateways that say that it is down.
 	witnesses witnesses.Witnesses
 	// rechecks counts the checks in a row without an answer since it was found down.
@@ -216,7 +220,22 @@
 // lost reports whether other gateways say that the endpoint is down, while nothing has
 // come through it here. It gets nothing new then; what runs there is checked.
 func (u *usage) lost(now time.Time) bool {
-	return u.othersDown.Load() >= enoughWitnesses && now.UnixNano()-u.eventAt.Load() > int64(lively)
+	return u.othersDown.Load() >= enoughWitnesses && !u.contradicted(now) && now.UnixNano()-u.eventAt.Load() > int64(lively)
+}
+
+// contradicted reports whether the word of others that the endpoint is down does not count,
+// since it has answered this gateway.
+func (u *usage) contradicted(now time.Time) bool {
+	return now.UnixNano() < u.contradictedUntil.Load()
+}
+
+// answered notes that the endpoint has answered a check that was begun at a time.
+func (u *usage) answered(begun, now time.Time) {
+	u.checkedAt.Store(now.UnixNano())
+	if u.witnesses.Count(now) > 0 && begun.UnixNano() > u.toldSince.Load() {
+		u.contradictedUntil.Store(now.Add(contradicts).UnixNano())
+		u.toldUntil.Store(0)
+	}
 }
 
 // down reports whether the endpoint does not answer this gateway.
--- a/role/gateway/loss_test.go
+++ b/role/gateway/loss_test.go
@@ -98,6 +98,28 @@
 	w.eventually(served) // their word is old
 }
 
+// An endpoint that others cannot reach is used by a gateway that can: its own check
+// contradicts them.
+func TestOwnCheckContradictsOthers(t *testing.T) {
+	t.Parallel()
+	w, cards := newModel(t)
+	answer, _, later := w.mid(cards, 20)
+	w.rest(answer)
+	part := later[0]
+	believed, used := false, 0
+	w.eventually(func() bool {
+		w.lose("gateway-2", part.ID)
+		w.lose("gateway-3", part.ID)
+		r := w.plan("/plan/1", 1)
+		require.Equal(t, http.StatusOK, w.do(r).StatusCode)
+		believed = believed || strings.Contains(w.log.String(), "by the word of others")
+		if believed && strings.Contains(usesOf(t, w, r.Header.Get("X-Request-Id")), part.Address()+"[") {
+			used++
+		}
+		return used >= 5
+	})
+}
+
 // An endpoint that answers again is used again.
 func TestRevivedEndpointIsUsedAgain(t *testing.T) {
 	t.Parallel()
--- a/role/gateway/survey.go
+++ b/role/gateway/survey.go
@@ -36,7 +36,7 @@
 		g.Log.Debug().Str("endpoint", b.ID).Err(err).Msg("endpoint gives no report")
 		return
 	}
-	b.use.checkedAt.Store(begun.UnixNano())
+	b.use.answered(begun, time.Now())
 	b.use.setPace(report.Pace, begun)
 	b.noteHeld(report.Layers, begun)
 	g.Log.Debug().Str("endpoint", b.ID).Stringer("layers", report.Layers).Int("used", report.Used).
--- a/role/gateway/suspect.go
+++ b/role/gateway/suspect.go
@@ -35,6 +35,11 @@
 	// endedAfter is how long an endpoint must have given no answer to count as ended:
 	// a process that was paused, or a connection that lost packets, is back sooner.
 	endedAfter = 700 * time.Millisecond
+	// toldEnough is how long an endpoint is taken for dead by the word of others before
+	// this gateway asks it: the record of one that has ended lapses in about four.
+	toldEnough = 1200 * time.Millisecond
+	// contradicts is how long the answer of an endpoint counts against their word.
+	contradicts = 3 * time.Second
 	// verifyPoll is how often the end of another's check is looked for: a check of an
 	// endpoint that lives takes a few milliseconds.
 	verifyPoll = 2 * time.Millisecond
@@ -126,7 +131,7 @@
 		return
 	case !silent(err):
 		g.Meter.Check(checkPassed)
-		b.use.checkedAt.Store(time.Now().UnixNano())
+		b.use.answered(begun, time.Now())
 		if err == nil {
 			b.use.setPace(report.Pace, begun)
 			b.noteHeld(report.Layers, begun)
@@ -192,6 +197,7 @@
 	for ctx.Err() == nil {
 		pause.For(ctx, reviveEvery)
 		for _, b := range g.fleet.Load().byID {
+			g.verifyTold(b, time.Now())
 			if !b.use.down() || !g.recheckDue(b, time.Now()) || !b.use.checking.CompareAndSwap(false, true) {
 				continue
 			}
@@ -203,6 +209,14 @@
 	}
 }
 
+// verifyTold checks an endpoint that is taken for dead by the word of others for some time:
+// the others may be cut off from it, and this gateway may be the one that reaches it.
+func (g *Gateway) verifyTold(b *backend, now time.Time) {
+	if now.UnixNano() < b.use.toldUntil.Load() && now.UnixNano()-b.use.toldSince.Load() > int64(toldEnough) {
+		g.suspect(b)
+	}
+}
+
 // looksAfter reports whether this gateway is one of those that check an endpoint for the
 // others.
 func (g *Gateway) looksAfter(b *backend) bool {
