--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -20,6 +20,8 @@
 	// byID and byAddress hold those that are leaving, too.
 	byID      map[string]*backend
 	byAddress map[string]*backend
+	// byHall holds them by the name of the data hall.
+	byHall map[string][]*backend
 	// halls are the names of the data halls; backend.hall is an index of it.
 	halls []string
 }
@@ -28,6 +30,7 @@
 func newFleet(all []*backend) *fleet {
 	f := &fleet{
 		open: make(map[string][]*backend), byID: make(map[string]*backend), byAddress: make(map[string]*backend),
+		byHall: make(map[string][]*backend),
 	}
 	index := make(map[string]int)
 	for _, b := range all {
@@ -37,6 +40,7 @@
 		}
 		b.hall = index[b.Hall]
 		f.byID[b.ID] = b
+		f.byHall[b.Hall] = append(f.byHall[b.Hall], b)
 		f.byAddress[b.Address] = b
 		if !b.Leaving {
 			f.open[b.Service] = append(f.open[b.Service], b)
--- a/role/gateway/survey.go
+++ b/role/gateway/survey.go
@@ -16,17 +16,26 @@
 func (g *Gateway) survey(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause.For(ctx, surveyEvery)
-		for _, b := range g.fleet.Load().byID {
-			now := time.Now()
-			known := now.UnixNano()-max(b.use.checkedAt.Load(), b.use.othersCheckedAt.Load()) < int64(surveyEvery/2)
-			if b.Card == "" || known || b.use.dead(now) || g.gossip.Overlay().Rank(b.ID, b.Hall) > 0 {
-				continue
+		o, f := g.gossip.Overlay(), g.fleet.Load()
+		for _, hall := range f.halls {
+			if hall != g.Hall && len(o.In(hall)) > 0 {
+				continue // its own gateways look after its endpoints
+			}
+			for _, b := range f.byHall[hall] {
+				if now := time.Now(); b.Card != "" && !b.use.askedLately(now) && !b.use.dead(now) && o.Rank(b.ID, hall) == 0 {
+					g.ask(ctx, b)
+				}
 			}
-			g.ask(ctx, b)
 		}
 	}
 }
 
+// askedLately reports whether the endpoint has answered a check of any gateway not long
+// before now.
+func (u *usage) askedLately(now time.Time) bool {
+	return now.UnixNano()-max(u.checkedAt.Load(), u.othersCheckedAt.Load()) < int64(surveyEvery/2)
+}
+
 // ask asks an endpoint for its report and notes its pace. Requests will show whether one
 // that gives none is lost.
 func (g *Gateway) ask(ctx context.Context, b *backend) {
--- a/role/gateway/suspect.go
+++ b/role/gateway/suspect.go
@@ -245,7 +245,11 @@
 // gives one.
 func (g *Gateway) recheck(ctx context.Context, b *backend) {
 	_, err := g.probes.Ask(ctx, b.Address)
-	if silent(err) || errors.Is(err, probe.ErrHeldUp) {
+	if errors.Is(err, probe.ErrHeldUp) {
+		g.Meter.Check(checkHeldUp)
+		return
+	}
+	if silent(err) {
 		g.Meter.Check(checkStillSilent)
 		b.use.silentAt.Store(time.Now().UnixNano())
 		b.use.rechecks.Add(1)
