--- a/port/kv/store.go
+++ b/port/kv/store.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 )
@@ -61,6 +62,12 @@
 	return fmt.Sprintf("no key %q in the store", e.Key)
 }
 
+// Missing reports whether an error says that the key or lease does not exist.
+func Missing(err error) bool {
+	var missing *NotFoundError
+	return errors.As(err, &missing)
+}
+
 // ConflictError is a write whose condition did not hold.
 type ConflictError struct {
 	Key string
--- a/role/gateway/follow.go
+++ b/role/gateway/follow.go
@@ -52,7 +52,7 @@
 		g.giver.Store(true)
 		return
 	}
-	if g.announced(p) {
+	if g.announcer.Put(p) {
 		return
 	}
 	id, ok := g.Records.EndpointID(p.Key)
@@ -81,7 +81,7 @@
 		g.Log.Info().Msg("nobody gives orders")
 		return
 	}
-	if g.withdrawn(key) {
+	if g.announcer.Gone(key) {
 		return
 	}
 	id, ok := g.Records.EndpointID(key)
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/grademill/grademill/port/exchange"
 	"github.com/grademill/grademill/port/kv"
 	"github.com/grademill/grademill/port/runner"
+	"github.com/grademill/grademill/role/announcer"
 	"github.com/grademill/grademill/role/gate"
 	"github.com/grademill/grademill/role/gossip"
 	"github.com/grademill/grademill/state/firsts"
@@ -47,14 +48,7 @@
 // Store is what a gateway needs of the store.
 type Store interface {
 	kv.Feed
-	// Grant makes a lease that lapses unless it is kept alive.
-	Grant(ctx context.Context, ttl time.Duration) (string, error)
-	// KeepAlive renews a lease, or returns a kv.NotFoundError when it lapsed.
-	KeepAlive(ctx context.Context, lease string) error
-	// Put writes if the condition holds and returns the new revision.
-	Put(ctx context.Context, w kv.Write) (uint64, error)
-	// Revoke ends a lease; its keys go with it.
-	Revoke(ctx context.Context, lease string) error
+	announcer.Store
 }
 
 // Gateway is one gateway. Set the exported fields before Run.
@@ -109,6 +103,8 @@
 	pool    upstream.Pool
 	peers   peers.Table
 	gossip  gossip.Gossip
+	// announcer keeps this gateway in the store.
+	announcer announcer.Announcer
 	// feed is where the store's changes come from, cache what others may ask of them.
 	feed   watchcache.Feed
 	cache  watchcache.Cache
@@ -157,7 +153,7 @@
 	group.Go(func() { g.serveChanges(ctx) })
 	group.Go(func() { g.sweep(ctx) })
 	group.Go(func() { g.give(ctx) })
-	group.Go(func() { g.announce(ctx) })
+	group.Go(func() { g.announcer.Run(ctx) })
 	group.Go(func() { g.gossip.Run(ctx) })
 	group.Go(func() { g.revive(ctx) })
 	group.Go(func() { g.survey(ctx) })
@@ -165,11 +161,15 @@
 	group.Wait()
 }
 
-// initGossip sets the exchange of digests up.
+// initGossip sets up the exchange of digests, and how the others find this gateway.
 func (g *Gateway) initGossip() {
+	self := overlay.Member{Name: g.Name, Address: g.Address, Hall: g.Hall}
+	g.announcer = announcer.Announcer{
+		Self: self, Incarnation: g.started.UnixNano(), Store: g.Store, Peers: &g.peers,
+		Ready: &g.loaded, Ending: &g.draining, Log: g.Log,
+	}
 	g.gossip = gossip.Gossip{
-		Self:        overlay.Member{Name: g.Name, Address: g.Address, Hall: g.Hall},
-		Incarnation: uint64(g.started.UnixNano()), Local: g, Peers: &g.peers, LinkRate: g.LinkRate, FlatUpTo: g.FlatFleet,
+		Self: self, Incarnation: uint64(g.started.UnixNano()), Local: g, Peers: &g.peers, LinkRate: g.LinkRate, FlatUpTo: g.FlatFleet,
 		Sent: g.Meter.Digest, Log: g.Log,
 	}
 	g.gossip.Init()
--- a/role/gateway/give.go
+++ b/role/gateway/give.go
@@ -15,6 +15,9 @@
 	"github.com/grademill/grademill/port/kv"
 )
 
+// giverKey holds the name of the gateway that gives orders, under a lease.
+const giverKey = "grademill/giver"
+
 // The figures of giving orders.
 const (
 	// giverLease is how long the right to give orders lasts without renewal: a hall that
@@ -124,7 +127,7 @@
 		if now := time.Now(); now.Sub(renewed) >= renewEvery {
 			if err := o.g.Store.KeepAlive(ctx, o.lease); err == nil {
 				renewed = now
-			} else if lapsed(err) || now.Sub(renewed) > giverLease {
+			} else if kv.Missing(err) || now.Sub(renewed) > giverLease {
 				o.g.Log.Warn().Err(err).Uint64("fence", o.fence).Msg("the right to give orders is lost")
 				return
 			}
