--- a/role/gateway/digest.go
+++ b/role/gateway/digest.go
@@ -24,6 +24,9 @@
 		d.Giving = true // the one that gives orders is of this hall
 	}
 	for id, b := range g.fleet.Load().byID {
+		if b.use.untouched(now) && (others == nil || others[id] == peers.Share{}) {
+			continue // most of a large fleet
+		}
 		checked := b.use.checkedAt.Load()
 		if others != nil && b.Hall == g.Hall { // the hall's word on its own endpoints
 			checked = max(checked, b.use.othersCheckedAt.Load())
@@ -44,6 +47,15 @@
 	return d
 }
 
+// untouched reports whether this gateway has nothing at the endpoint and has heard nothing of
+// it that others might not know.
+func (u *usage) untouched(now time.Time) bool {
+	at := now.UnixNano()
+	lately := max(u.checkedAt.Load(), u.othersCheckedAt.Load())
+	return u.active.Load() == 0 && u.held.Load() == 0 && !u.down() && at >= u.stalledUntil.Load() &&
+		at-lately >= int64(checkedTold) && u.ordered.Load() == nil
+}
+
 // told returns what is told of an endpoint at now, with what others have there, and a check
 // that it passed at a time, in nanoseconds of Unix time.
 func (u *usage) told(now time.Time, others peers.Share, checked int64) *gossip.Use {
@@ -161,9 +173,11 @@
 	}
 	giving := g.giving.Load()
 	for id, b := range f.byID {
-		if layers := told[id]; !giving || !layers.Empty() {
-			b.use.setOrdered(layers, now)
+		layers := told[id]
+		if layers.Empty() && (giving || b.use.ordered.Load() == nil) {
+			continue
 		}
+		b.use.setOrdered(layers, now)
 	}
 }
 
--- a/role/gossip/gossip.go
+++ b/role/gossip/gossip.go
@@ -30,6 +30,9 @@
 	// newsEvery is the least time between two digests when there is news: a death
 	// makes several within milliseconds, which go together.
 	newsEvery = 40 * time.Millisecond
+	// settleRounds is the number of digests for which a gateway that has just started
+	// speaks for nobody: in a hall whose gateways all start at once each would.
+	settleRounds = 2
 	// missed is the number of digests after which a gateway that sends none is taken
 	// to have ended, with all it used.
 	missed = 6
@@ -82,6 +85,8 @@
 	socket atomic.Pointer[net.PacketConn]
 	budget *rate.Limiter
 	number uint64
+	// begun is when Run began.
+	begun time.Time
 	// farAt is when the sums of the hall were last sent, spoken how often they were.
 	farAt  time.Time
 	spoken int
@@ -127,6 +132,7 @@
 	defer socket.Close() //nolint:errcheck // datagrams that are not read
 	s.socket.Store(&socket)
 	go s.hear(socket)
+	s.begun = time.Now()
 	for ctx.Err() == nil {
 		every := s.round(time.Now())
 		s.wait(ctx, every)
@@ -149,7 +155,8 @@
 		return missed * every
 	})
 	s.send(&wire.Packet{Digest: d}, o.Audience()...)
-	if o.Delegate() && now.Sub(s.farAt) >= farEvery {
+	settled := now.Sub(s.begun) >= settleRounds*every // else nobody has been heard yet
+	if settled && o.Delegate() && now.Sub(s.farAt) >= farEvery {
 		s.farAt = now
 		s.speak(o, now)
 	}
