--- a/role/gossip/gossip.go
+++ b/role/gossip/gossip.go
@@ -90,6 +90,9 @@
 	// farAt is when the sums of the hall were last sent, spoken how often they were.
 	farAt  time.Time
 	spoken int
+	// relayed is when sums of each other hall were last passed on: several gateways may
+	// speak for a hall while they do not hear each other. Only hear uses it.
+	relayed map[string]time.Time
 }
 
 // Overlay returns the fleet as it was at the last digest.
@@ -103,6 +106,7 @@
 // Init prepares for News and Run.
 func (s *Gossip) Init() {
 	s.news = make(chan struct{}, 1)
+	s.relayed = make(map[string]time.Time)
 	s.budget = rate.NewLimiter(rate.Inf, 0)
 	if s.LinkRate > 0 {
 		perSecond := linkShare * s.LinkRate
@@ -296,7 +300,8 @@
 		return
 	}
 	s.Local.Heard(d, now)
-	if r.Members > 0 && !d.GetRelayed() {
+	if r.Members > 0 && !d.GetRelayed() && now.Sub(s.relayed[r.From.Hall]) >= farEvery/2 {
+		s.relayed[r.From.Hall] = now
 		d.Relayed, d.Address = true, from
 		s.send(&wire.Packet{Digest: d}, s.Overlay().In(s.Self.Hall)...)
 	}
