--- a/role/gossip/gossip.go
+++ b/role/gossip/gossip.go
@@ -27,6 +27,10 @@
 	// farEvery is the time between two sums of a hall: what begins in another hall is
 	// a small part.
 	farEvery = 300 * time.Millisecond
+	// usualUses is the number of endpoints up to which sums are told so often; with more it
+	// is seldomer in proportion, since every gateway reads them. The users' fleets of today
+	// have half as many.
+	usualUses = 256
 	// newsEvery is the least time between two digests when there is news: a death
 	// makes several within milliseconds, which go together.
 	newsEvery = 40 * time.Millisecond
@@ -40,8 +44,8 @@
 	// go first; linkBurst is how long it may be saved up.
 	linkShare = 0.08
 	linkBurst = time.Second
-	// maxDatagram is the largest digest that is read.
-	maxDatagram = 64 << 10
+	// maxDatagram is the largest that UDP carries.
+	maxDatagram = 65507
 )
 
 // Local is the gateway whose digests are sent.
@@ -87,8 +91,8 @@
 	number uint64
 	// begun is when Run began.
 	begun time.Time
-	// farAt is when the sums of the hall were last sent, spoken how often they were.
-	farAt  time.Time
+	// farDue is when the sums of the hall are due, spoken how often they were sent.
+	farDue time.Time
 	spoken int
 	// relayed is when sums of each other hall were last passed on: several gateways may
 	// speak for a hall while they do not hear each other. Only hear uses it.
@@ -148,21 +152,16 @@
 func (s *Gossip) round(now time.Time) time.Duration {
 	s.Local.Tick(now)
 	d := s.digest(now, nil, 0)
+	d.EveryMillis = uint32(s.interval(s.Overlay()).Milliseconds())
 	o := overlay.Overlay{Self: s.Self, Others: s.Peers.Members(s.Self.Name), FlatUpTo: s.FlatUpTo}
 	o.Self.Cut = d.GetCut()
 	s.current.Store(&o)
 	every := s.interval(o)
-	s.Peers.Expire(now, func(k peers.Key) time.Duration {
-		if k.Name == "" {
-			return missed * farEvery
-		}
-		return missed * every
-	})
+	s.Peers.Expire(now, missed, nearEvery)
 	s.send(&wire.Packet{Digest: d}, o.Audience()...)
 	settled := now.Sub(s.begun) >= settleRounds*every // else nobody has been heard yet
-	if settled && o.Delegate() && now.Sub(s.farAt) >= farEvery {
-		s.farAt = now
-		s.speak(o, now)
+	if settled && o.Delegate() && !now.Before(s.farDue) {
+		s.farDue = now.Add(s.speak(o, now))
 	}
 	return every
 }
@@ -173,17 +172,20 @@
 }
 
 // speak tells the other halls the sums of this one: whoever hears them there passes them
-// on.
-func (s *Gossip) speak(o overlay.Overlay, now time.Time) {
+// on. It returns when the next ones are due: the more they hold, the later.
+func (s *Gossip) speak(o overlay.Overlay, now time.Time) time.Duration {
 	shares, members, proven := s.Peers.Sum(s.Self.Hall)
 	d := s.digest(now, shares, members+1)
 	if age := now.Sub(proven); !proven.IsZero() && (!d.GetProven() || age < millis(d.GetProofAgeMillis())) {
 		d.Proven, d.ProofAgeMillis = true, uint32(max(age.Milliseconds(), 0))
 	}
+	every := farEvery * time.Duration(max(len(d.GetUses()), usualUses)) / usualUses
+	d.EveryMillis = uint32(every.Milliseconds())
 	s.spoken++
 	for _, hall := range o.Halls() {
 		s.send(&wire.Packet{Digest: d}, o.Relay(hall, s.spoken))
 	}
+	return every
 }
 
 // digest returns what this gateway uses, or with members what its hall does.
@@ -233,6 +235,10 @@
 		s.Log.Error().Err(err).Msg("datagram not encoded")
 		return
 	}
+	if len(text) > maxDatagram {
+		s.Log.Warn().Int("bytes", len(text)).Msg("a datagram is too large, and is not sent")
+		return
+	}
 	for _, m := range to {
 		if !s.budget.AllowN(time.Now(), len(text)) {
 			s.Sent(len(text), true)
@@ -282,6 +288,7 @@
 	r := peers.Report{
 		From:        overlay.Member{Name: d.GetGateway(), Address: from, Hall: d.GetHall(), Cut: d.GetCut()},
 		Incarnation: d.GetIncarnation(), Number: d.GetNumber(), Members: int(d.GetMembers()),
+		Every:  millis(d.GetEveryMillis()),
 		Shares: make(map[string]peers.Share, len(d.GetUses())),
 	}
 	if d.GetRelayed() {
--- a/state/peers/table.go
+++ b/state/peers/table.go
@@ -28,6 +28,8 @@
 	// Proven is when the configuration of the sender, or of one that it speaks for, was
 	// certainly current; zero while the store does not answer it.
 	Proven time.Time
+	// Every is the time between two such reports of the sender.
+	Every time.Duration
 	// Shares are the sender's by endpoint, each with the counter that they add to.
 	Shares map[string]Share
 }
@@ -141,12 +143,13 @@
 	}
 }
 
-// Expire forgets the gateways and halls that have been silent for a time.
-func (t *Table) Expire(now time.Time, silence func(k Key) time.Duration) {
+// Expire forgets the gateways and halls that have been silent for so many reports, of which
+// one is due at least so often.
+func (t *Table) Expire(now time.Time, missed int, least time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for key, e := range t.known {
-		if now.Sub(e.at) > silence(key) {
+		if now.Sub(e.at) > time.Duration(missed)*max(e.Every, least) {
 			e.count(false)
 			delete(t.known, key)
 		}
--- a/state/peers/table_test.go
+++ b/state/peers/table_test.go
@@ -49,7 +49,12 @@
 	restarted.Incarnation = 2
 	require.True(t, table.Hear(restarted, self, now))
 	require.EqualValues(t, 5, sum.Active)
-	table.Expire(now.Add(time.Second), func(peers.Key) time.Duration { return 900 * time.Millisecond })
+	slow := report("c", "north", 1, 0, 7)
+	slow.Every = time.Second
+	require.True(t, table.Hear(slow, self, now))
+	table.Expire(now.Add(time.Second), 6, 150*time.Millisecond)
+	require.EqualValues(t, 7, sum.Active, "its next report is not due")
+	table.Expire(now.Add(7*time.Second), 6, 150*time.Millisecond)
 	require.Zero(t, sum.Share)
 	require.True(t, table.Alone())
 }
