--- a/role/gateway/query.go
+++ b/role/gateway/query.go
@@ -35,9 +35,6 @@
 	// have run it.
 	sends int
 	ran   []*backend
-	// together is how many requests of all gateways are sent again for each of this one's,
-	// since the same endpoint was lost to them; 0 for a request that is alone.
-	together float64
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
 	// arrived is set once a send may have reached an endpoint: only what follows it
@@ -64,6 +61,24 @@
 	tried map[string]bool
 	// used names the endpoints, for the log.
 	used []string
+	// together is how many requests of all gateways are sent again for each of this one's,
+	// since the same endpoint was lost to them; 0 for a request that is alone.
+	together float64
+}
+
+// setTogether notes how many requests are sent again for each of this gateway's.
+func (q *query) setTogether(n float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.together = n
+}
+
+// companions returns how many requests of all gateways do what this one does, for each of
+// this gateway's: 1 at least.
+func (q *query) companions() float64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return max(q.together, 1)
 }
 
 // avoid marks an address as not to be tried again.
--- a/role/gateway/seat.go
+++ b/role/gateway/seat.go
@@ -132,7 +132,7 @@
 	defer choosers.Put(c)
 	need := q.tokens()
 	c.prepare(q.service.Model, f, g.Hall)
-	c.together = max(q.together, 1)
+	c.together = q.companions()
 	c.collect(q, f, need, useSound)
 	found, ok := g.find(c, q, need)
 	if !ok {
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -212,10 +212,11 @@
 
 // noteLoss notes whether the first endpoint of a try has been lost to all gateways.
 func (s *relay) noteLoss(first *backend) {
-	s.q.together = 0
+	together := 0.0
 	if first.use.dead(time.Now()) {
-		s.q.together = first.use.together()
+		together = first.use.together()
 	}
+	s.q.setTogether(together)
 }
 
 // whole passes on an answer that is no stream.
--- a/role/gateway/watchdog.go
+++ b/role/gateway/watchdog.go
@@ -298,7 +298,7 @@
 	for range maxMoves {
 		next, short := g.moveSeat(q, seat, lost)
 		if short == shortageNone && w.faster(seat, next, lost) {
-			next.release()
+			next.release() // the try ends
 			return true
 		}
 		if short != shortageNone {
