A question for an endpoint's pace is no check

TestGatewaysTellEachOtherOfStalls failed once: the first endpoint had been asked for its pace shortly before, which counted as a check for 0.8 s, so that it was not asked what it waits for.

--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -233,9 +233,8 @@
 	return now.UnixNano() < u.contradictedUntil.Load()
 }
 
-// answered notes that the endpoint has answered a check that was begun at a time.
+// answered notes that the endpoint has answered a question that was begun at a time.
 func (u *usage) answered(begun, now time.Time) {
-	u.checkedAt.Store(now.UnixNano())
 	if u.witnesses.Count(now) > 0 && begun.UnixNano() > u.toldSince.Load() {
 		u.contradictedUntil.Store(now.Add(contradicts).UnixNano())
 		u.toldUntil.Store(0)
--- a/role/gateway/survey.go
+++ b/role/gateway/survey.go
@@ -12,7 +12,8 @@
 const surveyEvery = 2 * time.Second
 
 // survey asks the endpoints of models that this gateway looks after before all others how
-// slow they are, until ctx ends. The digests tell the other gateways.
+// slow they are, until ctx ends. The other gateways hear of a pace with the checks that late
+// events bring about.
 func (g *Gateway) survey(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause.For(ctx, surveyEvery)
@@ -37,7 +38,8 @@
 }
 
 // ask asks an endpoint for its report and notes its pace. Requests will show whether one
-// that gives none is lost.
+// that gives none is lost. It does not count as a check: an endpoint that dies right after it
+// must be found by the first event that is late.
 func (g *Gateway) ask(ctx context.Context, b *backend) {
 	begun := time.Now()
 	report, err := g.probes.Ask(ctx, b.Address)
@@ -52,4 +54,5 @@
 		Int("total", report.Total).Int("active", report.Active).Int("queued", report.Queued).
 		Float64("pace", report.Pace).Int64("own_held", b.use.held.Load()).
 		Int64("others_held", b.use.othersHeld.Load()).Msg("endpoint reports")
+	g.noteStalls(report)
 }
--- a/role/gateway/suspect.go
+++ b/role/gateway/suspect.go
@@ -131,7 +131,9 @@
 		return
 	case !silent(err):
 		g.Meter.Check(checkPassed)
-		b.use.answered(begun, time.Now())
+		now := time.Now()
+		b.use.checkedAt.Store(now.UnixNano())
+		b.use.answered(begun, now)
 		if err == nil {
 			b.use.setPace(report.Pace, begun)
 			b.noteHeld(report.Layers, begun)
