--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -233,12 +233,14 @@
 	return now.UnixNano() < u.contradictedUntil.Load()
 }
 
-// answered notes that the endpoint has answered a question that was begun at a time.
-func (u *usage) answered(begun, now time.Time) {
-	if u.witnesses.Count(now) > 0 && begun.UnixNano() > u.toldSince.Load() {
-		u.contradictedUntil.Store(now.Add(contradicts).UnixNano())
-		u.toldUntil.Store(0)
+// answered notes that the endpoint has answered a question that was begun at a time, and
+// reports whether it had been taken for dead by the word of others.
+func (u *usage) answered(begun, now time.Time) bool {
+	if u.witnesses.Count(now) == 0 || begun.UnixNano() <= u.toldSince.Load() {
+		return false
 	}
+	u.contradictedUntil.Store(now.Add(contradicts).UnixNano())
+	return now.UnixNano() < u.toldUntil.Swap(0)
 }
 
 // down reports whether the endpoint does not answer this gateway.
--- a/role/gateway/survey.go
+++ b/role/gateway/survey.go
@@ -47,7 +47,7 @@
 		g.Log.Debug().Str("endpoint", b.ID).Err(err).Msg("endpoint gives no report")
 		return
 	}
-	b.use.answered(begun, time.Now())
+	g.noteAnswer(b, begun, time.Now())
 	b.use.setPace(report.Pace, begun)
 	b.noteHeld(report.Layers, begun)
 	g.Log.Debug().Str("endpoint", b.ID).Stringer("layers", report.Layers).Int("used", report.Used).
--- a/role/gateway/suspect.go
+++ b/role/gateway/suspect.go
@@ -133,7 +133,7 @@
 		g.Meter.Check(checkPassed)
 		now := time.Now()
 		b.use.checkedAt.Store(now.UnixNano())
-		b.use.answered(begun, now)
+		g.noteAnswer(b, begun, now)
 		if err == nil {
 			b.use.setPace(report.Pace, begun)
 			b.noteHeld(report.Layers, begun)
@@ -152,6 +152,14 @@
 	g.spreadLoss(b)
 }
 
+// noteAnswer notes that an endpoint has answered a question that was begun at a time.
+func (g *Gateway) noteAnswer(b *backend, begun, now time.Time) {
+	if b.use.answered(begun, now) {
+		g.Log.Info().Str("endpoint", b.ID).Str("address", b.Address).Int("witnesses", b.use.witnesses.Count(now)).
+			Msg("endpoint answers, against the word of others")
+	}
+}
+
 // silent reports whether an error of a check shows that the endpoint is not there:
 // one that refuses lives.
 func silent(err error) bool {
