Bound of the test that sees proofs without ages fail

About half do, and the count depends on the order in which the processes draw; the bound lay at the mean. Now ten times as many schedules are played, and a quarter of them must fail.

--- a/state/watchcache/proof_test.go
+++ b/state/watchcache/proof_test.go
@@ -238,14 +238,16 @@
 	require.Greater(t, confirms, 4*schedules)
 }
 
-// The check sees proofs that leave the ages out.
+// The check sees proofs that leave the ages out. About half of the schedules show it; how
+// many depends on the order in which the processes draw, so that the bound is far below.
 func TestProofsWithoutAgesAreSeenToFail(t *testing.T) {
 	t.Parallel()
+	const blind = 1000
 	wrong := 0
-	for seed := range uint64(100) {
+	for seed := range uint64(blind) {
 		if broken, _ := play(t, seed, true); broken != "" {
 			wrong++
 		}
 	}
-	require.Greater(t, wrong, 50)
+	require.Greater(t, wrong, blind/4)
 }
