--- a/role/gateway/survey.go
+++ b/role/gateway/survey.go
@@ -54,5 +54,4 @@
 		Int("total", report.Total).Int("active", report.Active).Int("queued", report.Queued).
 		Float64("pace", report.Pace).Int64("own_held", b.use.held.Load()).
 		Int64("others_held", b.use.othersHeld.Load()).Msg("endpoint reports")
-	g.noteStalls(report)
 }
