--- a/role/gateway/order_test.go
+++ b/role/gateway/order_test.go
@@ -74,10 +74,7 @@
 	w.gateway = w.start("gateway-1")
 	w.target = w.serve(w.gateway)
 	w.logged("this gateway gives orders")
-	for range 4 { // some rounds of orders
-		time.Sleep(250 * time.Millisecond)
-	}
-	s.Announce(cards[0])
+	s.Announce(cards[0]) // some rounds of orders pass until the gateway knows of it
 	w.knows(cards...)
 	require.Equal(t, http.StatusOK, w.do(w.plan("/plan/1", 3)).StatusCode)
 	require.NotContains(t, w.log.String(), "order given")
