--- a/role/gateway/stream_test.go
+++ b/role/gateway/stream_test.go
@@ -147,11 +147,20 @@
 // mid starts a long stream, reads its first event, and returns the chain's parts
 // after the first.
 func (w *world) mid(cards []*site.Endpoint, events int) (*http.Response, *http.Request, []*site.Endpoint) {
-	r := w.plan("/plan/1", events)
-	answer, err := http.DefaultClient.Do(r)
-	require.NoError(w.t, err)
+	var r *http.Request
+	var answer *http.Response
+	w.eventually(func() bool { // the log tells of records a moment before they are in force
+		var err error
+		r = w.plan("/plan/1", events)
+		answer, err = http.DefaultClient.Do(r)
+		require.NoError(w.t, err)
+		if answer.StatusCode != http.StatusOK {
+			require.NoError(w.t, answer.Body.Close())
+		}
+		return answer.StatusCode == http.StatusOK
+	})
 	first := make([]byte, len(site.Event(1)))
-	_, err = io.ReadFull(answer.Body, first)
+	_, err := io.ReadFull(answer.Body, first)
 	require.NoError(w.t, err)
 	var later []*site.Endpoint
 	for _, c := range cards {
