Tell callers that come back from new ones by what callers usually have

Cause: a caller with less time than its route was taken to have come back. On the shifted site callers give 0.85 to 1 of the route's time from the start, so 19 in 20 new requests waited for up to three objectives, before those that could still be in time. The lines of ended requests did not show it: they now tell the wait in line, who waited before, what the caller has left and whether it was taken to have come back, and what a refusal's Retry-After came from.

Ruled out: telling them by the prompt's last shared part, since a caller comes back to another gateway.

--- a/role/gateway/admission.go
+++ b/role/gateway/admission.go
@@ -6,6 +6,7 @@
 
 	"github.com/grademill/grademill/adapter/pause"
 	"github.com/grademill/grademill/decide/outcome"
+	"github.com/grademill/grademill/decide/patience"
 	"github.com/grademill/grademill/role/gate"
 )
 
@@ -27,8 +28,8 @@
 const (
 	// urgencyNew is a request that can come back when it is refused.
 	urgencyNew urgency = iota
-	// urgencyReturned is one with less time than its route gives: it has come back
-	// already, and will not again.
+	// urgencyReturned is one with less time than callers usually have when they come
+	// first: it has come back already, and will not again.
 	urgencyReturned
 	// urgencyBegun is one that has been sent: what was done for it would be lost.
 	urgencyBegun
@@ -36,23 +37,45 @@
 	urgencies
 )
 
-// urgencyOf returns the urgency of a request.
-func urgencyOf(q *query) urgency {
+// urgency returns the urgency of a request.
+func (q *query) urgency() urgency {
 	switch {
 	case q.arrived.Load():
 		return urgencyBegun
-	case q.Patience > 0 && q.Patience < q.route.Timeout:
+	case q.returned:
 		return urgencyReturned
 	}
 	return urgencyNew
 }
 
+// calmTime is how long a gateway must have refused nobody to learn from callers what they
+// have when they come first: most who are told to come back have done so by then.
+const calmTime = 8 * time.Second
+
+// noteCaller finds out whether a caller has come back, and learns what callers have when
+// they come first.
+func (g *Gateway) noteCaller(q *query) {
+	if q.Patience <= 0 || q.route.Timeout <= 0 {
+		return
+	}
+	share := min(float64(q.Patience)/float64(q.route.Timeout), 1)
+	q.returned = g.callers.Get(q.service.Name).Returned(share)
+	if q.start.UnixNano()-g.refusedAt.Load() < int64(calmTime) {
+		return
+	}
+	g.callers.Update(q.service.Name, func(l patience.Learned) patience.Learned { return l.WithShare(share) })
+}
+
 // admitUntil waits in line for a seat until a time. A request that would wait for longer
 // is turned away at once, and so is a new one when no chain holds all layers.
 func (g *Gateway) admitUntil(q *query, until time.Time) (*seat, shortage) {
 	ctx, cancel := context.WithDeadline(q.r.Context(), until)
 	defer cancel()
-	urgent := urgencyOf(q)
+	urgent := q.urgency()
+	if urgent != urgencyBegun {
+		q.ahead = g.line.Waiting()
+		defer func(since time.Time) { q.waited = time.Since(since) }(time.Now())
+	}
 	found := shortageRoom
 	taken, report := g.line.Enter(ctx, gate.Ticket[*seat]{
 		Lane: q.service.Name, Team: q.team, Cost: 1,
@@ -111,7 +134,7 @@
 		return s.lastAt.Add(pauseWait * allowedPause(q.route))
 	}
 	usual := s.g.firstEvents.Usual(q.service.Name)
-	if urgencyOf(q) == urgencyNew {
+	if q.urgency() == urgencyNew {
 		return q.start.Add(objective(q.route) - usual)
 	}
 	return now.Add(firstWait*objective(q.route) - usual)
@@ -119,8 +142,9 @@
 
 // comeBack returns when a caller that is refused for want of room is to come back.
 func (g *Gateway) comeBack(q *query, now time.Time) time.Duration {
-	admitted := g.line.Admitted(q.service.Name)
+	g.refusedAt.Store(now.UnixNano())
+	q.admitted = g.line.Admitted(q.service.Name)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.returns.Wait(now, admitted, part(returnShare, q.left(now)))
+	return g.returns.Wait(now, q.admitted, part(returnShare, q.left(now)))
 }
--- a/role/gateway/admission_test.go
+++ b/role/gateway/admission_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -95,3 +96,31 @@
 	}
 	require.Equal(t, 1, ran, "what is refused has not run")
 }
+
+// Callers that give less time than their route from the start have just come: taken for
+// some that had come back, they waited until their first events were late.
+func TestCallersWithLessTimeThanTheRouteAreNew(t *testing.T) {
+	t.Parallel()
+	w, _ := newNarrowModel(t)
+	ask := func(deadline string) string {
+		r := w.plan("/plan/1", 3)
+		r.Header.Set("X-Deadline-Ms", deadline)
+		require.Equal(t, whole(3), w.do(r).body)
+		return r.Header.Get("X-Request-Id")
+	}
+	returned := func(id string) bool {
+		w.logged(`"request":"` + id + `"`)
+		for _, line := range strings.Split(w.log.String(), "\n") {
+			if strings.Contains(line, `"request":"`+id+`"`) && strings.Contains(line, `"request ended"`) {
+				return strings.Contains(line, `"returned":true`)
+			}
+		}
+		require.Fail(t, "the request has not ended")
+		return false
+	}
+	for range 3 {
+		ask("17000")
+	}
+	require.False(t, returned(ask("17000")))
+	require.True(t, returned(ask("12000")))
+}
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/grademill/grademill/decide/comeback"
 	"github.com/grademill/grademill/decide/endpoint"
 	"github.com/grademill/grademill/decide/overlay"
+	"github.com/grademill/grademill/decide/patience"
 	"github.com/grademill/grademill/decide/retry"
 	"github.com/grademill/grademill/port/exchange"
 	"github.com/grademill/grademill/port/kv"
@@ -26,6 +27,7 @@
 	"github.com/grademill/grademill/role/announcer"
 	"github.com/grademill/grademill/role/gate"
 	"github.com/grademill/grademill/role/gossip"
+	"github.com/grademill/grademill/state/byname"
 	"github.com/grademill/grademill/state/firsts"
 	"github.com/grademill/grademill/state/lines"
 	"github.com/grademill/grademill/state/peers"
@@ -125,6 +127,10 @@
 	lineWake chan struct{}
 	// firstEvents learns how long first events take.
 	firstEvents firsts.Firsts
+	// callers learns what callers have when they come first, and refusedAt is when one was
+	// last refused for want of room, in nanoseconds of Unix time.
+	callers   byname.Map[patience.Learned]
+	refusedAt atomic.Int64
 
 	mu sync.Mutex
 	// retries are by service; guarded by mu.
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -95,6 +95,7 @@
 		return false
 	}
 	g.countFirst(q.service.Name)
+	g.noteCaller(q)
 	return true
 }
 
@@ -177,6 +178,7 @@
 // come back.
 func (g *Gateway) refuse(q *query, comeBack time.Duration, reason string) {
 	q.set(http.StatusServiceUnavailable, outcomeNotRun, reason)
+	q.comeBack = comeBack
 	q.w.Header().Set("Retry-After", strconv.FormatFloat(comeBack.Seconds(), 'f', 2, 64))
 	g.answer(q, http.StatusServiceUnavailable, reason)
 }
@@ -232,6 +234,15 @@
 		Int("status", q.status).Str("reason", q.reason).Strs("used", q.used).Int("sends", q.sends).Int("runs", len(q.ran)).
 		Dur("first_ms", first).Dur("total_ms", now.Sub(q.start)).
 		Uint64("version", q.version).Dur("proof_age_ms", q.proofAge)
+	if q.route != nil && q.Patience > 0 { // earlier tries of its caller took what it has less than the route gives
+		line = line.Dur("tried_before_ms", max(q.route.Timeout-q.Patience, 0))
+	}
+	if q.service != nil && q.service.Model != nil {
+		line = line.Dur("waited_ms", q.waited).Int("ahead", q.ahead).Bool("returned", q.returned)
+	}
+	if q.comeBack > 0 {
+		line = line.Dur("come_back_ms", q.comeBack).Float64("admitted_per_s", q.admitted)
+	}
 	if q.events > 0 {
 		line = line.Int("events", q.events).Dur("pause_ms", q.pause).Int("carried", q.carried)
 	}
--- a/role/gateway/query.go
+++ b/role/gateway/query.go
@@ -41,8 +41,19 @@
 	// counts as a retry.
 	arrived atomic.Bool
 
+	// returned is set when its caller has less time than callers usually have when they
+	// come first.
+	returned bool
 	// seen is what it saw when it last found no chain.
 	seen sight
+	// waited is how long it waited in line for its first seat, ahead the number of
+	// requests that waited there when it came.
+	waited time.Duration
+	ahead  int
+	// comeBack is when its caller was told to come back, 0 when it was not, and admitted
+	// the requests a second that it was worked out from.
+	comeBack time.Duration
+	admitted float64
 	// cause is that of the next send, out of a closed set.
 	cause string
 	// status, outcome and reason are what became of it, for the log.
--- a/state/firsts/firsts.go
+++ b/state/firsts/firsts.go
@@ -2,10 +2,10 @@
 package firsts
 
 import (
-	"sync"
 	"time"
 
 	"github.com/grademill/grademill/decide/timeout"
+	"github.com/grademill/grademill/state/byname"
 )
 
 // firstMargin is by how much longer than on average a first event is taken to come: four
@@ -13,25 +13,17 @@
 const firstMargin = 2
 
 // Firsts learns how long the first events of each service take. The zero Firsts is ready
-// to use.
+// to use. It is safe for concurrent use.
 type Firsts struct {
-	mu        sync.Mutex
-	byService map[string]timeout.Estimator
+	byService byname.Map[timeout.Estimator]
 }
 
 // Note notes that a first event came so long after its request was sent.
 func (f *Firsts) Note(service string, took time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.byService == nil {
-		f.byService = make(map[string]timeout.Estimator)
-	}
-	f.byService[service] = f.byService[service].WithSample(took)
+	f.byService.Update(service, func(e timeout.Estimator) timeout.Estimator { return e.WithSample(took) })
 }
 
 // Usual returns how long a first event is taken to take, 0 until there has been one.
 func (f *Firsts) Usual(service string) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return firstMargin * f.byService[service].Mean()
+	return firstMargin * f.byService.Get(service).Mean()
 }
