Let full first endpoints serve their other layers, and hold the first layers twice

Cause: an endpoint with the first layers whose slots were taken was left out of chains altogether, and what only passed through it counted against its slots. So a second first endpoint with fewer layers was of no use, and a hall let in the slots of one card: three of 59 on the shifted site, 83 requests a second in time where 272 came and engines and memory were far from full. Now such an endpoint is first in no more chains and serves the layers behind its first; slots are counted by requests that enter there, which digests tell; and the planner counts slots as a layer before the first, so that the first further copy holds it.

--- a/decide/spread/floor.go
+++ b/decide/spread/floor.go
@@ -12,6 +12,10 @@
 // more than the supply of cards differs.
 const holderWeight = 8
 
+// slotsWeight is how much more than a layer the slots of first endpoints count at most:
+// little beside holderWeight, so that no layer has fewer holders than the first for them.
+const slotsWeight = 2
+
 // floor is what holds each layer of a place.
 type floor struct {
 	planner Planner
@@ -20,12 +24,16 @@
 	// copies are the numbers of holders.
 	copies []int
 	// supply is what the holders offer: the tokens that fit beside their layers, no
-	// more than if they held their fill, nor than the slots of a first endpoint let in.
+	// more than if they held their fill.
 	supply []float64
 	// fastest is the pace of the fastest holder, 0 for none.
 	fastest []float64
 	// alone is the length of the range of the only holder; 0 where there are others.
 	alone []int
+	// heads is the number of cards that hold the first layer, and entry what their slots
+	// let in, in tokens.
+	heads int
+	entry float64
 }
 
 // newFloor returns the floor of cards.
@@ -40,8 +48,13 @@
 	n := f.model.Layers
 	f.copies, f.alone = make([]int, n), make([]int, n)
 	f.supply, f.fastest = make([]float64, n), make([]float64, n)
+	f.heads, f.entry = 0, 0
 	for _, c := range f.cards {
 		offer, pace := f.offer(c), f.model.Cards[c.Kind].Pace
+		if !c.Holds.Empty() && c.Holds.First == 0 {
+			f.heads++
+			f.entry += f.slots()
+		}
 		for l := max(c.Holds.First, 0); l < min(c.Holds.End, n); l++ {
 			f.copies[l]++
 			f.supply[l] += offer
@@ -58,11 +71,12 @@
 
 // offer returns the tokens for which a card has room.
 func (f *floor) offer(c Card) float64 {
-	room := float64(max(f.model.Room(f.model.Cards[c.Kind], max(c.Holds.Len(), f.planner.size(f.model, c))), 0))
-	if c.Holds.First == 0 && f.model.Slots > 0 {
-		room = min(room, float64(f.model.Slots*(f.model.Prompt+f.model.Answer)))
-	}
-	return room
+	return float64(max(f.model.Room(f.model.Cards[c.Kind], max(c.Holds.Len(), f.planner.size(f.model, c))), 0))
+}
+
+// slots returns the tokens that the slots of a first endpoint let in.
+func (f *floor) slots() float64 {
+	return float64(f.model.Slots * (f.model.Prompt + f.model.Answer))
 }
 
 // move gives a card other layers.
@@ -104,7 +118,9 @@
 
 // worth returns what another holder of a range is worth: the share of the cards whose
 // loss would not leave a hole any more, weighed by how scarce what they offer is, and the
-// share of a token's time that a faster card saves.
+// share of a token's time that a faster card saves. The slots of first endpoints count as
+// a layer before the first. Without them three halls of 59 cards had three first endpoints
+// and served 83 requests a second in time where 272 came; with them 272.
 func (f *floor) worth(c Card, r layer.Range) float64 {
 	pace := f.model.Cards[c.Kind].Pace
 	supply, time := 0.0, 0.0
@@ -123,6 +139,9 @@
 		spared += scarce
 		saved += max(f.fastest[l]-pace, 0)
 	}
+	if r.First == 0 && f.model.Slots > 0 {
+		spared += math.Pow(holderWeight, 1-float64(f.heads)) * min(supply/(f.entry+1), slotsWeight)
+	}
 	return spared/float64(len(f.cards)) + saved/time
 }
 
--- a/decide/spread/spread_test.go
+++ b/decide/spread/spread_test.go
@@ -77,6 +77,19 @@
 	require.Empty(t, spread.Planner{}.Plan(model, cards), "what serves is left alone")
 }
 
+// Slots are taken where a chain begins, so the first layers get a second holder as soon as
+// the place holds all layers: with one, a hall of two dozen cards let in the 192 requests
+// of one card's slots.
+func TestFirstLayersGetASecondHolder(t *testing.T) {
+	bound := *model
+	bound.Slots, bound.Prompt, bound.Answer = 192, 760, 138
+	cards := hall("h", 1, 3, 8)
+	carry(cards, spread.Planner{}.Plan(&bound, cards))
+	require.NotContains(t, copies(cards, "h"), 0)
+	require.Equal(t, 2, copies(cards, "h")[0])
+	require.Empty(t, spread.Planner{}.Plan(&bound, cards), "the plan is at rest")
+}
+
 // The plan depends on what cards hold alone, not on the order in which they are
 // listed.
 func TestPlanDoesNotDependOnOrder(t *testing.T) {
@@ -211,3 +224,13 @@
 		}
 	}
 }
+
+// However few the slots, no layer has fewer holders for them than cards allow.
+func TestFewSlotsDoNotStarveOtherLayers(t *testing.T) {
+	bound := *model
+	bound.Slots, bound.Prompt, bound.Answer = 1, 760, 138
+	cards := hall("h", 6, 0, 0) // three layers of a copy less than three copies
+	carry(cards, spread.Planner{Fill: 0.7}.Plan(&bound, cards))
+	require.GreaterOrEqual(t, slices.Min(copies(cards, "h")), 2)
+	require.LessOrEqual(t, copies(cards, "h")[0], 3)
+}
--- a/role/gateway/chooser.go
+++ b/role/gateway/chooser.go
@@ -135,7 +135,10 @@
 		}
 		room := float64(q.service.Model.Room(q.service.Model.Cards[b.Card], layers) * layers)
 		free := room - float64(b.use.held.Load()+b.use.othersHeld.Load()) - float64(need*layers)
-		if use != useFull && (free < 0 || b.noSlot()) {
+		if use != useFull && usable.First == 0 && b.noSlot() {
+			usable.First = 1 // the layers behind it need no slot
+		}
+		if use != useFull && (free < 0 || usable.Empty()) {
 			c.crowded++
 			continue
 		}
@@ -160,10 +163,10 @@
 	return layers
 }
 
-// noSlot reports whether a backend takes no more requests. Only what comes to it
-// as the first of a chain takes one of its slots.
+// noSlot reports whether a backend is first in no more chains. Only a request whose chain
+// begins there takes one of its slots.
 func (b *backend) noSlot() bool {
-	return b.Layers.First == 0 && int(b.use.active.Load()+b.use.othersActive.Load()) >= b.Slots
+	return int(b.use.entered.Load()+b.use.othersEntered.Load()) >= b.Slots
 }
 
 // perLayer returns what a layer of a backend costs a request, in seconds a token,
--- a/role/gateway/digest.go
+++ b/role/gateway/digest.go
@@ -59,13 +59,15 @@
 // told returns what is told of an endpoint at now, with what others have there, and a check
 // that it passed at a time, in nanoseconds of Unix time.
 func (u *usage) told(now time.Time, others peers.Share, checked int64) *gossip.Use {
-	s := peers.Share{Active: u.active.Load(), Held: u.held.Load(), Reading: u.reading.Load()}
+	s := peers.Share{
+		Active: u.active.Load(), Entered: u.entered.Load(), Held: u.held.Load(), Reading: u.reading.Load(),
+	}
 	if u.down() && now.UnixNano()-u.silentAt.Load() < int64(wordFresh) {
 		s.Down = 1
 	}
 	s = s.Plus(others)
 	use := &gossip.Use{
-		Active: uint32(max(s.Active, 0)), Held: uint64(max(s.Held, 0)),
+		Active: uint32(max(s.Active, 0)), Entered: uint32(max(s.Entered, 0)), Held: uint64(max(s.Held, 0)),
 		Reading: uint32(max(s.Reading, 0)), Down: uint32(max(s.Down, 0)),
 		AvoidedMillis: uint32(max((u.stalledUntil.Load()-now.UnixNano())/int64(time.Millisecond), 0)),
 	}
--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -64,6 +64,9 @@
 	// active is the number of requests of this gateway that it runs, held the
 	// memory that they need, in tokens times layers.
 	active, held atomic.Int64
+	// entered is the number of those whose chain begins there, which take its slots,
+	// othersEntered that of the other gateways.
+	entered, othersEntered atomic.Int64
 	// reading is the number of requests of this gateway whose prompt it reads,
 	// othersReading that of the other gateways.
 	reading, othersReading atomic.Int64
@@ -122,6 +125,7 @@
 // Count adds what another gateway has at the endpoint.
 func (u *usage) Count(s peers.Share) {
 	u.othersActive.Add(s.Active)
+	u.othersEntered.Add(s.Entered)
 	u.othersHeld.Add(s.Held)
 	u.othersReading.Add(s.Reading)
 	u.othersDown.Add(s.Down)
--- a/role/gateway/seat.go
+++ b/role/gateway/seat.go
@@ -55,6 +55,7 @@
 	}
 	s.released = true
 	s.read()
+	s.first.use.entered.Add(-1)
 	for i, b := range s.parts {
 		b.use.release(s.memory[i])
 	}
@@ -227,5 +228,6 @@
 		s.parts, s.memory = append(s.parts, b), append(s.memory, memory)
 	}
 	s.first = s.parts[0]
+	s.first.use.entered.Add(1)
 	return s
 }
--- a/role/gateway/stream_test.go
+++ b/role/gateway/stream_test.go
@@ -224,6 +224,31 @@
 	require.Equal(t, whole(200), w.rest(two))
 }
 
+// A first endpoint whose slots are taken is first in no more chains, but serves the layers
+// behind its first for chains that begin elsewhere: without that, a burst that took the
+// slots of the only holder of some layers had a whole hall turn requests away.
+func TestFullFirstEndpointServesItsOtherLayers(t *testing.T) {
+	t.Parallel()
+	cards := []*site.Endpoint{card("card-0", "north"), card("card-1", "north"), card("card-2", "north")}
+	for _, c := range cards {
+		c.Slots = 1
+	}
+	second := cards[2]
+	second.Card = "small"
+	w := newWorld(t, cards...)
+	w.eventually(func() bool { _, to := second.Layers(); return to > 0 && covered(cards, 1) })
+	w.knows(cards...)
+	from, to := second.Layers()
+	require.Zero(t, from, "the further copy holds the first layer")
+	require.Less(t, to, 5, "and fewer layers than the fast one")
+	one, _, _ := w.mid(cards, 200)
+	two, _, later := w.mid(cards, 200)
+	require.Positive(t, second.Running())
+	require.Len(t, later, 2, "the full first endpoint serves the layers that the second one lacks")
+	require.Equal(t, whole(200), w.rest(one))
+	require.Equal(t, whole(200), w.rest(two))
+}
+
 // An endpoint that has left the fleet may still serve a part of a chain: a move
 // must not look for it there. The gateway crashed on it.
 func TestStreamMovesWithAPartThatHasLeftTheFleet(t *testing.T) {
--- a/role/gateway/world_test.go
+++ b/role/gateway/world_test.go
@@ -185,7 +185,10 @@
 				"slots": 64, "kv_token_bytes": 80000, "step_ms": 1, "per_seq_ms": 0.01, "read_per_s": 100000,
 				"layers": layers, "layer_mb": 1000, "act_bytes": 1000, "pipe_mbps": 10000,
 				"models": []any{map[string]any{"load_s": 1}}, "usual": map[string]any{"prompt": 100, "answer": 20},
-				"kinds": []any{map[string]any{"name": "big", "mb": 8000, "pace": 1, "read_x": 1}},
+				"kinds": []any{
+					map[string]any{"name": "big", "mb": 8000, "pace": 1, "read_x": 1},
+					map[string]any{"name": "small", "mb": 4000, "pace": 2, "read_x": 2},
+				},
 			}},
 		},
 		"limits": map[string]any{
--- a/state/peers/share.go
+++ b/state/peers/share.go
@@ -2,9 +2,10 @@
 
 // Share is what one or several gateways have at an endpoint.
 type Share struct {
-	// Active is the number of requests, Held their memory in tokens times layers, and
-	// Reading the number of those whose prompt is being read.
-	Active, Held, Reading int64
+	// Active is the number of requests, Entered that of those whose chain begins there,
+	// Held their memory in tokens times layers, and Reading the number of those whose
+	// prompt is being read.
+	Active, Entered, Held, Reading int64
 	// Down is the number of gateways that lately got no answer of the endpoint.
 	Down int64
 }
@@ -12,13 +13,14 @@
 // Plus returns the sum of two shares.
 func (s Share) Plus(t Share) Share {
 	return Share{
-		Active: s.Active + t.Active, Held: s.Held + t.Held, Reading: s.Reading + t.Reading, Down: s.Down + t.Down,
+		Active: s.Active + t.Active, Entered: s.Entered + t.Entered, Held: s.Held + t.Held,
+		Reading: s.Reading + t.Reading, Down: s.Down + t.Down,
 	}
 }
 
 // Negated returns what takes the share away again.
 func (s Share) Negated() Share {
-	return Share{Active: -s.Active, Held: -s.Held, Reading: -s.Reading, Down: -s.Down}
+	return Share{Active: -s.Active, Entered: -s.Entered, Held: -s.Held, Reading: -s.Reading, Down: -s.Down}
 }
 
 // Counter sums the shares of the other gateways at one endpoint.
