Take the silence of other gateways for no outage of the store

Cause: a removal is kept back for 2.2 s after an outage of the store, since records lapse while nobody can renew them. Now the feed says when the store was not asked, and that counts for no outage.

Ruled out: a lost change (all gateways of the hall knew of it at 3.0 s and kept it back); a late answer of the store.

--- a/port/kv/store.go
+++ b/port/kv/store.go
@@ -94,3 +94,19 @@
 func (e *UnavailableError) Unwrap() error {
 	return e.Err
 }
+
+// UnaskedError is a question that was not put to the store, since it is left to other
+// processes and these had no answer. It says nothing of the store.
+type UnaskedError struct {
+	Err error
+}
+
+// Error returns the cause.
+func (e *UnaskedError) Error() string {
+	return "the store was not asked: " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *UnaskedError) Unwrap() error {
+	return e.Err
+}
--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -56,8 +56,8 @@
 	// lag and paced are those of the last page.
 	lag   time.Duration
 	paced bool
-	// failures counts the failures in a row.
-	failures int
+	// failures counts the failures in a row, unanswered those of the store itself.
+	failures, unanswered int
 	// lastAnswer is when the store last answered, restored when it did so again
 	// after an outage.
 	lastAnswer, restored time.Time
@@ -195,6 +195,10 @@
 // failed notes a failure and waits before the next call.
 func (m *Mirror) failed(ctx context.Context, err error) {
 	m.failures++
+	var unasked *kv.UnaskedError
+	if !errors.As(err, &unasked) {
+		m.unanswered++
+	}
 	if m.failures == 1 && ctx.Err() == nil {
 		m.Lost(err)
 	}
@@ -203,7 +207,9 @@
 
 // What counts as an outage of the store: several failures in a row, or a silence in
 // which records may have lapsed, which do so after some three seconds without their
-// owner. A single lost answer is none.
+// owner. A single lost answer is none, and neither is the silence of other gateways that
+// are asked in its place: taken for one, it kept an endpoint that had left while the store
+// was well in use for 3.3 s.
 const (
 	outageFailures = 2
 	outageSilence  = 2 * time.Second
@@ -213,10 +219,10 @@
 func (m *Mirror) answered() {
 	now := time.Now()
 	silence := now.Sub(m.lastAnswer)
-	if m.failures >= outageFailures || m.failures > 0 && silence > outageSilence {
+	if m.unanswered >= outageFailures || m.unanswered > 0 && silence > outageSilence {
 		m.restored = now
 		m.Log.Info().Int("failures", m.failures).Dur("silence_ms", silence).Msg("the store answers again")
 	}
-	m.failures = 0
+	m.failures, m.unanswered = 0, 0
 	m.lastAnswer = now
 }
--- a/state/mirror/mirror_test.go
+++ b/state/mirror/mirror_test.go
@@ -25,6 +25,8 @@
 	rev     uint64
 	floor   uint64
 	down    bool
+	// unasked is set while others that are asked in place of the store have no answer.
+	unasked bool
 	// silent is set while calls hang until they time out.
 	silent bool
 }
@@ -101,6 +103,12 @@
 	}
 }
 
+func (f *feed) setUnasked(unasked bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unasked = unasked
+}
+
 func (f *feed) setSilent(silent bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -119,6 +127,9 @@
 	if f.down {
 		return kv.Page{}, errDown
 	}
+	if f.unasked {
+		return kv.Page{}, &kv.UnaskedError{Err: errDown}
+	}
 	if revision < f.floor {
 		return kv.Page{}, &kv.CompactedError{Revision: revision}
 	}
@@ -215,6 +226,24 @@
 	})
 }
 
+// The silence of others that are asked in place of the store is no outage: what has gone
+// meanwhile has gone.
+func TestRemovalIsTakenAtOnceAfterOthersWereSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := new(feed)
+		f.set("leaves", "1")
+		held := copyOf(t, f)
+		pass(time.Second)
+		f.setUnasked(true)
+		pass(time.Second)
+		f.remove("leaves")
+		pass(2 * time.Second)
+		f.setUnasked(false)
+		pass(time.Second)
+		require.Empty(t, held)
+	})
+}
+
 // After an outage in which calls hang, whenever it ends, the copy is current again
 // within two seconds: a hung call waits for no changes, and the next one comes soon.
 func TestCopyIsCurrentSoonAfterSilence(t *testing.T) {
--- a/state/watchcache/feed.go
+++ b/state/watchcache/feed.go
@@ -174,7 +174,7 @@
 		return kv.Page{}, trace.Wrap(&kv.CompactedError{Revision: revision})
 	}
 	if now := time.Now(); now.Before(f.next) {
-		return kv.Page{}, trace.Wrap(&kv.UnavailableError{Err: last})
+		return kv.Page{}, trace.Wrap(&kv.UnaskedError{Err: last})
 	}
 	f.next = time.Now().Add(storeRest + time.Duration(rand.Float64()*float64(storeRest)))
 	f.use("", last)
--- a/state/watchcache/feed_test.go
+++ b/state/watchcache/feed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -89,8 +90,11 @@
 		s := &scripted{err: errLost}
 		feed := newFeed(s, asks{new(watchcache.Cache)}, "seat")
 		for begun := time.Now(); time.Since(begun) < 20*time.Second; {
+			before := s.asked
 			_, err := feed.Changes(t.Context(), "", 5, time.Second)
 			require.Error(t, err)
+			var unasked *kv.UnaskedError
+			require.Equal(t, s.asked == before, errors.As(err, &unasked), "the error says whether the store was asked")
 			time.Sleep(300 * time.Millisecond)
 		}
 		require.GreaterOrEqual(t, s.asked, 4)
