Admit new requests first once too many come back, and move the line out of the gateway

New requests were also refused for the sake of less urgent ones that waited behind them, and refused callers were told to come back half a second later, while room that is taken stays taken for as long as a stream lasts.

Now a request waits behind those that are as urgent or more; once more than half of what gets room comes back, new requests go first; and nobody is told to come back sooner than streams last, which the gateway learns.

--- a/decide/comeback/book_test.go
+++ b/decide/comeback/book_test.go
@@ -16,7 +16,7 @@
 	now := time.Unix(1000, 0)
 	perSecond := make(map[int]int)
 	for range 165 {
-		wait := b.Wait(now, 40, 6*time.Second)
+		wait := b.Wait(now, comeback.Load{Admitted: 40}, 6*time.Second)
 		require.GreaterOrEqual(t, wait, 500*time.Millisecond)
 		require.LessOrEqual(t, wait, 6*time.Second)
 		perSecond[int(wait/time.Second)]++
@@ -29,15 +29,31 @@
 func TestTheFirstCallerComesBackSoon(t *testing.T) {
 	var b comeback.Book
 	now := time.Unix(1000, 0)
-	require.Equal(t, 500*time.Millisecond, b.Wait(now, 40, 6*time.Second))
+	require.Equal(t, 500*time.Millisecond, b.Wait(now, comeback.Load{Admitted: 40}, 6*time.Second))
 	later := now.Add(time.Minute)
-	require.Equal(t, 500*time.Millisecond, b.Wait(later, 40, 6*time.Second), "former times are over")
+	require.Equal(t, 500*time.Millisecond, b.Wait(later, comeback.Load{Admitted: 40}, 6*time.Second), "former times are over")
 }
 
 // A caller whose time is short is not told to stay away for longer than it would.
 func TestShortPatience(t *testing.T) {
 	var b comeback.Book
 	for range 20 {
-		require.LessOrEqual(t, b.Wait(time.Unix(1000, 0), 0, 150*time.Millisecond), 150*time.Millisecond)
+		require.LessOrEqual(t, b.Wait(time.Unix(1000, 0), comeback.Load{Lasts: 3 * time.Second}, 150*time.Millisecond), 150*time.Millisecond)
 	}
 }
+
+// Room that is taken is taken for as long as requests last: no caller is told to come back
+// sooner, and those that are refused together still come one after the other.
+func TestCallersStayAwayForAsLongAsRequestsLast(t *testing.T) {
+	var b comeback.Book
+	now := time.Unix(1000, 0)
+	load := comeback.Load{Admitted: 40, Lasts: 3 * time.Second}
+	before := time.Duration(0)
+	for range 30 {
+		wait := b.Wait(now, load, 6*time.Second)
+		require.GreaterOrEqual(t, wait, 3*time.Second)
+		require.Greater(t, wait, before)
+		before = wait
+	}
+	require.Equal(t, 3*time.Second, b.Wait(now.Add(time.Minute), load, 6*time.Second))
+}
--- /dev/null
+++ b/decide/urgency/urgency_test.go
@@ -0,0 +1,28 @@
+package urgency_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/decide/urgency"
+)
+
+func TestOf(t *testing.T) {
+	few, many := urgency.Load{Admitted: 40, Returning: 8}, urgency.Load{Admitted: 40, Returning: 24}
+	for _, c := range []struct {
+		name            string
+		load            urgency.Load
+		begun, returned bool
+		want            urgency.Urgency
+	}{
+		{"a new request", few, false, false, urgency.New},
+		{"a new request while many come back", many, false, false, urgency.New},
+		{"one that came back, as few do", few, false, true, urgency.Returned},
+		{"one that came back, as too many do", many, false, true, urgency.Late},
+		{"one that came back before anything is known", urgency.Load{}, false, true, urgency.Returned},
+		{"one that has been sent", many, true, true, urgency.Begun},
+	} {
+		require.Equal(t, c.want, c.load.Of(c.begun, c.returned), c.name)
+	}
+}
--- a/role/gate/gate.go
+++ b/role/gate/gate.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -52,9 +53,9 @@
 
 type lane[G any] struct {
 	queue fair.Queue[*waiter[G]]
-	// queued is the cost of what waits, and admitted the rate of what does not
-	// any more.
-	queued   float64
+	// queued is the cost of what waits, by priority, and admitted the rate of what does
+	// not any more.
+	queued   map[int]float64
 	admitted rate.Meter
 }
 
@@ -82,13 +83,13 @@
 	item := &fair.Item[*waiter[G]]{Team: t.Team, Weight: t.Weight, Cost: t.Cost, Priority: t.Priority, Value: w}
 	g.mu.Lock()
 	l := g.lane(t.Lane)
-	if report := l.tooLate(ctx); report != nil {
+	if report := l.tooLate(ctx, t.Priority); report != nil {
 		g.mu.Unlock()
 		return zero, report
 	}
 	displaced, ok := l.queue.Push(item)
 	if ok || displaced != item {
-		l.queued += t.Cost
+		l.count(item, 1)
 	}
 	if displaced != nil {
 		l.refuse(displaced, displaced != item)
@@ -136,7 +137,7 @@
 		if g.lanes == nil {
 			g.lanes = make(map[string]*lane[G])
 		}
-		l = &lane[G]{queue: fair.Queue[*waiter[G]]{Max: g.MaxQueue}}
+		l = &lane[G]{queue: fair.Queue[*waiter[G]]{Max: g.MaxQueue}, queued: make(map[int]float64)}
 		g.lanes[name] = l
 	}
 	return l
@@ -148,7 +149,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if l.queue.Remove(item) {
-		l.queued -= item.Cost
+		l.count(item, -1)
 		var zero G
 		return zero, outcome.Refuse(outcome.DeadlineOver, "gone or out of time while waiting for room", l.retryAfter())
 	}
@@ -164,7 +165,7 @@
 			return
 		}
 		l.queue.Pop()
-		l.queued -= item.Cost
+		l.count(item, -1)
 		if answer == Never {
 			report := outcome.Refuse(outcome.NoChain, "no endpoints hold all that is needed", minRetryAfter)
 			item.Value.result <- result[G]{report: report}
@@ -175,27 +176,41 @@
 	}
 }
 
-// wait returns how long a new request would wait; false while that is not
-// known.
-func (l *lane[G]) wait() (time.Duration, bool) {
+// count adds what waits of an item so many times.
+func (l *lane[G]) count(item *fair.Item[*waiter[G]], times float64) {
+	l.queued[item.Priority] += times * item.Cost
+	if l.queued[item.Priority] <= 0 {
+		delete(l.queued, item.Priority) // also what is left of sums of fractions
+	}
+}
+
+// wait returns how long a new request of a priority would wait, behind those that are
+// as urgent or more; false while that is not known.
+func (l *lane[G]) wait(priority int) (time.Duration, bool) {
 	perSecond := l.admitted.PerSecond(time.Now())
 	if perSecond <= 0 {
 		return 0, false
 	}
-	return time.Duration(l.queued / perSecond * float64(time.Second)), true
+	ahead := 0.0
+	for p, cost := range l.queued {
+		if p >= priority {
+			ahead += cost
+		}
+	}
+	return time.Duration(ahead / perSecond * float64(time.Second)), true
 }
 
-// retryAfter returns when a refused caller may come back.
+// retryAfter returns when a refused caller may come back: once all that waits is in.
 func (l *lane[G]) retryAfter() time.Duration {
-	wait, _ := l.wait()
+	wait, _ := l.wait(math.MinInt)
 	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
 
-// tooLate returns a refusal when the wait would outlast ctx.
-func (l *lane[G]) tooLate(ctx context.Context) *outcome.Report {
+// tooLate returns a refusal when the wait of a request of a priority would outlast ctx.
+func (l *lane[G]) tooLate(ctx context.Context, priority int) *outcome.Report {
 	deadline, bounded := ctx.Deadline()
-	wait, known := l.wait()
-	if !bounded || !known || l.queue.Len() == 0 || wait <= time.Until(deadline) {
+	wait, known := l.wait(priority)
+	if !bounded || !known || wait <= 0 || wait <= time.Until(deadline) {
 		return nil
 	}
 	return outcome.Refuse(outcome.Overloaded, "the wait would outlast the deadline", l.retryAfter())
@@ -204,7 +219,7 @@
 // refuse tells a displaced request; counted is whether its cost was queued.
 func (l *lane[G]) refuse(item *fair.Item[*waiter[G]], counted bool) {
 	if counted {
-		l.queued -= item.Cost
+		l.count(item, -1)
 	}
 	item.Value.result <- result[G]{report: outcome.Refuse(outcome.Overloaded, "the queue is full", l.retryAfter())}
 }
--- a/role/gate/gate_test.go
+++ b/role/gate/gate_test.go
@@ -164,3 +164,37 @@
 		group.Wait()
 	})
 }
+
+// Who is more urgent than all that wait would go first, and is not refused for their sake:
+// beyond capacity a line of late requests had new ones turned away that would have been
+// answered in time.
+func TestLessUrgentRequestsDoNotCountAsAhead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &gate.Gate[int]{MaxQueue: 1000}
+		r := &room{free: 20}
+		for range 20 {
+			_, report := g.Enter(context.Background(), r.ticket("a"))
+			require.Nil(t, report)
+		}
+		var group sync.WaitGroup
+		for range 50 {
+			group.Go(func() { g.Enter(context.Background(), r.ticket("a")) })
+		}
+		time.Sleep(2 * time.Second)
+		hasty, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		urgent := r.ticket("a")
+		urgent.Priority = 1
+		group.Go(func() {
+			_, report := g.Enter(hasty, urgent)
+			require.Nil(t, report)
+		})
+		synctest.Wait()
+		r.leave(g)
+		synctest.Wait()
+		for range 60 {
+			r.leave(g)
+		}
+		group.Wait()
+	})
+}
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -16,19 +16,15 @@
 	"github.com/grademill/grademill/adapter/probe"
 	"github.com/grademill/grademill/adapter/upstream"
 	"github.com/grademill/grademill/decide/catalog"
-	"github.com/grademill/grademill/decide/comeback"
 	"github.com/grademill/grademill/decide/endpoint"
 	"github.com/grademill/grademill/decide/overlay"
-	"github.com/grademill/grademill/decide/patience"
 	"github.com/grademill/grademill/decide/retry"
 	"github.com/grademill/grademill/port/exchange"
 	"github.com/grademill/grademill/port/kv"
 	"github.com/grademill/grademill/port/runner"
+	"github.com/grademill/grademill/role/admission"
 	"github.com/grademill/grademill/role/announcer"
-	"github.com/grademill/grademill/role/gate"
 	"github.com/grademill/grademill/role/gossip"
-	"github.com/grademill/grademill/state/byname"
-	"github.com/grademill/grademill/state/firsts"
 	"github.com/grademill/grademill/state/lines"
 	"github.com/grademill/grademill/state/peers"
 	"github.com/grademill/grademill/state/turnstile"
@@ -122,21 +118,12 @@
 	// currentSince is when the store was first read, or read again after it did not
 	// answer, in nanoseconds of Unix time.
 	currentSince atomic.Int64
-	// line is where requests wait for room, lineWake has it looked through.
-	line     gate.Gate[*seat]
-	lineWake chan struct{}
-	// firstEvents learns how long first events take.
-	firstEvents firsts.Firsts
-	// callers learns what callers have when they come first, and refusedAt is when one was
-	// last refused for want of room, in nanoseconds of Unix time.
-	callers   byname.Map[patience.Learned]
-	refusedAt atomic.Int64
+	// line is where requests of models wait for room.
+	line admission.Line[*seat]
 
 	mu sync.Mutex
 	// retries are by service; guarded by mu.
 	retries map[string]*retry.Budget
-	// returns are the times at which refused callers come back; guarded by mu.
-	returns comeback.Book
 	// members is written by the mirror's goroutine alone.
 	members members
 }
@@ -151,8 +138,6 @@
 	g.probes.Control = g.Runners
 	g.initGossip()
 	g.initFeed()
-	g.lineWake = make(chan struct{}, 1)
-	g.line.MaxQueue = maxLine
 	g.pool.Opened = g.Meter.Connection
 	var group sync.WaitGroup
 	group.Go(func() { g.follow(ctx) })
@@ -163,7 +148,7 @@
 	group.Go(func() { g.gossip.Run(ctx) })
 	group.Go(func() { g.revive(ctx) })
 	group.Go(func() { g.survey(ctx) })
-	group.Go(func() { g.serveLine(ctx) })
+	group.Go(func() { g.line.Run(ctx) })
 	group.Wait()
 }
 
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -95,7 +95,7 @@
 		return false
 	}
 	g.countFirst(q.service.Name)
-	g.noteCaller(q)
+	q.returned = g.line.Arrive(q.waiting())
 	return true
 }
 
@@ -196,7 +196,9 @@
 	case errors.Is(q.r.Context().Err(), context.Canceled):
 		q.set(0, outcomeLeft, reason)
 	case !q.mayHaveRun && q.service.Model != nil:
-		g.refuse(q, g.comeBack(q, time.Now()), reason)
+		var comeBack time.Duration
+		comeBack, q.admitted = g.line.ComeBack(q.waiting(), time.Now())
+		g.refuse(q, comeBack, reason)
 	case !q.mayHaveRun:
 		g.refuse(q, comeBackSoon, reason)
 	case q.left(time.Now()) <= 0:
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -35,6 +35,8 @@
 	// writeWait bounds the passing on of one event to a caller that does not
 	// read.
 	writeWait = 10 * time.Second
+	// pollBudget is the time between two looks whether the retry budget has a retry left.
+	pollBudget = 15 * time.Millisecond
 	// shortWait is how long an endpoint that refused for want of room is not
 	// tried again.
 	shortWait = 200 * time.Millisecond
@@ -136,7 +138,7 @@
 		if !s.headSent || !time.Now().Before(until) || s.q.r.Context().Err() != nil {
 			return false
 		}
-		pause.For(s.q.r.Context(), pollRoom)
+		pause.For(s.q.r.Context(), pollBudget)
 	}
 	return true
 }
@@ -259,7 +261,7 @@
 	if !s.headSent {
 		s.head(t)
 		s.q.first = now
-		s.g.firstEvents.Note(s.q.service.Name, now.Sub(s.sentAt))
+		s.g.line.Times.NoteFirst(s.q.service.Name, now.Sub(s.sentAt))
 	} else {
 		s.q.pause = max(s.q.pause, now.Sub(s.lastAt))
 	}
@@ -295,6 +297,7 @@
 	}
 	_ = s.flush.SetWriteDeadline(time.Time{}) // the next answer sets its own
 	s.q.set(t.answer.Status, outcomeServed, "")
+	s.g.line.Times.NoteWhole(s.q.service.Name, time.Since(s.sentAt))
 	return ""
 }
 
