Reckon with what other gateways have let in since they last told

Cause: counts of slots are as old as the last digest, so that gateways with requests waiting overfilled first endpoints: 242 at one with 192 slots, where those beyond wait for 0.3 to 0.5 s and are late. Now what others have entered counts for more by the part that may have come since: the time between digests by the time that streams last.

--- a/layout_test.go
+++ b/layout_test.go
@@ -54,6 +54,7 @@
 	"decide/spread",
 	"decide/story",
 	"decide/timeout",
+	"decide/unseen",
 	"decide/urgency",
 	"decide/view",
 }
--- a/role/gateway/chooser.go
+++ b/role/gateway/chooser.go
@@ -9,6 +9,7 @@
 	"github.com/grademill/grademill/decide/catalog"
 	"github.com/grademill/grademill/decide/chain"
 	"github.com/grademill/grademill/decide/layer"
+	"github.com/grademill/grademill/decide/unseen"
 )
 
 // chooser chooses chains of one model; it may be used by one goroutine at a
@@ -21,6 +22,9 @@
 	// together is how many requests of all gateways do for each of this one what the
 	// request does: 1 for one that comes alone, more for one that leaves a lost endpoint.
 	together float64
+	// unseen is the part of what other gateways have at an endpoint that may have come
+	// there since they last told.
+	unseen float64
 	// open, avoided and crowded count the endpoints of the model, and those that
 	// were left out because they are passed over or have no room.
 	open, avoided, crowded int
@@ -72,10 +76,12 @@
 	chanceEndpoint = 0.2
 )
 
-// prepare sets the model, the costs of beginning in a hall, and what chance adds.
-func (c *chooser) prepare(m *catalog.Model, f *fleet, home string) {
+// prepare sets the model, the costs of beginning in a hall, what others may have taken
+// meanwhile, and what chance adds.
+func (c *chooser) prepare(m *catalog.Model, f *fleet, home string, others unseen.Flow) {
 	c.finder.Layers = m.Layers
 	c.together = 1
+	c.unseen = others.Part()
 	c.finder.Entry = c.finder.Entry[:0]
 	c.chance = c.chance[:0]
 	for _, hall := range f.halls {
@@ -135,7 +141,7 @@
 		}
 		room := float64(q.service.Model.Room(q.service.Model.Cards[b.Card], layers) * layers)
 		free := room - float64(b.use.held.Load()+b.use.othersHeld.Load()) - float64(need*layers)
-		if use != useFull && usable.First == 0 && b.noSlot() {
+		if use != useFull && usable.First == 0 && b.noSlot(c.unseen) {
 			usable.First = 1 // the layers behind it need no slot
 		}
 		if use != useFull && (free < 0 || usable.Empty()) {
@@ -164,9 +170,11 @@
 }
 
 // noSlot reports whether a backend is first in no more chains. Only a request whose chain
-// begins there takes one of its slots.
-func (b *backend) noSlot() bool {
-	return int(b.use.entered.Load()+b.use.othersEntered.Load()) >= b.Slots
+// begins there takes one of its slots; unseen is the part of what others have there that
+// may have come since they told.
+func (b *backend) noSlot(unseen float64) bool {
+	others := float64(b.use.othersEntered.Load())
+	return int(float64(b.use.entered.Load())+others*(1+unseen)) >= b.Slots
 }
 
 // perLayer returns what a layer of a backend costs a request, in seconds a token,
--- a/role/gateway/seat.go
+++ b/role/gateway/seat.go
@@ -6,6 +6,7 @@
 
 	"github.com/grademill/grademill/decide/chain"
 	"github.com/grademill/grademill/decide/reread"
+	"github.com/grademill/grademill/decide/unseen"
 )
 
 // The costs of a chain beside the engines' own times, in seconds a token.
@@ -132,7 +133,7 @@
 	c := choosers.Get().(*chooser)
 	defer choosers.Put(c)
 	need := q.tokens()
-	c.prepare(q.service.Model, f, g.Hall)
+	c.prepare(q.service.Model, f, g.Hall, g.others(q.service.Name))
 	c.together = q.companions()
 	c.collect(q, f, need, useSound)
 	found, ok := g.find(c, q, need)
@@ -152,6 +153,11 @@
 	return newSeat(found, need, func(id string) *backend { return f.byID[id] }), shortageNone
 }
 
+// others returns how the other gateways use the endpoints of a service.
+func (g *Gateway) others(service string) unseen.Flow {
+	return unseen.Flow{Told: g.gossip.Every(), Lasts: g.line.Times.Lasts(service)}
+}
+
 // find finds the cheapest chain inside one hall, or else, as far as the lines
 // between halls allow, the cheapest of all.
 func (g *Gateway) find(c *chooser, q *query, need int) (chain.Chain, bool) {
@@ -172,7 +178,7 @@
 	c := choosers.Get().(*chooser)
 	defer choosers.Put(c)
 	need := q.tokens()
-	c.prepare(q.service.Model, f, g.Hall)
+	c.prepare(q.service.Model, f, g.Hall, g.others(q.service.Name))
 	c.together = lost.use.together()
 	c.collect(q, f, need, useSound)
 	c.keep(old, q, time.Now())
--- a/role/gossip/gossip.go
+++ b/role/gossip/gossip.go
@@ -84,7 +84,9 @@
 
 	// current is the fleet by the last look.
 	current atomic.Pointer[overlay.Overlay]
-	news    chan struct{}
+	// every is the time between two digests by that look, in nanoseconds.
+	every atomic.Int64
+	news  chan struct{}
 	// socket is nil until Run has opened it.
 	socket atomic.Pointer[net.PacketConn]
 	budget *rate.Limiter
@@ -157,6 +159,7 @@
 	o.Self.Cut = d.GetCut()
 	s.current.Store(&o)
 	every := s.interval(o)
+	s.every.Store(int64(every))
 	s.Peers.Expire(now, missed, nearEvery)
 	s.send(&wire.Packet{Digest: d}, o.Audience()...)
 	settled := now.Sub(s.begun) >= settleRounds*every // else nobody has been heard yet
@@ -166,6 +169,11 @@
 	return every
 }
 
+// Every returns the time between two digests of a gateway to those of its hall.
+func (s *Gossip) Every() time.Duration {
+	return max(time.Duration(s.every.Load()), nearEvery)
+}
+
 // interval returns the time between two digests.
 func (s *Gossip) interval(o overlay.Overlay) time.Duration {
 	return nearEvery * time.Duration(max(len(o.Audience()), overlay.FlatSize)) / overlay.FlatSize
