--- a/decide/story/verdict.go
+++ b/decide/story/verdict.go
@@ -34,6 +34,8 @@
 	Endpoint string
 	// Status is what the caller was answered, 0 for nothing.
 	Status int
+	// Times are where its time went, zero for a request without a first event.
+	Times Times
 }
 
 // String returns the verdict as a line.
@@ -48,6 +50,9 @@
 	if v.Process != "" {
 		text += ", by gateway " + v.Process
 	}
+	if times := v.Times.String(); times != "" {
+		text += "; " + times
+	}
 	return text
 }
 
@@ -74,7 +79,7 @@
 
 // ended returns what the last line about a request tells.
 func ended(l Line) Verdict {
-	v := Verdict{Process: l.Process, Status: l.number("status")}
+	v := Verdict{Process: l.Process, Status: l.number("status"), Times: timesOf(l)}
 	if used := l.list("used"); len(used) > 0 {
 		v.Endpoint = used[len(used)-1]
 	}
--- a/role/admission/line_test.go
+++ b/role/admission/line_test.go
@@ -36,8 +36,8 @@
 	free int
 	// inTime, late and lost count the callers by what became of them.
 	inTime, late, lost int
-	// slowest is how long the slowest refusal of a new caller took, sooner how many
-	// refused callers were told to come back before the room that was taken came free.
+	// refusals counts the refusals, sooner those whose callers were told to come back
+	// before the room that was taken came free.
 	refusals, sooner int
 }
 
@@ -138,7 +138,8 @@
 	return p
 }
 
-// The orders that are compared with the one in use.
+// The orders that are compared with the one in use: the one that it keeps while few callers
+// come back, and the one while many do, whatever the load.
 var (
 	returnedFirst admission.Order = func(_ urgency.Load, begun, returned bool) urgency.Urgency {
 		return urgency.Load{}.Of(begun, returned)
--- a/role/gateway/chooser.go
+++ b/role/gateway/chooser.go
@@ -133,14 +133,12 @@
 		if usable.Empty() {
 			continue
 		}
-		layers := b.Layers.Len()
 		c.open++
 		if q.avoids(b.Address) || use != useDoubtful && b.use.avoided(now) {
 			c.avoided++
 			continue
 		}
-		room := float64(q.service.Model.Room(q.service.Model.Cards[b.Card], layers) * layers)
-		free := room - float64(b.use.held.Load()+b.use.othersHeld.Load()) - float64(need*layers)
+		room, free := b.room(q.service.Model, need)
 		if use != useFull && usable.First == 0 && b.noSlot(c.unseen) {
 			usable.First = 1 // the layers behind it need no slot
 		}
@@ -155,6 +153,14 @@
 	}
 }
 
+// room returns the memory of a backend beside its layers, in tokens times layers, and what
+// is free of it once a request has taken what it needs.
+func (b *backend) room(m *catalog.Model, need int) (room, free float64) {
+	layers := b.Layers.Len()
+	room = float64(m.Room(m.Cards[b.Card], layers) * layers)
+	return room, room - float64(b.use.held.Load()+b.use.othersHeld.Load()) - float64(need*layers)
+}
+
 // usable returns the layers of a backend that new requests may use: those that it has
 // been ordered to give up take nothing new, and those that it says it lacks are not there
 // whatever its record says.
