--- a/test/soak/site_test.go
+++ b/test/soak/site_test.go
@@ -24,6 +24,8 @@
 type backs struct {
 	t    *testing.T
 	site *site.Site
+	// slots is the number of requests that a card takes at once, 0 for the usual.
+	slots int
 
 	mu sync.Mutex // guards what follows
 	// all are the endpoints that ever were, live those that were not ended, with
@@ -39,13 +41,14 @@
 	started int
 }
 
-// newBacks starts a store, three plain endpoints and six cards in two halls.
-func newBacks(t *testing.T) *backs {
+// newBacks starts a store, three plain endpoints and eight cards in two halls, each of
+// which takes so many requests at once, 0 for the usual number.
+func newBacks(t *testing.T, slots int) *backs {
 	s, err := site.New(layers)
 	require.NoError(t, err)
 	t.Cleanup(s.Close)
 	b := &backs{
-		t: t, site: s, live: make(map[*site.Endpoint]*proxy), left: make(map[*site.Endpoint]time.Time),
+		t: t, site: s, slots: slots, live: make(map[*site.Endpoint]*proxy), left: make(map[*site.Endpoint]time.Time),
 		keys: map[string]bool{"k0": true, "k1": true, "k2": true}, revoked: make(map[string]time.Time),
 	}
 	b.configure()
@@ -68,7 +71,7 @@
 	e := &site.Endpoint{ID: fmt.Sprintf("e%d", b.started), Service: service, Hall: hall, EventEvery: 15 * time.Millisecond}
 	b.mu.Unlock()
 	if service == model {
-		e.Card = "big"
+		e.Card, e.Slots = "big", b.slots
 	}
 	require.NoError(b.t, b.site.Open(e))
 	link, err := newProxy(e.Address())
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -51,7 +51,7 @@
 
 func TestSoak(t *testing.T) {
 	for i := range uint64(*seeds) {
-		t.Run(fmt.Sprint("seed ", *from+i), func(t *testing.T) { soak(t, *from+i) })
+		t.Run(fmt.Sprint("seed ", *from+i), func(t *testing.T) { soak(t, *from+i, load{}) })
 	}
 }
 
@@ -67,7 +67,7 @@
 		}
 		seed, err := strconv.ParseUint(text, 10, 64)
 		require.NoError(t, err)
-		t.Run("seed "+text, func(t *testing.T) { soak(t, seed) })
+		t.Run("seed "+text, func(t *testing.T) { soak(t, seed, load{}) })
 	}
 }
 
@@ -83,15 +83,32 @@
 	storeFaults []time.Time
 }
 
+// load is what callers ask of the endpoints.
+type load struct {
+	// slots is the number of requests that an endpoint takes at once, 0 for the usual.
+	slots int
+	// burst is the number of callers that come beside the others for a while.
+	burst int
+}
+
+// pastCapacity is a load that the slots of the endpoints do not let in.
+var pastCapacity = load{slots: 3, burst: 60}
+
+// TestSoakPastCapacity plays a fresh seed with more callers than there is room for: what is
+// refused has not run, also then.
+func TestSoakPastCapacity(t *testing.T) {
+	soak(t, *from, pastCapacity)
+}
+
 // soak plays one seed.
-func soak(t *testing.T, seed uint64) {
+func soak(t *testing.T, seed uint64, l load) {
 	dir := t.TempDir()
 	t.Cleanup(func() {
 		if t.Failed() && *keep != "" {
 			assert.NoError(t, os.CopyFS(fmt.Sprintf("%s/seed-%d", *keep, seed), os.DirFS(dir)))
 		}
 	})
-	w := &world{t: t, backs: newBacks(t), r: rand.New(rand.NewPCG(seed, 1))}
+	w := &world{t: t, backs: newBacks(t, l.slots), r: rand.New(rand.NewPCG(seed, 1))}
 	n, flat := gateways, 0
 	if seed%2 == 1 {
 		n, flat = gatewaysByHall, flatFleet
@@ -113,7 +130,13 @@
 	for i := range callerCount {
 		group.Go(func() { c.run(ctx, seed*1000+uint64(i)) })
 	}
-	w.inject(time.Duration(*seconds) * time.Second)
+	faults := time.Duration(*seconds) * time.Second
+	burst, over := context.WithTimeout(ctx, faults/2)
+	defer over()
+	for i := range l.burst {
+		group.Go(func() { c.run(burst, seed*1000+uint64(callerCount+i)) })
+	}
+	w.inject(faults)
 	time.Sleep(4 * time.Second) // all is mended: requests are served again
 	mended := time.Now()
 	time.Sleep(2 * time.Second)
