--- a/decide/story/times.go
+++ b/decide/story/times.go
@@ -8,8 +8,9 @@
 
 // Times are the parts of the time in which a stream was answered: what made it late.
 type Times struct {
-	// Before is what earlier tries of the caller took, Line the wait for room, Chain the
-	// time from then to the first event, tries that were given up among it.
+	// Before is what earlier tries of the caller took, 0 for one that was not taken to have
+	// come back, Line the wait for room, Chain the time from then to the first event, tries
+	// that were given up among it.
 	Before, Line, Chain time.Duration
 	// Pause is the longest wait between two events.
 	Pause time.Duration
@@ -31,7 +32,11 @@
 		return Times{}
 	}
 	line := l.millis("waited_ms")
-	return Times{Before: l.millis("tried_before_ms"), Line: line, Chain: max(first-line, 0), Pause: l.millis("pause_ms")}
+	t := Times{Line: line, Chain: max(first-line, 0), Pause: l.millis("pause_ms")}
+	if string(l.Fields["returned"]) == "true" {
+		t.Before = l.millis("under_route_ms")
+	}
+	return t
 }
 
 // millis returns a field in milliseconds as a duration, to the millisecond, 0 for none.
--- a/decide/story/verdict_test.go
+++ b/decide/story/verdict_test.go
@@ -44,7 +44,7 @@
 
 // A late answer names the part of its time that made it late.
 func TestLateAnswerNamesItsParts(t *testing.T) {
-	const log = `{"time":"2026-12-02T10:00:01Z","process":"g-1","message":"request ended","request":"r","outcome":"served","status":200,"runs":1,"first_ms":640.25,"waited_ms":300.5,"tried_before_ms":2100,"pause_ms":46.2}`
+	const log = `{"time":"2026-12-02T10:00:01Z","process":"g-1","message":"request ended","request":"r","outcome":"served","status":200,"runs":1,"first_ms":640.25,"waited_ms":300.5,"under_route_ms":2100,"returned":true,"pause_ms":46.2}`
 	s := &story.Story{Request: "r", Before: time.Minute}
 	_, err := s.Read(strings.NewReader(log))
 	require.NoError(t, err)
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -236,8 +236,8 @@
 		Int("status", q.status).Str("reason", q.reason).Strs("used", q.used).Int("sends", q.sends).Int("runs", len(q.ran)).
 		Dur("first_ms", first).Dur("total_ms", now.Sub(q.start)).
 		Uint64("version", q.version).Dur("proof_age_ms", q.proofAge)
-	if q.route != nil && q.Patience > 0 { // earlier tries of its caller took what it has less than the route gives
-		line = line.Dur("tried_before_ms", max(q.route.Timeout-q.Patience, 0))
+	if q.route != nil && q.Patience > 0 { // of a caller that has come back, what its earlier tries took
+		line = line.Dur("under_route_ms", max(q.route.Timeout-q.Patience, 0))
 	}
 	if q.service != nil && q.service.Model != nil {
 		line = line.Dur("waited_ms", q.waited).Int("ahead", q.ahead).Bool("returned", q.returned)
