Read the change again: one piece where it stood twice, and nothing kept that can be worked out

- A request's urgency and how long it may wait are worked out once, as its turn; it was done twice for each request, under the gate's lock, and could differ.
- Callers are noted where the line is used; it was done for plain requests too.
- The planner counts first endpoints by the holders of the first layer, which it has.
- What an endpoint did wrong in a row is one type, for losses and dropped requests.
- measure slopes uses cputime; names of gateways, the time between digests and the full room of two tests each stood several times; the cache copies its changes only when it drops some; two comments named what is gone.

Behaviour is the same: the replayed loads of role/admission give the same counts.

--- a/adapter/watchhttp/watch.go
+++ b/adapter/watchhttp/watch.go
@@ -1,4 +1,4 @@
-// Package watchhttp carries the questions of package relay between gateways as HTTP, as
+// Package watchhttp carries the questions of package watchcache between gateways as HTTP, as
 // those of the store that they stand for.
 package watchhttp
 
--- a/cmd/measure/slopes_live.go
+++ b/cmd/measure/slopes_live.go
@@ -4,32 +4,23 @@
 	"context"
 	"fmt"
 	"runtime"
-	"syscall"
 	"text/tabwriter"
 	"time"
 
+	"github.com/grademill/grademill/adapter/cputime"
 	"github.com/grademill/grademill/decide/config"
 	"github.com/grademill/grademill/decide/policy"
 	"github.com/grademill/grademill/decide/view"
 	"github.com/grademill/grademill/state/replica"
 )
 
-// processorTime returns the processor time that this process has used.
-func processorTime() time.Duration {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
-
 // spent returns the processor time for each of n repetitions of f.
 func spent(n int, f func()) time.Duration {
-	begin := processorTime()
+	begin := cputime.Used()
 	for range n {
 		f()
 	}
-	return (processorTime() - begin) / time.Duration(n)
+	return (cputime.Used() - begin) / time.Duration(n)
 }
 
 // processorTimes prints the processor time of control work and of tokens.
@@ -166,10 +157,10 @@
 	}
 	defer l.Close()
 	const span = 3 * time.Second
-	begin := processorTime()
+	begin := cputime.Used()
 	time.Sleep(span)
 	beats := n * int(span/beat)
-	return (processorTime() - begin) / time.Duration(beats), nil
+	return (cputime.Used() - begin) / time.Duration(beats), nil
 }
 
 // tokenCost returns the processor time of one token, that of the stand-in
@@ -184,9 +175,9 @@
 	t := &trial{site: ramdin, lab: l}
 	load, cancel := endAfter(ctx, span)
 	defer cancel()
-	begin := processorTime()
+	begin := cputime.Used()
 	t.keep(load, inFlight, 0)
-	used := processorTime() - begin
+	used := cputime.Used() - begin
 	tokens := max(len(t.moments), 1)
 	return used / time.Duration(tokens), float64(tokens) / span.Seconds(), nil
 }
--- a/decide/fair/queue.go
+++ b/decide/fair/queue.go
@@ -39,6 +39,17 @@
 	return len(q.items)
 }
 
+// Cost returns the cost of all items of a priority or a higher one.
+func (q *Queue[T]) Cost(priority int) float64 {
+	sum := 0.0
+	for _, it := range q.items {
+		if it.Priority >= priority {
+			sum += it.Cost
+		}
+	}
+	return sum
+}
+
 // Push queues it. When the queue is full the item that is furthest behind its
 // share is displaced: Push returns it, or it itself, and false. It returns
 // nil and true when nothing had to go.
--- a/decide/fair/queue_test.go
+++ b/decide/fair/queue_test.go
@@ -113,3 +113,31 @@
 	ratio := float64(served["large"]) / 2 / (float64(served["small"]) / small)
 	require.InDelta(t, 4, ratio, 0.2, served)
 }
+
+// The cost of what is ahead of a priority follows the queue, also what is removed from it.
+func TestCostOfAPriorityAndAbove(t *testing.T) {
+	q := &fair.Queue[int]{Max: 3}
+	items := []*fair.Item[int]{{Team: "a", Cost: 0.5, Priority: 1}, {Team: "a", Cost: 2, Priority: 2}, {Team: "b", Cost: 4, Priority: 3}}
+	for _, it := range items {
+		q.Push(it)
+	}
+	require.InDelta(t, 6.5, q.Cost(1), 1e-9)
+	require.InDelta(t, 6, q.Cost(2), 1e-9)
+	require.InDelta(t, 4, q.Cost(3), 1e-9)
+	require.Zero(t, q.Cost(4))
+	displaced, _ := q.Push(&fair.Item[int]{Team: "c", Cost: 1, Priority: 4})
+	require.Same(t, items[0], displaced)
+	q.Pop()
+	require.True(t, q.Remove(items[1]))
+	require.InDelta(t, 4, q.Cost(0), 1e-9)
+}
+
+func BenchmarkCost(b *testing.B) {
+	q := &fair.Queue[int]{Max: 1024}
+	for i := range 1024 {
+		q.Push(&fair.Item[int]{Team: "a", Cost: 1, Priority: i % 4})
+	}
+	for b.Loop() {
+		q.Cost(2)
+	}
+}
--- a/decide/health/health.go
+++ b/decide/health/health.go
@@ -27,25 +27,37 @@
 type Record struct {
 	// Failing is the share of the recent requests that failed, from 0 to 1.
 	Failing float64
-	// lost counts the times in a row that it could not be reached.
-	lost int
+	// lost are the times in a row that it could not be reached.
+	lost row
+	// dropped are the requests in a row that it took and gave no answer to. Only an answer
+	// ends them: what began before may still end well.
+	dropped row
+}
+
+// row is what an endpoint did wrong in a row.
+type row struct {
+	n int
 	// until is when it may be tried again.
 	until time.Time
-	// dropped counts the requests in a row that it took and gave no answer to, and
-	// droppedUntil is when it may be tried again for them. Only an answer ends them: what
-	// began before may still end well.
-	dropped      int
-	droppedUntil time.Time
+}
+
+// with returns the row after one more at now, of which the first few are pardoned.
+func (r row) with(now time.Time, pardoned int) row {
+	r.n++
+	if r.n > pardoned {
+		r.until = now.Add(lossWait.Delay(r.n-pardoned, 0))
+	}
+	return r
 }
 
 // WithSuccess returns the record after a request that was answered.
 func (r Record) WithSuccess() Record {
-	return Record{Failing: r.Failing * (1 - fade), dropped: r.dropped, droppedUntil: r.droppedUntil}
+	return Record{Failing: r.Failing * (1 - fade), dropped: r.dropped}
 }
 
 // WithAnswer returns the record after the endpoint has begun to answer a request.
 func (r Record) WithAnswer() Record {
-	r.dropped, r.droppedUntil = 0, time.Time{}
+	r.dropped = row{}
 	return r
 }
 
@@ -56,10 +68,7 @@
 // and 142 had failed.
 func (r Record) WithDrop(now time.Time) Record {
 	r = r.WithFailure()
-	r.dropped++
-	if further := r.dropped - enoughDrops; further >= 0 {
-		r.droppedUntil = now.Add(lossWait.Delay(further+1, 0))
-	}
+	r.dropped = r.dropped.with(now, enoughDrops-1)
 	return r
 }
 
@@ -73,12 +82,11 @@
 // silent or broke off at now.
 func (r Record) WithLoss(now time.Time) Record {
 	r = r.WithFailure()
-	r.lost++
-	r.until = now.Add(lossWait.Delay(r.lost, 0))
+	r.lost = r.lost.with(now, 0)
 	return r
 }
 
 // Avoided reports whether the endpoint is passed over at now.
 func (r Record) Avoided(now time.Time) bool {
-	return now.Before(r.until) || now.Before(r.droppedUntil)
+	return now.Before(r.lost.until) || now.Before(r.dropped.until)
 }
--- a/decide/overlay/overlay.go
+++ b/decide/overlay/overlay.go
@@ -106,10 +106,7 @@
 // gateway.
 func (o Overlay) Relay(hall string, turn int) Member {
 	list := o.In(hall)
-	names := make([]string, len(list))
-	for i, m := range list {
-		names[i] = m.Name
-	}
+	names := namesOf(list)
 	top := rendezvous.Top(o.Self.Hall, names, relays)
 	return list[slices.Index(names, top[turn%len(top)])]
 }
@@ -137,10 +134,7 @@
 	if len(able) == 0 {
 		return nil
 	}
-	names := make([]string, len(able))
-	for i, m := range able {
-		names[i] = m.Name
-	}
+	names := namesOf(able)
 	before := rendezvous.Before(storeKey, o.Self.Name, names)
 	if eligible && before < seats {
 		return nil
@@ -185,9 +179,14 @@
 
 // rank returns how many of a list come before this gateway for a key.
 func (o Overlay) rank(key string, others []Member) int {
-	names := make([]string, len(others))
-	for i, m := range others {
+	return rendezvous.Before(key, o.Self.Name, namesOf(others))
+}
+
+// namesOf returns the names of gateways, in their order.
+func namesOf(list []Member) []string {
+	names := make([]string, len(list))
+	for i, m := range list {
 		names[i] = m.Name
 	}
-	return rendezvous.Before(key, o.Self.Name, names)
+	return names
 }
--- a/decide/spread/floor.go
+++ b/decide/spread/floor.go
@@ -30,10 +30,6 @@
 	fastest []float64
 	// alone is the length of the range of the only holder; 0 where there are others.
 	alone []int
-	// heads is the number of cards that hold the first layer, and entry what their slots
-	// let in, in tokens.
-	heads int
-	entry float64
 }
 
 // newFloor returns the floor of cards.
@@ -48,13 +44,8 @@
 	n := f.model.Layers
 	f.copies, f.alone = make([]int, n), make([]int, n)
 	f.supply, f.fastest = make([]float64, n), make([]float64, n)
-	f.heads, f.entry = 0, 0
 	for _, c := range f.cards {
 		offer, pace := f.offer(c), f.model.Cards[c.Kind].Pace
-		if !c.Holds.Empty() && c.Holds.First == 0 {
-			f.heads++
-			f.entry += f.slots()
-		}
 		for l := max(c.Holds.First, 0); l < min(c.Holds.End, n); l++ {
 			f.copies[l]++
 			f.supply[l] += offer
@@ -74,9 +65,9 @@
 	return float64(max(f.model.Room(f.model.Cards[c.Kind], max(c.Holds.Len(), f.planner.size(f.model, c))), 0))
 }
 
-// slots returns the tokens that the slots of a first endpoint let in.
-func (f *floor) slots() float64 {
-	return float64(f.model.Slots * (f.model.Prompt + f.model.Answer))
+// entry returns the tokens that the slots of the holders of the first layer let in.
+func (f *floor) entry() float64 {
+	return float64(f.copies[0] * f.model.Slots * (f.model.Prompt + f.model.Answer))
 }
 
 // move gives a card other layers.
@@ -140,7 +131,7 @@
 		saved += max(f.fastest[l]-pace, 0)
 	}
 	if r.First == 0 && f.model.Slots > 0 {
-		spared += math.Pow(holderWeight, 1-float64(f.heads)) * min(supply/(f.entry+1), slotsWeight)
+		spared += math.Pow(holderWeight, 1-float64(f.copies[0])) * min(supply/(f.entry()+1), slotsWeight)
 	}
 	return spared/float64(len(f.cards)) + saved/time
 }
--- a/role/admission/line.go
+++ b/role/admission/line.go
@@ -86,10 +86,10 @@
 	return returned
 }
 
-// Urgency returns the urgency of a request.
-func (l *Line[G]) Urgency(r Request) urgency.Urgency {
+// urgency returns the urgency of a request at now.
+func (l *Line[G]) urgency(r Request, now time.Time) urgency.Urgency {
 	load := urgency.Load{
-		Admitted: l.ready().Admitted(r.Service), Returning: l.returning.Get(r.Service).PerSecond(time.Now()),
+		Admitted: l.ready().Admitted(r.Service), Returning: l.returning.Get(r.Service).PerSecond(now),
 	}
 	if l.Order != nil {
 		return l.Order(load, r.Begun, r.Returned)
@@ -97,30 +97,35 @@
 	return load.Of(r.Begun, r.Returned)
 }
 
-// Until returns until when a request may wait: a new one while its first event can come
-// in time, since its caller can come back; one that cannot for as long as its caller bears
-// to wait for an event.
-func (l *Line[G]) Until(r Request, now time.Time) time.Time {
+// Turn is how a request waits.
+type Turn struct {
+	// Urgency is its urgency as it was when it came to the line.
+	Urgency urgency.Urgency
+	// Until is until when it may wait.
+	Until time.Time
+}
+
+// Turn returns how a request waits that comes to the line at now: a new one while its first
+// event can come in time, since its caller can come back; one that cannot for as long as
+// its caller bears to wait for an event.
+func (l *Line[G]) Turn(r Request, now time.Time) Turn {
 	usual := l.Times.First(r.Service)
-	if l.Urgency(r) == urgency.New {
-		return r.Start.Add(r.Objective - usual)
+	if urgent := l.urgency(r, now); urgent != urgency.New {
+		return Turn{Urgency: urgent, Until: now.Add(lateWait*r.Objective - usual)}
 	}
-	return now.Add(lateWait*r.Objective - usual)
+	return Turn{Urgency: urgency.New, Until: r.Start.Add(r.Objective - usual)}
 }
 
-// Enter waits for what try grants, until a time. It refuses at once what would wait for
-// longer, and what try says will never have room.
-func (l *Line[G]) Enter(
-	ctx context.Context, r Request, until time.Time, try func(urgency.Urgency) (G, gate.Answer),
-) (G, *outcome.Report) {
-	ctx, cancel := context.WithDeadline(ctx, until)
+// Enter waits for what try grants. It refuses at once what would wait for longer than it
+// may, and what try says will never have room.
+func (l *Line[G]) Enter(ctx context.Context, r Request, turn Turn, try func() (G, gate.Answer)) (G, *outcome.Report) {
+	ctx, cancel := context.WithDeadline(ctx, turn.Until)
 	defer cancel()
-	urgent := l.Urgency(r)
 	return l.ready().Enter(ctx, gate.Ticket[G]{
 		Lane: r.Service, Team: r.Team, Cost: 1,
-		Priority: r.Priority*int(urgency.Levels) + int(urgent),
+		Priority: r.Priority*int(urgency.Levels) + int(turn.Urgency),
 		Try: func() (G, gate.Answer) {
-			grant, answer := try(urgent)
+			grant, answer := try()
 			if answer == gate.Full {
 				l.look()
 			}
--- a/role/admission/line_test.go
+++ b/role/admission/line_test.go
@@ -42,7 +42,7 @@
 }
 
 // try takes a slot.
-func (p *play) try(urgency.Urgency) (struct{}, gate.Answer) {
+func (p *play) try() (struct{}, gate.Answer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.free == 0 {
@@ -68,7 +68,7 @@
 		Start: now, Deadline: began.Add(routeTime),
 	}
 	r.Returned = p.line.Arrive(r)
-	if _, report := p.line.Enter(ctx, r, p.line.Until(r, now), p.try); report != nil {
+	if _, report := p.line.Enter(ctx, r, p.line.Turn(r, now), p.try); report != nil {
 		wait, _ := p.line.ComeBack(r, time.Now())
 		p.mu.Lock()
 		defer p.mu.Unlock()
--- a/role/gate/gate.go
+++ b/role/gate/gate.go
@@ -53,9 +53,7 @@
 
 type lane[G any] struct {
 	queue fair.Queue[*waiter[G]]
-	// queued is the cost of what waits, by priority, and admitted the rate of what does
-	// not any more.
-	queued   map[int]float64
+	// admitted is the rate of what does not wait any more.
 	admitted rate.Meter
 }
 
@@ -87,12 +85,8 @@
 		g.mu.Unlock()
 		return zero, report
 	}
-	displaced, ok := l.queue.Push(item)
-	if ok || displaced != item {
-		l.count(item, 1)
-	}
-	if displaced != nil {
-		l.refuse(displaced, displaced != item)
+	if displaced, _ := l.queue.Push(item); displaced != nil {
+		l.refuse(displaced)
 	}
 	l.grant()
 	g.mu.Unlock()
@@ -137,7 +131,7 @@
 		if g.lanes == nil {
 			g.lanes = make(map[string]*lane[G])
 		}
-		l = &lane[G]{queue: fair.Queue[*waiter[G]]{Max: g.MaxQueue}, queued: make(map[int]float64)}
+		l = &lane[G]{queue: fair.Queue[*waiter[G]]{Max: g.MaxQueue}}
 		g.lanes[name] = l
 	}
 	return l
@@ -149,7 +143,6 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if l.queue.Remove(item) {
-		l.count(item, -1)
 		var zero G
 		return zero, outcome.Refuse(outcome.DeadlineOver, "gone or out of time while waiting for room", l.retryAfter())
 	}
@@ -165,7 +158,6 @@
 			return
 		}
 		l.queue.Pop()
-		l.count(item, -1)
 		if answer == Never {
 			report := outcome.Refuse(outcome.NoChain, "no endpoints hold all that is needed", minRetryAfter)
 			item.Value.result <- result[G]{report: report}
@@ -176,14 +168,6 @@
 	}
 }
 
-// count adds what waits of an item so many times.
-func (l *lane[G]) count(item *fair.Item[*waiter[G]], times float64) {
-	l.queued[item.Priority] += times * item.Cost
-	if l.queued[item.Priority] <= 0 {
-		delete(l.queued, item.Priority) // also what is left of sums of fractions
-	}
-}
-
 // wait returns how long a new request of a priority would wait, behind those that are
 // as urgent or more; false while that is not known.
 func (l *lane[G]) wait(priority int) (time.Duration, bool) {
@@ -191,13 +175,7 @@
 	if perSecond <= 0 {
 		return 0, false
 	}
-	ahead := 0.0
-	for p, cost := range l.queued {
-		if p >= priority {
-			ahead += cost
-		}
-	}
-	return time.Duration(ahead / perSecond * float64(time.Second)), true
+	return time.Duration(l.queue.Cost(priority) / perSecond * float64(time.Second)), true
 }
 
 // retryAfter returns when a refused caller may come back: once all that waits is in.
@@ -216,10 +194,7 @@
 	return outcome.Refuse(outcome.Overloaded, "the wait would outlast the deadline", l.retryAfter())
 }
 
-// refuse tells a displaced request; counted is whether its cost was queued.
-func (l *lane[G]) refuse(item *fair.Item[*waiter[G]], counted bool) {
-	if counted {
-		l.count(item, -1)
-	}
+// refuse tells a displaced request.
+func (l *lane[G]) refuse(item *fair.Item[*waiter[G]]) {
 	item.Value.result <- result[G]{report: outcome.Refuse(outcome.Overloaded, "the queue is full", l.retryAfter())}
 }
--- a/role/gate/gate_test.go
+++ b/role/gate/gate_test.go
@@ -44,6 +44,14 @@
 	return gate.Ticket[int]{Lane: "m", Team: team, Weight: 1, Cost: 1, Try: r.try}
 }
 
+// fill enters until all is taken.
+func (r *room) fill(t *testing.T, g *gate.Gate[int]) {
+	for range r.free {
+		_, report := g.Enter(context.Background(), r.ticket("a"))
+		require.Nil(t, report)
+	}
+}
+
 func TestWaitsForRoom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := &gate.Gate[int]{MaxQueue: 10}
@@ -132,10 +140,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := &gate.Gate[int]{MaxQueue: 1000}
 		r := &room{free: 100}
-		for range 100 {
-			_, report := g.Enter(context.Background(), r.ticket("a"))
-			require.Nil(t, report)
-		}
+		r.fill(t, g)
 		var group sync.WaitGroup
 		for range 50 {
 			group.Go(func() { g.Enter(context.Background(), r.ticket("a")) })
@@ -172,10 +177,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := &gate.Gate[int]{MaxQueue: 1000}
 		r := &room{free: 20}
-		for range 20 {
-			_, report := g.Enter(context.Background(), r.ticket("a"))
-			require.Nil(t, report)
-		}
+		r.fill(t, g)
 		var group sync.WaitGroup
 		for range 50 {
 			group.Go(func() { g.Enter(context.Background(), r.ticket("a")) })
--- a/role/gateway/admission.go
+++ b/role/gateway/admission.go
@@ -18,22 +18,22 @@
 	}
 }
 
-// admitUntil waits in line for a seat until a time. A request that would wait for longer
-// is turned away at once, and so is a new one when no chain holds all layers.
-func (g *Gateway) admitUntil(q *query, until time.Time) (*seat, shortage) {
+// takeTurn waits in line for a seat. A request that would wait for longer than it may is
+// turned away at once, and so is a new one when no chain holds all layers.
+func (g *Gateway) takeTurn(q *query, turn admission.Turn) (*seat, shortage) {
 	r := q.waiting()
 	if !r.Begun {
 		q.ahead = g.line.Waiting()
 		defer func(since time.Time) { q.waited = time.Since(since) }(time.Now())
 	}
 	found := shortageRoom
-	taken, report := g.line.Enter(q.r.Context(), r, until, func(urgent urgency.Urgency) (*seat, gate.Answer) {
+	taken, report := g.line.Enter(q.r.Context(), r, turn, func() (*seat, gate.Answer) {
 		taken, short := g.takeSeat(q)
 		found = short
 		switch {
 		case short == shortageNone:
 			return taken, gate.Granted
-		case short == shortageLayers && urgent == urgency.New:
+		case short == shortageLayers && turn.Urgency == urgency.New:
 			return nil, gate.Never
 		}
 		return nil, gate.Full
@@ -47,11 +47,12 @@
 	return nil, found
 }
 
-// patience returns until when a request may wait for a seat: one whose caller has events
-// for as long as it bears a pause.
-func (s *relay) patience(now time.Time) time.Time {
+// turn returns how the request waits for a seat at now: one whose caller has events for as
+// long as it bears a pause.
+func (s *relay) turn(now time.Time) admission.Turn {
+	turn := s.g.line.Turn(s.q.waiting(), now)
 	if s.headSent {
-		return s.lastAt.Add(pauseWait * allowedPause(s.q.route))
+		turn.Until = s.lastAt.Add(pauseWait * allowedPause(s.q.route))
 	}
-	return s.g.line.Until(s.q.waiting(), now)
+	return turn
 }
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -95,7 +95,6 @@
 		return false
 	}
 	g.countFirst(q.service.Name)
-	q.returned = g.line.Arrive(q.waiting())
 	return true
 }
 
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -63,6 +63,7 @@
 // serveModel serves a request of a model. It reports whether the answer has
 // broken off and must not look complete.
 func (g *Gateway) serveModel(q *query) bool {
+	q.returned = g.line.Arrive(q.waiting())
 	s := &relay{g: g, q: q, last: q.After, flush: http.NewResponseController(q.w)}
 	reason := ""
 	for q.sends < maxSends {
@@ -118,12 +119,12 @@
 		s.reserved = nil
 		return taken, shortageNone
 	}
-	until := s.patience(time.Now())
+	turn := s.turn(time.Now())
 	retry := s.q.arrived.Load()
-	if retry && !s.allowed(until) {
+	if retry && !s.allowed(turn.Until) {
 		return nil, shortageBudget
 	}
-	taken, short := s.g.admitUntil(s.q, until)
+	taken, short := s.g.takeTurn(s.q, turn)
 	if short != shortageNone && retry {
 		s.g.returnRetry(s.q.service.Name)
 	}
--- a/role/gossip/gossip.go
+++ b/role/gossip/gossip.go
@@ -53,8 +53,7 @@
 	// Digest returns what the gateway uses, without what names the sender. With sums
 	// it adds what the given shares of the other gateways of its hall hold.
 	Digest(now time.Time, others map[string]peers.Share) *wire.Digest
-	// Heard takes in a digest of another gateway, whose shares have been counted; held
-	// are those that it had been told before.
+	// Heard takes in a digest of another gateway, whose shares have been counted.
 	Heard(d *wire.Digest, now time.Time)
 	// Lost takes in that an endpoint gives another gateway no answer.
 	Lost(l *wire.Loss, now time.Time)
@@ -154,11 +153,11 @@
 func (s *Gossip) round(now time.Time) time.Duration {
 	s.Local.Tick(now)
 	d := s.digest(now, nil, 0)
-	d.EveryMillis = uint32(s.interval(s.Overlay()).Milliseconds())
+	d.EveryMillis = uint32(s.Every().Milliseconds())
 	o := overlay.Overlay{Self: s.Self, Others: s.Peers.Members(s.Self.Name), FlatUpTo: s.FlatUpTo}
 	o.Self.Cut = d.GetCut()
 	s.current.Store(&o)
-	every := s.interval(o)
+	every := nearEvery * time.Duration(max(len(o.Audience()), overlay.FlatSize)) / overlay.FlatSize
 	s.every.Store(int64(every))
 	s.Peers.Expire(now, missed, nearEvery)
 	s.send(&wire.Packet{Digest: d}, o.Audience()...)
@@ -174,11 +173,6 @@
 	return max(time.Duration(s.every.Load()), nearEvery)
 }
 
-// interval returns the time between two digests.
-func (s *Gossip) interval(o overlay.Overlay) time.Duration {
-	return nearEvery * time.Duration(max(len(o.Audience()), overlay.FlatSize)) / overlay.FlatSize
-}
-
 // speak tells the other halls the sums of this one: whoever hears them there passes them
 // on. It returns when the next ones are due: the more they hold, the later.
 func (s *Gossip) speak(o overlay.Overlay, now time.Time) time.Duration {
--- a/state/watchcache/cache.go
+++ b/state/watchcache/cache.go
@@ -106,7 +106,9 @@
 		c.bytes -= size(c.pairs[drop])
 		c.floor = max(c.floor, c.pairs[drop].Revision)
 	}
-	c.pairs = append([]kv.Pair(nil), c.pairs[drop:]...)
+	if drop > 0 { // so that what is dropped is freed
+		c.pairs = append([]kv.Pair(nil), c.pairs[drop:]...)
+	}
 	c.at, c.proven, c.direct = max(c.at, page.At), proven, direct
 	c.wake()
 }
