--- a/adapter/upstream/call.go
+++ b/adapter/upstream/call.go
@@ -28,6 +28,9 @@
 	// Mine reports whether an answer belongs to this request, by its headers.
 	// Others are passed over: an endpoint may answer twice.
 	Mine func(http.Header) bool
+	// Wrote is called once the endpoint may have got the head of the request, when it is
+	// set.
+	Wrote func()
 }
 
 // SendError is a call that got no whole head of an answer.
@@ -75,6 +78,9 @@
 	}
 	a := &Answer{pool: p, conn: link, address: c.Address}
 	a.stop = context.AfterFunc(ctx, func() { _ = link.Close() })
+	if c.Wrote != nil {
+		c.Wrote()
+	}
 	if err := a.write(c); err != nil {
 		a.Close()
 		return nil, &SendError{Sent: true, Err: cause(ctx, err)}
--- a/layout_test.go
+++ b/layout_test.go
@@ -31,6 +31,7 @@
 	"decide/event",
 	"decide/fair",
 	"decide/fence",
+	"decide/fingerprint",
 	"decide/fleet",
 	"decide/flow",
 	"decide/freshness",
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/grademill/grademill/decide/catalog"
+	"github.com/grademill/grademill/decide/fingerprint"
 )
 
 // The figures of taking a request in.
@@ -88,6 +89,9 @@
 	if !g.authorize(q, c) || !g.readBody(q, c.Limits) {
 		return false
 	}
+	q.print = fingerprint.Of(fingerprint.Request{
+		Method: q.r.Method, Host: q.r.Host, Target: q.r.RequestURI, Team: q.team, Body: q.body,
+	})
 	q.deadline = q.start.Add(bound(q.Patience, route.Timeout))
 	q.service = c.Services[route.Service(xxhash.Sum64String(q.ID))]
 	if q.service == nil {
@@ -235,6 +239,9 @@
 		Int("status", q.status).Str("reason", q.reason).Strs("used", q.used).Int("sends", q.sends).Int("runs", len(q.ran)).
 		Dur("first_ms", first).Dur("total_ms", now.Sub(q.start)).
 		Uint64("version", q.version).Dur("proof_age_ms", q.proofAge)
+	if q.print != 0 {
+		line = line.Stringer("print", q.print)
+	}
 	if q.route != nil && q.Patience > 0 { // of a caller that has come back, what its earlier tries took
 		line = line.Dur("under_route_ms", max(q.route.Timeout-q.Patience, 0))
 	}
--- a/role/gateway/query.go
+++ b/role/gateway/query.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/grademill/grademill/decide/catalog"
+	"github.com/grademill/grademill/decide/fingerprint"
 	"github.com/grademill/grademill/port/exchange"
 )
 
@@ -23,6 +24,8 @@
 	priority int
 	body     []byte
 	hasBody  bool
+	// print tells the request from others when it comes again under another ID.
+	print fingerprint.Fingerprint
 	// version is that of the configuration that decided.
 	version uint64
 	// proofAge is how old the proof of that configuration was.
@@ -40,6 +43,8 @@
 	// arrived is set once a send may have reached an endpoint: only what follows it
 	// counts as a retry.
 	arrived atomic.Bool
+	// reached is set once the endpoint of the send under way may have got the request.
+	reached atomic.Bool
 
 	// returned is set when its caller has less time than callers usually have when they
 	// come first.
--- a/role/gateway/suspect.go
+++ b/role/gateway/suspect.go
@@ -9,6 +9,7 @@
 	"github.com/grademill/grademill/adapter/pause"
 	"github.com/grademill/grademill/adapter/probe"
 	"github.com/grademill/grademill/decide/backoff"
+	"github.com/grademill/grademill/decide/fingerprint"
 	"github.com/grademill/grademill/port/runner"
 )
 
@@ -142,12 +143,14 @@
 		return
 	}
 	g.Meter.Check(checkSilent)
-	now := time.Now().UnixNano()
-	b.use.downSince.Store(now)
-	b.use.silentAt.Store(now)
+	now := time.Now()
+	ran := b.use.watchers.begun(now) // before those that wait for this check let go of it
+	ended := errors.Is(err, syscall.ECONNREFUSED)
+	b.use.downSince.Store(now.UnixNano())
+	b.use.silentAt.Store(now.UnixNano())
 	b.use.rechecks.Store(0)
-	b.use.ended.Store(errors.Is(err, syscall.ECONNREFUSED))
-	g.Log.Info().Str("endpoint", b.ID).Str("address", b.Address).Err(err).
+	b.use.ended.Store(ended)
+	g.Log.Info().Str("endpoint", b.ID).Str("address", b.Address).Err(err).Bool("ended", ended).Strs("begun", fingerprint.Strings(ran)).
 		Dur("took_ms", time.Since(begun)).Msg("endpoint does not answer")
 	g.spreadLoss(b)
 }
--- a/role/gateway/try.go
+++ b/role/gateway/try.go
@@ -48,13 +48,14 @@
 // answer of the try, if any, is to be closed.
 func (g *Gateway) send(ctx context.Context, q *query, b *backend, c chain.Chain, after string) try {
 	q.sends++
+	q.reached.Store(false)
 	header := q.r.Header.Clone()
 	g.Dialect.Send(header, exchange.Send{
 		Team: q.team, Left: q.left(time.Now()), Endpoint: b.ID, Priority: q.priority, Chain: c, After: after,
 	})
 	call := upstream.Call{
 		Address: b.Address, Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: header,
-		Body: q.body, HasBody: q.hasBody, Rest: connectionRest,
+		Body: q.body, HasBody: q.hasBody, Rest: connectionRest, Wrote: func() { q.reached.Store(true) },
 		Mine: func(h http.Header) bool {
 			id := g.Dialect.Reply(0, h).ID
 			return id == q.ID || id == "" // a refusal need not name the request
--- a/role/gateway/watchdog.go
+++ b/role/gateway/watchdog.go
@@ -46,8 +46,9 @@
 	mu    sync.Mutex // guards what follows
 	seat  *seat
 	timer *time.Timer
-	// last is when an event last came; zero before the first.
-	last time.Time
+	// last is when an event last came, first when the first one of the chain of the
+	// moment did; zero before.
+	first, last time.Time
 	// gaps learns how long the stream's next event takes.
 	gaps timeout.Estimator
 	// looking is set while a look is under way: there is one at a time.
@@ -91,6 +92,9 @@
 	if !w.last.IsZero() {
 		w.gaps = w.gaps.WithSample(now.Sub(w.last))
 	}
+	if w.first.IsZero() {
+		w.first = now
+	}
 	w.last = now
 	w.seat.read()
 	for _, b := range w.seat.parts {
@@ -99,6 +103,19 @@
 	w.timer.Reset(w.gaps.Value())
 }
 
+// beginTime is how long a request counts as just begun after its first event: one that ends
+// the endpoint that begins to run it did so 36 to 109 ms after its start, and the others that
+// run there mostly began before.
+const beginTime = time.Second
+
+// begins reports whether the endpoints of the chain have got the request and had lately begun
+// to run it at now.
+func (w *watchdog) begins(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.relay.q.reached.Load() && (w.first.IsZero() || now.Sub(w.first) < beginTime)
+}
+
 // kick has the watchdog look soon, since a part of the chain has been lost. An
 // event that is not late yet may still come: it was made before.
 func (w *watchdog) kick() {
@@ -338,7 +355,7 @@
 	}
 	w.seat.unwatch(w)
 	w.seat.release()
-	w.seat = next
+	w.seat, w.first = next, time.Time{}
 	next.watch(w)
 	w.relay.q.note("moved: " + next.chain.String())
 }
--- a/role/gateway/watchers.go
+++ b/role/gateway/watchers.go
@@ -1,6 +1,13 @@
 package gateway
 
-import "sync"
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/grademill/grademill/decide/fingerprint"
+)
 
 // watchers are the watchdogs of the streams that pass through an endpoint. The
 // zero watchers is empty.
@@ -27,13 +34,25 @@
 
 // kick has all of them look soon.
 func (s *watchers) kick() {
-	s.mu.Lock()
-	list := make([]*watchdog, 0, len(s.set))
-	for w := range s.set {
-		list = append(list, w)
-	}
-	s.mu.Unlock()
-	for _, w := range list {
+	for _, w := range s.list() {
 		w.kick()
 	}
 }
+
+// begun returns the requests that the endpoint had lately begun to run at now.
+func (s *watchers) begun(now time.Time) []fingerprint.Fingerprint {
+	var prints []fingerprint.Fingerprint
+	for _, w := range s.list() {
+		if w.begins(now) {
+			prints = append(prints, w.relay.q.print)
+		}
+	}
+	return prints
+}
+
+// list returns the watchdogs of the moment.
+func (s *watchers) list() []*watchdog {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.set))
+}
