Keep a request from endpoints once three of them have ended under it

Cause: a request was judged by its ID, which is new each time it comes, and each gateway judged for itself; the ends of endpoints were charged to the endpoints alone. Nothing bounded how many a request that comes again could end. Ruled out: load (the test has none), and the tries of one arrival alone (each arrival ended four endpoints, but there was no end to the arrivals).

Now a gateway that finds an endpoint's process ended says under which requests: those that the endpoint had got and begun within the last second, by fingerprint. Five gateways, by rendezvous, keep count of a fingerprint and check that the endpoints have ended; at three ends of different lives the request is refused at once, by all, for ten minutes: digests tell it within a fraction of a second, a key of the store under a lease keeps it while gateways end and start again. A request that runs to its end clears its count.

Weighed: a bound of two ends for each arrival (TestEndedEndpointsAreNoTries then fails: a stream that lost two first endpoints in a row was given up); counts in every digest (20 bytes for each request that any crash hit, 150 ms apart).

The regression test now leaves 0.1 s between two arrivals, as they came: within a few milliseconds a third gateway cannot have heard; it fails without the change as before.

--- a/adapter/meter/gateway.go
+++ b/adapter/meter/gateway.go
@@ -19,6 +19,7 @@
 	retries     *prometheus.CounterVec
 	checks      *prometheus.CounterVec
 	orders      *prometheus.CounterVec
+	quarantine  *prometheus.CounterVec
 	platform    *prometheus.CounterVec
 	digests     *prometheus.CounterVec
 	connections prometheus.Counter
@@ -56,6 +57,10 @@
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "gateway_orders_total", Help: "Orders to endpoints, by result.",
 		}, []string{"result"}),
+		quarantine: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "gateway_quarantine_total",
+			Help: "Events of the requests under which endpoints have ended.",
+		}, []string{"event"}),
 		platform: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "gateway_platform_calls_total", Help: "Calls of the platform and of controls.",
 		}, []string{"kind"}),
@@ -71,7 +76,7 @@
 		}),
 	}
 	m.Registry.MustRegister(
-		m.ended, m.first, m.total, m.pause, m.retries, m.checks, m.orders, m.platform, m.digests, m.connections, m.dropped)
+		m.ended, m.first, m.total, m.pause, m.retries, m.checks, m.orders, m.quarantine, m.platform, m.digests, m.connections, m.dropped)
 	return m
 }
 
@@ -108,6 +113,9 @@
 // Order counts an order.
 func (m *Gateway) Order(result string) { m.orders.WithLabelValues(result).Inc() }
 
+// Quarantine counts an event of the requests under which endpoints have ended.
+func (m *Gateway) Quarantine(event string) { m.quarantine.WithLabelValues(event).Inc() }
+
 // PlatformCall counts a call of the platform.
 func (m *Gateway) PlatformCall(kind string) { m.platform.WithLabelValues(kind).Inc() }
 
--- a/decide/overlay/overlay.go
+++ b/decide/overlay/overlay.go
@@ -166,6 +166,24 @@
 	return o.rank(key, append(o.live(o.Self.Hall), o.outside(o.Self.Hall)...))
 }
 
+// keepers is the number of gateways that keep count of a thing: some may have ended without the
+// others knowing, or be cut off.
+const keepers = 5
+
+// Keepers returns the gateways that keep count of a thing of the whole fleet, this one
+// among them where it is one. All gateways that know the same fleet name the same ones, the
+// first one first.
+func (o Overlay) Keepers(key string) []Member {
+	all := append([]Member{o.Self}, o.Others...)
+	names := namesOf(all)
+	top := rendezvous.Top(key, names, keepers)
+	list := make([]Member, len(top))
+	for i, name := range top {
+		list[i] = all[slices.Index(names, name)]
+	}
+	return list
+}
+
 // outside returns the other gateways that are not in a hall.
 func (o Overlay) outside(hall string) []Member {
 	var list []Member
--- a/decide/overlay/overlay_test.go
+++ b/decide/overlay/overlay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -186,3 +187,25 @@
 		}
 	}
 }
+
+// All gateways that know the same fleet name the same ones to keep count of a thing, among
+// them those of other halls, and in a small fleet all.
+func TestKeepersAreTheSameForAll(t *testing.T) {
+	t.Parallel()
+	for _, size := range []int{1, 3, 5, 60} {
+		all := make([]overlay.Member, size)
+		for i := range all {
+			all[i] = overlay.Member{Name: fmt.Sprint("gateway-", i), Hall: fmt.Sprint("hall-", i%3)}
+		}
+		var named []overlay.Member
+		for i, self := range all {
+			others := slices.Delete(slices.Clone(all), i, i+1)
+			keepers := overlay.Overlay{Self: self, Others: others}.Keepers("key")
+			if i == 0 {
+				named = keepers
+			}
+			require.Equal(t, named, keepers)
+		}
+		require.Len(t, named, min(size, 5))
+	}
+}
--- a/role/gateway/digest.go
+++ b/role/gateway/digest.go
@@ -19,6 +19,7 @@
 		ProofAgeMillis: uint32(max(g.proofAge(now).Milliseconds(), 0)),
 		Giving:         g.giving.Load(),
 		Cut:            g.feed.Cut(now),
+		Suspects:       g.quarantine.Told(now),
 	}
 	if others != nil && now.UnixNano()-g.giverNear.Load() < int64(wordFresh) {
 		d.Giving = true // the one that gives orders is of this hall
@@ -95,6 +96,7 @@
 // Heard takes in a digest of another gateway, or of another hall.
 func (g *Gateway) Heard(d *gossip.Digest, now time.Time) {
 	f := g.fleet.Load()
+	g.quarantine.Adopt(d.GetSuspects(), d.GetGateway(), now)
 	if d.GetGiving() {
 		g.directedAt.Store(now.UnixNano())
 		if d.GetMembers() == 0 { // only its own word is told on: an echo would never end
@@ -131,6 +133,11 @@
 	}
 }
 
+// Ended takes in what another gateway tells of the ends of endpoints under requests.
+func (g *Gateway) Ended(e *gossip.Ends, now time.Time) {
+	g.quarantine.Hear(e, now)
+}
+
 // hearDown takes in that another gateway says that an endpoint is down. The other one may
 // be cut off itself: its word alone has the endpoint checked, if this one uses it or looks
 // after it. By the word of two the endpoint is passed over, and streams through it whose
@@ -198,7 +205,8 @@
 	}
 }
 
-// Tick compares this gateway's proof with the others'.
+// Tick compares this gateway's proof with the others', and goes on with the quarantine.
 func (g *Gateway) Tick(now time.Time) {
 	g.compare(now)
+	g.quarantine.Tick(now)
 }
--- a/role/gateway/follow.go
+++ b/role/gateway/follow.go
@@ -52,7 +52,7 @@
 		g.giver.Store(true)
 		return
 	}
-	if g.announcer.Put(p) {
+	if g.announcer.Put(p) || g.quarantine.Put(p, time.Now()) {
 		return
 	}
 	id, ok := g.Records.EndpointID(p.Key)
@@ -81,7 +81,7 @@
 		g.Log.Info().Msg("nobody gives orders")
 		return
 	}
-	if g.announcer.Gone(key) {
+	if g.announcer.Gone(key) || g.quarantine.Gone(key, time.Now()) {
 		return
 	}
 	id, ok := g.Records.EndpointID(key)
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/grademill/grademill/role/admission"
 	"github.com/grademill/grademill/role/announcer"
 	"github.com/grademill/grademill/role/gossip"
+	"github.com/grademill/grademill/role/quarantine"
 	"github.com/grademill/grademill/state/lines"
 	"github.com/grademill/grademill/state/peers"
 	"github.com/grademill/grademill/state/turnstile"
@@ -101,6 +102,8 @@
 	pool    upstream.Pool
 	peers   peers.Table
 	gossip  gossip.Gossip
+	// quarantine are the requests that are kept from endpoints.
+	quarantine quarantine.Quarantine
 	// announcer keeps this gateway in the store.
 	announcer announcer.Announcer
 	// feed is where the store's changes come from, cache what others may ask of them.
@@ -137,6 +140,7 @@
 	g.peers.Counter = g.counter
 	g.probes.Control = g.Runners
 	g.initGossip()
+	g.initQuarantine()
 	g.initFeed()
 	g.pool.Opened = g.Meter.Connection
 	var group sync.WaitGroup
@@ -146,6 +150,7 @@
 	group.Go(func() { g.give(ctx) })
 	group.Go(func() { g.announcer.Run(ctx) })
 	group.Go(func() { g.gossip.Run(ctx) })
+	group.Go(func() { g.quarantine.Run(ctx) })
 	group.Go(func() { g.revive(ctx) })
 	group.Go(func() { g.survey(ctx) })
 	group.Go(func() { g.line.Run(ctx) })
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -99,6 +99,12 @@
 		return false
 	}
 	g.countFirst(q.service.Name)
+	// A request under which three endpoints have ended would end each one that runs it: 57 ends
+	// in 90 s in a fleet of 33, counted on a recorded day.
+	if left := g.quarantine.Left(q.print, q.start); left > 0 {
+		g.refuse(q, left, string(shortageQuarantine))
+		return false
+	}
 	return true
 }
 
@@ -198,6 +204,8 @@
 	switch {
 	case errors.Is(q.r.Context().Err(), context.Canceled):
 		q.set(0, outcomeLeft, reason)
+	case !q.mayHaveRun && g.quarantine.Left(q.print, time.Now()) > 0:
+		g.refuse(q, g.quarantine.Left(q.print, time.Now()), reason)
 	case !q.mayHaveRun && q.service.Model != nil:
 		var comeBack time.Duration
 		comeBack, q.admitted = g.line.ComeBack(q.waiting(), time.Now())
--- a/role/gateway/meter.go
+++ b/role/gateway/meter.go
@@ -20,4 +20,6 @@
 	Digest(bytes int, dropped bool)
 	// Order counts an order, by its result.
 	Order(result string)
+	// Quarantine counts an event of the requests under which endpoints have ended.
+	Quarantine(event string)
 }
--- a/role/gateway/plain.go
+++ b/role/gateway/plain.go
@@ -30,6 +30,10 @@
 func (g *Gateway) servePlain(q *query) {
 	reason := "no endpoint is there"
 	for q.sends < maxSends {
+		if !g.maySend(q) {
+			reason = joinReasons(shortageQuarantine, reason)
+			break
+		}
 		b := g.pick(q)
 		if b == nil {
 			break
@@ -125,6 +129,7 @@
 	case verdictLost, verdictOver:
 		q.cause = causeLost
 		q.ran = append(q.ran, b)
+		g.endedUnder(q, b)
 		return false, t.err.Error()
 	}
 	q.ran = append(q.ran, b)
@@ -132,8 +137,10 @@
 	if err != nil {
 		b.use.judge(health.Record.WithFailure)
 		q.cause = causeBroken
+		g.endedUnder(q, b)
 		return false, "the answer broke off: " + err.Error()
 	}
+	g.quarantine.Survived(q.print, time.Now())
 	if t.answer.Status >= http.StatusInternalServerError {
 		b.use.judge(health.Record.WithFailure)
 		if !last && g.left(q) && g.pickOther(q, b) {
--- /dev/null
+++ b/role/gateway/quarantine.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/grademill/grademill/decide/fingerprint"
+	"github.com/grademill/grademill/decide/overlay"
+	"github.com/grademill/grademill/role/quarantine"
+	"github.com/grademill/grademill/state/suspects"
+)
+
+// initQuarantine sets up what keeps requests from endpoints.
+func (g *Gateway) initQuarantine() {
+	g.quarantine = quarantine.Quarantine{
+		Self: g.Name, Keepers: func(key string) []overlay.Member { return g.gossip.Overlay().Keepers(key) },
+		Tell: g.gossip.TellEnds, News: g.gossip.News, Over: g.over, Store: g.Store, Count: g.Meter.Quarantine, Log: g.Log,
+	}
+	g.quarantine.Init()
+}
+
+// life returns the life of the endpoint that its record tells of.
+func (b *backend) life() suspects.Life {
+	return suspects.Life{Endpoint: b.ID}
+}
+
+// endedUnder reports the end of an endpoint of a plain service that gave a request no whole
+// answer, if its process has ended.
+func (g *Gateway) endedUnder(q *query, b *backend) {
+	if !q.reached.Load() || q.r.Context().Err() != nil {
+		return
+	}
+	g.verify(q.r.Context(), b)
+	if b.use.ended.Load() {
+		g.quarantine.Report(b.life(), []fingerprint.Fingerprint{q.print}, time.Now())
+	}
+}
+
+// over reports whether a life of an endpoint has surely ended: its record is gone or that of
+// another life, or the endpoint does not answer. Otherwise it is checked.
+func (g *Gateway) over(l suspects.Life) bool {
+	b := g.fleet.Load().byID[l.Endpoint]
+	if b == nil || b.life() != l || b.use.dead(time.Now()) || b.use.ended.Load() {
+		return true
+	}
+	g.suspect(b)
+	return false
+}
+
+// maySend reports whether a request may be sent to an endpoint: it is not in quarantine.
+func (g *Gateway) maySend(q *query) bool {
+	return g.quarantine.Left(q.print, time.Now()) == 0
+}
--- a/role/gateway/quarantine_test.go
+++ b/role/gateway/quarantine_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -14,6 +15,10 @@
 // deadly is the body of a request that ends the endpoints that begin to run it.
 const deadly = "ends who runs it"
 
+// arrivalEvery is the time between two arrivals of a request: they came 0.1 s apart and more,
+// and the other gateways may take seconds to hear of the third end.
+const arrivalEvery = 100 * time.Millisecond
+
 // flock is a site before several gateways, whose endpoints come back as new ones.
 type flock struct {
 	*world
@@ -100,6 +105,7 @@
 			var last reply
 			for i := range arrivals {
 				f.restore()
+				time.Sleep(arrivalEvery)
 				last = f.send(i, deadly)
 			}
 			require.LessOrEqual(t, len(f.site.Ended()), most)
@@ -112,3 +118,28 @@
 		})
 	}
 }
+
+// A gateway that starts later knows from the store which requests are kept from endpoints.
+func TestQuarantineIsKnownToGatewaysThatStartLater(t *testing.T) {
+	t.Parallel()
+	f := plainFlock(t, 1)
+	for i := 0; len(f.site.Store.Keys("grademill/quarantine/")) == 0; i++ {
+		f.restore()
+		f.send(i, deadly)
+	}
+	ended := len(f.site.Ended())
+	later := f.start("gateway-2")
+	f.eventually(later.Ready)
+	f.targets = []string{f.serve(later)}
+	require.Equal(t, http.StatusServiceUnavailable, f.send(0, deadly).StatusCode)
+	require.Len(t, f.site.Ended(), ended)
+}
+
+// A request that may run once only is sent to one endpoint, also when that ends under it.
+func TestRequestThatMayRunOnceEndsOneEndpoint(t *testing.T) {
+	t.Parallel()
+	f := plainFlock(t, 1)
+	f.path = "/renew/9"
+	require.Equal(t, http.StatusBadGateway, f.send(0, deadly).StatusCode)
+	require.Len(t, f.site.Ended(), 1)
+}
--- a/role/gateway/seat.go
+++ b/role/gateway/seat.go
@@ -110,6 +110,8 @@
 	shortageLayers shortage = "no chain holds all layers"
 	shortageRoom   shortage = "no chain has room"
 	shortageBudget shortage = "the retry budget is used up"
+	// shortageQuarantine is a request that is kept from endpoints.
+	shortageQuarantine shortage = "endpoints have ended under the request"
 )
 
 // takeTry takes a seat for a try of a request, with its part of the retry budget
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -115,6 +115,9 @@
 // the retry budget when the request has reached an endpoint before. It waits in line for
 // as long as the request may.
 func (s *relay) seat() (*seat, shortage) {
+	if !s.g.maySend(s.q) {
+		return nil, shortageQuarantine
+	}
 	if taken := s.reserved; taken != nil {
 		s.reserved = nil
 		return taken, shortageNone
@@ -125,6 +128,10 @@
 		return nil, shortageBudget
 	}
 	taken, short := s.g.takeTurn(s.q, turn)
+	if short == shortageNone && !s.g.maySend(s.q) { // known since, while it waited in line
+		taken.release()
+		short = shortageQuarantine
+	}
 	if short != shortageNone && retry {
 		s.g.returnRetry(s.q.service.Name)
 	}
@@ -298,6 +305,7 @@
 	}
 	_ = s.flush.SetWriteDeadline(time.Time{}) // the next answer sets its own
 	s.q.set(t.answer.Status, outcomeServed, "")
+	s.g.quarantine.Survived(s.q.print, time.Now())
 	s.g.line.Times.NoteWhole(s.q.service.Name, time.Since(s.sentAt))
 	return ""
 }
--- a/role/gateway/suspect.go
+++ b/role/gateway/suspect.go
@@ -59,11 +59,10 @@
 	checkStillSilent = "still silent"
 )
 
-// suspect has an endpoint that holds layers checked, in the background and once
-// at a time. Streams through one that does not answer are moved at once: a
+// suspect has an endpoint checked, in the background and once at a time. Streams through one that does not answer are moved at once: a
 // report of the endpoints before it tells of it only some 200 ms later.
 func (g *Gateway) suspect(b *backend) {
-	if b.Card == "" || b.use.down() || !b.use.checking.CompareAndSwap(false, true) {
+	if b.use.down() || !b.use.checking.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
@@ -75,9 +74,6 @@
 // verify checks an endpoint that has broken off an answer, and returns once it is known
 // whether it has ended: what has ended does not count as a try of the request.
 func (g *Gateway) verify(ctx context.Context, b *backend) {
-	if b.Card == "" {
-		return
-	}
 	for !b.use.checking.CompareAndSwap(false, true) {
 		if ctx.Err() != nil || b.use.down() {
 			return
@@ -122,8 +118,13 @@
 	g.doubt(b, now)
 }
 
-// check asks an endpoint for its report and notes when it gives none.
+// check asks an endpoint for its report and notes when it gives none. One of a plain service
+// gives none in any case.
 func (g *Gateway) check(b *backend) {
+	if b.Card == "" {
+		g.knock(b)
+		return
+	}
 	begun := time.Now()
 	report, err := g.probes.Ask(context.Background(), b.Address)
 	switch {
@@ -153,6 +154,25 @@
 	g.Log.Info().Str("endpoint", b.ID).Str("address", b.Address).Err(err).Bool("ended", ended).Strs("begun", fingerprint.Strings(ran)).
 		Dur("took_ms", time.Since(begun)).Msg("endpoint does not answer")
 	g.spreadLoss(b)
+	if ended {
+		g.quarantine.Report(b.life(), ran, now)
+	}
+	g.quarantine.Review(now)
+}
+
+// knock notes whether the host of an endpoint of a plain service refuses connections to it.
+// Its health check would wait for a slot, as requests do.
+func (g *Gateway) knock(b *backend) {
+	ended := probe.Refuses(context.Background(), b.Address)
+	if ended {
+		g.Meter.Check(checkSilent)
+	} else {
+		g.Meter.Check(checkPassed)
+	}
+	if b.use.ended.Swap(ended) != ended {
+		g.Log.Info().Str("endpoint", b.ID).Str("address", b.Address).Bool("ended", ended).Msg("plain endpoint was checked")
+	}
+	g.quarantine.Review(time.Now())
 }
 
 // noteAnswer notes that an endpoint has answered a question that was begun at a time.
--- a/role/gateway/try.go
+++ b/role/gateway/try.go
@@ -78,6 +78,9 @@
 	case t.reply.Signed && t.reply.ID == q.ID:
 		q.mayHaveRun = true
 		b.use.judge(health.Record.WithAnswer)
+		if b.Card == "" {
+			b.use.ended.Store(false) // it has started again
+		}
 	default:
 		q.mayHaveRun = true
 		t.verdict, t.err = verdictLost, errUnsigned
--- a/role/gossip/gossip.go
+++ b/role/gossip/gossip.go
@@ -57,6 +57,8 @@
 	Heard(d *wire.Digest, now time.Time)
 	// Lost takes in that an endpoint gives another gateway no answer.
 	Lost(l *wire.Loss, now time.Time)
+	// Ended takes in what another gateway tells of the ends of endpoints under requests.
+	Ended(e *wire.Ends, now time.Time)
 	// Tick is called before each digest.
 	Tick(now time.Time)
 }
@@ -269,9 +271,12 @@
 			s.Log.Debug().Err(err).Stringer("from", from).Msg("datagram not understood")
 			continue
 		}
-		if l := p.GetLoss(); l != nil {
-			s.Local.Lost(l, time.Now())
-		} else {
+		switch {
+		case p.GetLoss() != nil:
+			s.Local.Lost(p.GetLoss(), time.Now())
+		case p.GetEnds() != nil:
+			s.Local.Ended(p.GetEnds(), time.Now())
+		default:
 			s.take(p.GetDigest(), from.String(), time.Now())
 		}
 	}
@@ -282,6 +287,11 @@
 	s.send(&wire.Packet{Loss: &wire.Loss{Gateway: s.Self.Name, Endpoint: endpoint}}, s.Overlay().Others...)
 }
 
+// TellEnds tells some gateways of the ends of endpoints under requests.
+func (s *Gossip) TellEnds(e *wire.Ends, to ...overlay.Member) {
+	s.send(&wire.Packet{Ends: e}, to...)
+}
+
 // take takes a digest in, and passes one of another hall on to the gateways of this one.
 func (s *Gossip) take(d *wire.Digest, from string, now time.Time) {
 	if d.GetGateway() == s.Self.Name {
--- a/role/gossip/gossip_test.go
+++ b/role/gossip/gossip_test.go
@@ -48,6 +48,9 @@
 // Lost implements gossip.Local.
 func (n *node) Lost(*wire.Loss, time.Time) {}
 
+// Ended implements gossip.Local.
+func (n *node) Ended(*wire.Ends, time.Time) {}
+
 // Tick implements gossip.Local.
 func (n *node) Tick(time.Time) {}
 
--- a/role/gossip/scale_test.go
+++ b/role/gossip/scale_test.go
@@ -173,6 +173,9 @@
 // Lost implements gossip.Local.
 func (h *host) Lost(*wire.Loss, time.Time) {}
 
+// Ended implements gossip.Local.
+func (h *host) Ended(*wire.Ends, time.Time) {}
+
 // Tick implements gossip.Local.
 func (h *host) Tick(time.Time) {}
 
--- /dev/null
+++ b/state/suspects/suspects.go
@@ -0,0 +1,231 @@
+// Package suspects keeps the requests under which endpoints have ended, and those that are
+// kept from endpoints for that.
+package suspects
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/grademill/grademill/decide/fingerprint"
+)
+
+const (
+	// maxKept bounds the requests that are kept, some 200 bytes each. A fleet that loses 500
+	// endpoints at once, each with 20 requests that it had just begun, has 10,000, and each
+	// gateway keeps count of a part of them.
+	maxKept = 4096
+	// maxLives bounds the lives that are kept for a request: more decide nothing.
+	maxLives = 8
+)
+
+// Life is one life of an endpoint: it may start again under the same ID.
+type Life struct {
+	Endpoint string
+	// Born is when it started, as it says, 0 when it does not.
+	Born int64
+}
+
+// Suspect is what is known of a request.
+type Suspect struct {
+	Print fingerprint.Fingerprint
+	// Ends is the number of lives that have ended under it.
+	Ends int
+	// Left is how much longer it is kept from endpoints, 0 while it is not.
+	Left time.Duration
+}
+
+// Suspects are the requests under which endpoints have ended. Set the exported field before
+// the first use.
+type Suspects struct {
+	// Lasts is how long an end counts, after the last one under the same request.
+	Lasts time.Duration
+
+	// size is the number of requests in kept: most gateways keep none most of the time, and
+	// each request looks.
+	size atomic.Int64
+	mu   sync.Mutex // guards what follows
+	kept map[fingerprint.Fingerprint]*record
+}
+
+// record is what is kept of a request.
+type record struct {
+	// lives are those that have ended under it, at is when one was last noted.
+	lives []Life
+	at    time.Time
+	// told is the number of ends that another gateway tells of, until toldUntil.
+	told      int
+	toldUntil time.Time
+	// barredUntil is until when it is kept from endpoints.
+	barredUntil time.Time
+}
+
+// Note notes at now that a life has ended under a request, and returns all that have.
+func (s *Suspects) Note(f fingerprint.Fingerprint, life Life, now time.Time) []Life {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.record(f, now)
+	if now.Sub(r.at) > s.Lasts {
+		r.lives = nil
+	}
+	r.at = now
+	if len(r.lives) < maxLives && !slices.Contains(r.lives, life) {
+		r.lives = append(r.lives, life)
+	}
+	return slices.Clone(r.lives)
+}
+
+// Lives returns the lives that have ended under a request, as far as they count at now.
+func (s *Suspects) Lives(f fingerprint.Fingerprint, now time.Time) []Life {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.kept[f]
+	if r == nil || now.Sub(r.at) > s.Lasts {
+		return nil
+	}
+	return slices.Clone(r.lives)
+}
+
+// Hear takes in the word of another gateway on the number of ends under a request, which
+// counts until a time.
+func (s *Suspects) Hear(f fingerprint.Fingerprint, ends int, now, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.record(f, now)
+	r.told, r.toldUntil = ends, until
+}
+
+// Ends returns the number of lives that have ended under a request, as far as is known at now.
+func (s *Suspects) Ends(f fingerprint.Fingerprint, now time.Time) int {
+	if s.size.Load() == 0 {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r := s.kept[f]; r != nil {
+		return s.ends(r, now)
+	}
+	return 0
+}
+
+// Bar has a request kept from endpoints until a time, and reports whether it was not at now.
+func (s *Suspects) Bar(f fingerprint.Fingerprint, now, until time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.record(f, now)
+	if r.barredUntil.After(now) || !until.After(now) {
+		return false
+	}
+	r.barredUntil = until
+	return true
+}
+
+// Barred returns how much longer a request is kept from endpoints at now, 0 when it is not.
+func (s *Suspects) Barred(f fingerprint.Fingerprint, now time.Time) time.Duration {
+	if s.size.Load() == 0 {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r := s.kept[f]; r != nil {
+		return max(r.barredUntil.Sub(now), 0)
+	}
+	return 0
+}
+
+// Clear forgets the ends under a request that has run to its end, unless it is kept from
+// endpoints, and reports whether there were any.
+func (s *Suspects) Clear(f fingerprint.Fingerprint, now time.Time) bool {
+	if s.size.Load() == 0 {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.kept[f]
+	if r == nil || r.barredUntil.After(now) {
+		return false
+	}
+	delete(s.kept, f)
+	s.size.Store(int64(len(s.kept)))
+	return true
+}
+
+// List returns up to most requests with so many ends at least at now: those that are kept
+// from endpoints first, and then those with the most ends.
+func (s *Suspects) List(least, most int, now time.Time) []Suspect {
+	if s.size.Load() == 0 {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []Suspect
+	for f, r := range s.kept {
+		one := Suspect{Print: f, Left: max(r.barredUntil.Sub(now), 0)}
+		if now.Sub(r.at) <= s.Lasts {
+			one.Ends = len(r.lives) // its own count: an echo of the others' would never end
+		}
+		if one.Left > 0 || one.Ends >= least {
+			list = append(list, one)
+		}
+	}
+	slices.SortFunc(list, func(a, b Suspect) int {
+		return cmp.Or(cmp.Compare(b.Left, a.Left), cmp.Compare(b.Ends, a.Ends), cmp.Compare(a.Print, b.Print))
+	})
+	return list[:min(len(list), most)]
+}
+
+// ends returns the number of ends of a record; s.mu is held.
+func (s *Suspects) ends(r *record, now time.Time) int {
+	n := 0
+	if now.Sub(r.at) <= s.Lasts {
+		n = len(r.lives)
+	}
+	if now.Before(r.toldUntil) {
+		n = max(n, r.told)
+	}
+	return n
+}
+
+// record returns the record of a request, a new one if there is none; s.mu is held.
+func (s *Suspects) record(f fingerprint.Fingerprint, now time.Time) *record {
+	if r := s.kept[f]; r != nil {
+		return r
+	}
+	if s.kept == nil {
+		s.kept = make(map[fingerprint.Fingerprint]*record)
+	}
+	if len(s.kept) >= maxKept {
+		s.makeRoom(now)
+	}
+	r := new(record)
+	s.kept[f] = r
+	s.size.Store(int64(len(s.kept)))
+	return r
+}
+
+// makeRoom drops what no longer counts, or else the half of the rest that was noted the
+// longest ago, but nothing that is kept from endpoints; s.mu is held.
+func (s *Suspects) makeRoom(now time.Time) {
+	var times []time.Time
+	for f, r := range s.kept {
+		switch {
+		case r.barredUntil.After(now):
+		case s.ends(r, now) == 0:
+			delete(s.kept, f)
+		default:
+			times = append(times, r.at)
+		}
+	}
+	if len(s.kept) < maxKept/2 || len(times) == 0 {
+		return
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	middle := times[len(times)/2]
+	for f, r := range s.kept {
+		if !r.barredUntil.After(now) && !r.at.After(middle) {
+			delete(s.kept, f)
+		}
+	}
+}
--- /dev/null
+++ b/state/suspects/suspects_test.go
@@ -0,0 +1,95 @@
+package suspects_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/decide/fingerprint"
+	"github.com/grademill/grademill/state/suspects"
+)
+
+// at is a time of the tests.
+func at(seconds int) time.Time { return time.Unix(1000, 0).Add(time.Duration(seconds) * time.Second) }
+
+func life(id string, born int64) suspects.Life { return suspects.Life{Endpoint: id, Born: born} }
+
+// Each life counts once, also when it is told of again; an endpoint that has started again
+// under its ID is another life.
+func TestLivesCountOnce(t *testing.T) {
+	t.Parallel()
+	s := suspects.Suspects{Lasts: time.Minute}
+	require.Zero(t, s.Ends(1, at(0)))
+	s.Note(1, life("a", 1), at(0))
+	s.Note(1, life("a", 1), at(1))
+	require.Equal(t, 1, s.Ends(1, at(1)))
+	require.Len(t, s.Note(1, life("a", 2), at(2)), 2)
+	require.Zero(t, s.Ends(2, at(2)), "another request")
+}
+
+// Ends are forgotten a while after the last one, and when the request runs to its end.
+func TestEndsAreForgotten(t *testing.T) {
+	t.Parallel()
+	s := suspects.Suspects{Lasts: time.Minute}
+	s.Note(1, life("a", 1), at(0))
+	s.Note(1, life("b", 1), at(50))
+	require.Equal(t, 2, s.Ends(1, at(100)))
+	require.Zero(t, s.Ends(1, at(111)))
+	require.Len(t, s.Note(1, life("c", 1), at(120)), 1)
+	require.True(t, s.Clear(1, at(121)))
+	require.Zero(t, s.Ends(1, at(121)))
+	require.False(t, s.Clear(1, at(121)))
+}
+
+// A request is kept from endpoints until its time, also when one that had begun before runs
+// to its end.
+func TestBar(t *testing.T) {
+	t.Parallel()
+	s := suspects.Suspects{Lasts: time.Minute}
+	require.True(t, s.Bar(1, at(0), at(60)))
+	require.False(t, s.Bar(1, at(1), at(99)), "it is known")
+	require.Equal(t, 20*time.Second, s.Barred(1, at(40)))
+	require.False(t, s.Clear(1, at(41)))
+	require.Zero(t, s.Barred(1, at(60)))
+	require.Zero(t, s.Barred(2, at(40)))
+}
+
+// The word of others counts for its time, and is not told on.
+func TestWordOfOthers(t *testing.T) {
+	t.Parallel()
+	s := suspects.Suspects{Lasts: time.Minute}
+	s.Hear(1, 2, at(0), at(5))
+	require.Equal(t, 2, s.Ends(1, at(4)))
+	require.Empty(t, s.List(2, 10, at(4)))
+	require.Zero(t, s.Ends(1, at(5)))
+}
+
+// What is kept from endpoints is told first, and nothing with fewer ends than asked.
+func TestList(t *testing.T) {
+	t.Parallel()
+	s := suspects.Suspects{Lasts: time.Minute}
+	for _, id := range []string{"a", "b"} {
+		s.Note(1, life(id, 1), at(0))
+	}
+	s.Note(2, life("a", 1), at(0))
+	s.Bar(3, at(0), at(30))
+	require.Equal(t, []suspects.Suspect{
+		{Print: 3, Left: 20 * time.Second}, {Print: 1, Ends: 2},
+	}, s.List(2, 10, at(10)))
+	require.Len(t, s.List(1, 10, at(10)), 3)
+	require.Len(t, s.List(1, 2, at(10)), 2)
+}
+
+// However many there are, what is kept is bounded, and what is kept from endpoints stays.
+func TestBounded(t *testing.T) {
+	t.Parallel()
+	s := suspects.Suspects{Lasts: time.Minute}
+	s.Bar(1, at(0), at(1000))
+	for i := range 20_000 {
+		s.Note(fingerprint.Fingerprint(i+2), life("a", 1), at(i/1000))
+	}
+	require.LessOrEqual(t, len(s.List(0, 30_000, at(20))), 4096)
+	require.Positive(t, s.Barred(1, at(20)))
+	require.Equal(t, 1, s.Ends(20_001, at(20)), "the newest is there")
+}
