Tell the lives of an endpoint under one ID apart, and use no record that another writer spoilt

An endpoint may start again under the ID that it had; it then holds and knows nothing of before, and its record and reports say when it started. A record of a later life ends the former one: what ran there is lost and moved, what was known or ordered does not count, and the requests that it had just begun are charged with its end. A report of a later life than the record's counts as the end of that one, before the record is written anew. A record of a former life that comes late is passed over.

What a spoilt record overwrote is out of use until it is written again: TestGarbledRecordsAreNotTakenIn asked for the former record to stay in force, and now asks for the opposite, since the users' pages say that such an entry names no endpoint to use.

--- a/decide/endpoint/endpoint.go
+++ b/decide/endpoint/endpoint.go
@@ -6,8 +6,12 @@
 // Endpoint is one life of a back end, as it last described itself. It is
 // immutable.
 type Endpoint struct {
-	// ID belongs to this life of the endpoint alone.
+	// ID is the endpoint's name. It may start again under it, as another life that holds and
+	// knows nothing of before.
 	ID string
+	// Born is when this life started, in milliseconds of Unix time by the endpoint's clock, 0
+	// when it does not say. It tells the lives under one ID apart: a later one has a greater.
+	Born int64
 	// Service is the service that it belongs to.
 	Service string
 	// Address is its host and port. Another endpoint may get the same address
@@ -25,3 +29,9 @@
 	Layers  layer.Range
 	Version int
 }
+
+// Follows reports whether the endpoint is a later life than another one under the same ID.
+// Where one of them does not say when it started they count as the same.
+func (e Endpoint) Follows(other Endpoint) bool {
+	return e.Born != 0 && other.Born != 0 && e.Born > other.Born
+}
--- a/port/runner/control.go
+++ b/port/runner/control.go
@@ -11,6 +11,8 @@
 
 // Report is what an endpoint says of itself, as it stood shortly before.
 type Report struct {
+	// Born is when the endpoint started, as in its record; 0 when it does not say.
+	Born int64
 	// Layers are held now.
 	Layers layer.Range
 	// Busy is set while an order is being carried out.
--- a/role/gateway/chooser.go
+++ b/role/gateway/chooser.go
@@ -130,7 +130,8 @@
 	now := time.Now()
 	for _, b := range f.open[q.service.Name] {
 		usable := b.usable(now)
-		if usable.Empty() {
+		// A card of no known kind has no known costs: another writer may have left its record.
+		if _, known := q.service.Model.Cards[b.Card]; usable.Empty() || !known {
 			continue
 		}
 		c.open++
--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -252,6 +252,14 @@
 	return u.downSince.Load() != 0
 }
 
+// markDown notes at now that the endpoint does not answer, and whether it has surely ended.
+func (u *usage) markDown(now time.Time, ended bool) {
+	u.downSince.Store(now.UnixNano())
+	u.silentAt.Store(now.UnixNano())
+	u.rechecks.Store(0)
+	u.ended.Store(ended)
+}
+
 // passed reports whether an event has just come through the endpoint.
 func (u *usage) passed(now time.Time) bool {
 	return now.UnixNano()-u.eventAt.Load() < int64(passedFresh)
--- a/role/gateway/follow.go
+++ b/role/gateway/follow.go
@@ -61,15 +61,25 @@
 	}
 	e, err := g.Records.DecodeEndpoint(id, p.Value)
 	if err != nil {
-		g.Log.Warn().Err(err).Uint64("revision", p.Revision).Msg("record not understood, the former one stays in force")
+		g.Log.Warn().Str("endpoint", id).Err(err).Uint64("revision", p.Revision).Msg("record not understood, it names no endpoint")
+		g.forget(id)
 		return
 	}
-	if g.members.endpoints[id] == e {
+	former, known := g.members.endpoints[id]
+	if former == e {
 		return
 	}
+	if former.Follows(e) {
+		g.Log.Info().Str("endpoint", id).Int64("born", e.Born).Int64("known", former.Born).Uint64("revision", p.Revision).
+			Msg("record of a former life of an endpoint is passed over")
+		return
+	}
+	if known && e.Follows(former) {
+		g.startedAgain(former, e)
+	}
 	g.members.endpoints[id] = e
 	g.members.changed = true
-	g.Log.Info().Str("endpoint", id).Str("service", e.Service).Str("address", e.Address).Str("hall", e.Hall).
+	g.Log.Info().Str("endpoint", id).Int64("born", e.Born).Str("service", e.Service).Str("address", e.Address).Str("hall", e.Hall).
 		Bool("leaving", e.Leaving).Stringer("layers", e.Layers).Str("card", e.Card).
 		Uint64("revision", p.Revision).Msg("endpoint changed")
 }
@@ -84,18 +94,37 @@
 	if g.announcer.Gone(key) || g.quarantine.Gone(key, time.Now()) {
 		return
 	}
-	id, ok := g.Records.EndpointID(key)
-	if !ok {
+	if id, ok := g.Records.EndpointID(key); ok {
+		g.forget(id)
+	}
+}
+
+// forget drops an endpoint that has no record.
+func (g *Gateway) forget(id string) {
+	e, known := g.members.endpoints[id]
+	if !known {
 		return
 	}
-	g.pool.Drop(g.members.endpoints[id].Address)
-	g.probes.Forget(g.members.endpoints[id].Address)
+	g.pool.Drop(e.Address)
+	g.probes.Forget(e.Address)
 	delete(g.members.endpoints, id)
 	delete(g.members.usage, id)
 	g.members.changed = true
 	g.Log.Info().Str("endpoint", id).Msg("endpoint gone")
 }
 
+// startedAgain ends a former life of an endpoint that has started again under its ID: what ran
+// there is lost, and nothing that was known or ordered counts for the new life.
+func (g *Gateway) startedAgain(former, e endpoint.Endpoint) {
+	g.pool.Drop(former.Address)
+	g.probes.Forget(former.Address)
+	g.Log.Info().Str("endpoint", e.ID).Int64("born", e.Born).Int64("former", former.Born).Msg("endpoint has started again")
+	if u := g.members.usage[e.ID]; u != nil {
+		delete(g.members.usage, e.ID)
+		g.lifeEnded(&backend{Endpoint: former, use: u}, time.Now())
+	}
+}
+
 // configure puts a configuration in force, unless a later one is.
 func (g *Gateway) configure(p kv.Pair) {
 	c, err := g.Records.DecodeCatalog(p.Value)
--- a/role/gateway/quarantine.go
+++ b/role/gateway/quarantine.go
@@ -20,7 +20,17 @@
 
 // life returns the life of the endpoint that its record tells of.
 func (b *backend) life() suspects.Life {
-	return suspects.Life{Endpoint: b.ID}
+	return suspects.Life{Endpoint: b.ID, Born: b.Born}
+}
+
+// lifeEnded notes at now that the life of an endpoint has surely ended: what ran there is lost,
+// and the requests that it had just begun are suspect.
+func (g *Gateway) lifeEnded(b *backend, now time.Time) {
+	begun := b.use.watchers.begun(now) // before those that wait for a check let go of it
+	b.use.markDown(now, true)
+	b.use.watchers.kick()
+	g.quarantine.Report(b.life(), begun, now)
+	g.quarantine.Review(now)
 }
 
 // endedUnder reports the end of an endpoint of a plain service that gave a request no whole
@@ -39,7 +49,7 @@
 // another life, or the endpoint does not answer. Otherwise it is checked.
 func (g *Gateway) over(l suspects.Life) bool {
 	b := g.fleet.Load().byID[l.Endpoint]
-	if b == nil || b.life() != l || b.use.dead(time.Now()) || b.use.ended.Load() {
+	if b == nil || b.Born != 0 && l.Born != 0 && b.Born != l.Born || b.use.dead(time.Now()) || b.use.ended.Load() {
 		return true
 	}
 	g.suspect(b)
--- a/role/gateway/quarantine_test.go
+++ b/role/gateway/quarantine_test.go
@@ -29,6 +29,8 @@
 	// path is served by the endpoints, and fresh makes another one.
 	path  string
 	fresh func(id string) *site.Endpoint
+	// again is set where endpoints come back under the IDs that they had.
+	again bool
 }
 
 // modelFlock and plainFlock start so many gateways before endpoints of the model, or of
@@ -45,7 +47,7 @@
 
 // newFlock starts the gateways and endpoints of a flock.
 func newFlock(t *testing.T, gateways int, f *flock) *flock {
-	for i := range 6 {
+	for i := range f.size() {
 		f.endpoints = append(f.endpoints, f.fresh(fmt.Sprint("endpoint-", i)))
 	}
 	f.world = newWorld(t, f.endpoints...)
@@ -60,15 +62,28 @@
 	return f
 }
 
+// size is the number of endpoints: two ends must be more than one each where they come back.
+func (f *flock) size() int {
+	if f.again {
+		return 2
+	}
+	return 6
+}
+
 // restore starts a new endpoint in place of each that has ended, and waits until each
 // gateway serves again.
 func (f *flock) restore() {
 	f.t.Helper()
 	for _, e := range f.site.Ended()[f.ended:] {
 		f.ended++
-		f.site.Withdraw(e)
+		if !f.again {
+			f.site.Withdraw(e)
+		}
 		f.endpoints = slices.DeleteFunc(f.endpoints, func(o *site.Endpoint) bool { return o == e })
 		next := f.fresh(fmt.Sprint("endpoint-", len(f.endpoints)+f.ended))
+		if f.again {
+			next = e.Next()
+		}
 		f.endpoints = append(f.endpoints, next)
 		require.NoError(f.t, f.site.Start(next))
 	}
--- a/role/gateway/seat.go
+++ b/role/gateway/seat.go
@@ -152,7 +152,7 @@
 			return nil, shortageLayers
 		}
 	}
-	return newSeat(found, need, func(id string) *backend { return f.byID[id] }), shortageNone
+	return newSeat(found, need, func(p chain.Part) *backend { return f.byID[p.ID] }), shortageNone
 }
 
 // others returns how the other gateways use the endpoints of a service.
@@ -188,11 +188,11 @@
 	if !ok || found[0] != old.chain[0] {
 		return nil, shortageLayers
 	}
-	return newSeat(found, need, func(id string) *backend {
-		if b := old.part(id); b != nil {
+	return newSeat(found, need, func(p chain.Part) *backend {
+		if b := old.part(p); b != nil {
 			return b // it may have left the fleet, and still serves what it has
 		}
-		return f.byID[id]
+		return f.byID[p.ID]
 	}), shortageNone
 }
 
@@ -215,21 +215,22 @@
 	return reread.Time(parts, alone, together)
 }
 
-// part returns the backend of the seat with an ID, nil for none.
-func (s *seat) part(id string) *backend {
+// part returns the backend of the seat that a part of a chain names, nil for none: another life
+// under its ID is elsewhere.
+func (s *seat) part(p chain.Part) *backend {
 	for _, b := range s.parts {
-		if b.ID == id {
+		if b.ID == p.ID && b.Address == p.Address {
 			return b
 		}
 	}
 	return nil
 }
 
-// newSeat takes room along a chain of backends that byID knows.
-func newSeat(found chain.Chain, need int, byID func(string) *backend) *seat {
+// newSeat takes room along a chain, whose parts are the backends that of returns.
+func newSeat(found chain.Chain, need int, of func(chain.Part) *backend) *seat {
 	s := &seat{chain: found, reading: true}
 	for _, p := range found {
-		b := byID(p.ID)
+		b := of(p)
 		memory := int64(need * p.Layers.Len())
 		b.use.take(memory)
 		b.use.reading.Add(1)
--- a/role/gateway/store_test.go
+++ b/role/gateway/store_test.go
@@ -142,17 +142,24 @@
 	require.NotContains(t, w.log.String(), `"apart":true`)
 }
 
-// What cannot be read leaves the former configuration and records in force, with
-// a line that says so.
+// A configuration that cannot be read leaves the former one in force, and a record that cannot
+// names no endpoint to use, whatever stood there before; lines say so.
 func TestGarbledRecordsAreNotTakenIn(t *testing.T) {
 	t.Parallel()
-	e := plain("a")
-	w := newWorld(t, e)
+	e, other := plain("a"), plain("b")
+	w := newWorld(t, e, other)
 	w.site.Store.SetText("op/config", []byte(`{"version": 99, "routes": [{"kind": "whatever"}]}`))
 	w.site.Store.SetText("servers/a", []byte(`{"service": 7}`))
 	w.logged("configuration not understood")
 	w.logged("record not understood")
-	require.Equal(t, http.StatusOK, w.do(w.request("POST", "/renew/", "x")).StatusCode)
+	w.logged(`"endpoint":"a","message":"endpoint gone"`)
+	w.eventually(func() bool { // in force a moment after its line
+		seen := len(e.Seen())
+		for range 10 {
+			require.Equal(t, http.StatusOK, w.do(w.request("POST", "/renew/", "x")).StatusCode)
+		}
+		return len(e.Seen()) == seen
+	})
 }
 
 // A configuration never goes back.
--- a/role/gateway/suspect.go
+++ b/role/gateway/suspect.go
@@ -9,6 +9,7 @@
 	"github.com/grademill/grademill/adapter/pause"
 	"github.com/grademill/grademill/adapter/probe"
 	"github.com/grademill/grademill/decide/backoff"
+	"github.com/grademill/grademill/decide/endpoint"
 	"github.com/grademill/grademill/decide/fingerprint"
 	"github.com/grademill/grademill/port/runner"
 )
@@ -55,6 +56,8 @@
 	checkSilent  = "silent"
 	checkHeldUp  = "held up"
 	checkRevived = "revived"
+	// checkAnother is a check that another life of the endpoint answered.
+	checkAnother = "another life"
 	// checkStillSilent is a check of an endpoint that is down already.
 	checkStillSilent = "still silent"
 )
@@ -127,32 +130,47 @@
 	}
 	begun := time.Now()
 	report, err := g.probes.Ask(context.Background(), b.Address)
+	now := time.Now()
 	switch {
 	case errors.Is(err, probe.ErrHeldUp):
 		g.Meter.Check(checkHeldUp)
 		return
-	case !silent(err):
-		g.Meter.Check(checkPassed)
-		now := time.Now()
-		b.use.checkedAt.Store(now.UnixNano())
-		g.noteAnswer(b, begun, now)
-		if err == nil {
-			b.use.setPace(report.Pace, begun)
-			b.noteHeld(report.Layers, begun)
-			g.noteStalls(report)
-		}
+	case silent(err):
+		g.Meter.Check(checkSilent)
+		g.noteSilence(b, errors.Is(err, syscall.ECONNREFUSED), err, begun)
+		return
+	case err == nil && b.outlived(report):
+		g.Meter.Check(checkAnother)
+		g.noteSilence(b, true, errAnotherLife, begun)
 		return
 	}
-	g.Meter.Check(checkSilent)
+	g.Meter.Check(checkPassed)
+	b.use.checkedAt.Store(now.UnixNano())
+	g.noteAnswer(b, begun, now)
+	if err == nil {
+		b.use.setPace(report.Pace, begun)
+		b.noteHeld(report.Layers, begun)
+		g.noteStalls(report)
+	}
+}
+
+// errAnotherLife is an endpoint that answers for another life than that of its record.
+var errAnotherLife = errors.New("the endpoint has started again")
+
+// outlived reports whether a report is that of a later life than the record tells of, which
+// holds nothing of what the record says.
+func (b *backend) outlived(r runner.Report) bool {
+	return endpoint.Endpoint{Born: r.Born}.Follows(b.Endpoint)
+}
+
+// noteSilence notes that a check that began at a time found the life of an endpoint without an
+// answer, and whether it has surely ended.
+func (g *Gateway) noteSilence(b *backend, ended bool, err error, begun time.Time) {
 	now := time.Now()
 	ran := b.use.watchers.begun(now) // before those that wait for this check let go of it
-	ended := errors.Is(err, syscall.ECONNREFUSED)
-	b.use.downSince.Store(now.UnixNano())
-	b.use.silentAt.Store(now.UnixNano())
-	b.use.rechecks.Store(0)
-	b.use.ended.Store(ended)
-	g.Log.Info().Str("endpoint", b.ID).Str("address", b.Address).Err(err).Bool("ended", ended).Strs("begun", fingerprint.Strings(ran)).
-		Dur("took_ms", time.Since(begun)).Msg("endpoint does not answer")
+	b.use.markDown(now, ended)
+	g.Log.Info().Str("endpoint", b.ID).Str("address", b.Address).Err(err).Bool("ended", ended).
+		Strs("begun", fingerprint.Strings(ran)).Dur("took_ms", now.Sub(begun)).Msg("endpoint does not answer")
 	g.spreadLoss(b)
 	if ended {
 		g.quarantine.Report(b.life(), ran, now)
@@ -277,18 +295,21 @@
 // recheck asks an endpoint that is down for its report, and uses it again when it
 // gives one.
 func (g *Gateway) recheck(ctx context.Context, b *backend) {
-	_, err := g.probes.Ask(ctx, b.Address)
+	report, err := g.probes.Ask(ctx, b.Address)
 	if errors.Is(err, probe.ErrHeldUp) {
 		g.Meter.Check(checkHeldUp)
 		return
 	}
-	if silent(err) {
+	if silent(err) || b.outlived(report) { // its record will tell of the other life
 		g.Meter.Check(checkStillSilent)
 		b.use.silentAt.Store(time.Now().UnixNano())
 		b.use.rechecks.Add(1)
 		return
 	}
 	g.Meter.Check(checkRevived)
+	if err == nil {
+		b.noteHeld(report.Layers, time.Now())
+	}
 	b.use.downSince.Store(0)
 	b.use.ended.Store(false)
 	g.Log.Info().Str("endpoint", b.ID).Str("address", b.Address).Msg("endpoint answers again")
--- a/standin/site/endpoint.go
+++ b/standin/site/endpoint.go
@@ -41,7 +41,9 @@
 
 // Endpoint is one life of a back end. Set the exported fields before Listen.
 type Endpoint struct {
-	ID      string
+	ID string
+	// Born is when it started, in milliseconds of Unix time; 0 when it does not say.
+	Born    int64
 	Service string
 	Hall    string
 	// Card is its kind of accelerator, empty for a plain endpoint.
@@ -95,6 +97,22 @@
 	e.mode = mode
 }
 
+// Next returns another life of the endpoint, which starts under the same ID and knows nothing
+// of this one.
+func (e *Endpoint) Next() *Endpoint {
+	return &Endpoint{
+		ID: e.ID, Born: e.BornAt() + 1, Service: e.Service, Hall: e.Hall, Card: e.Card, Slots: e.Slots,
+		EventEvery: e.EventEvery, ReportLag: e.ReportLag,
+	}
+}
+
+// BornAt returns when the endpoint started, as it says.
+func (e *Endpoint) BornAt() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.Born
+}
+
 // Kill makes the endpoint silent for good: it answers nothing, and the streams
 // that pass through it stand still.
 func (e *Endpoint) Kill() {
@@ -271,6 +289,8 @@
 type part struct {
 	address  string
 	from, to int
+	// born is the life that the part runs in.
+	born int64
 }
 
 // parseChain reads the header that names the chain.
--- a/standin/site/model.go
+++ b/standin/site/model.go
@@ -116,7 +116,10 @@
 	chain := e.running[id]
 	e.mu.Unlock()
 	for _, p := range chain {
-		if other := e.Site.at(p.address); p.address != e.Address() && (other == nil || other.isDead()) {
+		if p.address == e.Address() {
+			continue
+		}
+		if other := e.Site.at(p.address); other == nil || other.isDead() || other.BornAt() != p.born {
 			return p.address
 		}
 	}
@@ -155,6 +158,11 @@
 		delete(e.running, id)
 		return
 	}
+	for i, p := range chain {
+		if other := e.Site.at(p.address); other != nil && other != e {
+			chain[i].born = other.BornAt()
+		}
+	}
 	e.running[id] = chain
 }
 
@@ -169,6 +177,9 @@
 		"busy_slots": false, "seq": e.orders, "active": len(ids), "pace": 1,
 		"layers": map[string]int{"from": e.layers[0], "to_version": e.layers[1], "version": 1},
 	}
+	if e.Born != 0 {
+		doc["born"] = e.Born
+	}
 	e.mu.Unlock()
 	var stalled []map[string]string
 	for _, id := range ids {
@@ -227,11 +238,14 @@
 	return http.StatusAccepted
 }
 
-// Restart has the endpoint start anew behind its old record: it holds no layers, and does
-// not say so to the store.
+// Restart has the endpoint start anew behind its old record: it holds no layers, knows nothing
+// of what passed through it, and does not say so to the store.
 func (e *Endpoint) Restart() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.Born != 0 {
+		e.Born++
+	}
 	e.layers, e.orders, e.fence = [2]int{}, 0, 0
 }
 
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -159,6 +159,10 @@
 	State   string         `json:"state"`
 	Kind    string         `json:"kind,omitempty"`
 	Layers  map[string]int `json:"layers,omitempty"`
+	Born    int64          `json:"born,omitempty"`
+	Version string         `json:"version"`
+	Cold    int            `json:"cold_left_ms"`
+	Seq     int            `json:"seq"`
 }
 
 // slots is the number of requests that an endpoint runs together when nothing else
@@ -171,11 +175,14 @@
 // Leave writes that an endpoint is about to end.
 func (s *Site) Leave(e *Endpoint) { s.announce(e, "draining") }
 
+// Overwrite writes a text of another writer in place of the record of an endpoint.
+func (s *Site) Overwrite(e *Endpoint, text string) { s.Store.SetText("servers/"+e.ID, []byte(text)) }
+
 // Withdraw removes the record of an endpoint, which goes on serving.
 func (s *Site) Withdraw(e *Endpoint) { s.Store.Remove("servers/" + e.ID) }
 
 func (s *Site) announce(e *Endpoint, state string) {
-	r := Record{Service: e.Service, Addr: e.Address(), Zone: e.Hall, Slots: cmp.Or(e.Slots, slots), State: state, Kind: e.Card}
+	r := Record{Service: e.Service, Addr: e.Address(), Zone: e.Hall, Slots: cmp.Or(e.Slots, slots), State: state, Kind: e.Card, Born: e.BornAt(), Version: "v1"}
 	if e.Card != "" {
 		from, to := e.Layers()
 		r.Layers = map[string]int{"from": from, "to_version": to, "version": 1}
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -66,6 +66,13 @@
 	s.put(key, base64.StdEncoding.EncodeToString(text), 0)
 }
 
+// SetValue writes the value of a key as it stands on the wire.
+func (s *Store) SetValue(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(key, value, 0)
+}
+
 // Remove takes a key away.
 func (s *Store) Remove(key string) {
 	s.mu.Lock()
