Let proofs age by the clock that goes on while the host is suspended

A host may be suspended for seconds; the steady clock does not count them. By it the proof that the configuration is current was as young after ten seconds of suspension as before, and keys that had been taken away meanwhile would have worked until the next answer of the store. Proofs, also those that other gateways are told of, now age by the boot clock. TestKeysAreNotServedAfterASuspension fails where the clock stands still.

Left: a request that was read before the suspension is sent with the time that its caller had left then. Its caller has gone.

--- a/role/gateway/apart.go
+++ b/role/gateway/apart.go
@@ -19,7 +19,7 @@
 // are better off elsewhere, and it stops being ready before it has to refuse them.
 // When all have lost it, callers have nowhere to go.
 func (g *Gateway) compare(now time.Time) {
-	late := g.loaded.Load() && g.policy().Late(g.proofAge(now), g.failing.Load())
+	late := g.loaded.Load() && g.policy().Late(g.proofAge(), g.failing.Load())
 	others, _ := g.peers.Current(now, g.Hall, func(age time.Duration) bool { return g.policy().Late(age, false) })
 	apart := late && others
 	if apart == (g.apartSince.Load() != 0) {
@@ -30,7 +30,7 @@
 		since = now.UnixNano()
 	}
 	g.apartSince.Store(since)
-	g.Log.Info().Bool("apart", apart).Dur("proof_age_ms", g.proofAge(now)).
+	g.Log.Info().Bool("apart", apart).Dur("proof_age_ms", g.proofAge()).
 		Msg("whether this gateway alone has lost the store")
 }
 
--- a/role/gateway/digest.go
+++ b/role/gateway/digest.go
@@ -16,7 +16,7 @@
 func (g *Gateway) Digest(now time.Time, others map[string]peers.Share) *gossip.Digest {
 	d := &gossip.Digest{
 		Proven:         g.loaded.Load() && !g.failing.Load(),
-		ProofAgeMillis: uint32(max(g.proofAge(now).Milliseconds(), 0)),
+		ProofAgeMillis: uint32(max(g.proofAge().Milliseconds(), 0)),
 		Giving:         g.giving.Load(),
 		Cut:            g.feed.Cut(now),
 		Suspects:       g.quarantine.Told(now),
--- a/role/gateway/follow.go
+++ b/role/gateway/follow.go
@@ -33,7 +33,7 @@
 	g.members = members{endpoints: make(map[string]endpoint.Endpoint), usage: make(map[string]*usage)}
 	m := mirror.Mirror{
 		Feed: &g.feed, Wait: g.policy().Wait(), Settle: min(changesSettle, g.policy().Wait()), Grace: lapseGrace,
-		Put: g.put, Gone: g.gone, Confirm: g.confirm, Log: g.Log,
+		Now: g.Clock, Put: g.put, Gone: g.gone, Confirm: g.confirm, Log: g.Log,
 		Lost: func(err error) {
 			g.failing.Store(true)
 			g.Log.Warn().Err(err).Msg("the store does not answer")
@@ -155,16 +155,16 @@
 	if g.failing.Swap(false) || !g.loaded.Load() {
 		g.currentSince.Store(time.Now().UnixNano())
 	}
-	g.proof.Store(max(g.proof.Load(), int64(sent.Sub(g.started))))
+	g.proof.Store(max(g.proof.Load(), sent.UnixNano()))
 	if !g.loaded.Swap(true) {
 		g.Log.Info().Int("endpoints", len(g.members.endpoints)).Msg("the store has been read")
 	}
 }
 
 // proofAge returns how long ago the configuration in force was certainly the
-// newest.
-func (g *Gateway) proofAge(now time.Time) time.Duration {
-	return now.Sub(g.started) - time.Duration(g.proof.Load())
+// newest. The time for which the host was suspended counts.
+func (g *Gateway) proofAge() time.Duration {
+	return time.Duration(g.Clock().UnixNano() - g.proof.Load())
 }
 
 // policy returns what the age of the proof allows.
@@ -172,7 +172,7 @@
 	return freshness.Policy{Revocation: g.Revocation}
 }
 
-// fresh reports whether requests with a key may be served.
-func (g *Gateway) fresh(now time.Time) bool {
-	return g.policy().Serves(g.proofAge(now))
+// fresh reports whether requests with a key may be served by the proof that a request met.
+func (g *Gateway) fresh(q *query) bool {
+	return g.policy().Serves(q.proofAge)
 }
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/grademill/grademill/adapter/hostclock"
 	"github.com/grademill/grademill/adapter/probe"
 	"github.com/grademill/grademill/adapter/upstream"
 	"github.com/grademill/grademill/decide/catalog"
@@ -80,13 +81,16 @@
 	RetryReserve int
 	RetryWindow  time.Duration
 	Log          zerolog.Logger
+	// Clock reads the clock by which proofs age: it goes on while the host is suspended. Nil
+	// for that of the host.
+	Clock func() time.Time
 	// Meter counts what is done.
 	Meter Meter
 
 	catalog atomic.Pointer[catalog.Catalog]
 	fleet   atomic.Pointer[fleet]
 	// proof is when the question was sent whose answer showed the newest
-	// configuration, in nanoseconds since started.
+	// configuration, in nanoseconds by Clock.
 	proof   atomic.Int64
 	started time.Time
 	// loaded is set once the store has been read.
@@ -131,10 +135,17 @@
 	members members
 }
 
+// unproven is the age of the proof of a gateway that has none yet: beyond all bounds.
+const unproven = time.Hour
+
 // Run follows the store until ctx ends. The handler serves meanwhile.
 func (g *Gateway) Run(ctx context.Context) {
 	g.started = time.Now()
-	g.proof.Store(int64(-time.Hour))
+	if g.Clock == nil {
+		g.Clock = hostclock.Now
+	}
+	g.cache.Now = g.Clock
+	g.proof.Store(g.Clock().Add(-unproven).UnixNano())
 	g.retries = make(map[string]*retry.Budget)
 	g.fleet.Store(new(fleet))
 	g.peers.Counter = g.counter
@@ -184,7 +195,7 @@
 // time before it has to refuse requests, so that callers are led elsewhere.
 func (g *Gateway) Ready() bool {
 	return g.loaded.Load() && !g.draining.Load() && !g.apart() && g.catalog.Load() != nil &&
-		g.policy().Ready(g.proofAge(time.Now()))
+		g.policy().Ready(g.proofAge())
 }
 
 // Drain makes the gateway not ready, and has it give up the right to give orders.
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -79,7 +79,7 @@
 		g.refuse(q, comeBackLater, "no configuration is known yet")
 		return false
 	}
-	q.version, q.proofAge = c.Version, g.proofAge(q.start)
+	q.version, q.proofAge = c.Version, g.proofAge()
 	route, ok := c.Route(q.r.Host, q.r.URL.Path)
 	if !ok {
 		g.rejectByCatalog(q, http.StatusNotFound, "there is no such route")
@@ -126,7 +126,7 @@
 	if q.route.Public || !c.HasTeams() {
 		return true
 	}
-	if !g.fresh(q.start) {
+	if !g.fresh(q) {
 		g.refuse(q, g.elsewhere(q.start), "the configuration is not known to be current")
 		return false
 	}
@@ -170,7 +170,7 @@
 // rejectByCatalog rejects a request by what the configuration says, if that is
 // known to be current; another gateway may know better.
 func (g *Gateway) rejectByCatalog(q *query, status int, reason string) {
-	if !g.fresh(q.start) {
+	if !g.fresh(q) {
 		g.refuse(q, g.elsewhere(q.start), "the configuration is not known to be current")
 		return
 	}
--- a/role/gateway/share.go
+++ b/role/gateway/share.go
@@ -16,8 +16,8 @@
 func (g *Gateway) initFeed() {
 	g.feed = watchcache.Feed{
 		Store: g.Store, Source: watchhttp.NewClient(), Seats: g.seats, Cache: &g.cache, Log: g.Log,
-		Age:    func() time.Duration { return g.proofAge(time.Now()) },
-		LateIn: func() time.Duration { return g.policy().LateIn(g.proofAge(time.Now())) },
+		Age:    func() time.Duration { return g.proofAge() },
+		LateIn: func() time.Duration { return g.policy().LateIn(g.proofAge()) },
 	}
 }
 
--- a/role/gateway/store_test.go
+++ b/role/gateway/store_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/grademill/grademill/adapter/hostclock"
 	"github.com/grademill/grademill/role/gateway"
 	"github.com/grademill/grademill/standin/site"
 )
@@ -51,6 +52,36 @@
 	w.eventually(func() bool { return w.do(w.request("POST", "/renew/", "x")).StatusCode == http.StatusOK })
 }
 
+// A host may be suspended for seconds. The steady clock stands still meanwhile, and by it the
+// proof that the configuration is current is as young as before: the clock that goes on counts.
+func TestKeysAreNotServedAfterASuspension(t *testing.T) {
+	t.Parallel()
+	for name, suspended := range map[string]time.Duration{"suspended": 10 * time.Second, "not suspended": 0} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := plain("a")
+			var ahead atomic.Int64
+			w := newWorldWith(t, func(g *gateway.Gateway) {
+				g.Clock = func() time.Time { return hostclock.Now().Add(time.Duration(ahead.Load())) }
+			}, e)
+			w.eventually(func() bool { return w.do(w.request("POST", "/renew/", "x")).StatusCode == http.StatusOK })
+			w.site.Store.Break(func(*http.Request) site.Fault { return site.Fault{Silent: true} })
+			ahead.Store(int64(suspended))
+			r := w.request("POST", "/renew/", "x")
+			answer := w.do(r)
+			if suspended == 0 {
+				require.Equal(t, http.StatusOK, answer.StatusCode)
+				return
+			}
+			notRun(t, answer, r.Header.Get("X-Request-Id"), e)
+			require.False(t, w.gateway.Ready())
+			require.Equal(t, http.StatusOK, w.do(w.request("GET", "/open/", "")).StatusCode, "without a key")
+			w.site.Store.Break(nil)
+			w.eventually(func() bool { return w.do(w.request("POST", "/renew/", "x")).StatusCode == http.StatusOK })
+		})
+	}
+}
+
 // Without the bound of revocation a gateway that is out of touch goes on running
 // requests with a key that was taken away: the bound is what keeps the promise.
 func TestRevokedKeyRunsWithoutTheBound(t *testing.T) {
--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -42,6 +42,9 @@
 	// all that had been written: when the question was sent, or what another process
 	// that answered it could prove.
 	Confirm func(proven time.Time)
+	// Now reads the clock of the times that Confirm is told, nil for time.Now. Where proofs must
+	// not seem younger than they are, it goes on while the host is suspended.
+	Now func() time.Time
 	// Lost is told of the first failure after a success.
 	Lost func(error)
 	Log  zerolog.Logger
@@ -67,9 +70,13 @@
 func (m *Mirror) Run(ctx context.Context) {
 	m.known = make(map[string]uint64)
 	m.doubtful = make(map[string]time.Time)
+	clock := m.Now
+	if clock == nil {
+		clock = time.Now
+	}
 	loaded := false
 	for ctx.Err() == nil {
-		sent := time.Now()
+		begun, sent := time.Now(), clock()
 		var err error
 		if loaded {
 			err = m.follow(ctx)
@@ -88,7 +95,7 @@
 			m.expire()
 			m.Confirm(sent.Add(-m.lag))
 			if !m.paced {
-				pause.For(ctx, m.Settle-time.Since(sent))
+				pause.For(ctx, m.Settle-time.Since(begun))
 			}
 		}
 	}
--- a/state/watchcache/cache.go
+++ b/state/watchcache/cache.go
@@ -61,6 +61,9 @@
 
 // Cache is what a gateway has lately learned of the store. The zero Cache is empty.
 type Cache struct {
+	// Now reads the clock of proofs, nil for time.Now: see mirror.Mirror.
+	Now func() time.Time
+
 	mu sync.Mutex // guards what follows
 	// pairs are the changes after floor, in the order in which they were learned, and bytes
 	// their size.
@@ -113,6 +116,14 @@
 	c.wake()
 }
 
+// now reads the clock of proofs.
+func (c *Cache) now() time.Time {
+	if c.Now == nil {
+		return time.Now()
+	}
+	return c.Now()
+}
+
 // Fail notes that the store gave no answer: others are to ask elsewhere.
 func (c *Cache) Fail() {
 	c.mu.Lock()
@@ -137,7 +148,7 @@
 // Ask answers a question, at once when there are changes or a newer proof, and otherwise
 // with the next one.
 func (c *Cache) Ask(ctx context.Context, q Question) (Answer, error) {
-	begun := time.Now()
+	begun := c.now()
 	timer := time.NewTimer(q.Wait)
 	defer timer.Stop()
 	for {
@@ -160,7 +171,7 @@
 func (c *Cache) look(q Question, begun time.Time) (Answer, <-chan struct{}, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
+	now := c.now()
 	held := now.Sub(begun)
 	age := now.Sub(c.proven)
 	switch {
--- a/state/watchcache/feed.go
+++ b/state/watchcache/feed.go
@@ -71,7 +71,7 @@
 // Scan implements kv.Feed.
 func (f *Feed) Scan(ctx context.Context, prefix, after string) (kv.Page, error) {
 	if after == "" {
-		f.scan = scan{sent: time.Now(), seen: make(map[string]bool)}
+		f.scan = scan{sent: f.Cache.now(), seen: make(map[string]bool)}
 	}
 	page, err := f.Store.Scan(ctx, prefix, after)
 	f.note(err)
@@ -153,7 +153,7 @@
 	if len(seats) == 0 {
 		return f.ask(ctx, prefix, revision, wait)
 	}
-	sent := time.Now()
+	sent := f.Cache.now()
 	var last error
 	for _, address := range seats {
 		q := Question{After: revision, Age: f.Age()}
@@ -192,7 +192,7 @@
 
 // ask asks the store itself.
 func (f *Feed) ask(ctx context.Context, prefix string, revision uint64, wait time.Duration) (kv.Page, error) {
-	sent := time.Now()
+	sent := f.Cache.now()
 	page, err := f.Store.Changes(ctx, prefix, revision, wait)
 	f.note(err)
 	if err == nil {
--- a/state/watchcache/feed_test.go
+++ b/state/watchcache/feed_test.go
@@ -123,6 +123,19 @@
 	})
 }
 
+// A proof ages by the clock that goes on while the host is suspended, also for those that ask
+// this gateway.
+func TestProofAgesWhileTheHostIsSuspended(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1000, 0)
+	cache := watchcache.Cache{Now: func() time.Time { return now }}
+	cache.Reset(5, now)
+	now = now.Add(10 * time.Second) // nothing has run meanwhile
+	answer, err := cache.Ask(t.Context(), watchcache.Question{After: 5, Age: time.Minute, Wait: time.Second})
+	require.NoError(t, err)
+	require.Equal(t, 10*time.Second, answer.Age)
+}
+
 // halfDead is a Source where the gateway named dead does not answer.
 type halfDead struct{ asks }
 
