--- a/platform/days/play.sh
+++ b/deploy/play-days.sh
@@ -1,13 +1,13 @@
 #!/usr/bin/env bash
-# Plays the days of this folder on a site and prints a line for each.
-#   platform/days/play.sh BENCH SITE WHY [JOBS] [DAY...]
+# Plays the days of deploy/days on a site and prints a line for each.
+#   deploy/play-days.sh BENCH SITE WHY [JOBS] [DAY...]
 # BENCH is the users' bench, SITE one of their site files. Run it at the root of the
 # repository. A day whose rules were broken, or that was not played, says so, and the
 # script then ends with 1.
 set -euo pipefail
 bench=$1 site=$2 why=$3 jobs=${4:-4}
 shift $(($# < 4 ? $# : 4))
-folder=$(dirname "$0")
+folder=$(dirname "$0")/days
 reports=$(mktemp -d)
 trap 'rm -rf "$reports"' EXIT
 days=("$@")
