--- a/adapter/probe/prober.go
+++ b/adapter/probe/prober.go
@@ -15,10 +15,13 @@
 const fresh = 60 * time.Millisecond
 
 // Prober shares the reports of endpoints among the streams that ask for them. Set the
-// exported field before the first use.
+// exported fields before the first use.
 type Prober struct {
 	// Control asks an endpoint.
 	Control runner.Control
+	// Silence returns why a question is given up, or nil once answered is closed; nil for
+	// Silence of this package.
+	Silence func(answered <-chan struct{}) error
 
 	mu   sync.Mutex
 	last map[string]*probe
@@ -46,6 +49,10 @@
 	defer cancel(nil)
 	answered := make(chan struct{})
 	defer close(answered)
+	silence := p.Silence
+	if silence == nil {
+		silence = Silence
+	}
 	go func() {
 		if err := silence(answered); err != nil {
 			cancel(err)
--- a/adapter/probe/silence.go
+++ b/adapter/probe/silence.go
@@ -31,11 +31,11 @@
 	veryLateTimers = 8 * time.Millisecond
 )
 
-// silence returns why a question is given up, or nil once it has been answered: that
+// Silence returns why a question is given up, or nil once it has been answered: that
 // a span has passed without an answer, in which this process had little to do and
 // its timers fired on time. In a process that is held up the answer may lie unread;
 // one that is busy all the time judges by its timers alone.
-func silence(answered <-chan struct{}) error {
+func Silence(answered <-chan struct{}) error {
 	var late time.Duration
 	busy := 0.0
 	for range silentSpans {
--- a/role/gateway/apart.go
+++ b/role/gateway/apart.go
@@ -13,14 +13,31 @@
 	// restApart is how long a caller's connection may rest at a gateway that has
 	// lost the store.
 	restApart = 100 * time.Millisecond
+	// digestWay is how long a digest may be under way: so much younger a proof seems.
+	digestWay = 30 * time.Millisecond
 )
 
+// hearCut takes in whether the store gives another gateway no answer. When it has just lost the
+// store, this one asks at once whether it has, too: the other one must know within a fraction of
+// a second whether its callers are better off elsewhere.
+func (g *Gateway) hearCut(from string, cut bool) {
+	if cut && !g.othersCut[from] && !g.failing.Load() {
+		g.feed.Hurry()
+	}
+	g.othersCut[from] = cut
+}
+
 // compare notes whether this gateway alone has lost the store: then its callers
 // are better off elsewhere, and it stops being ready before it has to refuse them.
 // When all have lost it, callers have nowhere to go.
 func (g *Gateway) compare(now time.Time) {
-	late := g.loaded.Load() && g.policy().Late(g.proofAge(), g.failing.Load())
-	others, _ := g.peers.Current(now, g.Hall, func(age time.Duration) bool { return g.policy().Late(age, false) })
+	failing := g.failing.Load()
+	late := g.loaded.Load() && g.policy().Late(g.proofAge(), failing)
+	others, _ := g.peers.Current(now, g.Hall, func(age time.Duration) bool {
+		// A proof from before the loss says nothing: its gateway may have lost the store, too.
+		before := failing && now.Add(-age).UnixNano() < g.lostAt.Load()+int64(digestWay)
+		return before || g.policy().Late(age, false)
+	})
 	apart := late && others
 	if apart == (g.apartSince.Load() != 0) {
 		return
--- a/role/gateway/digest.go
+++ b/role/gateway/digest.go
@@ -97,6 +97,9 @@
 func (g *Gateway) Heard(d *gossip.Digest, now time.Time) {
 	f := g.fleet.Load()
 	g.quarantine.Adopt(d.GetSuspects(), d.GetGateway(), now)
+	if d.GetMembers() == 0 {
+		g.hearCut(d.GetGateway(), d.GetCut())
+	}
 	if d.GetGiving() {
 		g.directedAt.Store(now.UnixNano())
 		if d.GetMembers() == 0 { // only its own word is told on: an echo would never end
--- a/role/gateway/follow.go
+++ b/role/gateway/follow.go
@@ -35,7 +35,9 @@
 		Feed: &g.feed, Wait: g.policy().Wait(), Settle: min(changesSettle, g.policy().Wait()), Grace: lapseGrace,
 		Now: g.Clock, Put: g.put, Gone: g.gone, Confirm: g.confirm, Log: g.Log,
 		Lost: func(err error) {
+			g.lostAt.Store(time.Now().UnixNano())
 			g.failing.Store(true)
+			g.gossip.News() // so that the others find out whether they have lost it, too
 			g.Log.Warn().Err(err).Msg("the store does not answer")
 		},
 	}
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -84,6 +84,8 @@
 	// Clock reads the clock by which proofs age: it goes on while the host is suspended. Nil
 	// for that of the host.
 	Clock func() time.Time
+	// Silence returns why a question to an endpoint is given up: see probe.Prober.
+	Silence func(answered <-chan struct{}) error
 	// Meter counts what is done.
 	Meter Meter
 
@@ -100,6 +102,11 @@
 	// alone lost the store, in nanoseconds of Unix time; 0 when it has not.
 	failing    atomic.Bool
 	apartSince atomic.Int64
+	// lostAt is when they began to fail, in nanoseconds of Unix time.
+	lostAt atomic.Int64
+	// othersCut are the gateways that said in their last digest that the store gives them no
+	// answer; only Heard uses it.
+	othersCut map[string]bool
 	// running counts the requests in flight; it is closed before the process
 	// ends.
 	running turnstile.Turnstile
@@ -148,8 +155,9 @@
 	g.proof.Store(g.Clock().Add(-unproven).UnixNano())
 	g.retries = make(map[string]*retry.Budget)
 	g.fleet.Store(new(fleet))
+	g.othersCut = make(map[string]bool)
 	g.peers.Counter = g.counter
-	g.probes.Control = g.Runners
+	g.probes.Control, g.probes.Silence = g.Runners, g.Silence
 	g.initGossip()
 	g.initQuarantine()
 	g.initFeed()
--- a/role/gateway/loss_test.go
+++ b/role/gateway/loss_test.go
@@ -2,16 +2,20 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/grademill/grademill/adapter/probe"
+	"github.com/grademill/grademill/role/gateway"
 	"github.com/grademill/grademill/standin/site"
 	"github.com/grademill/grademill/wire/gossip"
 )
@@ -227,3 +231,32 @@
 	}
 	require.Less(t, len(first.Seen()), requests/2, "three in a row, and one at the end of each pause")
 }
+
+// A process that is held up cannot tell whether an endpoint is silent. It checks again when it
+// is not held up any more, also when nothing passes through the endpoint then: a stream that
+// stood still had been broken off after 3.7 s, all its checks had fallen into the busy time, and
+// the dead endpoint was used by the next ones.
+func TestEndpointIsCheckedAgainAfterAHeldUpCheck(t *testing.T) {
+	t.Parallel()
+	var heldUp atomic.Bool
+	cards := []*site.Endpoint{card("card-0", "north"), card("card-1", "north")}
+	w := newWorldWith(t, func(g *gateway.Gateway) {
+		g.Silence = func(answered <-chan struct{}) error {
+			if heldUp.Load() {
+				return probe.ErrHeldUp
+			}
+			return probe.Silence(answered)
+		}
+	}, cards...)
+	w.eventually(func() bool { return covered(cards, 1) })
+	w.knows(cards...)
+	answer, r, later := w.mid(cards, 400)
+	heldUp.Store(true)
+	later[0].Kill()
+	_, err := io.ReadAll(answer.Body)
+	require.Error(t, err, "nothing else holds the layers")
+	usesOf(t, w, r.Header.Get("X-Request-Id")) // it has ended
+	require.NotContains(t, w.log.String(), "endpoint does not answer")
+	heldUp.Store(false)
+	w.logged("endpoint does not answer")
+}
--- a/role/gateway/store_test.go
+++ b/role/gateway/store_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -277,3 +278,49 @@
 		return !strings.Contains(usesOf(t, w, r.Header.Get("X-Request-Id")), later[0].Address())
 	})
 }
+
+// phased passes questions for changes on to a store, one of them after a delay, and notes when
+// they come.
+type phased struct {
+	store *site.Store
+	// delay is that of the next question, in nanoseconds.
+	delay atomic.Int64
+	// asked is when the last one came, in nanoseconds of Unix time.
+	asked atomic.Int64
+}
+
+func (p *phased) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.HasSuffix(r.URL.Path, "-watch") {
+		time.Sleep(time.Duration(p.delay.Swap(0)))
+		p.asked.Store(time.Now().UnixNano())
+	}
+	p.store.ServeHTTP(w, r)
+}
+
+// since returns how long ago the last question came.
+func (p *phased) since() time.Duration { return time.Duration(time.Now().UnixNano() - p.asked.Load()) }
+
+// Gateways that lose the store together notice it one after the other: the question of one may
+// have been sent a second before that of another. Until the other's comes back it looks as if it
+// had the store, by a proof from before the loss. The first one then sent its callers away for as
+// long.
+func TestCallersStayWhenGatewaysLoseTheStoreOutOfStep(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, plain("a"))
+	stores := []*phased{{store: w.site.Store}, {store: w.site.Store}}
+	all := []*gateway.Gateway{w.gateway}
+	for i, s := range stores {
+		server := httptest.NewServer(s)
+		t.Cleanup(server.Close)
+		all = append(all, w.startAt(fmt.Sprint("gateway-", i+2), strings.TrimPrefix(server.URL, "http://")))
+		w.eventually(all[i+1].Ready)
+	}
+	w.eventually(func() bool { return len(w.site.Store.Keys("grademill/gateways/")) == len(all) })
+	w.eventually(func() bool { // until the announcements are known the questions go in step
+		stores[1].delay.Store(int64(700 * time.Millisecond))
+		return stores[0].since() > 800*time.Millisecond && stores[1].since() < 150*time.Millisecond
+	})
+	w.site.Store.Break(func(*http.Request) site.Fault { return site.Fault{Status: http.StatusServiceUnavailable} })
+	w.eventually(func() bool { return !all[0].Ready() && !all[1].Ready() && !all[2].Ready() })
+	require.NotContains(t, w.log.String(), `"apart":true`)
+}
--- a/role/gateway/suspect.go
+++ b/role/gateway/suspect.go
@@ -42,6 +42,10 @@
 	toldEnough = 1200 * time.Millisecond
 	// contradicts is how long the answer of an endpoint counts against their word.
 	contradicts = 3 * time.Second
+	// heldUpWait is the time between two checks while this process is held up, and heldUpChecks
+	// the number of those that follow the first: a busy spell of a few seconds is outlasted.
+	heldUpWait   = 250 * time.Millisecond
+	heldUpChecks = 20
 	// verifyPoll is how often the end of another's check is looked for: a check of an
 	// endpoint that lives takes a few milliseconds.
 	verifyPoll = 2 * time.Millisecond
@@ -69,8 +73,16 @@
 		return
 	}
 	go func() {
-		defer b.use.checking.Store(false)
-		g.check(b)
+		known := g.check(b)
+		b.use.checking.Store(false)
+		for again := 0; !known && again < heldUpChecks; again++ {
+			pause.For(context.Background(), heldUpWait)
+			if b.use.down() || !b.use.checking.CompareAndSwap(false, true) {
+				return // another check is under way
+			}
+			known = g.check(b)
+			b.use.checking.Store(false)
+		}
 	}()
 }
 
@@ -122,11 +134,12 @@
 }
 
 // check asks an endpoint for its report and notes when it gives none. One of a plain service
-// gives none in any case.
-func (g *Gateway) check(b *backend) {
+// gives none in any case. It returns false when nothing can be said of the endpoint, since this
+// process was held up.
+func (g *Gateway) check(b *backend) bool {
 	if b.Card == "" {
 		g.knock(b)
-		return
+		return true
 	}
 	begun := time.Now()
 	report, err := g.probes.Ask(context.Background(), b.Address)
@@ -134,15 +147,15 @@
 	switch {
 	case errors.Is(err, probe.ErrHeldUp):
 		g.Meter.Check(checkHeldUp)
-		return
+		return false
 	case silent(err):
 		g.Meter.Check(checkSilent)
 		g.noteSilence(b, errors.Is(err, syscall.ECONNREFUSED), err, begun)
-		return
+		return true
 	case err == nil && b.outlived(report):
 		g.Meter.Check(checkAnother)
 		g.noteSilence(b, true, errAnotherLife, begun)
-		return
+		return true
 	}
 	g.Meter.Check(checkPassed)
 	b.use.checkedAt.Store(now.UnixNano())
@@ -152,6 +165,7 @@
 		b.noteHeld(report.Layers, begun)
 		g.noteStalls(report)
 	}
+	return true
 }
 
 // errAnotherLife is an endpoint that answers for another life than that of its record.
--- a/state/watchcache/feed.go
+++ b/state/watchcache/feed.go
@@ -58,6 +58,19 @@
 	scan scan
 	// source is whom the last answer came from, empty for the store.
 	source string
+	// waiting ends the question that waits at the store, nil while none does.
+	waiting atomic.Pointer[context.CancelCauseFunc]
+}
+
+// errHurried ends a question that waits at the store, since the answer is wanted at once.
+var errHurried = errors.New("whether the store answers is wanted at once")
+
+// Hurry has the question that waits at the store asked again without a wait: the next proof, or
+// the failure, is there as soon as the store answers.
+func (f *Feed) Hurry() {
+	if end := f.waiting.Swap(nil); end != nil {
+		(*end)(errHurried)
+	}
 }
 
 var _ kv.Feed = (*Feed)(nil)
@@ -193,7 +206,13 @@
 // ask asks the store itself.
 func (f *Feed) ask(ctx context.Context, prefix string, revision uint64, wait time.Duration) (kv.Page, error) {
 	sent := f.Cache.now()
-	page, err := f.Store.Changes(ctx, prefix, revision, wait)
+	page, err := f.wait(ctx, prefix, revision, wait)
+	if errors.Is(err, errHurried) {
+		again := f.Cache.now()
+		page, err = f.Store.Changes(ctx, prefix, revision, 0)
+		page.Lag = sent.Sub(again) // it proves more than the question that waited
+		sent = again
+	}
 	f.note(err)
 	if err == nil {
 		f.learn(page.Pairs)
@@ -202,6 +221,19 @@
 	return page, err
 }
 
+// wait asks the store, and returns errHurried when that was hurried.
+func (f *Feed) wait(ctx context.Context, prefix string, revision uint64, wait time.Duration) (kv.Page, error) {
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	f.waiting.Store(&end)
+	defer f.waiting.Store(nil)
+	page, err := f.Store.Changes(ctx, prefix, revision, wait)
+	if err != nil && errors.Is(context.Cause(ctx), errHurried) {
+		return page, errHurried
+	}
+	return page, err
+}
+
 // note notes whether the store has answered: one that has forgotten its history has.
 func (f *Feed) note(err error) {
 	var compacted *kv.CompactedError
--- a/state/watchcache/feed_test.go
+++ b/state/watchcache/feed_test.go
@@ -136,6 +136,41 @@
 	require.Equal(t, 10*time.Second, answer.Age)
 }
 
+// patient is a store with no changes that answers when the wait of a question is over.
+type patient struct{ scripted }
+
+func (p *patient) Changes(ctx context.Context, prefix string, revision uint64, wait time.Duration) (kv.Page, error) {
+	select {
+	case <-ctx.Done():
+		return kv.Page{}, ctx.Err()
+	case <-time.After(wait):
+	}
+	return p.scripted.Changes(ctx, prefix, revision, wait)
+}
+
+// A question that waits is asked again at once when it is hurried: its proof is as young as the
+// second one, and it counts as no failure of the store.
+func TestHurriedQuestionIsAskedAgainAtOnce(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		feed := newFeed(&patient{}, nil)
+		feed.Hurry() // nothing waits
+		begun := time.Now()
+		go func() {
+			time.Sleep(300 * time.Millisecond)
+			feed.Hurry()
+		}()
+		page, err := feed.Changes(t.Context(), "", 5, time.Second)
+		require.NoError(t, err)
+		require.Equal(t, 300*time.Millisecond, time.Since(begun))
+		require.Equal(t, -300*time.Millisecond, page.Lag)
+		require.False(t, feed.Cut(time.Now()))
+		answer, err := feed.Cache.Ask(t.Context(), watchcache.Question{Age: time.Minute})
+		require.NoError(t, err)
+		require.Zero(t, answer.Age, "the proof is that of the second question")
+	})
+}
+
 // halfDead is a Source where the gateway named dead does not answer.
 type halfDead struct{ asks }
 
