Look for the same cause elsewhere: requests that are moved, and those that entries read again

A request may also end the parts that it is moved to while it runs: seven ended under one (TestRequestIsNotMovedOnceThreeHaveEnded, seen failing), 3 or 4 now. A request in quarantine is neither moved nor left for another try.

An entry read a request again along another chain for as long as there was one, whatever had ended under it: it ended all five copies of a stage (TestRequestThatEndsItsStagesIsGivenUp, seen failing). It is given up after three stages that were lost within a second of an attempt's start.

--- a/role/entry/flight.go
+++ b/role/entry/flight.go
@@ -32,8 +32,10 @@
 	avoid    map[string]bool
 	// ran is whether any layer may have run; it never goes back to false.
 	ran bool
-	// moved is the time of the last progress.
-	moved time.Time
+	// moved is the time of the last progress, begun that of the current attempt's start.
+	moved, begun time.Time
+	// lost counts the stages that were lost soon after an attempt began.
+	lost int
 
 	mu     sync.Mutex
 	inbox  []event
@@ -157,7 +159,8 @@
 		Strs("chain", f.seat.names()).Dur("cost", f.seat.choice.Cost).
 		Str("runner_up", f.seat.runnerUp).Dur("runner_up_cost", f.seat.choice.RunnerUpCost).
 		Str("reason", why).Msg("chain chosen")
-	f.moved = time.Now()
+	f.begun = time.Now()
+	f.moved = f.begun
 	f.entry.links.Step(open.GetChain()[0].GetAddress(), &wire.Step{
 		Request: f.id[:], Attempt: f.assembly.Attempt, Count: uint32(len(tokens)),
 		Payload: encodeTokens(tokens), Open: open,
@@ -257,6 +260,7 @@
 	}
 	switch t.GetReason() {
 	case wire.Trouble_NEXT_LOST:
+		f.stageLost()
 		f.entry.suspect(t.GetEndpoint(), t.GetDetail())
 	case wire.Trouble_BUSY, wire.Trouble_LEAVING, wire.Trouble_INCARNATION, wire.Trouble_LAYERS, wire.Trouble_ENGINE:
 		f.shun(t.GetEndpoint())
@@ -291,9 +295,26 @@
 		return nil
 	}
 	f.ran = true
+	f.stageLost()
 	return f.again(ctx, "connection to the first stage broke")
 }
 
+// A request that ends the stages that begin to run it would end all that there are: it was read
+// again along another chain five times out of five. Three may be chance.
+const (
+	// soonLost is how long after the start of an attempt the loss of a stage may be its doing.
+	soonLost = time.Second
+	// mostLost is the number of such losses after which a request is given up.
+	mostLost = 3
+)
+
+// stageLost notes that a stage of the attempt was lost.
+func (f *flight) stageLost() {
+	if time.Since(f.begun) < soonLost {
+		f.lost++
+	}
+}
+
 // recoverPoll is how often a flight without a chain looks for one.
 const recoverPoll = 10 * time.Millisecond
 
@@ -335,6 +356,9 @@
 	if f.ran && (!f.decision.Repeatable || f.decision.Recovery == policy.Fail) {
 		return f.report(outcome.StageLost, why)
 	}
+	if f.lost >= mostLost {
+		return f.report(outcome.StageLost, "stages were lost each time: "+why)
+	}
 	if !f.entry.mayRetry() {
 		return f.report(outcome.RetryExceeded, why)
 	}
--- a/role/entry/flight_test.go
+++ b/role/entry/flight_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -118,3 +120,40 @@
 	_, err := ask(l, 3, nil)
 	require.NoError(t, err)
 }
+
+// A request that ends each stage that begins to run it is given up after three: it was read
+// again along another chain for as long as there was one, and ended them all.
+func TestRequestThatEndsItsStagesIsGivenUp(t *testing.T) {
+	const copies = 5
+	l := open(t, copies, nil)
+	done := make(chan struct{})
+	var killed atomic.Int32
+	var group sync.WaitGroup
+	group.Go(func() {
+		for gone := make(map[string]bool); ; {
+			select {
+			case <-done:
+				return
+			case <-time.After(time.Millisecond):
+			}
+			for _, c := range l.Entry(0).Snapshot().Models["m"].Candidates {
+				name := c.Endpoint.Name
+				if c.Usage.Own.Load() > 0 && strings.HasPrefix(name, "a") && !gone[name] {
+					gone[name] = true
+					killed.Add(1)
+					l.Kill(name)
+				}
+			}
+		}
+	})
+	_, err := ask(l, 10_000, nil)
+	close(done)
+	group.Wait()
+	report, ok := outcome.Of(err)
+	require.True(t, ok)
+	require.Equal(t, outcome.Failed, report.Kind)
+	require.Equal(t, outcome.StageLost, report.Code)
+	require.EqualValues(t, 3, killed.Load())
+	_, err = ask(l, 3, nil)
+	require.NoError(t, err, "others are served")
+}
--- a/role/gateway/quarantine_test.go
+++ b/role/gateway/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"testing"
@@ -158,3 +159,23 @@
 	require.Equal(t, http.StatusBadGateway, f.send(0, deadly).StatusCode)
 	require.Len(t, f.site.Ended(), 1)
 }
+
+// A request may also end the endpoints that it is moved to while it runs: it is not moved on once
+// three have ended.
+func TestRequestIsNotMovedOnceThreeHaveEnded(t *testing.T) {
+	t.Parallel()
+	var cards []*site.Endpoint
+	for i := range 16 {
+		cards = append(cards, card(fmt.Sprint("card-", i), "north"))
+	}
+	w := newWorld(t, cards...)
+	w.eventually(func() bool { return covered(cards, 6) })
+	w.knows(cards...)
+	w.site.DoomMoved("the prompt")
+	answer, _, later := w.mid(cards, 400)
+	later[0].Kill()
+	_, _ = io.ReadAll(answer.Body) // it may be broken off
+	require.NoError(t, answer.Body.Close())
+	require.LessOrEqual(t, len(w.site.Ended()), 4)
+	require.GreaterOrEqual(t, len(w.site.Ended()), 3)
+}
--- a/role/gateway/watchdog.go
+++ b/role/gateway/watchdog.go
@@ -260,7 +260,7 @@
 // reports whether it has. Otherwise the try goes on: what it waits for may come while
 // the caller does, and without another way nothing is won by ending it.
 func (w *watchdog) leave(seat *seat) bool {
-	if w.final {
+	if w.final || !w.relay.g.maySend(w.relay.q) {
 		return false
 	}
 	q := w.relay.q
@@ -311,6 +311,9 @@
 // there is none, or the request cannot be moved.
 func (w *watchdog) move(seat *seat, lost *backend) bool {
 	g, q, address := w.relay.g, w.relay.q, lost.Address
+	if !g.maySend(q) {
+		return false // it would end another part
+	}
 	q.avoid(address)
 	for range maxMoves {
 		next, short := g.moveSeat(q, seat, lost)
--- a/standin/site/endpoint.go
+++ b/standin/site/endpoint.go
@@ -71,8 +71,9 @@
 	// arrived are the times of the requests in seen.
 	arrived []time.Time
 	dead    bool
-	// running are the streams that run, by request, with their chains.
+	// running are the streams that run, by request, with their chains, and bodies their bodies.
 	running map[string][]part
+	bodies  map[string]string
 	// stalled are the times at which streams came to stand still, by request.
 	stalled map[string]time.Time
 	layers  [2]int
--- a/standin/site/model.go
+++ b/standin/site/model.go
@@ -45,6 +45,7 @@
 	}
 	e.run(r)
 	e.Site.doom(e, body)
+	e.setBody(id, string(body))
 	e.setRunning(id, chain)
 	defer e.setRunning(id, nil)
 	if mode == Drop {
@@ -148,6 +149,15 @@
 	return e.ReportLag == 0 || stands && time.Since(since) >= e.ReportLag
 }
 
+func (e *Endpoint) setBody(id, body string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.bodies == nil {
+		e.bodies = make(map[string]string)
+	}
+	e.bodies[id] = body
+}
+
 func (e *Endpoint) setRunning(id string, chain []part) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -253,7 +263,8 @@
 func (e *Endpoint) move(w http.ResponseWriter, doc orderDoc) {
 	chain, err := parseChain(doc.Path)
 	e.mu.Lock()
-	_, runs := e.running[doc.ID]
+	former, runs := e.running[doc.ID]
+	body := e.bodies[doc.ID]
 	e.mu.Unlock()
 	if err != nil || !runs {
 		w.WriteHeader(http.StatusNotFound)
@@ -266,5 +277,6 @@
 		return
 	}
 	e.setRunning(doc.ID, chain)
+	e.Site.doomMoved(body, former, chain)
 	w.WriteHeader(http.StatusAccepted)
 }
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -26,10 +26,11 @@
 	faults []string
 	// modes are those of the next requests of a service.
 	modes map[string][]Mode
-	// deadly are the bodies of requests that end the endpoints that begin to run them,
-	// ended the endpoints that have.
-	deadly map[string]bool
-	ended  []*Endpoint
+	// deadly are the bodies of requests that end the endpoints that begin to run them, and
+	// deadlyMoved of those that end the parts that they are moved to; ended are the endpoints
+	// that have.
+	deadly, deadlyMoved map[string]bool
+	ended               []*Endpoint
 }
 
 // New starts a site with a store and no endpoints.
@@ -97,6 +98,34 @@
 	s.deadly[body] = true
 }
 
+// DoomMoved has each endpoint end that a request with a body is moved to.
+func (s *Site) DoomMoved(body string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deadlyMoved = map[string]bool{body: true}
+}
+
+// doomMoved ends the endpoints that a request with a body has been moved to, if that is deadly.
+func (s *Site) doomMoved(body string, from, to []part) {
+	kept := make(map[string]bool)
+	for _, p := range from {
+		kept[p.address] = true
+	}
+	for _, p := range to {
+		e := s.at(p.address)
+		s.mu.Lock()
+		deadly := s.deadlyMoved[body] && e != nil && !kept[p.address]
+		if deadly {
+			s.ended = append(s.ended, e)
+		}
+		s.mu.Unlock()
+		if deadly {
+			e.Kill()
+			s.Stop(e)
+		}
+	}
+}
+
 // Ended returns the endpoints that have ended under such requests.
 func (s *Site) Ended() []*Endpoint {
 	s.mu.Lock()
