--- a/decide/story/story.go
+++ b/decide/story/story.go
@@ -39,7 +39,7 @@
 // beliefMessages begin the lines that change what a gateway holds true.
 var beliefMessages = []string{
 	"endpoint ", "first endpoint ", "configuration ", "the store ", "order given", "this gateway ", "nobody gives orders",
-	"record not understood", "gateway ", "the right to give orders", "settings ",
+	"record not understood", "request is quarantined", "gateway ", "the right to give orders", "settings ",
 }
 
 // Read reads a log. Lines that are not JSON, such as those of a crash, are
@@ -92,6 +92,13 @@
 	return text
 }
 
+// concerns reports whether the line names a request by its fingerprint.
+func (l *Line) concerns(fingerprint string) bool {
+	var begun []string
+	_ = json.Unmarshal(l.Fields["begun"], &begun) // few lines have it
+	return fingerprint != "" && (l.text("print") == fingerprint || slices.Contains(begun, fingerprint))
+}
+
 // take sorts a line in.
 func (s *Story) take(l Line) {
 	if l.text("request") == s.Request {
@@ -107,7 +114,8 @@
 }
 
 // Lines returns the story in the order of time: what its gateways came to believe
-// of the endpoints that the request names, and what they decided about it.
+// of the endpoints that the request names, what any gateway found of endpoints that ended
+// under the same request, also when it came before, and what was decided about it.
 func (s *Story) Lines() []Line {
 	if len(s.told) == 0 {
 		return nil
@@ -117,16 +125,24 @@
 	from, to := s.told[0].At.Add(-s.Before), s.told[len(s.told)-1].At
 	processes := make(map[string]bool)
 	var named strings.Builder
+	fingerprint := ""
 	for _, l := range s.told {
 		processes[l.Process] = true
+		fingerprint = cmp.Or(fingerprint, l.text("print"))
 		for _, value := range l.Fields {
 			named.Write(value)
 		}
 	}
 	lines := slices.Clone(s.told)
 	for _, l := range s.beliefs {
+		if l.concerns(fingerprint) {
+			if !l.At.After(to) {
+				lines = append(lines, l)
+			}
+			continue
+		}
 		address := l.text("address")
-		about := address == "" || strings.Contains(named.String(), address)
+		about := l.text("print") == "" && (address == "" || strings.Contains(named.String(), address))
 		if processes[l.Process] && about && l.At.After(from) && !l.At.After(to) {
 			lines = append(lines, l)
 		}
--- a/decide/story/story_test.go
+++ b/decide/story/story_test.go
@@ -34,6 +34,25 @@
 	require.Equal(t, []string{"endpoint holds requests up", "chain broke", "request ended"}, messages)
 }
 
+// A request that was refused because endpoints had ended under it when it came before: the
+// story tells of these, whichever gateway found them, and however long ago.
+func TestStoryOfAQuarantinedRequest(t *testing.T) {
+	const lines = `{"process":"g2","time":"2026-12-02T09:50:00Z","endpoint":"a","address":"10.0.0.1:80","ended":true,"begun":["f0","f1"],"message":"endpoint does not answer"}
+{"process":"g2","time":"2026-12-02T09:50:01Z","endpoint":"b","address":"10.0.0.2:80","ended":true,"begun":["f1"],"message":"endpoint does not answer"}
+{"process":"g3","time":"2026-12-02T09:50:02Z","print":"f0","message":"request is quarantined"}
+{"process":"g3","time":"2026-12-02T09:50:03Z","print":"f1","message":"request is quarantined"}
+{"process":"g1","time":"2026-12-02T10:00:00Z","request":"r1","print":"f0","outcome":"not run","message":"request ended"}
+`
+	s := &story.Story{Request: "r1", Before: time.Second}
+	_, err := s.Read(strings.NewReader(lines))
+	require.NoError(t, err)
+	var told []string
+	for _, l := range s.Lines() {
+		told = append(told, l.Process+" "+l.Message)
+	}
+	require.Equal(t, []string{"g2 endpoint does not answer", "g3 request is quarantined", "g1 request ended"}, told)
+}
+
 func ExampleStory() {
 	s := &story.Story{Request: "r1", Before: time.Second}
 	if _, err := s.Read(strings.NewReader(log)); err != nil {
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -15,6 +15,8 @@
 	StoreAddress string
 	// Layers is the number of layers of the model.
 	Layers int
+	// Ending is called before an endpoint ends under a deadly request, when it is set.
+	Ending func(*Endpoint)
 
 	mu sync.Mutex // guards what follows
 	// endpoints are by address.
@@ -142,6 +144,9 @@
 	}
 	s.mu.Unlock()
 	if deadly {
+		if s.Ending != nil {
+			s.Ending(e)
+		}
 		e.Kill()
 		s.Stop(e)
 		panic(http.ErrAbortHandler)
--- a/test/soak/caller_test.go
+++ b/test/soak/caller_test.go
@@ -80,11 +80,39 @@
 	}
 }
 
+// deadly is the body of a request that ends each endpoint that begins to run it.
+const deadly = "ends who runs it"
+
+// repeat sends the deadly request again and again, under another ID and to any gateway, until
+// ctx ends.
+func (c *callers) repeat(ctx context.Context, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 8))
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 12 * time.Second}
+	for i := 0; ctx.Err() == nil; i++ {
+		n := c.nodes[r.IntN(len(c.nodes))]
+		c.mu.Lock()
+		ready := c.ready[n]
+		c.mu.Unlock()
+		if ready {
+			one := sent{id: fmt.Sprintf("d%d-%d", seed, i), path: "/plan/again", key: c.backs.key(r), events: 20, node: n}
+			c.send(&client, one, deadly)
+		}
+		time.Sleep(time.Duration(100+r.IntN(500)) * time.Millisecond)
+	}
+}
+
 // ask sends one request and reads the answer.
 func (c *callers) ask(client *http.Client, n *node, r *rand.Rand, id string) sent {
-	one := sent{id: id, path: kinds[r.IntN(len(kinds))] + id, key: c.backs.key(r), events: 5 + r.IntN(60), node: n}
+	return c.send(client, sent{
+		id: id, path: kinds[r.IntN(len(kinds))] + id, key: c.backs.key(r), events: 5 + r.IntN(60), node: n,
+	}, id)
+}
+
+// send sends a request with a body and returns it with what it was told.
+func (c *callers) send(client *http.Client, one sent, body string) sent {
+	n, id := one.node, one.id
 	one.life, one.stop = n.state()
-	request, err := http.NewRequest("POST", "http://"+n.caller+one.path, bytes.NewBufferString(id))
+	request, err := http.NewRequest("POST", "http://"+n.caller+one.path, bytes.NewBufferString(body))
 	if err != nil {
 		panic(err) // the parts are constants
 	}
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -51,6 +51,7 @@
 	}
 	w.checkKeys(c)
 	w.checkLeaving()
+	w.checkEndings()
 	assert.Greater(w.t, len(c.all), 50, "requests were sent")
 	assert.GreaterOrEqual(w.t, float64(served), 0.7*float64(late), "served again after all is mended")
 	w.t.Logf("%d requests, %d of %d served after the faults", len(c.all), served, late)
@@ -113,6 +114,21 @@
 	}
 }
 
+// checkEndings checks that a request reached no more than three endpoints later than the gateways
+// had to hear that it had ended three.
+func (w *world) checkEndings() {
+	late := 0
+	for i, at := range w.backs.endings {
+		if i >= 3 && at.Sub(w.backs.endings[2]) > touch {
+			late++
+		}
+	}
+	assert.LessOrEqual(w.t, late, 3, "ended late, of %d endpoints", len(w.backs.endings))
+	if len(w.backs.endings) > 0 {
+		w.t.Logf("%d endpoints ended under a request, %d of them late", len(w.backs.endings), late)
+	}
+}
+
 // storeHarmed reports whether a gateway may have been out of touch around a time.
 func (w *world) storeHarmed(around time.Time) bool {
 	for _, at := range w.storeFaults {
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -28,8 +28,9 @@
 
 // proxy is a loopback link to one server.
 type proxy struct {
-	address string
-	target  string
+	address  string
+	target   string
+	listener net.Listener
 
 	mu      sync.Mutex // guards what follows
 	how     treatment
@@ -44,7 +45,7 @@
 		return nil, err
 	}
 	p := &proxy{
-		address: listener.Addr().String(), target: target,
+		address: listener.Addr().String(), target: target, listener: listener,
 		changed: make(chan struct{}), conns: make(map[net.Conn]bool),
 	}
 	go func() {
@@ -59,6 +60,11 @@
 	return p, nil
 }
 
+// refuse has the link refuse new connections from now on, as a host does whose process has ended.
+func (p *proxy) refuse() {
+	_ = p.listener.Close() // those that are open break with the server
+}
+
 // treat changes the treatment of all connections.
 func (p *proxy) treat(how treatment) {
 	p.mu.Lock()
--- a/test/soak/site_test.go
+++ b/test/soak/site_test.go
@@ -34,6 +34,8 @@
 	live map[*site.Endpoint]*proxy
 	// left are the times at which endpoints said that they leave.
 	left map[*site.Endpoint]time.Time
+	// endings are the times at which endpoints ended under a request.
+	endings []time.Time
 	// keys are in force; revoked are the times at which the others were not.
 	keys    map[string]bool
 	revoked map[string]time.Time
@@ -68,11 +70,16 @@
 func (b *backs) add(service, hall string) {
 	b.mu.Lock()
 	b.started++
-	e := &site.Endpoint{ID: fmt.Sprintf("e%d", b.started), Service: service, Hall: hall, EventEvery: 15 * time.Millisecond}
+	e := &site.Endpoint{ID: fmt.Sprintf("e%d", b.started), Born: 1, Service: service, Hall: hall, EventEvery: 15 * time.Millisecond}
 	b.mu.Unlock()
 	if service == model {
 		e.Card, e.Slots = "big", b.slots
 	}
+	b.enter(e)
+}
+
+// enter announces an endpoint behind a link.
+func (b *backs) enter(e *site.Endpoint) {
 	require.NoError(b.t, b.site.Open(e))
 	link, err := newProxy(e.Address())
 	require.NoError(b.t, err)
@@ -113,6 +120,26 @@
 	b.add(e.Service, e.Hall)
 }
 
+// doomed is the time after which an endpoint that a request has ended is back.
+const doomed = time.Second
+
+// doom has a request with a body end each endpoint that begins to run it: it comes back under
+// its ID, and knows nothing.
+func (b *backs) doom(body string) {
+	b.site.Ending = func(e *site.Endpoint) {
+		b.mu.Lock()
+		link := b.live[e]
+		delete(b.live, e)
+		b.endings = append(b.endings, time.Now())
+		b.mu.Unlock()
+		if link != nil { // else it was taken away
+			link.refuse()
+			time.AfterFunc(doomed, func() { b.enter(e.Next()) })
+		}
+	}
+	b.site.Doom(body)
+}
+
 // release replaces an endpoint: the new one comes first, the old one leaves.
 func (b *backs) release(e *site.Endpoint, says bool) {
 	b.add(e.Service, e.Hall)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -89,6 +89,8 @@
 	slots int
 	// burst is the number of callers that come beside the others for a while.
 	burst int
+	// deadly is set when a request comes again and again that ends who begins to run it.
+	deadly bool
 }
 
 // pastCapacity is a load that the slots of the endpoints do not let in.
@@ -100,6 +102,14 @@
 	soak(t, *from, pastCapacity)
 }
 
+// TestSoakWithADeadlyRequest plays a fresh seed with a request that ends each endpoint that
+// begins to run it, and comes again and again.
+func TestSoakWithADeadlyRequest(t *testing.T) {
+	for i := range uint64(*seeds) {
+		t.Run(fmt.Sprint("seed ", *from+i), func(t *testing.T) { soak(t, *from+i, load{deadly: true}) })
+	}
+}
+
 // soak plays one seed.
 func soak(t *testing.T, seed uint64, l load) {
 	dir := t.TempDir()
@@ -130,6 +140,10 @@
 	for i := range callerCount {
 		group.Go(func() { c.run(ctx, seed*1000+uint64(i)) })
 	}
+	if l.deadly {
+		w.backs.doom(deadly)
+		group.Go(func() { c.repeat(ctx, seed) })
+	}
 	faults := time.Duration(*seconds) * time.Second
 	burst, over := context.WithTimeout(ctx, faults/2)
 	defer over()
