Charge a request also with endpoints that fell silent under it, once their record says that they ended

The requests that had just begun there are kept until the record has gone, another life has started or the host refuses connections, and dropped when the endpoint answers again.

--- a/role/gateway/follow.go
+++ b/role/gateway/follow.go
@@ -109,6 +109,9 @@
 	}
 	g.pool.Drop(e.Address)
 	g.probes.Forget(e.Address)
+	if u := g.members.usage[id]; u != nil && u.down() { // its record has lapsed, too
+		g.endedAfterSilence(&backend{Endpoint: e, use: u}, time.Now())
+	}
 	delete(g.members.endpoints, id)
 	delete(g.members.usage, id)
 	g.members.changed = true
--- a/role/gateway/quarantine.go
+++ b/role/gateway/quarantine.go
@@ -23,9 +23,18 @@
 	return suspects.Life{Endpoint: b.ID, Born: b.Born}
 }
 
+// endedAfterSilence notes at now that an endpoint that had been found silent has surely ended:
+// silence alone may be a cut between it and this gateway.
+func (g *Gateway) endedAfterSilence(b *backend, now time.Time) {
+	if begun := b.use.begun.Swap(nil); begun != nil {
+		g.quarantine.Report(b.life(), *begun, now)
+	}
+}
+
 // lifeEnded notes at now that the life of an endpoint has surely ended: what ran there is lost,
 // and the requests that it had just begun are suspect.
 func (g *Gateway) lifeEnded(b *backend, now time.Time) {
+	g.endedAfterSilence(b, now)
 	begun := b.use.watchers.begun(now) // before those that wait for a check let go of it
 	b.use.markDown(now, true)
 	b.use.watchers.kick()
--- a/role/gateway/quarantine_test.go
+++ b/role/gateway/quarantine_test.go
@@ -32,6 +32,8 @@
 	fresh func(id string) *site.Endpoint
 	// again is set where endpoints come back under the IDs that they had.
 	again bool
+	// patience is how long callers wait, in milliseconds.
+	patience int
 }
 
 // modelFlock and plainFlock start so many gateways before endpoints of the model, or of
@@ -102,6 +104,9 @@
 	f.target = f.targets[arrival%len(f.targets)]
 	r := f.request("POST", f.path, body)
 	r.Header.Set("X-Token-Usage", "10,3")
+	if f.patience > 0 {
+		r.Header.Set("X-Deadline-Ms", fmt.Sprint(f.patience))
+	}
 	return f.do(r)
 }
 
@@ -135,6 +140,24 @@
 	}
 }
 
+// A request may also take the host of an endpoint with it: nothing refuses connections then, and
+// only the record, which lapses, tells that the endpoint has ended and is not cut off.
+func TestRequestThatSilencesEndpointsIsHeldBack(t *testing.T) {
+	t.Parallel()
+	f := modelFlock(t, 3)
+	f.site.Dark, f.patience = true, 1500
+	const arrivals, most = 8, 6
+	var last reply
+	for i := range arrivals {
+		f.restore()
+		time.Sleep(arrivalEvery)
+		last = f.send(i, deadly)
+	}
+	require.LessOrEqual(t, len(f.site.Ended()), most)
+	require.Equal(t, http.StatusServiceUnavailable, last.StatusCode)
+	layersHold(t, f.world)
+}
+
 // A gateway that starts later knows from the store which requests are kept from endpoints.
 func TestQuarantineIsKnownToGatewaysThatStartLater(t *testing.T) {
 	t.Parallel()
--- a/role/gateway/suspect.go
+++ b/role/gateway/suspect.go
@@ -188,6 +188,8 @@
 	g.spreadLoss(b)
 	if ended {
 		g.quarantine.Report(b.life(), ran, now)
+	} else {
+		b.use.begun.Store(&ran)
 	}
 	g.quarantine.Review(now)
 }
@@ -318,8 +320,12 @@
 		g.Meter.Check(checkStillSilent)
 		b.use.silentAt.Store(time.Now().UnixNano())
 		b.use.rechecks.Add(1)
+		if !silent(err) || errors.Is(err, syscall.ECONNREFUSED) {
+			g.endedAfterSilence(b, time.Now())
+		}
 		return
 	}
+	b.use.begun.Store(nil)
 	g.Meter.Check(checkRevived)
 	if err == nil {
 		b.noteHeld(report.Layers, time.Now())
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -15,6 +15,8 @@
 	StoreAddress string
 	// Layers is the number of layers of the model.
 	Layers int
+	// Dark has endpoints fall silent under deadly requests, as a host does that loses its power.
+	Dark bool
 	// Ending is called before an endpoint ends under a deadly request, when it is set.
 	Ending func(*Endpoint)
 
@@ -148,6 +150,9 @@
 			s.Ending(e)
 		}
 		e.Kill()
+		if s.Dark {
+			return // what runs there hangs
+		}
 		s.Stop(e)
 		panic(http.ErrAbortHandler)
 	}
