--- a/role/gateway/suspect.go
+++ b/role/gateway/suspect.go
@@ -66,8 +66,9 @@
 	checkStillSilent = "still silent"
 )
 
-// suspect has an endpoint checked, in the background and once at a time. Streams through one that does not answer are moved at once: a
-// report of the endpoints before it tells of it only some 200 ms later.
+// suspect has an endpoint checked, in the background and once at a time, and again while this
+// process is held up. Streams through one that does not answer are moved at once: a report of the
+// endpoints before it tells of it only some 200 ms later.
 func (g *Gateway) suspect(b *backend) {
 	if b.use.down() || !b.use.checking.CompareAndSwap(false, true) {
 		return
--- a/role/quarantine/quarantine.go
+++ b/role/quarantine/quarantine.go
@@ -214,7 +214,12 @@
 	if len(lives) < enoughEnds || q.known.Barred(f, now) > 0 {
 		return
 	}
-	sure := slices.DeleteFunc(slices.Clone(lives), func(l suspects.Life) bool { return !q.Over(l) })
+	var sure []string
+	for _, l := range lives {
+		if q.Over(l) {
+			sure = append(sure, l.String())
+		}
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if len(sure) < enoughEnds {
@@ -228,7 +233,7 @@
 		return
 	}
 	q.Count(eventBegun)
-	q.Log.Warn().Stringer("print", f).Interface("ended", sure).Dur("lasts_ms", lasts).Msg("request is quarantined")
+	q.Log.Warn().Stringer("print", f).Strs("ended", sure).Dur("lasts_ms", lasts).Msg("request is quarantined")
 	q.News()
 	q.write(f)
 }
--- a/state/suspects/suspects.go
+++ b/state/suspects/suspects.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,14 @@
 	Born int64
 }
 
+// String returns the life as the logs write it.
+func (l Life) String() string {
+	if l.Born == 0 {
+		return l.Endpoint
+	}
+	return l.Endpoint + " born " + strconv.FormatInt(l.Born, 10)
+}
+
 // Suspect is what is known of a request.
 type Suspect struct {
 	Print fingerprint.Fingerprint
