Imports run down: what is decided imports nothing that is kept, and what is kept no adapter

decide/claim read records of state/headlog (now in state/claimlog, which alone used that), and state/mirror waited by adapter/pause. TestImportsRunDown failed on the former.

--- a/decide/claim/claim.go
+++ b/decide/claim/claim.go
@@ -1,12 +1,7 @@
 // Package claim decides who may run a call that carries an idempotency key.
 package claim
 
-import (
-	"encoding/json"
-	"time"
-
-	"github.com/grademill/grademill/state/headlog"
-)
+import "time"
 
 // Claim is the right to run a call once, at one incarnation of one agent.
 type Claim struct {
@@ -30,24 +25,6 @@
 	At time.Time `json:"at"`
 }
 
-// Latest returns the claim in force for key in the log.
-func Latest(h headlog.Head, key string) (Claim, bool) {
-	for i := len(h.Records) - 1; i >= 0; i-- {
-		c, err := Decode(h.Records[i])
-		if err == nil && c.Key == key {
-			return c, true
-		}
-	}
-	return Claim{}, false
-}
-
-// Decode returns the claim of a record.
-func Decode(r headlog.Record) (Claim, error) {
-	var c Claim
-	err := json.Unmarshal(r.Body, &c)
-	return c, err
-}
-
 // Allows reports whether c may follow the claim in force: there is none, or c
 // replaces just that one.
 func (c Claim) Allows(latest Claim, exists bool) bool {
@@ -56,14 +33,3 @@
 	}
 	return c.Former == latest.ID
 }
-
-// Expired returns how many of the oldest records are older than keep.
-func Expired(h headlog.Head, now time.Time, keep time.Duration) int {
-	for i, record := range h.Records {
-		c, err := Decode(record)
-		if err == nil && now.Sub(c.At) < keep {
-			return i
-		}
-	}
-	return len(h.Records)
-}
--- a/layout_test.go
+++ b/layout_test.go
@@ -119,6 +119,28 @@
 	}
 }
 
+// What is decided knows nothing of what is kept, and what is kept nothing of how it is carried.
+func TestImportsRunDown(t *testing.T) {
+	for folder, above := range map[string][]string{
+		"decide": {"state/", "role/", "adapter/", "platform"}, "state": {"role/", "adapter/", "platform"}, "port": {"state/", "role/", "adapter/", "platform"},
+	} {
+		dirs, err := filepath.Glob(folder + "/*")
+		require.NoError(t, err)
+		for _, dir := range dirs {
+			for _, file := range sources(t, dir) {
+				for _, spec := range file.Imports {
+					path, err := strconv.Unquote(spec.Path.Value)
+					require.NoError(t, err)
+					own, _ := strings.CutPrefix(path, module)
+					for _, up := range above {
+						require.False(t, strings.HasPrefix(own, up), "%s imports %s", dir, path)
+					}
+				}
+			}
+		}
+	}
+}
+
 func TestDecisionsReadNoClockAndStartNothing(t *testing.T) {
 	for _, dir := range decisions {
 		for _, file := range sources(t, dir) {
--- a/state/claimlog/log.go
+++ b/state/claimlog/log.go
@@ -118,17 +118,17 @@
 }
 
 func (l *Log) trim(_ context.Context, h headlog.Head) (int, error) {
-	return claim.Expired(h, time.Now(), l.Keep), nil
+	return expired(h, time.Now(), l.Keep), nil
 }
 
 // decide returns the claims of a group that may be made.
 func (l *Log) decide(h headlog.Head, group []*waiter) ([]headlog.Proposal, error) {
-	if len(h.Records)-claim.Expired(h, time.Now(), l.Keep)+len(group) > maxClaims {
+	if len(h.Records)-expired(h, time.Now(), l.Keep)+len(group) > maxClaims {
 		return nil, l.full(h)
 	}
 	latest := make(map[string]claim.Claim)
 	for _, record := range h.Records {
-		if c, err := claim.Decode(record); err == nil {
+		if c, err := decode(record); err == nil {
 			latest[c.Key] = c
 		}
 	}
@@ -150,7 +150,7 @@
 
 // full returns when the oldest claim may be forgotten.
 func (l *Log) full(h headlog.Head) error {
-	oldest, err := claim.Decode(h.Records[0])
+	oldest, err := decode(h.Records[0])
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -166,7 +166,7 @@
 	if err != nil {
 		return err
 	}
-	holder, ok := claim.Latest(h, c.Key)
+	holder, ok := latest(h, c.Key)
 	if ok && holder.ID == c.ID {
 		return nil
 	}
--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -9,7 +9,6 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/grademill/grademill/adapter/pause"
 	"github.com/grademill/grademill/decide/backoff"
 	"github.com/grademill/grademill/port/kv"
 )
@@ -32,7 +31,7 @@
 	// Settle is the least time between two questions for changes, so that
 	// changes that come in quick succession are taken together.
 	Settle time.Duration
-	// Hurry ends such a rest when something is received, nil for never.
+	// Hurry ends a rest between two questions when something is received, nil for never.
 	Hurry <-chan struct{}
 	// Grace is how long after an outage of the store an entry that has gone is
 	// kept: leases lapse while nobody can renew them, and their owners return.
@@ -222,7 +221,7 @@
 	if m.failures == 1 && ctx.Err() == nil {
 		m.Lost(err)
 	}
-	pause.For(ctx, retryWait.Delay(m.failures, rand.Float64()))
+	m.rest(ctx, retryWait.Delay(m.failures, rand.Float64()))
 }
 
 // What counts as an outage of the store: several failures in a row, or a silence in
