Use endpoints of configured services only, whatever address a record names

A record of a service that no configuration names could stand for the endpoint that has its address: what was learned by address went to it by chance of a map's order.

--- a/role/gateway/follow.go
+++ b/role/gateway/follow.go
@@ -141,6 +141,7 @@
 		return
 	}
 	g.catalog.Store(c)
+	g.members.changed = true // it may name other services
 	g.Log.Info().Uint64("version", c.Version).Uint64("revision", p.Revision).Msg("configuration is in force")
 }
 
@@ -148,14 +149,7 @@
 func (g *Gateway) confirm(sent time.Time) {
 	if g.members.changed {
 		g.members.changed = false
-		all := make([]*backend, 0, len(g.members.endpoints))
-		for id, e := range g.members.endpoints {
-			if g.members.usage[id] == nil {
-				g.members.usage[id] = newUsage()
-			}
-			all = append(all, &backend{Endpoint: e, use: g.members.usage[id]})
-		}
-		g.fleet.Store(newFleet(all))
+		g.fleet.Store(newFleet(g.backends()))
 	}
 	if g.failing.Swap(false) || !g.loaded.Load() {
 		g.currentSince.Store(time.Now().UnixNano())
@@ -166,6 +160,23 @@
 	}
 }
 
+// backends returns the endpoints of the services that the configuration names. Others may have
+// the address of one of these.
+func (g *Gateway) backends() []*backend {
+	c := g.catalog.Load()
+	all := make([]*backend, 0, len(g.members.endpoints))
+	for id, e := range g.members.endpoints {
+		if c != nil && c.Services[e.Service] == nil {
+			continue
+		}
+		if g.members.usage[id] == nil {
+			g.members.usage[id] = newUsage()
+		}
+		all = append(all, &backend{Endpoint: e, use: g.members.usage[id]})
+	}
+	return all
+}
+
 // proofAge returns how long ago the configuration in force was certainly the
 // newest. The time for which the host was suspended counts.
 func (g *Gateway) proofAge() time.Duration {
--- a/role/gateway/life_test.go
+++ b/role/gateway/life_test.go
@@ -150,3 +150,33 @@
 	w.target = w.serve(later)
 	w.eventually(func() bool { return w.do(w.request("POST", "/freeze/1", "x")).StatusCode == http.StatusOK })
 }
+
+// A record of a service that no configuration names hides no endpoint that has the same address:
+// what is learned by the address is learned of the endpoint that is used.
+func TestRecordOfAnUnknownServiceHidesNoEndpoint(t *testing.T) {
+	t.Parallel()
+	w, cards := newModel(t)
+	var first *site.Endpoint
+	for _, c := range cards {
+		if from, _ := c.Layers(); from == 0 {
+			first = c
+		}
+	}
+	for i := range 12 {
+		ghost := &site.Endpoint{ID: fmt.Sprint("ghost-", i), Service: "elsewhere", Hall: "north", Public: first.Address()}
+		w.site.Announce(ghost)
+	}
+	w.logged(`"endpoint":"ghost-11"`)
+	w.configure(true)
+	w.logged(fmt.Sprintf(`"version":%d,`, w.version))
+	for w.do(w.plan("/plan/1", 3)); len(first.Seen()) == 0; {
+		w.do(w.plan("/plan/1", 3))
+	}
+	first.Stay(site.Refuse)
+	seen := len(first.Seen())
+	const requests = 40
+	for range requests { // within the time for which one that refused is passed over
+		require.Equal(t, whole(1), w.do(w.plan("/plan/1", 1)).body)
+	}
+	require.Less(t, len(first.Seen())-seen, requests/4)
+}
