--- a/role/gateway/apart.go
+++ b/role/gateway/apart.go
@@ -15,13 +15,18 @@
 	restApart = 100 * time.Millisecond
 	// digestWay is how long a digest may be under way: so much younger a proof seems.
 	digestWay = 30 * time.Millisecond
+	// hurryRest is the least time between two questions that are asked at once since other
+	// gateways have lost the store: when many lose it, or all start together, it is not to meet
+	// a question of each gateway for each other one.
+	hurryRest = 2 * time.Second
 )
 
 // hearCut takes in whether the store gives another gateway no answer. When it has just lost the
 // store, this one asks at once whether it has, too: the other one must know within a fraction of
 // a second whether its callers are better off elsewhere.
-func (g *Gateway) hearCut(from string, cut bool) {
-	if cut && !g.othersCut[from] && !g.failing.Load() {
+func (g *Gateway) hearCut(from string, cut bool, now time.Time) {
+	if cut && !g.othersCut[from] && g.loaded.Load() && !g.failing.Load() && now.Sub(g.hurriedAt) >= hurryRest {
+		g.hurriedAt = now
 		g.feed.Hurry()
 		select {
 		case g.hurry <- struct{}{}:
--- a/role/gateway/digest.go
+++ b/role/gateway/digest.go
@@ -98,7 +98,7 @@
 	f := g.fleet.Load()
 	g.quarantine.Adopt(d.GetSuspects(), d.GetGateway(), now)
 	if d.GetMembers() == 0 {
-		g.hearCut(d.GetGateway(), d.GetCut())
+		g.hearCut(d.GetGateway(), d.GetCut(), now)
 	}
 	if d.GetGiving() {
 		g.directedAt.Store(now.UnixNano())
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -105,8 +105,10 @@
 	// lostAt is when they began to fail, in nanoseconds of Unix time.
 	lostAt atomic.Int64
 	// othersCut are the gateways that said in their last digest that the store gives them no
-	// answer; only Heard uses it.
+	// answer, and hurriedAt is when the store was last asked at once for that; only Heard uses
+	// them.
 	othersCut map[string]bool
+	hurriedAt time.Time
 	// hurry ends the rest between two questions for changes.
 	hurry chan struct{}
 	// running counts the requests in flight; it is closed before the process
--- a/role/gateway/store_test.go
+++ b/role/gateway/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -11,10 +12,12 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/grademill/grademill/adapter/hostclock"
 	"github.com/grademill/grademill/role/gateway"
 	"github.com/grademill/grademill/standin/site"
+	"github.com/grademill/grademill/wire/gossip"
 )
 
 // A configuration that takes the key away is in force soon.
@@ -324,3 +327,25 @@
 	w.eventually(func() bool { return !all[0].Ready() && !all[1].Ready() && !all[2].Ready() })
 	require.NotContains(t, w.log.String(), `"apart":true`)
 }
+
+// When many gateways lose the store together, each hears of all the others: it asks the store
+// once at once for that, and not once for each, which the store would have to turn away.
+func TestManyLossesHurryOneQuestion(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, plain("a"))
+	socket, err := net.Dial("udp4", w.gateway.Address)
+	require.NoError(t, err)
+	defer socket.Close() //nolint:errcheck // a test's socket
+	const others = 60
+	before := w.site.Store.Calls("/-/kv-watch")
+	for i := range others {
+		text, err := proto.Marshal(&gossip.Packet{Digest: &gossip.Digest{
+			Gateway: fmt.Sprint("other-", i), Incarnation: 1, Number: 1, Hall: "north", Cut: true,
+		}})
+		require.NoError(t, err)
+		_, err = socket.Write(text)
+		require.NoError(t, err)
+		time.Sleep(10 * time.Millisecond)
+	}
+	require.LessOrEqual(t, w.site.Store.Calls("/-/kv-watch")-before, 6, "one at once, and those that are due")
+}
