Send no request whose caller has closed its connection while it lay unread

Now the gateway looks at the caller's connection, without taking anything, before it sends (adapter/peek, which connections to endpoints used for themselves). TestRequestWhoseCallerLeftUnreadIsNotSent, seen failing.

--- a/adapter/ingress/server.go
+++ b/adapter/ingress/server.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/grademill/grademill/adapter/peek"
 )
 
 // The bounds of the head of a request whatever the limits in force say.
@@ -53,6 +55,18 @@
 // connKey is the key of a connection in a request's context.
 type connKey struct{}
 
+// Left reports whether the caller of the request with a context has closed its connection. The
+// context of a request ends with that, too, but not before the process has had time to read the
+// end; a request that had lain unread may have none left to serve it for.
+func Left(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok {
+		return false
+	}
+	_, err := peek.Pending(c.Conn)
+	return err != nil
+}
+
 // Listen begins to listen and serves in the background. A failure of the server
 // is sent to failed.
 func (s *Server) Listen(failed chan<- error) error {
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -202,7 +201,7 @@
 // have run, and has failed otherwise.
 func (g *Gateway) giveUp(q *query, reason string) {
 	switch {
-	case errors.Is(q.r.Context().Err(), context.Canceled):
+	case q.callerLeft():
 		q.set(0, outcomeLeft, reason)
 	case !q.mayHaveRun && g.quarantine.Left(q.print, time.Now()) > 0:
 		g.refuse(q, g.quarantine.Left(q.print, time.Now()), reason)
--- a/role/gateway/leave_test.go
+++ b/role/gateway/leave_test.go
@@ -1,8 +1,11 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"io"
+	stdlog "log"
+	"net"
 	"net/http"
 	"regexp"
 	"slices"
@@ -11,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/grademill/grademill/adapter/ingress"
 	"github.com/grademill/grademill/role/gateway"
 	"github.com/grademill/grademill/standin/site"
 )
@@ -202,3 +206,32 @@
 	}
 	require.Equal(t, 2, seen)
 }
+
+// A request may lie unread in a process that has no time, until its caller has left. It is sent to
+// no endpoint then, also when the process has not yet read that the connection was closed: it was
+// sent on up to 0.8 s after the caller had closed it.
+func TestRequestWhoseCallerLeftUnreadIsNotSent(t *testing.T) {
+	t.Parallel()
+	e := plain("a")
+	w := newWorld(t, e)
+	served := make(chan struct{})
+	late := func(rw http.ResponseWriter, r *http.Request) {
+		defer close(served)
+		w.eventually(func() bool { return ingress.Left(r.Context()) })
+		w.gateway.ServeHTTP(rw, r.WithContext(context.WithoutCancel(r.Context()))) // as if it had not been read
+	}
+	server := &ingress.Server{
+		Address: freePort(t), Handler: http.HandlerFunc(late), ErrorLog: stdlog.New(io.Discard, "", 0),
+		Limits: func() ingress.Limits { return ingress.Limits{} },
+	}
+	require.NoError(t, server.Listen(make(chan error, 1)))
+	t.Cleanup(server.Stop)
+	c, err := net.Dial("tcp", server.Address)
+	require.NoError(t, err)
+	w.target = "http://" + server.Address
+	require.NoError(t, w.request("POST", "/renew/1", "x").Write(c))
+	require.NoError(t, c.Close())
+	<-served
+	w.logged(`"outcome":"caller left"`)
+	require.Empty(t, e.Seen())
+}
--- a/role/gateway/plain.go
+++ b/role/gateway/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -30,8 +29,8 @@
 func (g *Gateway) servePlain(q *query) {
 	reason := "no endpoint is there"
 	for q.sends < maxSends {
-		if !g.maySend(q) {
-			reason = joinReasons(shortageQuarantine, reason)
+		if short := g.withheld(q); short != shortageNone {
+			reason = joinReasons(short, reason)
 			break
 		}
 		b := g.pick(q)
@@ -156,7 +155,7 @@
 
 // left reports whether there is time for another try.
 func (g *Gateway) left(q *query) bool {
-	return q.left(time.Now()) > 0 && !errors.Is(q.r.Context().Err(), context.Canceled)
+	return q.left(time.Now()) > 0 && !q.callerLeft()
 }
 
 // pickOther reports whether another backend than b is there.
--- a/role/gateway/quarantine.go
+++ b/role/gateway/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/grademill/grademill/adapter/ingress"
 	"github.com/grademill/grademill/decide/fingerprint"
 	"github.com/grademill/grademill/decide/overlay"
 	"github.com/grademill/grademill/role/quarantine"
@@ -65,6 +66,19 @@
 	return false
 }
 
+// withheld returns why a request is sent to no endpoint: its caller has left, or it is in
+// quarantine; shortageNone when neither is so.
+func (g *Gateway) withheld(q *query) shortage {
+	switch {
+	case ingress.Left(q.r.Context()):
+		q.gone = true
+		return shortageCaller
+	case !g.maySend(q):
+		return shortageQuarantine
+	}
+	return shortageNone
+}
+
 // maySend reports whether a request may be sent to an endpoint: it is not in quarantine.
 func (g *Gateway) maySend(q *query) bool {
 	return g.quarantine.Left(q.print, time.Now()) == 0
--- a/role/gateway/query.go
+++ b/role/gateway/query.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -43,6 +45,8 @@
 	// arrived is set once a send may have reached an endpoint: only what follows it
 	// counts as a retry.
 	arrived atomic.Bool
+	// gone is set once its caller is known to have closed the connection.
+	gone bool
 	// reached is set once the endpoint of the send under way may have got the request.
 	reached atomic.Bool
 
@@ -134,6 +138,11 @@
 	return n
 }
 
+// callerLeft reports whether the caller has closed the connection, as far as is known.
+func (q *query) callerLeft() bool {
+	return q.gone || errors.Is(q.r.Context().Err(), context.Canceled)
+}
+
 // left returns how long the answer is still of use.
 func (q *query) left(now time.Time) time.Duration {
 	return q.deadline.Sub(now)
--- a/role/gateway/seat.go
+++ b/role/gateway/seat.go
@@ -110,7 +110,9 @@
 	shortageLayers shortage = "no chain holds all layers"
 	shortageRoom   shortage = "no chain has room"
 	shortageBudget shortage = "the retry budget is used up"
-	// shortageQuarantine is a request that is kept from endpoints.
+	// shortageCaller is a request whose caller has left, shortageQuarantine one that is kept
+	// from endpoints.
+	shortageCaller     shortage = "the caller has left"
 	shortageQuarantine shortage = "endpoints have ended under the request"
 )
 
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -86,7 +86,7 @@
 	s.drop()
 	if s.headSent {
 		q.set(q.status, outcomeBroken, reason)
-		if q.r.Context().Err() != nil {
+		if q.callerLeft() {
 			q.outcome = outcomeLeft
 		}
 		return true
@@ -128,9 +128,10 @@
 		return nil, shortageBudget
 	}
 	taken, short := s.g.takeTurn(s.q, turn)
-	if short == shortageNone && !s.g.maySend(s.q) { // known since, while it waited in line
-		taken.release()
-		short = shortageQuarantine
+	if short == shortageNone {
+		if short = s.g.withheld(s.q); short != shortageNone { // known since, while it waited in line
+			taken.release()
+		}
 	}
 	if short != shortageNone && retry {
 		s.g.returnRetry(s.q.service.Name)
