Say in the log which gateway's proof was compared, and test two more ways to be wrong about it

A gateway that takes itself for the only one without the store names now the other one, the age of its proof and when that was heard; the log of the tests names who speaks and when. So the gateway's own question is merely held up, nothing has failed, and the other's proof, from before the loss, is compared by its age alone.

--- a/role/gateway/apart.go
+++ b/role/gateway/apart.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"github.com/grademill/grademill/state/peers"
+)
 
 // The figures of a gateway that has lost the store while others have it.
 const (
@@ -40,14 +44,18 @@
 // are better off elsewhere, and it stops being ready before it has to refuse them.
 // When all have lost it, callers have nowhere to go.
 func (g *Gateway) compare(now time.Time) {
-	failing := g.failing.Load()
-	late := g.loaded.Load() && g.policy().Late(g.proofAge(), failing)
-	others, _ := g.peers.Current(now, g.Hall, func(age time.Duration) bool {
+	age, failing := g.proofAge(), g.failing.Load()
+	late := g.loaded.Load() && g.policy().Late(age, failing)
+	var holder *peers.Proof
+	for _, p := range g.peers.Proofs() {
 		// A proof from before the loss says nothing: its gateway may have lost the store, too.
-		before := failing && now.Add(-age).UnixNano() < g.lostAt.Load()+int64(digestWay)
-		return before || g.policy().Late(age, false)
-	})
-	apart := late && others
+		before := failing && p.At.UnixNano() < g.lostAt.Load()+int64(digestWay)
+		if !before && !g.policy().Late(now.Sub(p.At), false) {
+			holder = &p
+			break
+		}
+	}
+	apart := late && holder != nil
 	if apart == (g.apartSince.Load() != 0) {
 		return
 	}
@@ -56,8 +64,15 @@
 		since = now.UnixNano()
 	}
 	g.apartSince.Store(since)
-	g.Log.Info().Bool("apart", apart).Dur("proof_age_ms", g.proofAge()).
-		Msg("whether this gateway alone has lost the store")
+	line := g.Log.Info().Bool("apart", apart).Dur("proof_age_ms", age).Bool("late", late).Bool("failing", failing)
+	if failing {
+		line.Dur("lost_ms", now.Sub(time.Unix(0, g.lostAt.Load())))
+	}
+	if holder != nil {
+		line.Str("holder", holder.From.Name).Str("holder_hall", holder.From.Hall).Int("holder_members", holder.Members).
+			Dur("holder_proof_age_ms", now.Sub(holder.At)).Dur("holder_heard_ms", now.Sub(holder.Heard))
+	}
+	line.Msg("whether this gateway alone has lost the store")
 }
 
 // apart reports whether this gateway alone has lost the store.
@@ -73,9 +88,10 @@
 	if since == 0 {
 		return comeBackLater
 	}
-	_, near := g.peers.Current(now, g.Hall, func(age time.Duration) bool { return !g.policy().Serves(age) })
-	if near {
-		return comeBackNow
+	for _, p := range g.peers.Proofs() {
+		if p.From.Hall == g.Hall && g.policy().Serves(now.Sub(p.At)) {
+			return comeBackNow
+		}
 	}
 	return max(time.Unix(0, since).Add(balancerNotice).Sub(now), comeBackNow)
 }
--- a/role/gateway/follow.go
+++ b/role/gateway/follow.go
@@ -38,7 +38,7 @@
 			g.lostAt.Store(time.Now().UnixNano())
 			g.failing.Store(true)
 			g.gossip.News() // so that the others find out whether they have lost it, too
-			g.Log.Warn().Err(err).Msg("the store does not answer")
+			g.Log.Warn().Err(err).Dur("proof_age_ms", g.proofAge()).Msg("the store does not answer")
 		},
 	}
 	m.Run(ctx)
--- a/role/gateway/store_test.go
+++ b/role/gateway/store_test.go
@@ -328,6 +328,58 @@
 	require.NotContains(t, w.log.String(), `"apart":true`)
 }
 
+// A store that falls silent is known to be lost only when a question to it has waited too long,
+// and each gateway finds out by the time of its own question. The one whose proof was the oldest
+// found it late, by 2.5 s, saw the younger proofs of the others, which were from before the loss,
+// too, and sent its callers away: "apart":true with "failing":false, "proof_age_ms":2546 and a
+// "holder_proof_age_ms" below that, for as long as the proofs were apart.
+func TestCallersStayWhenTheStoreFallsSilent(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, plain("a"))
+	second := &phased{store: w.site.Store}
+	server := httptest.NewServer(second)
+	t.Cleanup(server.Close)
+	other := w.startAt("gateway-2", strings.TrimPrefix(server.URL, "http://"))
+	w.eventually(other.Ready)
+	w.eventually(func() bool { return len(w.site.Store.Keys("grademill/gateways/")) == 2 })
+	second.delay.Store(int64(500 * time.Millisecond)) // from that question on it asks later than the other
+	w.eventually(func() bool { return second.delay.Load() == 0 })
+	for range 2 {
+		last := second.asked.Load()
+		w.eventually(func() bool { return second.asked.Load() != last })
+	}
+	before := len(w.log.String()) // the delay alone may have led callers away from the second gateway
+	w.site.Store.Break(func(*http.Request) site.Fault { return site.Fault{Silent: true} })
+	w.eventually(func() bool { return !w.gateway.Ready() && !other.Ready() })
+	require.NotContains(t, w.log.String()[before:], `"apart":true`)
+}
+
+// Digests may be under way for long, or lie unread while the process lacks processor time: so much
+// younger the proofs in them seem. A proof from before the loss then seemed to be from after it,
+// by more than the 30 ms that were allowed for, and the callers were sent away for 150 ms, until the
+// next digest came.
+func TestProofThatWasLongUnderWaySaysNothing(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, plain("a"))
+	socket, err := net.Dial("udp4", w.gateway.Address)
+	require.NoError(t, err)
+	defer socket.Close() //nolint:errcheck // a test's socket
+	w.site.Store.Break(func(*http.Request) site.Fault { return site.Fault{Status: http.StatusServiceUnavailable} })
+	proven := time.Now()
+	for number := uint64(1); w.gateway.Ready(); number++ {
+		const underWay = 1200 * time.Millisecond // longer than this gateway takes to find out
+		age := max(time.Since(proven)-underWay, 0)
+		text, err := proto.Marshal(&gossip.Packet{Digest: &gossip.Digest{
+			Gateway: "other", Incarnation: 1, Number: number, Hall: "north", Proven: true, ProofAgeMillis: uint32(age.Milliseconds()),
+		}})
+		require.NoError(t, err)
+		_, err = socket.Write(text)
+		require.NoError(t, err)
+		time.Sleep(20 * time.Millisecond)
+	}
+	require.NotContains(t, w.log.String(), `"apart":true`)
+}
+
 // When many gateways lose the store together, each hears of all the others: it asks the store
 // once at once for that, and not once for each, which the store would have to turn away.
 func TestManyLossesHurryOneQuestion(t *testing.T) {
--- a/role/gateway/world_test.go
+++ b/role/gateway/world_test.go
@@ -46,7 +46,7 @@
 	ids     atomic.Int64
 }
 
-// syncBuffer collects the log.
+// syncBuffer collects the log, each line with the time at which it came.
 type syncBuffer struct {
 	mu   sync.Mutex
 	text bytes.Buffer
@@ -55,7 +55,9 @@
 func (b *syncBuffer) Write(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.text.Write(p)
+	fmt.Fprintf(&b.text, `{"time":%q,`, time.Now().Format("15:04:05.000"))
+	b.text.Write(bytes.TrimPrefix(p, []byte("{")))
+	return len(p), nil
 }
 
 func (b *syncBuffer) String() string {
@@ -112,7 +114,7 @@
 		},
 		Dialect: platform.Dialect{}, Runners: platform.NewControl(metrics.PlatformCall),
 		Revocation: 5 * time.Second, RetryShare: 0.2, RetryReserve: 200, RetryWindow: 10 * time.Second,
-		Log: zerolog.New(w.log).Level(zerolog.InfoLevel), Meter: metrics,
+		Log: zerolog.New(w.log).Level(zerolog.InfoLevel).With().Str("process", name).Logger(), Meter: metrics,
 	}
 	change(g)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/state/peers/table.go
+++ b/state/peers/table.go
@@ -201,19 +201,31 @@
 	return list
 }
 
-// Current reports whether another gateway is in touch with the store at now, by the age
-// of its proof, and whether one in a hall is.
-func (t *Table) Current(now time.Time, hall string, late func(age time.Duration) bool) (anywhere, near bool) {
+// Proof is what another gateway, or one that speaks for a hall, last said of how current its
+// configuration is.
+type Proof struct {
+	// From is the gateway that said it.
+	From overlay.Member
+	// Members is the number of gateways that it spoke for, 0 for itself alone.
+	Members int
+	// At is when the configuration was certainly current, as far as the age in the report tells:
+	// later by the time for which the report was under way.
+	At time.Time
+	// Heard is when the report came.
+	Heard time.Time
+}
+
+// Proofs returns the proofs of the others that the store answers.
+func (t *Table) Proofs() []Proof {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	var list []Proof
 	for _, e := range t.known {
-		if e.Proven.IsZero() || late(now.Sub(e.Proven)) {
-			continue
+		if !e.Proven.IsZero() {
+			list = append(list, Proof{From: e.From, Members: e.Members, At: e.Proven, Heard: e.at})
 		}
-		anywhere = true
-		near = near || e.From.Hall == hall
 	}
-	return anywhere, near
+	return list
 }
 
 // Alone reports whether no other gateway has been heard of lately.
@@ -223,13 +235,6 @@
 	return len(t.known) == 0
 }
 
-// Heard reports whether a gateway has been heard of lately by itself.
-func (t *Table) Heard(name string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.known[Key{Name: name}] != nil
-}
-
 // AllHeard reports whether every other gateway that the store names counts in what was
 // heard lately: by itself, or among those that another one spoke for.
 func (t *Table) AllHeard(self string) bool {
