Take a gateway for the only one without the store by an answer to its question, not by ages

Symptom: gateways that lose the store together send their callers away for 150 to 450 ms, now and then. Cause, from the log: the age of another gateway's proof was compared, which tells nothing of whether it is from before the loss where this gateway's own question is merely held up (no failure yet, no time of loss), and too little where a digest was long under way (30 ms were allowed for). Ruled out: the test's delay alone (its gateway is late at 2540 ms in both logs, the others fail 264 ms later).

A gateway draws a number for its outage now and tells it with its digests; one that the store answers after it has heard the number tells it back. Only that counts, whatever the way took. A proof that is late without a failure is first asked for again, for 300 ms. Sums of other halls name no outages and are compared by time still, by 300 ms in place of 30.

TestManyLossesHurryOneQuestion tells outages, which is what a gateway asks the store for now.

--- a/role/gateway/digest.go
+++ b/role/gateway/digest.go
@@ -21,6 +21,12 @@
 		Cut:            g.feed.Cut(now),
 		Suspects:       g.quarantine.Told(now),
 	}
+	if others == nil {
+		d.Outage = g.outages.Own()
+	}
+	if others == nil && d.GetProven() {
+		d.PartialOutages = g.outages.Partial(time.Unix(0, g.proof.Load()), g.Clock())
+	}
 	if others != nil && now.UnixNano()-g.giverNear.Load() < int64(wordFresh) {
 		d.Giving = true // the one that gives orders is of this hall
 	}
@@ -98,7 +104,7 @@
 	f := g.fleet.Load()
 	g.quarantine.Adopt(d.GetSuspects(), d.GetGateway(), now)
 	if d.GetMembers() == 0 {
-		g.hearCut(d.GetGateway(), d.GetCut(), now)
+		g.hearOutage(d.GetGateway(), d.GetOutage(), now)
 	}
 	if d.GetGiving() {
 		g.directedAt.Store(now.UnixNano())
--- a/role/gateway/follow.go
+++ b/role/gateway/follow.go
@@ -33,9 +33,8 @@
 	g.members = members{endpoints: make(map[string]endpoint.Endpoint), usage: make(map[string]*usage)}
 	m := mirror.Mirror{
 		Feed: &g.feed, Wait: g.policy().Wait(), Settle: min(changesSettle, g.policy().Wait()), Grace: lapseGrace,
-		Now: g.Clock, Hurry: g.hurry, Put: g.put, Gone: g.gone, Confirm: g.confirm, Log: g.Log,
+		Now: g.Clock, Refresh: g.refreshed, Put: g.put, Gone: g.gone, Confirm: g.confirm, Log: g.Log,
 		Lost: func(err error) {
-			g.lostAt.Store(time.Now().UnixNano())
 			g.failing.Store(true)
 			g.gossip.News() // so that the others find out whether they have lost it, too
 			g.Log.Warn().Err(err).Dur("proof_age_ms", g.proofAge()).Msg("the store does not answer")
@@ -155,6 +154,9 @@
 		g.currentSince.Store(time.Now().UnixNano())
 	}
 	g.proof.Store(max(g.proof.Load(), sent.UnixNano()))
+	if g.outages.Any(g.Clock()) {
+		g.gossip.News() // those that have lost the store wait for a proof from after that
+	}
 	if !g.loaded.Swap(true) {
 		g.Log.Info().Int("endpoints", len(g.members.endpoints)).Msg("the store has been read")
 	}
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"github.com/grademill/grademill/role/gossip"
 	"github.com/grademill/grademill/role/quarantine"
 	"github.com/grademill/grademill/state/lines"
+	"github.com/grademill/grademill/state/outages"
 	"github.com/grademill/grademill/state/peers"
 	"github.com/grademill/grademill/state/turnstile"
 	"github.com/grademill/grademill/state/watchcache"
@@ -98,19 +99,17 @@
 	// loaded is set once the store has been read.
 	loaded   atomic.Bool
 	draining atomic.Bool
-	// failing is set while calls of the store fail, apartSince is when this gateway
-	// alone lost the store, in nanoseconds of Unix time; 0 when it has not.
-	failing    atomic.Bool
-	apartSince atomic.Int64
-	// lostAt is when they began to fail, in nanoseconds of Unix time.
-	lostAt atomic.Int64
-	// othersCut are the gateways that said in their last digest that the store gives them no
-	// answer, and hurriedAt is when the store was last asked at once for that; only Heard uses
-	// them.
-	othersCut map[string]bool
-	hurriedAt time.Time
-	// hurry ends the rest between two questions for changes.
-	hurry chan struct{}
+	// failing is set while calls of the store fail, partitionedSince is when this gateway
+	// was found to have lost the store alone, in nanoseconds of Unix time; 0 when it has not.
+	failing          atomic.Bool
+	partitionedSince atomic.Int64
+	// outages are the losses of the store, partition is how this gateway lost it.
+	outages   outages.Outages
+	partition partition
+	// refreshedAt is when the store was last asked at once whether it is there, in nanoseconds
+	// of Unix time; refreshed then ends the rest between two questions for changes.
+	refreshedAt atomic.Int64
+	refreshed   chan struct{}
 	// running counts the requests in flight; it is closed before the process
 	// ends.
 	running turnstile.Turnstile
@@ -159,8 +158,7 @@
 	g.proof.Store(g.Clock().Add(-unproven).UnixNano())
 	g.retries = make(map[string]*retry.Budget)
 	g.fleet.Store(new(fleet))
-	g.othersCut = make(map[string]bool)
-	g.hurry = make(chan struct{}, 1)
+	g.initOutages()
 	g.peers.Counter = g.counter
 	g.probes.Control, g.probes.Silence = g.Runners, g.Silence
 	g.initGossip()
@@ -207,7 +205,7 @@
 // proof that it is current, and is not about to stop. It stops being ready some
 // time before it has to refuse requests, so that callers are led elsewhere.
 func (g *Gateway) Ready() bool {
-	return g.loaded.Load() && !g.draining.Load() && !g.apart() && g.catalog.Load() != nil &&
+	return g.loaded.Load() && !g.draining.Load() && !g.partitioned() && g.catalog.Load() != nil &&
 		g.policy().Ready(g.proofAge())
 }
 
@@ -224,8 +222,8 @@
 		return catalog.Limits{}
 	}
 	limits := c.Limits
-	if g.apart() {
-		limits.IdleTimeout = restApart
+	if g.partitioned() {
+		limits.IdleTimeout = restPartitioned
 	}
 	return limits
 }
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -47,7 +47,7 @@
 		return
 	}
 	defer g.running.Leave()
-	if g.apart() {
+	if g.partitioned() {
 		w.Header().Set("Connection", "close")
 	}
 	abort := false
--- a/role/gateway/store_test.go
+++ b/role/gateway/store_test.go
@@ -361,42 +361,48 @@
 func TestProofThatWasLongUnderWaySaysNothing(t *testing.T) {
 	t.Parallel()
 	w := newWorld(t, plain("a"))
-	socket, err := net.Dial("udp4", w.gateway.Address)
-	require.NoError(t, err)
-	defer socket.Close() //nolint:errcheck // a test's socket
+	tell := w.teller()
 	w.site.Store.Break(func(*http.Request) site.Fault { return site.Fault{Status: http.StatusServiceUnavailable} })
 	proven := time.Now()
 	for number := uint64(1); w.gateway.Ready(); number++ {
 		const underWay = 1200 * time.Millisecond // longer than this gateway takes to find out
 		age := max(time.Since(proven)-underWay, 0)
-		text, err := proto.Marshal(&gossip.Packet{Digest: &gossip.Digest{
+		tell(&gossip.Digest{
 			Gateway: "other", Incarnation: 1, Number: number, Hall: "north", Proven: true, ProofAgeMillis: uint32(age.Milliseconds()),
-		}})
-		require.NoError(t, err)
-		_, err = socket.Write(text)
-		require.NoError(t, err)
+		})
 		time.Sleep(20 * time.Millisecond)
 	}
 	require.NotContains(t, w.log.String(), `"apart":true`)
 }
 
+// teller returns what sends the gateway of the world digests of others. What comes before the
+// gateway listens is lost.
+func (w *world) teller() func(*gossip.Digest) {
+	socket, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	require.NoError(w.t, err)
+	w.t.Cleanup(func() { _ = socket.Close() })
+	to, err := net.ResolveUDPAddr("udp4", w.gateway.Address)
+	require.NoError(w.t, err)
+	return func(d *gossip.Digest) {
+		text, err := proto.Marshal(&gossip.Packet{Digest: d})
+		require.NoError(w.t, err)
+		_, err = socket.WriteTo(text, to)
+		require.NoError(w.t, err)
+	}
+}
+
 // When many gateways lose the store together, each hears of all the others: it asks the store
 // once at once for that, and not once for each, which the store would have to turn away.
 func TestManyLossesHurryOneQuestion(t *testing.T) {
 	t.Parallel()
 	w := newWorld(t, plain("a"))
-	socket, err := net.Dial("udp4", w.gateway.Address)
-	require.NoError(t, err)
-	defer socket.Close() //nolint:errcheck // a test's socket
+	tell := w.teller()
 	const others = 60
 	before := w.site.Store.Calls("/-/kv-watch")
 	for i := range others {
-		text, err := proto.Marshal(&gossip.Packet{Digest: &gossip.Digest{
-			Gateway: fmt.Sprint("other-", i), Incarnation: 1, Number: 1, Hall: "north", Cut: true,
-		}})
-		require.NoError(t, err)
-		_, err = socket.Write(text)
-		require.NoError(t, err)
+		tell(&gossip.Digest{
+			Gateway: fmt.Sprint("other-", i), Incarnation: 1, Number: 1, Hall: "north", Cut: true, Outage: uint64(i + 1),
+		})
 		time.Sleep(10 * time.Millisecond)
 	}
 	require.LessOrEqual(t, w.site.Store.Calls("/-/kv-watch")-before, 6, "one at once, and those that are due")
--- a/role/gossip/gossip.go
+++ b/role/gossip/gossip.go
@@ -300,7 +300,7 @@
 	r := peers.Report{
 		From:        overlay.Member{Name: d.GetGateway(), Address: from, Hall: d.GetHall(), Cut: d.GetCut()},
 		Incarnation: d.GetIncarnation(), Number: d.GetNumber(), Members: int(d.GetMembers()),
-		Every:  millis(d.GetEveryMillis()),
+		Every: millis(d.GetEveryMillis()), Partial: d.GetPartialOutages(),
 		Shares: make(map[string]peers.Share, len(d.GetUses())),
 	}
 	if d.GetRelayed() {
--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -31,8 +31,8 @@
 	// Settle is the least time between two questions for changes, so that
 	// changes that come in quick succession are taken together.
 	Settle time.Duration
-	// Hurry ends a rest between two questions when something is received, nil for never.
-	Hurry <-chan struct{}
+	// Refresh ends a rest between two questions when something is received, nil for never.
+	Refresh <-chan struct{}
 	// Grace is how long after an outage of the store an entry that has gone is
 	// kept: leases lapse while nobody can renew them, and their owners return.
 	Grace time.Duration
@@ -109,7 +109,7 @@
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
-	case <-m.Hurry:
+	case <-m.Refresh:
 	}
 }
 
--- /dev/null
+++ b/state/outages/outages_test.go
@@ -0,0 +1,41 @@
+package outages_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/state/outages"
+)
+
+func TestOwnOutage(t *testing.T) {
+	var o outages.Outages
+	require.Zero(t, o.Own())
+	require.True(t, o.Begin())
+	first := o.Own()
+	require.NotZero(t, first)
+	require.False(t, o.Begin(), "it is under way")
+	require.Equal(t, first, o.Own())
+	o.End()
+	require.Zero(t, o.Own())
+	require.True(t, o.Begin())
+	require.NotEqual(t, first, o.Own(), "an answer to the former one says nothing of this one")
+}
+
+// Only a question that was sent after the word of an outage proves that the store is there.
+func TestPartial(t *testing.T) {
+	now := time.Now()
+	o := outages.Outages{Fresh: time.Second}
+	require.True(t, o.Hear("a", 7, now))
+	require.False(t, o.Hear("a", 7, now.Add(500*time.Millisecond)))
+	require.Empty(t, o.Partial(now.Add(-time.Millisecond), now), "sent before")
+	require.Equal(t, []uint64{7}, o.Partial(now.Add(time.Millisecond), now.Add(time.Second)))
+	require.True(t, o.Hear("a", 9, now.Add(time.Second)), "another one")
+	require.Empty(t, o.Partial(now.Add(time.Millisecond), now.Add(time.Second)))
+	require.True(t, o.Any(now.Add(time.Second)))
+	require.False(t, o.Any(now.Add(3*time.Second)), "it has said nothing since")
+	o.Hear("b", 5, now)
+	o.Hear("b", 0, now)
+	require.False(t, o.Any(now), "it is over")
+}
--- a/state/peers/table.go
+++ b/state/peers/table.go
@@ -28,6 +28,9 @@
 	// Proven is when the configuration of the sender, or of one that it speaks for, was
 	// certainly current; zero while the store does not answer it.
 	Proven time.Time
+	// Partial are the outages of other gateways during which the store answered the sender: see
+	// outages.Outages.
+	Partial []uint64
 	// Every is the time between two such reports of the sender.
 	Every time.Duration
 	// Shares are the sender's by endpoint, each with the counter that they add to.
@@ -213,6 +216,8 @@
 	At time.Time
 	// Heard is when the report came.
 	Heard time.Time
+	// Partial is that of the Report.
+	Partial []uint64
 }
 
 // Proofs returns the proofs of the others that the store answers.
@@ -222,7 +227,7 @@
 	var list []Proof
 	for _, e := range t.known {
 		if !e.Proven.IsZero() {
-			list = append(list, Proof{From: e.From, Members: e.Members, At: e.Proven, Heard: e.at})
+			list = append(list, Proof{From: e.From, Members: e.Members, At: e.Proven, Heard: e.at, Partial: e.Partial})
 		}
 	}
 	return list
--- a/state/watchcache/feed.go
+++ b/state/watchcache/feed.go
@@ -58,21 +58,21 @@
 	scan scan
 	// source is whom the last answer came from, empty for the store.
 	source string
-	// waiting ends the question that waits at the store, nil while none does; hurried is set
+	// waiting ends the question that waits at the store, nil while none does; refreshed is set
 	// when the next one is not to wait.
-	waiting atomic.Pointer[context.CancelCauseFunc]
-	hurried atomic.Bool
+	waiting   atomic.Pointer[context.CancelCauseFunc]
+	refreshed atomic.Bool
 }
 
-// errHurried ends a question that waits at the store, since the answer is wanted at once.
-var errHurried = errors.New("whether the store answers is wanted at once")
+// errRefreshed ends a question that waits at the store, since the answer is wanted at once.
+var errRefreshed = errors.New("whether the store answers is wanted at once")
 
-// Hurry has the question that waits at the store asked again without a wait, or the next one if
+// Refresh has the question that waits at the store asked again without a wait, or the next one if
 // none waits: the next proof, or the failure, is there as soon as the store answers.
-func (f *Feed) Hurry() {
-	f.hurried.Store(true)
+func (f *Feed) Refresh() {
+	f.refreshed.Store(true)
 	if end := f.waiting.Swap(nil); end != nil {
-		(*end)(errHurried)
+		(*end)(errRefreshed)
 	}
 }
 
@@ -210,7 +210,7 @@
 func (f *Feed) ask(ctx context.Context, prefix string, revision uint64, wait time.Duration) (kv.Page, error) {
 	sent := f.Cache.now()
 	page, err := f.wait(ctx, prefix, revision, wait)
-	if errors.Is(err, errHurried) {
+	if errors.Is(err, errRefreshed) {
 		again := f.Cache.now()
 		page, err = f.Store.Changes(ctx, prefix, revision, 0)
 		page.Lag = sent.Sub(again) // it proves more than the question that waited
@@ -224,19 +224,19 @@
 	return page, err
 }
 
-// wait asks the store, and returns errHurried when that was hurried.
+// wait asks the store, and returns errRefreshed when that was refreshed.
 func (f *Feed) wait(ctx context.Context, prefix string, revision uint64, wait time.Duration) (kv.Page, error) {
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
 	f.waiting.Store(&end)
 	defer f.waiting.Store(nil)
-	if f.hurried.Swap(false) {
+	if f.refreshed.Swap(false) {
 		wait = 0
 	}
 	page, err := f.Store.Changes(ctx, prefix, revision, wait)
-	f.hurried.Store(false)
-	if err != nil && errors.Is(context.Cause(ctx), errHurried) {
-		return page, errHurried
+	f.refreshed.Store(false)
+	if err != nil && errors.Is(context.Cause(ctx), errRefreshed) {
+		return page, errRefreshed
 	}
 	return page, err
 }
--- a/state/watchcache/feed_test.go
+++ b/state/watchcache/feed_test.go
@@ -148,20 +148,20 @@
 	return p.scripted.Changes(ctx, prefix, revision, wait)
 }
 
-// A question that waits is asked again at once when it is hurried: its proof is as young as the
+// A question that waits is asked again at once when it is refreshed: its proof is as young as the
 // second one, and it counts as no failure of the store.
 func TestHurriedQuestionIsAskedAgainAtOnce(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		feed := newFeed(&patient{}, nil)
-		feed.Hurry() // the next question does not wait then
+		feed.Refresh() // the next question does not wait then
 		begun := time.Now()
 		_, err := feed.Changes(t.Context(), "", 5, time.Second)
 		require.NoError(t, err)
 		require.Equal(t, begun, time.Now())
 		go func() {
 			time.Sleep(300 * time.Millisecond)
-			feed.Hurry()
+			feed.Refresh()
 		}()
 		page, err := feed.Changes(t.Context(), "", 5, time.Second)
 		require.NoError(t, err)
