Try requests under which two endpoints have ended apart from each other before one is held back

Symptom: of 144 harmless requests beside two that end endpoints 120 were refused, for ten minutes. Cause: an end counts for all that the endpoint had just begun, and the retries of the deadly request and of those beside it went to the same endpoint again, so that three ends told them apart no better than one.

Ends that come at once at many gateways count alone from the sixth on.

Before: 5 and 15 requests quarantined where 2 were deadly, the test failed each time.

--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -6,10 +6,10 @@
 
 	"github.com/grademill/grademill/decide/backoff"
 	"github.com/grademill/grademill/decide/endpoint"
-	"github.com/grademill/grademill/decide/fingerprint"
 	"github.com/grademill/grademill/decide/health"
 	"github.com/grademill/grademill/decide/layer"
 	"github.com/grademill/grademill/state/peers"
+	"github.com/grademill/grademill/state/suspects"
 	"github.com/grademill/grademill/state/witnesses"
 )
 
@@ -97,7 +97,7 @@
 	witnesses witnesses.Witnesses
 	// begun are the requests that it had just begun when it was found silent, nil once it is
 	// known whether it has ended.
-	begun atomic.Pointer[[]fingerprint.Fingerprint]
+	begun atomic.Pointer[[]suspects.Begun]
 	// rechecks counts the checks in a row without an answer since it was found down.
 	rechecks atomic.Int64
 	// ended is set while its host refuses connections to it: its process has ended.
--- a/role/gateway/plain.go
+++ b/role/gateway/plain.go
@@ -29,7 +29,11 @@
 func (g *Gateway) servePlain(q *query) {
 	reason := "no endpoint is there"
 	for q.sends < maxSends {
-		if short := g.withheld(q); short != shortageNone {
+		short := g.awaitLane(q)
+		if short == shortageNone {
+			short = g.withheld(q)
+		}
+		if short != shortageNone {
 			reason = joinReasons(short, reason)
 			break
 		}
@@ -64,10 +68,15 @@
 	now := time.Now()
 	var best, spare *backend
 	least := 0.0
+	lanes := g.lanes(q.service.Name, now)
 	for _, b := range g.fleet.Load().open[q.service.Name] {
 		if q.avoids(b.Address) {
 			continue
 		}
+		if !q.mayBegin(b, lanes) {
+			spare = b
+			continue
+		}
 		if b.use.avoided(now) {
 			spare = b
 			continue
--- a/role/gateway/quarantine.go
+++ b/role/gateway/quarantine.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/grademill/grademill/adapter/ingress"
-	"github.com/grademill/grademill/decide/fingerprint"
 	"github.com/grademill/grademill/decide/overlay"
 	"github.com/grademill/grademill/role/quarantine"
 	"github.com/grademill/grademill/state/suspects"
@@ -36,7 +35,7 @@
 // and the requests that it had just begun are suspect.
 func (g *Gateway) lifeEnded(b *backend, now time.Time) {
 	g.endedAfterSilence(b, now)
-	begun := b.use.watchers.begun(now) // before those that wait for a check let go of it
+	begun := b.use.watchers.begun(b.ID, now) // before those that wait for a check let go of it
 	b.use.markDown(now, true)
 	b.use.watchers.kick()
 	g.quarantine.Report(b.life(), begun, now)
@@ -51,7 +50,7 @@
 	}
 	g.verify(q.r.Context(), b)
 	if b.use.ended.Load() {
-		g.quarantine.Report(b.life(), []fingerprint.Fingerprint{q.print}, time.Now())
+		g.quarantine.Report(b.life(), []suspects.Begun{{Print: q.print, Tried: q.triedAt() == b.ID}}, time.Now())
 	}
 }
 
--- a/role/gateway/query.go
+++ b/role/gateway/query.go
@@ -50,6 +50,9 @@
 	// reached is set once the endpoint of the send under way may have got the request.
 	reached atomic.Bool
 
+	// apart is set once it has waited for all gateways to know of the suspects.
+	apart bool
+
 	// returned is set when its caller has less time than callers usually have when they
 	// come first.
 	returned bool
@@ -81,6 +84,9 @@
 	tried map[string]bool
 	// used names the endpoints, for the log.
 	used []string
+	// lane is the endpoint at which it is tried apart from others under which endpoints have
+	// ended, empty while it is not suspected.
+	lane string
 	// together is how many requests of all gateways are sent again for each of this one's,
 	// since the same endpoint was lost to them; 0 for a request that is alone.
 	together float64
@@ -101,6 +107,20 @@
 	return max(q.together, 1)
 }
 
+// setLane notes at which endpoint the request is tried apart, empty for at any.
+func (q *query) setLane(endpoint string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.lane = endpoint
+}
+
+// triedAt returns the endpoint at which the request is tried apart, empty for none.
+func (q *query) triedAt() string {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.lane
+}
+
 // avoid marks an address as not to be tried again.
 func (q *query) avoid(address string) {
 	q.mu.Lock()
--- a/role/gateway/seat.go
+++ b/role/gateway/seat.go
@@ -6,6 +6,7 @@
 
 	"github.com/grademill/grademill/decide/chain"
 	"github.com/grademill/grademill/decide/reread"
+	"github.com/grademill/grademill/decide/trial"
 	"github.com/grademill/grademill/decide/unseen"
 )
 
@@ -139,8 +140,14 @@
 	need := q.tokens()
 	c.prepare(q.service.Model, f, g.Hall, g.others(q.service.Name))
 	c.together = q.companions()
+	c.lanes = g.lanes(q.service.Name, time.Now())
 	c.collect(q, f, need, useSound)
 	found, ok := g.find(c, q, need)
+	if !ok && q.triedAt() == "" && !c.lanes.Empty() { // rather beside a suspect than not at all
+		c.lanes = trial.Lanes{}
+		c.collect(q, f, need, useSound)
+		found, ok = g.find(c, q, need)
+	}
 	if !ok {
 		q.seen = sight{need: need, open: c.open, avoided: c.avoided, crowded: c.crowded}
 		c.collect(q, f, need, useFull)
@@ -184,6 +191,7 @@
 	need := q.tokens()
 	c.prepare(q.service.Model, f, g.Hall, g.others(q.service.Name))
 	c.together = lost.use.together()
+	c.lanes = trial.Lanes{} // its first part stays
 	c.collect(q, f, need, useSound)
 	c.keep(old, q, time.Now())
 	found, ok := g.find(c, q, need)
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -115,8 +115,8 @@
 // the retry budget when the request has reached an endpoint before. It waits in line for
 // as long as the request may.
 func (s *relay) seat() (*seat, shortage) {
-	if !s.g.maySend(s.q) {
-		return nil, shortageQuarantine
+	if short := s.g.awaitLane(s.q); short != shortageNone {
+		return nil, short
 	}
 	if taken := s.reserved; taken != nil {
 		s.reserved = nil
--- a/role/gateway/suspect.go
+++ b/role/gateway/suspect.go
@@ -10,7 +10,6 @@
 	"github.com/grademill/grademill/adapter/probe"
 	"github.com/grademill/grademill/decide/backoff"
 	"github.com/grademill/grademill/decide/endpoint"
-	"github.com/grademill/grademill/decide/fingerprint"
 	"github.com/grademill/grademill/port/runner"
 )
 
@@ -201,10 +200,10 @@
 // answer, and whether it has surely ended.
 func (g *Gateway) noteSilence(b *backend, ended bool, err error, begun time.Time) {
 	now := time.Now()
-	ran := b.use.watchers.begun(now) // before those that wait for this check let go of it
+	ran := b.use.watchers.begun(b.ID, now) // before those that wait for this check let go of it
 	b.use.markDown(now, ended)
 	g.Log.Info().Str("endpoint", b.ID).Str("address", b.Address).Err(err).Bool("ended", ended).
-		Strs("begun", fingerprint.Strings(ran)).Dur("took_ms", now.Sub(begun)).Msg("endpoint does not answer")
+		Strs("begun", prints(ran)).Dur("took_ms", now.Sub(begun)).Msg("endpoint does not answer")
 	g.spreadLoss(b)
 	if ended {
 		g.quarantine.Report(b.life(), ran, now)
--- a/role/gateway/watchdog.go
+++ b/role/gateway/watchdog.go
@@ -58,6 +58,9 @@
 	// stuckAt is the part that the request could last not be moved away from; only
 	// the look that is under way uses it.
 	stuckAt string
+	// suspectMoved is set once the request was moved though it was suspected: what ends then
+	// has ended under a try.
+	suspectMoved bool
 	// stays is why the try was not left when that was last looked for.
 	stays shortage
 	// reserved is the seat of the next try when this one was given up for it.
@@ -116,6 +119,13 @@
 	return w.relay.q.reached.Load() && (w.first.IsZero() || now.Sub(w.first) < beginTime)
 }
 
+// tries reports whether an endpoint of the chain is one at which the request, a suspect, is tried.
+func (w *watchdog) tries(endpoint string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.suspectMoved || w.relay.q.triedAt() == endpoint
+}
+
 // kick has the watchdog look soon, since a part of the chain has been lost. An
 // event that is not late yet may still come: it was made before.
 func (w *watchdog) kick() {
@@ -210,7 +220,7 @@
 // be late then and is expected much sooner there. When an endpoint is lost all streams
 // through it are read again by those few of its hall that hold its layers too.
 func (w *watchdog) faster(old, moved *seat, lost *backend) bool {
-	if w.final {
+	if w.final || w.relay.g.suspected(w.relay.q) {
 		return false
 	}
 	q := w.relay.q
@@ -264,6 +274,10 @@
 		return false
 	}
 	q := w.relay.q
+	if w.relay.g.suspected(q) { // it waits for a try apart
+		q.arrived.Store(true)
+		return seat.first.use.down() && w.leaveFor(nil)
+	}
 	q.arrived.Store(true)
 	q.avoid(seat.first.Address)
 	next, short := w.relay.g.takeTry(q, causeLeft)
@@ -359,6 +373,7 @@
 	w.seat.unwatch(w)
 	w.seat.release()
 	w.seat, w.first = next, time.Time{}
+	w.suspectMoved = w.relay.g.suspected(w.relay.q)
 	next.watch(w)
 	w.relay.q.note("moved: " + next.chain.String())
 }
--- a/role/gateway/watchers.go
+++ b/role/gateway/watchers.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/grademill/grademill/decide/fingerprint"
+	"github.com/grademill/grademill/state/suspects"
 )
 
 // watchers are the watchdogs of the streams that pass through an endpoint. The
@@ -39,15 +39,15 @@
 	}
 }
 
-// begun returns the requests that the endpoint had lately begun to run at now.
-func (s *watchers) begun(now time.Time) []fingerprint.Fingerprint {
-	var prints []fingerprint.Fingerprint
+// begun returns the requests that an endpoint had lately begun to run at now.
+func (s *watchers) begun(endpoint string, now time.Time) []suspects.Begun {
+	var list []suspects.Begun
 	for _, w := range s.list() {
 		if w.begins(now) {
-			prints = append(prints, w.relay.q.print)
+			list = append(list, suspects.Begun{Print: w.relay.q.print, Tried: w.tries(endpoint)})
 		}
 	}
-	return prints
+	return list
 }
 
 // list returns the watchdogs of the moment.
--- a/role/quarantine/quarantine.go
+++ b/role/quarantine/quarantine.go
@@ -25,9 +25,16 @@
 	// kept from the others. Crashes that have nothing to do with a request hit the same one
 	// twice where many endpoints end in a row, seldom three times within a second of its start.
 	enoughEnds = 3
+	// enoughUntried is the number that must have ended while none of them was an end of a try
+	// apart from all other suspects. What comes at the same time at many gateways, beside one
+	// that ends endpoints, is at as many ends as the fleet takes to know of the second: three or
+	// four were seen.
+	enoughUntried = 6
 	// toldFrom is the number of ends from which all gateways are told of a request: whichever
 	// sees it run to its end says so.
 	toldFrom = 2
+	// triedFrom is the number of ends from which a request is tried apart from the others.
+	triedFrom = toldFrom
 	// lasts is how long a request is kept from endpoints, and how long an end counts: the
 	// longest lease that the store grants.
 	lasts = 10 * time.Minute
@@ -119,43 +126,55 @@
 
 // Report notes that a life of an endpoint has surely ended under requests that it had just
 // begun to run, and tells those that keep count.
-func (q *Quarantine) Report(life suspects.Life, prints []fingerprint.Fingerprint, now time.Time) {
-	if len(prints) == 0 {
-		return
-	}
-	for _, f := range prints {
+func (q *Quarantine) Report(life suspects.Life, begun []suspects.Begun, now time.Time) {
+	for _, b := range begun {
 		q.Count(eventEnd)
-		if _, keeps := q.turn(f); keeps {
-			q.note(f, life, now)
+		if _, keeps := q.turn(b.Print); keeps {
+			q.note(b.Print, suspects.End{Life: life, Tried: b.Tried}, now)
 			continue
 		}
 		// Only those that keep count hear when the request runs to its end elsewhere.
-		q.known.Hear(f, q.known.Ends(f, now)+1, now, now.Add(toldTime))
+		q.known.Hear(b.Print, q.known.Ends(b.Print, now)+1, now, now.Add(toldTime))
 	}
-	q.tell(life, prints)
+	q.tell(life, begun)
+}
+
+// Suspected reports whether a request is to be tried apart from all others that are.
+func (q *Quarantine) Suspected(f fingerprint.Fingerprint, now time.Time) bool {
+	return q.known.Ends(f, now) >= triedFrom
+}
+
+// Suspects returns the requests that are to be tried apart from each other.
+func (q *Quarantine) Suspects(now time.Time) []fingerprint.Fingerprint {
+	return q.known.Suspected(triedFrom, now)
 }
 
 // Survived notes that a request has run to its end.
 func (q *Quarantine) Survived(f fingerprint.Fingerprint, now time.Time) {
 	if q.known.Clear(f, now) {
-		q.tell(suspects.Life{}, []fingerprint.Fingerprint{f})
+		q.tell(suspects.Life{}, []suspects.Begun{{Print: f}})
 	}
 }
 
 // tell tells those that keep count, and once more at the next Tick.
-func (q *Quarantine) tell(life suspects.Life, prints []fingerprint.Fingerprint) {
-	to := make(map[string]overlay.Member)
-	parts := make(map[string][]uint64)
-	for _, f := range prints {
-		for _, m := range q.Keepers(f.String()) {
-			if m.Name != q.Self {
-				to[m.Name] = m
-				parts[m.Name] = append(parts[m.Name], uint64(f))
+func (q *Quarantine) tell(life suspects.Life, begun []suspects.Begun) {
+	to := make(map[string]message)
+	for _, b := range begun {
+		for _, m := range q.Keepers(b.Print.String()) {
+			if m.Name == q.Self {
+				continue
+			}
+			if _, known := to[m.Name]; !known {
+				to[m.Name] = message{&wire.Ends{Gateway: q.Self, Endpoint: life.Endpoint, Born: life.Born}, m}
+			}
+			ends := to[m.Name].ends
+			ends.Prints = append(ends.Prints, uint64(b.Print))
+			if b.Tried {
+				ends.Tried = append(ends.Tried, uint64(b.Print))
 			}
 		}
 	}
-	for name, m := range to {
-		one := message{&wire.Ends{Gateway: q.Self, Endpoint: life.Endpoint, Born: life.Born, Prints: parts[name]}, m}
+	for _, one := range to {
 		q.Tell(one.ends, one.to)
 		q.mu.Lock()
 		q.again = append(q.again, one)
@@ -170,7 +189,8 @@
 			q.known.Clear(fingerprint.Fingerprint(p), now)
 			continue
 		}
-		q.note(fingerprint.Fingerprint(p), suspects.Life{Endpoint: e.GetEndpoint(), Born: e.GetBorn()}, now)
+		life := suspects.Life{Endpoint: e.GetEndpoint(), Born: e.GetBorn()}
+		q.note(fingerprint.Fingerprint(p), suspects.End{Life: life, Tried: slices.Contains(e.GetTried(), p)}, now)
 	}
 }
 
@@ -199,30 +219,40 @@
 	}
 	q.mu.Unlock()
 	for _, f := range doubtful {
-		q.judge(f, q.known.Lives(f, now), now)
+		q.judge(f, q.known.Known(f, now), now)
 	}
 }
 
 // note notes an end, and judges the request anew.
-func (q *Quarantine) note(f fingerprint.Fingerprint, life suspects.Life, now time.Time) {
-	q.judge(f, q.known.Note(f, life, now), now)
+func (q *Quarantine) note(f fingerprint.Fingerprint, e suspects.End, now time.Time) {
+	ends := q.known.Note(f, e, now)
+	if len(ends) == toldFrom {
+		q.News() // it is tried apart as soon as all know
+	}
+	q.judge(f, ends, now)
+}
+
+// enough reports whether ends show that it is the request that brings them about.
+func enough(ends []suspects.End) bool {
+	tried := slices.ContainsFunc(ends, func(e suspects.End) bool { return e.Tried })
+	return len(ends) >= enoughUntried || tried && len(ends) >= enoughEnds
 }
 
 // judge puts a request into quarantine when enough lives have surely ended under it. The
 // word of a gateway that is cut off is no proof: to it all endpoints seem to have ended.
-func (q *Quarantine) judge(f fingerprint.Fingerprint, lives []suspects.Life, now time.Time) {
-	if len(lives) < enoughEnds || q.known.Barred(f, now) > 0 {
+func (q *Quarantine) judge(f fingerprint.Fingerprint, ends []suspects.End, now time.Time) {
+	if !enough(ends) || q.known.Barred(f, now) > 0 {
 		return
 	}
-	var sure []string
-	for _, l := range lives {
-		if q.Over(l) {
-			sure = append(sure, l.String())
+	var sure []suspects.End
+	for _, e := range ends {
+		if q.Over(e.Life) {
+			sure = append(sure, e)
 		}
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(sure) < enoughEnds {
+	if !enough(sure) {
 		if _, known := q.doubtful[f]; !known {
 			q.doubtful[f] = now.Add(confirmTime)
 		}
@@ -233,11 +263,24 @@
 		return
 	}
 	q.Count(eventBegun)
-	q.Log.Warn().Stringer("print", f).Strs("ended", sure).Dur("lasts_ms", lasts).Msg("request is quarantined")
+	q.Log.Warn().Stringer("print", f).Strs("ended", texts(sure)).Dur("lasts_ms", lasts).Msg("request is quarantined")
 	q.News()
 	q.write(f)
 }
 
+// texts returns the lives of ends as the log writes them, with those of tries marked.
+func texts(ends []suspects.End) []string {
+	list := make([]string, 0, len(ends))
+	for _, e := range ends {
+		text := e.String()
+		if e.Tried {
+			text += " (tried apart)"
+		}
+		list = append(list, text)
+	}
+	return list
+}
+
 // Told returns what a digest of now tells of the quarantine.
 func (q *Quarantine) Told(now time.Time) []*wire.Suspect {
 	list := q.known.List(toldFrom, mostTold, now)
--- a/role/quarantine/quarantine_test.go
+++ b/role/quarantine/quarantine_test.go
@@ -222,12 +222,13 @@
 func (f *fleet) arrive(place, most int, request fingerprint.Fingerprint) (sends int) {
 	n := f.nodes[place]
 	for ; sends < most && n.Left(request, time.Now()) == 0; sends++ {
+		tried := n.Suspected(request, time.Now())
 		f.mu.Lock()
 		life := suspects.Life{Endpoint: fmt.Sprint("endpoint-", len(f.ended)%33), Born: int64(len(f.ended) / 33)}
 		f.ended[life] = time.Now()
 		f.mu.Unlock()
 		time.Sleep(time.Duration(20+f.draw(100)) * time.Millisecond)
-		n.Report(life, []fingerprint.Fingerprint{request}, time.Now())
+		n.Report(life, []suspects.Begun{{Print: request, Tried: tried}}, time.Now())
 	}
 	return sends
 }
--- a/state/suspects/suspects.go
+++ b/state/suspects/suspects.go
@@ -18,8 +18,8 @@
 	// endpoints at once, each with 20 requests that it had just begun, has 10,000, and each
 	// gateway keeps count of a part of them.
 	maxKept = 4096
-	// maxLives bounds the lives that are kept for a request: more decide nothing.
-	maxLives = 8
+	// maxEnds bounds the ends that are kept for a request: more decide nothing.
+	maxEnds = 8
 )
 
 // Life is one life of an endpoint: it may start again under the same ID.
@@ -37,6 +37,21 @@
 	return l.Endpoint + " born " + strconv.FormatInt(l.Born, 10)
 }
 
+// Begun is a request that an endpoint had just begun to run when it ended.
+type Begun struct {
+	Print fingerprint.Fingerprint
+	// Tried is set when the request was suspected already, and tried apart from all others that
+	// were.
+	Tried bool
+}
+
+// End is the end of a life under a request.
+type End struct {
+	Life
+	// Tried is that of Begun.
+	Tried bool
+}
+
 // Suspect is what is known of a request.
 type Suspect struct {
 	Print fingerprint.Fingerprint
@@ -61,9 +76,9 @@
 
 // record is what is kept of a request.
 type record struct {
-	// lives are those that have ended under it, at is when one was last noted.
-	lives []Life
-	at    time.Time
+	// ends are those of the lives that have ended under it, at is when one was last noted.
+	ends []End
+	at   time.Time
 	// told is the number of ends that another gateway tells of, until toldUntil.
 	told      int
 	toldUntil time.Time
@@ -72,29 +87,33 @@
 }
 
 // Note notes at now that a life has ended under a request, and returns all that have.
-func (s *Suspects) Note(f fingerprint.Fingerprint, life Life, now time.Time) []Life {
+func (s *Suspects) Note(f fingerprint.Fingerprint, e End, now time.Time) []End {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.record(f, now)
 	if now.Sub(r.at) > s.Lasts {
-		r.lives = nil
+		r.ends = nil
 	}
 	r.at = now
-	if len(r.lives) < maxLives && !slices.Contains(r.lives, life) {
-		r.lives = append(r.lives, life)
+	known := slices.IndexFunc(r.ends, func(o End) bool { return o.Life == e.Life })
+	switch {
+	case known >= 0:
+		r.ends[known].Tried = r.ends[known].Tried || e.Tried
+	case len(r.ends) < maxEnds:
+		r.ends = append(r.ends, e)
 	}
-	return slices.Clone(r.lives)
+	return slices.Clone(r.ends)
 }
 
-// Lives returns the lives that have ended under a request, as far as they count at now.
-func (s *Suspects) Lives(f fingerprint.Fingerprint, now time.Time) []Life {
+// Known returns the ends under a request, as far as they count at now.
+func (s *Suspects) Known(f fingerprint.Fingerprint, now time.Time) []End {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.kept[f]
 	if r == nil || now.Sub(r.at) > s.Lasts {
 		return nil
 	}
-	return slices.Clone(r.lives)
+	return slices.Clone(r.ends)
 }
 
 // Hear takes in the word of another gateway on the number of ends under a request, which
@@ -173,7 +192,7 @@
 	for f, r := range s.kept {
 		one := Suspect{Print: f, Left: max(r.barredUntil.Sub(now), 0)}
 		if now.Sub(r.at) <= s.Lasts {
-			one.Ends = len(r.lives) // its own count: an echo of the others' would never end
+			one.Ends = len(r.ends) // its own count: an echo of the others' would never end
 		}
 		if one.Left > 0 || one.Ends >= least {
 			list = append(list, one)
@@ -189,7 +208,7 @@
 func (s *Suspects) ends(r *record, now time.Time) int {
 	n := 0
 	if now.Sub(r.at) <= s.Lasts {
-		n = len(r.lives)
+		n = len(r.ends)
 	}
 	if now.Before(r.toldUntil) {
 		n = max(n, r.told)
@@ -197,6 +216,23 @@
 	return n
 }
 
+// Suspected returns the requests under which so many lives at least have ended, as far as is
+// known at now, and that are not kept from endpoints.
+func (s *Suspects) Suspected(least int, now time.Time) []fingerprint.Fingerprint {
+	if s.size.Load() == 0 {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []fingerprint.Fingerprint
+	for f, r := range s.kept {
+		if !r.barredUntil.After(now) && s.ends(r, now) >= least {
+			list = append(list, f)
+		}
+	}
+	return list
+}
+
 // record returns the record of a request, a new one if there is none; s.mu is held.
 func (s *Suspects) record(f fingerprint.Fingerprint, now time.Time) *record {
 	if r := s.kept[f]; r != nil {
--- a/state/suspects/suspects_test.go
+++ b/state/suspects/suspects_test.go
@@ -13,7 +13,9 @@
 // at is a time of the tests.
 func at(seconds int) time.Time { return time.Unix(1000, 0).Add(time.Duration(seconds) * time.Second) }
 
-func life(id string, born int64) suspects.Life { return suspects.Life{Endpoint: id, Born: born} }
+func end(id string, born int64) suspects.End {
+	return suspects.End{Life: suspects.Life{Endpoint: id, Born: born}}
+}
 
 // Each life counts once, also when it is told of again; an endpoint that has started again
 // under its ID is another life.
@@ -21,22 +23,28 @@
 	t.Parallel()
 	s := suspects.Suspects{Lasts: time.Minute}
 	require.Zero(t, s.Ends(1, at(0)))
-	s.Note(1, life("a", 1), at(0))
-	s.Note(1, life("a", 1), at(1))
+	s.Note(1, end("a", 1), at(0))
+	s.Note(1, end("a", 1), at(1))
 	require.Equal(t, 1, s.Ends(1, at(1)))
-	require.Len(t, s.Note(1, life("a", 2), at(2)), 2)
+	require.Len(t, s.Note(1, end("a", 2), at(2)), 2)
 	require.Zero(t, s.Ends(2, at(2)), "another request")
+	tried := end("a", 2)
+	tried.Tried = true
+	s.Note(1, tried, at(3))
+	require.Equal(t, []suspects.End{end("a", 1), tried}, s.Note(1, end("a", 2), at(4)), "told of both ways")
 }
 
 // Ends are forgotten a while after the last one, and when the request runs to its end.
 func TestEndsAreForgotten(t *testing.T) {
 	t.Parallel()
 	s := suspects.Suspects{Lasts: time.Minute}
-	s.Note(1, life("a", 1), at(0))
-	s.Note(1, life("b", 1), at(50))
+	s.Note(1, end("a", 1), at(0))
+	s.Note(1, end("b", 1), at(50))
 	require.Equal(t, 2, s.Ends(1, at(100)))
+	require.Equal(t, []fingerprint.Fingerprint{1}, s.Suspected(2, at(100)))
+	require.Empty(t, s.Suspected(3, at(100)))
 	require.Zero(t, s.Ends(1, at(111)))
-	require.Len(t, s.Note(1, life("c", 1), at(120)), 1)
+	require.Len(t, s.Note(1, end("c", 1), at(120)), 1)
 	require.True(t, s.Clear(1, at(121)))
 	require.Zero(t, s.Ends(1, at(121)))
 	require.False(t, s.Clear(1, at(121)))
@@ -70,9 +78,9 @@
 	t.Parallel()
 	s := suspects.Suspects{Lasts: time.Minute}
 	for _, id := range []string{"a", "b"} {
-		s.Note(1, life(id, 1), at(0))
+		s.Note(1, end(id, 1), at(0))
 	}
-	s.Note(2, life("a", 1), at(0))
+	s.Note(2, end("a", 1), at(0))
 	s.Bar(3, at(0), at(30))
 	require.Equal(t, []suspects.Suspect{
 		{Print: 3, Left: 20 * time.Second}, {Print: 1, Ends: 2},
@@ -87,7 +95,7 @@
 	s := suspects.Suspects{Lasts: time.Minute}
 	s.Bar(1, at(0), at(1000))
 	for i := range 20_000 {
-		s.Note(fingerprint.Fingerprint(i+2), life("a", 1), at(i/1000))
+		s.Note(fingerprint.Fingerprint(i+2), end("a", 1), at(i/1000))
 	}
 	require.LessOrEqual(t, len(s.List(0, 30_000, at(20))), 4096)
 	require.Positive(t, s.Barred(1, at(20)))
