Serve by what has been read of the store, and go on reading where a call failed

Symptom: 5.5 to 30 s until callers are served again after all of 300 gateways were killed.

After a long reading the next question for changes does not wait, since the proof is as old as the reading took.

--- a/role/gateway/follow.go
+++ b/role/gateway/follow.go
@@ -33,7 +33,7 @@
 	g.members = members{endpoints: make(map[string]endpoint.Endpoint), usage: make(map[string]*usage)}
 	m := mirror.Mirror{
 		Feed: &g.feed, Wait: g.policy().Wait(), Settle: min(changesSettle, g.policy().Wait()), Grace: lapseGrace,
-		Now: g.Clock, Refresh: g.refreshed, Put: g.put, Gone: g.gone, Confirm: g.confirm, Log: g.Log,
+		Now: g.Clock, Refresh: g.refreshed, Put: g.put, Gone: g.gone, Partial: g.partial, Confirm: g.confirm, Log: g.Log,
 		Lost: func(err error) {
 			g.failing.Store(true)
 			g.gossip.News() // so that the others find out whether they have lost it, too
@@ -144,12 +144,30 @@
 	g.Log.Info().Uint64("version", c.Version).Uint64("revision", p.Revision).Msg("configuration is in force")
 }
 
-// confirm notes that all that had been written at a time is known.
-func (g *Gateway) confirm(sent time.Time) {
+// partial notes that a part of what had been written at a time is known: the gateway is not
+// ready yet, but who comes to it may be served. Where all gateways start at once callers have
+// nowhere else to go.
+func (g *Gateway) partial(sent time.Time) {
+	g.rebuild()
+	if g.catalog.Load() == nil {
+		return
+	}
+	g.proof.Store(max(g.proof.Load(), sent.UnixNano()))
+	g.Log.Info().Int("endpoints", len(g.members.endpoints)).Dur("proof_age_ms", g.proofAge()).
+		Msg("a part of the store has been read")
+}
+
+// rebuild makes the fleet anew if endpoints have changed.
+func (g *Gateway) rebuild() {
 	if g.members.changed {
 		g.members.changed = false
 		g.fleet.Store(newFleet(g.backends()))
 	}
+}
+
+// confirm notes that all that had been written at a time is known.
+func (g *Gateway) confirm(sent time.Time) {
+	g.rebuild()
 	if g.failing.Swap(false) || !g.loaded.Load() {
 		g.currentSince.Store(time.Now().UnixNano())
 	}
--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -43,6 +43,9 @@
 	// all that had been written: when the question was sent, or what another process
 	// that answered it could prove.
 	Confirm func(proven time.Time)
+	// Partial is told the same after each page but the last of the first reading of all: what
+	// the pages so far hold had been written by then. Nil for nobody.
+	Partial func(proven time.Time)
 	// Now reads the clock of the times that Confirm is told, nil for time.Now. Where proofs must
 	// not seem younger than they are, it goes on while the host is suspended.
 	Now func() time.Time
@@ -57,6 +60,12 @@
 	doubtful map[string]time.Time
 	// at is the revision up to which the copy is current.
 	at uint64
+	// reading is the reading of all that is under way, nil for none. It goes on where a call
+	// failed: while a whole fleet reads, the store is slow, and would be for good if each
+	// failure began it anew.
+	reading *reading
+	// overdue is set after a reading that took so long that its proof is old.
+	overdue bool
 	// lag and paced are those of the last page.
 	lag   time.Duration
 	paced bool
@@ -67,22 +76,33 @@
 	lastAnswer, restored time.Time
 }
 
+// reading is a reading of all keys, page by page.
+type reading struct {
+	// begun and sent are when the first page was asked for, by the clock of package time and by
+	// that of the proofs.
+	begun, sent time.Time
+	// first is the revision of the first page: what changes later is told by changes.
+	first uint64
+	// after is the last key that was read, and seen are all.
+	after string
+	seen  map[string]bool
+}
+
 // Run follows the prefix until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
 	m.known = make(map[string]uint64)
 	m.doubtful = make(map[string]time.Time)
-	clock := m.Now
-	if clock == nil {
-		clock = time.Now
+	if m.Now == nil {
+		m.Now = time.Now
 	}
 	loaded := false
-	for ctx.Err() == nil {
-		begun, sent := time.Now(), clock()
+	for first := true; ctx.Err() == nil; first = first && !loaded {
+		begun, sent := time.Now(), m.Now()
 		var err error
 		if loaded {
 			err = m.follow(ctx)
 		} else {
-			err = m.load(ctx)
+			sent, err = m.load(ctx, first)
 		}
 		var compacted *kv.CompactedError
 		switch {
@@ -113,42 +133,49 @@
 	}
 }
 
-// load reads all keys and settles the difference to the copy.
-func (m *Mirror) load(ctx context.Context) error {
-	seen := make(map[string]bool)
-	var first uint64
-	after := ""
+// load reads all keys and settles the difference to the copy. It returns when the reading
+// began, which may be before a call that failed. What the first one reads is told page by page.
+func (m *Mirror) load(ctx context.Context, first bool) (time.Time, error) {
+	if m.reading == nil {
+		m.reading = &reading{begun: time.Now(), sent: m.Now(), seen: make(map[string]bool)}
+	}
+	r := m.reading
 	for {
-		page, err := m.Feed.Scan(ctx, m.Prefix, after)
+		page, err := m.Feed.Scan(ctx, m.Prefix, r.after)
 		if err != nil {
-			return err
+			return r.sent, err
 		}
 		m.answered()
-		if after == "" {
-			first = page.At
+		if r.after == "" {
+			r.first = page.At
 		}
 		for _, p := range page.Pairs {
-			seen[p.Key] = true
+			r.seen[p.Key] = true
 			m.put(p)
-			after = p.Key
+			r.after = p.Key
 		}
 		if !page.More || len(page.Pairs) == 0 {
 			break
 		}
+		if first && m.Partial != nil {
+			m.Partial(r.sent)
+		}
 	}
 	for key := range m.known {
-		if !seen[key] {
+		if !r.seen[key] {
 			m.gone(key)
 		}
 	}
-	m.at, m.lag, m.paced = first, 0, false
-	return nil
+	m.at, m.lag, m.paced = r.first, 0, false
+	m.overdue = time.Since(r.begun) > m.Wait
+	m.reading = nil
+	return r.sent, nil
 }
 
 // follow asks once for changes and applies them.
 func (m *Mirror) follow(ctx context.Context) error {
 	wait := m.Wait
-	if m.failures > 0 {
+	if m.failures > 0 || m.overdue {
 		wait = 0 // a store that is back is to be known at once, and its silence too
 	}
 	for _, due := range m.doubtful {
@@ -166,7 +193,7 @@
 			m.put(p)
 		}
 	}
-	m.at, m.lag, m.paced = max(m.at, page.At), page.Lag, page.Paced
+	m.at, m.lag, m.paced, m.overdue = max(m.at, page.At), page.Lag, page.Paced, false
 	return nil
 }
 
--- a/state/mirror/mirror_test.go
+++ b/state/mirror/mirror_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -29,6 +30,10 @@
 	unasked bool
 	// silent is set while calls hang until they time out.
 	silent bool
+	// failEvery has each so manieth page fail, 0 for none; scans counts them.
+	failEvery, scans int
+	// pageTime is how long a page takes.
+	pageTime time.Duration
 }
 
 // callTime is how long a call without an answer hangs, beyond what it asks to wait.
@@ -69,9 +74,11 @@
 }
 
 func (f *feed) Scan(_ context.Context, _, after string) (kv.Page, error) {
+	time.Sleep(f.pageTime)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.down {
+	f.scans++
+	if f.down || f.failEvery > 0 && f.scans%f.failEvery == 0 {
 		return kv.Page{}, errDown
 	}
 	var list []kv.Pair
@@ -296,3 +303,57 @@
 		require.Empty(t, held)
 	})
 }
+
+// When all processes of a fleet start together, each reads all from a store that has a second's
+// work with it: pages took 0.5 s each and more, and those that took longer than a call may were
+// given up. Each time all was read again from the first page, so that one failure in seven pages
+// was enough to begin anew again and again.
+func TestReadingGoesOnWhereItFailed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &feed{failEvery: 3}
+		for i := range 20 {
+			f.set(fmt.Sprintf("key-%02d", i), "a")
+		}
+		held := copyOf(t, f)
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		require.Len(t, held, 20)
+	})
+}
+
+// What a reading of all has met so far is told with each page, and with when it began: a process
+// that starts can serve by it. A question for changes follows a long reading at once, since its
+// proof is as old as the reading took.
+func TestReadingIsToldPageByPage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &feed{pageTime: 500 * time.Millisecond}
+		for i := range 8 {
+			f.set(fmt.Sprint("key-", i), "a")
+		}
+		begun := time.Now()
+		var held int
+		var partial, confirmed []time.Duration
+		m := &mirror.Mirror{
+			Feed: f, Wait: time.Second, Log: zerolog.Nop(), Lost: func(error) {},
+			Put: func(kv.Pair) { held++ }, Gone: func(string) {},
+			Partial: func(proven time.Time) {
+				require.Equal(t, begun, proven)
+				require.Equal(t, 2*(len(partial)+1), held)
+				partial = append(partial, time.Since(begun))
+			},
+			Confirm: func(time.Time) { confirmed = append(confirmed, time.Since(begun)) },
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			m.Run(ctx)
+			close(done)
+		}()
+		time.Sleep(2100 * time.Millisecond)
+		cancel()
+		<-done
+		const page = 500 * time.Millisecond
+		require.Equal(t, []time.Duration{page, 2 * page, 3 * page}, partial)
+		require.Equal(t, []time.Duration{4 * page, 4 * page}, confirmed[:2])
+	})
+}
