Do not close a caller's connection while its request lies unread

The test fails on the code before, at its first try, and passes now. A stop waits for such requests, too.

--- a/adapter/ingress/conn.go
+++ b/adapter/ingress/conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync/atomic"
 	"time"
+
+	"github.com/grademill/grademill/adapter/peek"
 )
 
 // The states of a connection.
@@ -14,6 +16,10 @@
 	closed
 )
 
+// readTime is how long the head of a request that has begun to come counts as about to be
+// served: one that takes longer comes slowly.
+const readTime = time.Second
+
 // conn is a connection of a caller. It is only closed while it rests, and serves
 // only what came before it was closed.
 type conn struct {
@@ -49,8 +55,27 @@
 	c.state.Store(resting)
 }
 
-// closeResting closes the connection if it rests.
-func (c *conn) closeResting() {
+// unread reports whether the caller has sent something that has not been read yet at now, or
+// whose reading has just begun: a process that lacks processor time takes a second for that.
+func (c *conn) unread(now time.Time) bool {
+	if begun := c.begun.Load(); begun != 0 && now.UnixNano()-begun < int64(readTime) {
+		return true
+	}
+	waits, err := peek.Pending(c.Conn)
+	return err == nil && waits
+}
+
+// closeResting closes the connection if it rests and nothing of a request has come. One whose
+// request lies unread ends with its answer instead.
+func (c *conn) closeResting(now time.Time) {
+	if c.unread(now) {
+		return
+	}
+	c.end()
+}
+
+// end closes the connection unless a request is being served.
+func (c *conn) end() {
 	if c.state.CompareAndSwap(resting, closed) {
 		_ = c.Close() // the caller sees the end either way
 	}
--- a/adapter/ingress/server.go
+++ b/adapter/ingress/server.go
@@ -114,7 +114,7 @@
 		delete(s.conns, c)
 	case http.StateIdle:
 		if s.stopping.Load() {
-			c.closeResting()
+			c.closeResting(time.Now())
 		}
 	}
 }
@@ -153,8 +153,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			limits := s.limits()
-			s.closeResting(func(c *conn) bool { return c.overdue(limits, now) })
+			s.sweep(s.limits(), now)
 		}
 	}
 }
@@ -164,20 +163,43 @@
 	s.stopping.Store(true)
 }
 
+// Quiet reports whether no request is being served, or lies unread, at any connection.
+func (s *Server) Quiet() bool {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if state := c.state.Load(); state == serving || state == resting && c.unread(now) {
+			return false
+		}
+	}
+	return true
+}
+
 // Stop takes no more connections and closes those that rest.
 func (s *Server) Stop() {
 	s.stopping.Store(true)
 	_ = s.listener.Close() // only a second call fails
-	s.closeResting(func(*conn) bool { return true })
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.closeResting(now)
+	}
 }
 
-// closeResting closes those of the connections that rest that are to be closed.
-func (s *Server) closeResting(due func(*conn) bool) {
+// sweep closes the connections that rest longer than they may at now, and those whose head
+// takes too long.
+func (s *Server) sweep(limits Limits, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if due(c) {
-			c.closeResting()
+		switch {
+		case !c.overdue(limits, now):
+		case c.begun.Load() != 0:
+			c.end()
+		default:
+			c.closeResting(now)
 		}
 	}
 }
--- a/adapter/ingress/server_test.go
+++ b/adapter/ingress/server_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -86,6 +87,28 @@
 	require.Equal(t, "whole", string(body))
 }
 
+// A process that lacks processor time has not read a request yet that came 0.7 s before: it closed
+// the connection as one that rests, with no answer, when it stopped. Here the process has one
+// processor, and nothing else runs between the request and the stop.
+func TestRequestThatLiesUnreadIsServedAtTheStop(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	for range 20 {
+		s := start(t, http.NotFoundHandler(), ingress.Limits{})
+		c, r := dial(t, s)
+		require.False(t, ask(t, c, r).Close)
+		_, err := io.WriteString(c, request)
+		s.Stop()
+		require.NoError(t, err)
+		require.False(t, s.Quiet())
+		answer, err := http.ReadResponse(r, nil)
+		require.NoError(t, err)
+		require.True(t, answer.Close)
+		_, err = io.Copy(io.Discard, answer.Body)
+		require.NoError(t, err)
+		require.Eventually(t, s.Quiet, patience, time.Millisecond)
+	}
+}
+
 // A connection that rests ends with its next answer. One whose last answer is not quite
 // through yet ends with that one, as an answer begun before does: the caller has it, and a
 // request that crosses the end is not served.
--- a/cmd/grademill-gateway/daemon.go
+++ b/cmd/grademill-gateway/daemon.go
@@ -157,7 +157,11 @@
 	callers.Retire()
 	time.Sleep(min(lingerWait, limit))
 	callers.Stop()
-	for !d.gateway.Close(time.Since(begun) >= limit) {
+	for {
+		late := time.Since(begun) >= limit
+		if (late || callers.Quiet()) && d.gateway.Close(late) {
+			break
+		}
 		time.Sleep(stopPoll)
 	}
 	d.log.Info().Int("running", d.gateway.Running()).Dur("took_ms", time.Since(begun)).Msg("gateway has drained")
