--- a/decide/order/fence.go
+++ b/decide/order/fence.go
@@ -1,10 +1,10 @@
-// Package order fences the orders to load models: a giver that has been
+// Package order fences the orders to load models: a leader that has been
 // replaced, or that speaks to an earlier incarnation, is refused.
 package order
 
 import "fmt"
 
-// Fence is what an agent remembers of the givers of orders. The zero Fence has
+// Fence is what an agent remembers of the leaders that give orders. The zero Fence has
 // seen none. It is an immutable value.
 type Fence struct {
 	// Incarnation is the agent's own.
--- a/port/runner/control.go
+++ b/port/runner/control.go
@@ -39,7 +39,7 @@
 
 // Order tells an endpoint to hold layers.
 type Order struct {
-	// Fence rises with each new giver of orders.
+	// Fence rises with each new leader.
 	Fence uint64
 	// After is the number of orders that the endpoint must have taken.
 	After uint64
@@ -66,7 +66,7 @@
 type RefusedError struct {
 	// Status is the HTTP status of the refusal.
 	Status int
-	// Fenced is set when a later giver has been seen.
+	// Fenced is set when a later leader has been seen.
 	Fenced bool
 	// Blamed is the endpoint that cannot take its part of a chain; empty for
 	// none.
@@ -76,7 +76,7 @@
 // Error says why.
 func (e *RefusedError) Error() string {
 	if e.Fenced {
-		return "order refused: another giver has taken over"
+		return "order refused: another leader has taken over"
 	}
 	return fmt.Sprintf("order refused with status %d", e.Status)
 }
--- a/role/gateway/chooser.go
+++ b/role/gateway/chooser.go
@@ -8,8 +8,8 @@
 
 	"github.com/grademill/grademill/decide/catalog"
 	"github.com/grademill/grademill/decide/chain"
+	"github.com/grademill/grademill/decide/isolation"
 	"github.com/grademill/grademill/decide/layer"
-	"github.com/grademill/grademill/decide/trial"
 	"github.com/grademill/grademill/decide/unseen"
 )
 
@@ -26,8 +26,8 @@
 	// unseen is the part of what other gateways have at an endpoint that may have come
 	// there since they last told.
 	unseen float64
-	// lanes are the endpoints at which suspects are tried.
-	lanes trial.Lanes
+	// isolated are the endpoints at which suspects are tried.
+	isolated isolation.Plan
 	// open, avoided and crowded count the endpoints of the model, and those that
 	// were left out because they are passed over or have no room.
 	open, avoided, crowded int
@@ -142,7 +142,7 @@
 			c.avoided++
 			continue
 		}
-		if usable.First == 0 && !q.mayBegin(b, c.lanes) {
+		if usable.First == 0 && !q.mayBegin(b, c.isolated) {
 			usable.First = 1 // what begins to run a request is what it may end
 		}
 		room, free := b.room(q.service.Model, need)
--- a/role/gateway/digest.go
+++ b/role/gateway/digest.go
@@ -17,7 +17,7 @@
 	d := &gossip.Digest{
 		Proven:         g.loaded.Load() && !g.failing.Load(),
 		ProofAgeMillis: uint32(max(g.proofAge().Milliseconds(), 0)),
-		Giving:         g.giving.Load(),
+		Leading:        g.leading.Load(),
 		Cut:            g.feed.Cut(now),
 		Suspects:       g.quarantine.Told(now),
 	}
@@ -27,8 +27,8 @@
 	if others == nil && d.GetProven() {
 		d.PartialOutages = g.outages.Partial(time.Unix(0, g.proof.Load()), g.Clock())
 	}
-	if others != nil && now.UnixNano()-g.giverNear.Load() < int64(wordFresh) {
-		d.Giving = true // the one that gives orders is of this hall
+	if others != nil && now.UnixNano()-g.leaderNear.Load() < int64(wordFresh) {
+		d.Leading = true // the one that gives orders is of this hall
 	}
 	for id, b := range g.fleet.Load().byID {
 		if b.use.untouched(now) && (others == nil || others[id] == peers.Share{}) {
@@ -42,7 +42,7 @@
 		if held, odd := b.misheld(now); odd && use.GetCheckedMillis() > 0 {
 			use.Misheld, use.HeldFirst, use.HeldEnd = true, uint32(held.First), uint32(held.End)
 		}
-		if d.GetGiving() {
+		if d.GetLeading() {
 			b.use.tellOrder(use, now)
 		}
 		if silentUse(use) {
@@ -106,10 +106,10 @@
 	if d.GetMembers() == 0 {
 		g.hearOutage(d.GetGateway(), d.GetOutage(), now)
 	}
-	if d.GetGiving() {
+	if d.GetLeading() {
 		g.directedAt.Store(now.UnixNano())
 		if d.GetMembers() == 0 { // only its own word is told on: an echo would never end
-			g.giverNear.Store(now.UnixNano())
+			g.leaderNear.Store(now.UnixNano())
 		}
 		g.hearOrders(f, d, now)
 	}
@@ -189,10 +189,10 @@
 	for _, use := range d.GetUses() {
 		told[use.GetEndpoint()] = layer.Range{First: int(use.GetOrderedFirst()), End: int(use.GetOrderedEnd())}
 	}
-	giving := g.giving.Load()
+	leading := g.leading.Load()
 	for id, b := range f.byID {
 		layers := told[id]
-		if layers.Empty() && (giving || b.use.ordered.Load() == nil) {
+		if layers.Empty() && (leading || b.use.ordered.Load() == nil) {
 			continue
 		}
 		b.use.setOrdered(layers, now)
--- a/role/gateway/follow.go
+++ b/role/gateway/follow.go
@@ -49,8 +49,8 @@
 		g.configure(p)
 		return
 	}
-	if p.Key == giverKey {
-		g.giver.Store(true)
+	if p.Key == leaderKey {
+		g.led.Store(true)
 		return
 	}
 	if g.announcer.Put(p) || g.quarantine.Put(p, time.Now()) {
@@ -87,8 +87,8 @@
 
 // gone takes in that a key has gone.
 func (g *Gateway) gone(key string) {
-	if key == giverKey {
-		g.giver.Store(false)
+	if key == leaderKey {
+		g.led.Store(false)
 		g.Log.Info().Msg("nobody gives orders")
 		return
 	}
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -126,12 +126,12 @@
 	probes probe.Prober
 	lines  lines.Lines
 
-	// giving is set while this gateway gives orders, giver while the store says that
+	// leading is set while this gateway gives orders, led while the store says that
 	// any does.
-	giving, giver atomic.Bool
-	// directedAt is when the gateway that gives orders was last heard of, and giverNear
+	leading, led atomic.Bool
+	// directedAt is when the gateway that gives orders was last heard of, and leaderNear
 	// when it was by itself, in nanoseconds of Unix time.
-	directedAt, giverNear atomic.Int64
+	directedAt, leaderNear atomic.Int64
 	// currentSince is when the store was first read, or read again after it did not
 	// answer, in nanoseconds of Unix time.
 	currentSince atomic.Int64
@@ -169,7 +169,7 @@
 	group.Go(func() { g.follow(ctx) })
 	group.Go(func() { g.serveChanges(ctx) })
 	group.Go(func() { g.sweep(ctx) })
-	group.Go(func() { g.give(ctx) })
+	group.Go(func() { g.lead(ctx) })
 	group.Go(func() { g.announcer.Run(ctx) })
 	group.Go(func() { g.gossip.Run(ctx) })
 	group.Go(func() { g.quarantine.Run(ctx) })
--- a/role/gateway/trial.go
+++ b/role/gateway/isolation.go
@@ -5,19 +5,19 @@
 	"time"
 
 	"github.com/grademill/grademill/adapter/pause"
-	"github.com/grademill/grademill/decide/trial"
+	"github.com/grademill/grademill/decide/isolation"
 	"github.com/grademill/grademill/state/suspects"
 )
 
 // The figures of trying the requests that may have ended endpoints.
 const (
-	// laneWait is how long a suspect waits before it is tried, so that all gateways know of the
+	// isolationWait is how long a suspect waits before it is tried, so that all gateways know of the
 	// suspects and keep them apart: a digest, and one more for a lost one. It is the time between
-	// two looks whether a lane is free, too.
-	laneWait = 200 * time.Millisecond
-	// lanePatience bounds the wait for a lane: the word of another gateway on a suspect that
-	// has run to its end counts for three seconds.
-	lanePatience = 4 * time.Second
+	// two looks whether an endpoint is free, too.
+	isolationWait = 200 * time.Millisecond
+	// isolationPatience bounds the wait for an endpoint: the word of another gateway on a suspect
+	// that has run to its end counts for three seconds.
+	isolationPatience = 4 * time.Second
 )
 
 // suspected reports whether endpoints have ended under a request so often that it is tried apart
@@ -26,11 +26,11 @@
 	return g.quarantine.Suspected(q.print, time.Now())
 }
 
-// lanes returns the endpoints of a service at which suspects are tried at now.
-func (g *Gateway) lanes(service string, now time.Time) trial.Lanes {
+// isolated returns at which endpoints of a service suspects are tried at now.
+func (g *Gateway) isolated(service string, now time.Time) isolation.Plan {
 	list := g.quarantine.Suspects(now)
 	if len(list) == 0 {
-		return trial.Lanes{}
+		return isolation.Plan{}
 	}
 	var endpoints []string
 	for _, b := range g.fleet.Load().open[service] {
@@ -38,15 +38,15 @@
 			endpoints = append(endpoints, b.ID)
 		}
 	}
-	return trial.New(list, slices.Sorted(slices.Values(endpoints)))
+	return isolation.New(list, slices.Sorted(slices.Values(endpoints)))
 }
 
-// awaitLane waits until a request may be sent on, for as long as its caller may wait: at once
+// awaitIsolation waits until a request may be sent on, for as long as its caller may wait: at once
 // unless it is a suspect. It returns why it may not.
-func (g *Gateway) awaitLane(q *query) shortage {
-	until := time.Now().Add(min(lanePatience, q.left(time.Now())))
+func (g *Gateway) awaitIsolation(q *query) shortage {
+	until := time.Now().Add(min(isolationPatience, q.left(time.Now())))
 	for {
-		q.setLane("")
+		q.isolateAt("")
 		if !g.maySend(q) {
 			return shortageQuarantine
 		}
@@ -54,9 +54,10 @@
 		if !g.quarantine.Suspected(q.print, now) {
 			return shortageNone
 		}
-		if lane, free := g.lanes(q.service.Name, now).Of(q.print); q.apart && free {
-			q.setLane(lane)
-			g.Log.Info().Str("request", q.ID).Stringer("print", q.print).Str("lane", lane).
+		g.quarantine.Arrived(q.print, now)
+		if endpoint, free := g.isolated(q.service.Name, now).Of(q.print); q.apart && free {
+			q.isolateAt(endpoint)
+			g.Log.Info().Str("request", q.ID).Stringer("print", q.print).Str("endpoint", endpoint).
 				Msg("request is tried apart from others under which endpoints have ended")
 			return shortageNone
 		}
@@ -64,17 +65,17 @@
 			return shortageQuarantine
 		}
 		q.apart = true
-		pause.For(q.r.Context(), laneWait)
+		pause.For(q.r.Context(), isolationWait)
 	}
 }
 
-// mayBegin reports whether a request may begin to run at an endpoint: a suspect at its lane, and
+// mayBegin reports whether a request may begin to run at an endpoint: a suspect at its own, and
 // any other where no suspect is tried.
-func (q *query) mayBegin(b *backend, lanes trial.Lanes) bool {
-	if lane := q.triedAt(); lane != "" {
-		return b.ID == lane
+func (q *query) mayBegin(b *backend, isolated isolation.Plan) bool {
+	if own := q.isolatedAt(); own != "" {
+		return b.ID == own
 	}
-	return !lanes.Taken(b.ID)
+	return !isolated.Reserved(b.ID)
 }
 
 // prints returns the fingerprints of requests as the log writes them.
--- a/role/gateway/give.go
+++ b/role/gateway/leader.go
@@ -15,25 +15,25 @@
 	"github.com/grademill/grademill/port/kv"
 )
 
-// giverKey holds the name of the gateway that gives orders, under a lease.
-const giverKey = "grademill/giver"
+// leaderKey holds the name of the gateway that gives orders, under a lease.
+const leaderKey = "grademill/giver"
 
 // The figures of giving orders.
 const (
-	// giverLease is how long the right to give orders lasts without renewal: a hall that
+	// leaderLease is how long the right to give orders lasts without renewal: a hall that
 	// loses a card meanwhile stands without a chain. The store grants no less than one
 	// second, and answers within 0.3 s also when it is slow.
-	giverLease = 1500 * time.Millisecond
-	// giverTurnWait is how long a gateway leaves the right to each one whose turn is
-	// before its own, for giverTurns of them at most: each try is two calls of the
+	leaderLease = 1500 * time.Millisecond
+	// leaderTurnWait is how long a gateway leaves the right to each one whose turn is
+	// before its own, for leaderTurns of them at most: each try is two calls of the
 	// store, and a digest tells of a new holder at once.
-	giverTurnWait = 150 * time.Millisecond
-	giverTurns    = 8
-	// giverSettle is how long the store must have been read before a gateway takes the
+	leaderTurnWait = 150 * time.Millisecond
+	leaderTurns    = 8
+	// leaderSettle is how long the store must have been read before a gateway takes the
 	// right: at the start of a fleet the others are known only by the next changes.
-	giverSettle = changesSettle + 150*time.Millisecond
-	// giverRound is the time between two rounds of orders.
-	giverRound = 250 * time.Millisecond
+	leaderSettle = changesSettle + 150*time.Millisecond
+	// leaderRound is the time between two rounds of orders.
+	leaderRound = 250 * time.Millisecond
 	// renewEvery is the time between two renewals of the lease.
 	renewEvery = 500 * time.Millisecond
 	// gatherTime is how long the fleet must stay the same before a first plan:
@@ -44,8 +44,8 @@
 	ordersAtOnce = 32
 )
 
-// giver gives orders while it holds the right to.
-type giver struct {
+// leader gives orders while it holds the right to.
+type leader struct {
 	g *Gateway
 	// fence is the revision at which the right was taken.
 	fence uint64
@@ -63,14 +63,14 @@
 	until time.Time
 }
 
-// give takes the right to give orders whenever nobody holds it, and uses it
+// lead takes the right to give orders whenever nobody holds it, and uses it
 // until ctx ends.
-func (g *Gateway) give(ctx context.Context) {
+func (g *Gateway) lead(ctx context.Context) {
 	var vacant time.Time
 	for ctx.Err() == nil {
-		pause.For(ctx, time.Duration(float64(giverRound)*(1+rand.Float64())))
+		pause.For(ctx, time.Duration(float64(leaderRound)*(1+rand.Float64())))
 		now := time.Now()
-		if !g.loaded.Load() || g.draining.Load() || g.catalog.Load() == nil || g.giver.Load() {
+		if !g.loaded.Load() || g.draining.Load() || g.catalog.Load() == nil || g.led.Load() {
 			vacant = time.Time{}
 			continue
 		}
@@ -78,10 +78,10 @@
 			vacant = now
 		}
 		read := time.Duration(now.UnixNano() - g.currentSince.Load())
-		if now.Sub(vacant) < g.giverTurn(now) || read < giverSettle {
+		if now.Sub(vacant) < g.leaderTurn(now) || read < leaderSettle {
 			continue
 		}
-		holder := giver{g: g}
+		holder := leader{g: g}
 		if err := holder.take(ctx); err != nil {
 			var held *kv.ConflictError
 			if !errors.As(err, &held) {
@@ -95,39 +95,39 @@
 	}
 }
 
-// giverTurn returns how long this gateway leaves the right to others after the store has
+// leaderTurn returns how long this gateway leaves the right to others after the store has
 // said that nobody holds it: longer while one of them says that it does.
-func (g *Gateway) giverTurn(now time.Time) time.Duration {
-	turn := min(g.gossip.Overlay().Turn(giverKey), giverTurns)
+func (g *Gateway) leaderTurn(now time.Time) time.Duration {
+	turn := min(g.gossip.Overlay().Turn(leaderKey), leaderTurns)
 	if g.directed(now) {
-		turn = giverTurns
+		turn = leaderTurns
 	}
-	return time.Duration(turn) * giverTurnWait
+	return time.Duration(turn) * leaderTurnWait
 }
 
 // take takes the right.
-func (o *giver) take(ctx context.Context) error {
-	lease, err := o.g.Store.Grant(ctx, giverLease)
+func (o *leader) take(ctx context.Context) error {
+	lease, err := o.g.Store.Grant(ctx, leaderLease)
 	if err != nil {
 		return err
 	}
 	o.lease = lease
-	o.fence, err = o.g.Store.Put(ctx, kv.Write{Key: giverKey, Value: []byte(o.g.Name), Lease: lease})
+	o.fence, err = o.g.Store.Put(ctx, kv.Write{Key: leaderKey, Value: []byte(o.g.Name), Lease: lease})
 	return err
 }
 
 // hold gives orders until the right is lost.
-func (o *giver) hold(ctx context.Context) {
+func (o *leader) hold(ctx context.Context) {
 	o.g.Log.Info().Uint64("fence", o.fence).Msg("this gateway gives orders")
-	o.g.giving.Store(true)
+	o.g.leading.Store(true)
 	o.g.gossip.News()
-	defer o.g.giving.Store(false)
+	defer o.g.leading.Store(false)
 	renewed := time.Now()
 	for ctx.Err() == nil && !o.g.draining.Load() {
 		if now := time.Now(); now.Sub(renewed) >= renewEvery {
 			if err := o.g.Store.KeepAlive(ctx, o.lease); err == nil {
 				renewed = now
-			} else if kv.Missing(err) || now.Sub(renewed) > giverLease {
+			} else if kv.Missing(err) || now.Sub(renewed) > leaderLease {
 				o.g.Log.Warn().Err(err).Uint64("fence", o.fence).Msg("the right to give orders is lost")
 				return
 			}
@@ -135,13 +135,13 @@
 		if !o.round(ctx) {
 			return
 		}
-		pause.For(ctx, giverRound)
+		pause.For(ctx, leaderRound)
 	}
 }
 
-// round gives one round of orders. It returns false when another giver has taken
+// round gives one round of orders. It returns false when another leader has taken
 // over.
-func (o *giver) round(ctx context.Context) bool {
+func (o *leader) round(ctx context.Context) bool {
 	f, c := o.g.fleet.Load(), o.g.catalog.Load()
 	now := time.Now()
 	if len(f.byID) != o.size {
@@ -173,8 +173,8 @@
 }
 
 // orders gives the orders of a plan, several at the same time. It returns false
-// when another giver has taken over.
-func (o *giver) orders(ctx context.Context, f *fleet, moves []spread.Move, now time.Time) bool {
+// when another leader has taken over.
+func (o *leader) orders(ctx context.Context, f *fleet, moves []spread.Move, now time.Time) bool {
 	for _, m := range moves {
 		f.byID[m.ID].use.setOrdered(m.Layers, now)
 	}
@@ -196,7 +196,7 @@
 }
 
 // cards lists the endpoints of a model as the planner sees them.
-func (o *giver) cards(m *catalog.Model, open []*backend, now time.Time) []spread.Card {
+func (o *leader) cards(m *catalog.Model, open []*backend, now time.Time) []spread.Card {
 	cards := make([]spread.Card, 0, len(open))
 	for _, b := range open {
 		if _, known := m.Cards[b.Card]; !known || o.g.hasEnded(b, now) {
--- a/role/gateway/loss_test.go
+++ b/role/gateway/loss_test.go
@@ -306,7 +306,7 @@
 	u.on.Store(true)
 	const events = 12
 	require.Equal(t, whole(events), w.do(w.plan("/plan/1", events)).body)
-	// 48 and 49 without any further checks, with those of the giver of orders; 68 with a check
+	// 48 and 49 without any further checks, with those of the leader of orders; 68 with a check
 	// every 0.25 s for each late event.
 	require.Less(t, u.asked.Load(), int64(58))
 }
--- a/role/gateway/order.go
+++ b/role/gateway/order.go
@@ -43,8 +43,8 @@
 
 // order gives one order, and notes what the endpoint will hold then. What still passes
 // through an endpoint that no gateway uses is lost already, and is not waited for.
-func (o *giver) order(ctx context.Context, b *backend, layers layer.Range) orderResult {
-	ctx, cancel := context.WithTimeout(ctx, giverLease)
+func (o *leader) order(ctx context.Context, b *backend, layers layer.Range) orderResult {
+	ctx, cancel := context.WithTimeout(ctx, leaderLease)
 	defer cancel()
 	unused := b.use.active.Load()+b.use.othersActive.Load() == 0 && o.g.peers.AllHeard(o.g.Name)
 	report, err := o.g.Runners.Report(ctx, b.Address)
@@ -95,7 +95,7 @@
 	case orderStale:
 		return &ordered{layers: report.Layers, until: now.Add(recordLag)}
 	case orderBusy: // with what is not known; it keeps what it holds until then
-		return &ordered{layers: b.Layers, until: now.Add(giverRound)}
+		return &ordered{layers: b.Layers, until: now.Add(leaderRound)}
 	}
 	return nil
 }
--- a/role/gateway/plain.go
+++ b/role/gateway/plain.go
@@ -29,7 +29,7 @@
 func (g *Gateway) servePlain(q *query) {
 	reason := "no endpoint is there"
 	for q.sends < maxSends {
-		short := g.awaitLane(q)
+		short := g.awaitIsolation(q)
 		if short == shortageNone {
 			short = g.withheld(q)
 		}
@@ -68,12 +68,12 @@
 	now := time.Now()
 	var best, spare *backend
 	least := 0.0
-	lanes := g.lanes(q.service.Name, now)
+	isolated := g.isolated(q.service.Name, now)
 	for _, b := range g.fleet.Load().open[q.service.Name] {
 		if q.avoids(b.Address) {
 			continue
 		}
-		if !q.mayBegin(b, lanes) {
+		if !q.mayBegin(b, isolated) {
 			spare = b
 			continue
 		}
--- a/role/gateway/quarantine.go
+++ b/role/gateway/quarantine.go
@@ -50,7 +50,7 @@
 	}
 	g.verify(q.r.Context(), b)
 	if b.use.ended.Load() {
-		g.quarantine.Report(b.life(), []suspects.Begun{{Print: q.print, Tried: q.triedAt() == b.ID}}, time.Now())
+		g.quarantine.Report(b.life(), []suspects.Begun{{Print: q.print, Tried: q.isolatedAt() == b.ID}}, time.Now())
 	}
 }
 
--- a/role/gateway/query.go
+++ b/role/gateway/query.go
@@ -84,9 +84,9 @@
 	tried map[string]bool
 	// used names the endpoints, for the log.
 	used []string
-	// lane is the endpoint at which it is tried apart from others under which endpoints have
+	// isolation is the endpoint at which it is tried apart from others under which endpoints have
 	// ended, empty while it is not suspected.
-	lane string
+	isolation string
 	// together is how many requests of all gateways are sent again for each of this one's,
 	// since the same endpoint was lost to them; 0 for a request that is alone.
 	together float64
@@ -107,18 +107,18 @@
 	return max(q.together, 1)
 }
 
-// setLane notes at which endpoint the request is tried apart, empty for at any.
-func (q *query) setLane(endpoint string) {
+// isolateAt notes at which endpoint the request is tried apart, empty for at any.
+func (q *query) isolateAt(endpoint string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.lane = endpoint
+	q.isolation = endpoint
 }
 
-// triedAt returns the endpoint at which the request is tried apart, empty for none.
-func (q *query) triedAt() string {
+// isolatedAt returns the endpoint at which the request is tried apart, empty for none.
+func (q *query) isolatedAt() string {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.lane
+	return q.isolation
 }
 
 // avoid marks an address as not to be tried again.
--- a/role/gateway/seat.go
+++ b/role/gateway/seat.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/grademill/grademill/decide/chain"
+	"github.com/grademill/grademill/decide/isolation"
 	"github.com/grademill/grademill/decide/reread"
-	"github.com/grademill/grademill/decide/trial"
 	"github.com/grademill/grademill/decide/unseen"
 )
 
@@ -140,11 +140,11 @@
 	need := q.tokens()
 	c.prepare(q.service.Model, f, g.Hall, g.others(q.service.Name))
 	c.together = q.companions()
-	c.lanes = g.lanes(q.service.Name, time.Now())
+	c.isolated = g.isolated(q.service.Name, time.Now())
 	c.collect(q, f, need, useSound)
 	found, ok := g.find(c, q, need)
-	if !ok && q.triedAt() == "" && !c.lanes.Empty() { // rather beside a suspect than not at all
-		c.lanes = trial.Lanes{}
+	if !ok && q.isolatedAt() == "" && !c.isolated.Empty() { // rather beside a suspect than not at all
+		c.isolated = isolation.Plan{}
 		c.collect(q, f, need, useSound)
 		found, ok = g.find(c, q, need)
 	}
@@ -191,7 +191,7 @@
 	need := q.tokens()
 	c.prepare(q.service.Model, f, g.Hall, g.others(q.service.Name))
 	c.together = lost.use.together()
-	c.lanes = trial.Lanes{} // its first part stays
+	c.isolated = isolation.Plan{} // its first part stays
 	c.collect(q, f, need, useSound)
 	c.keep(old, q, time.Now())
 	found, ok := g.find(c, q, need)
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -115,7 +115,7 @@
 // the retry budget when the request has reached an endpoint before. It waits in line for
 // as long as the request may.
 func (s *relay) seat() (*seat, shortage) {
-	if short := s.g.awaitLane(s.q); short != shortageNone {
+	if short := s.g.awaitIsolation(s.q); short != shortageNone {
 		return nil, short
 	}
 	if taken := s.reserved; taken != nil {
--- a/role/gateway/suspect.go
+++ b/role/gateway/suspect.go
@@ -306,7 +306,7 @@
 // looksAfter reports whether this gateway is one of those that check an endpoint for the
 // others.
 func (g *Gateway) looksAfter(b *backend) bool {
-	return g.giving.Load() || g.gossip.Overlay().Rank(b.ID, b.Hall) < checkersEach
+	return g.leading.Load() || g.gossip.Overlay().Rank(b.ID, b.Hall) < checkersEach
 }
 
 // recheckDue reports whether an endpoint that is down is to be checked again. Those that
--- a/role/gateway/watchdog.go
+++ b/role/gateway/watchdog.go
@@ -123,7 +123,7 @@
 func (w *watchdog) tries(endpoint string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.suspectMoved || w.relay.q.triedAt() == endpoint
+	return w.suspectMoved || w.relay.q.isolatedAt() == endpoint
 }
 
 // kick has the watchdog look soon, since a part of the chain has been lost. An
--- a/role/quarantine/quarantine.go
+++ b/role/quarantine/quarantine.go
@@ -134,7 +134,7 @@
 			continue
 		}
 		// Only those that keep count hear when the request runs to its end elsewhere.
-		q.known.Hear(b.Print, q.known.Ends(b.Print, now)+1, now, now.Add(toldTime))
+		q.known.Hear(b.Print, q.known.Ends(b.Print, now)+1, true, now, now.Add(toldTime))
 	}
 	q.tell(life, begun)
 }
@@ -144,7 +144,12 @@
 	return q.known.Ends(f, now) >= triedFrom
 }
 
-// Suspects returns the requests that are to be tried apart from each other.
+// Arrived notes that a request that is to be tried has come.
+func (q *Quarantine) Arrived(f fingerprint.Fingerprint, now time.Time) {
+	q.known.Arrived(f, now)
+}
+
+// Suspects returns the requests that are tried at now, or soon, apart from each other.
 func (q *Quarantine) Suspects(now time.Time) []fingerprint.Fingerprint {
 	return q.known.Suspected(triedFrom, now)
 }
@@ -287,7 +292,7 @@
 	told := make([]*wire.Suspect, 0, len(list))
 	for _, s := range list {
 		told = append(told, &wire.Suspect{
-			Print: uint64(s.Print), Ends: uint32(s.Ends), LeftMillis: uint32(s.Left.Milliseconds()),
+			Print: uint64(s.Print), Ends: uint32(s.Ends), LeftMillis: uint32(s.Left.Milliseconds()), Recent: s.Recent,
 		})
 	}
 	return told
@@ -298,7 +303,7 @@
 	for _, s := range list {
 		f := fingerprint.Fingerprint(s.GetPrint())
 		if s.GetEnds() > 0 {
-			q.known.Hear(f, int(s.GetEnds()), now, now.Add(toldTime))
+			q.known.Hear(f, int(s.GetEnds()), s.GetRecent(), now, now.Add(toldTime))
 		}
 		left := min(time.Duration(s.GetLeftMillis())*time.Millisecond, lasts)
 		if left >= leastLeft {
--- a/state/suspects/suspects.go
+++ b/state/suspects/suspects.go
@@ -18,6 +18,9 @@
 	// endpoints at once, each with 20 requests that it had just begun, has 10,000, and each
 	// gateway keeps count of a part of them.
 	maxKept = 4096
+	// recentTime is how long an end counts as recent: its request is tried again at once, or
+	// when its caller comes back.
+	recentTime = 5 * time.Second
 	// maxEnds bounds the ends that are kept for a request: more decide nothing.
 	maxEnds = 8
 )
@@ -59,6 +62,8 @@
 	Ends int
 	// Left is how much longer it is kept from endpoints, 0 while it is not.
 	Left time.Duration
+	// Recent is set while the last end, or arrival, is recent.
+	Recent bool
 }
 
 // Suspects are the requests under which endpoints have ended. Set the exported field before
@@ -82,6 +87,8 @@
 	// told is the number of ends that another gateway tells of, until toldUntil.
 	told      int
 	toldUntil time.Time
+	// recentUntil is until when an end, or an arrival, counts as recent.
+	recentUntil time.Time
 	// barredUntil is until when it is kept from endpoints.
 	barredUntil time.Time
 }
@@ -95,6 +102,7 @@
 		r.ends = nil
 	}
 	r.at = now
+	r.recentUntil = now.Add(recentTime)
 	known := slices.IndexFunc(r.ends, func(o End) bool { return o.Life == e.Life })
 	switch {
 	case known >= 0:
@@ -117,12 +125,24 @@
 }
 
 // Hear takes in the word of another gateway on the number of ends under a request, which
-// counts until a time.
-func (s *Suspects) Hear(f fingerprint.Fingerprint, ends int, now, until time.Time) {
+// counts until a time, and on whether one of them is recent.
+func (s *Suspects) Hear(f fingerprint.Fingerprint, ends int, recent bool, now, until time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.record(f, now)
 	r.told, r.toldUntil = ends, until
+	if recent && r.recentUntil.Before(until) {
+		r.recentUntil = until
+	}
+}
+
+// Arrived notes that a request under which lives have ended has come again.
+func (s *Suspects) Arrived(f fingerprint.Fingerprint, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r := s.kept[f]; r != nil {
+		r.recentUntil = now.Add(recentTime)
+	}
 }
 
 // Ends returns the number of lives that have ended under a request, as far as is known at now.
@@ -190,7 +210,7 @@
 	defer s.mu.Unlock()
 	var list []Suspect
 	for f, r := range s.kept {
-		one := Suspect{Print: f, Left: max(r.barredUntil.Sub(now), 0)}
+		one := Suspect{Print: f, Left: max(r.barredUntil.Sub(now), 0), Recent: now.Sub(r.at) < recentTime}
 		if now.Sub(r.at) <= s.Lasts {
 			one.Ends = len(r.ends) // its own count: an echo of the others' would never end
 		}
@@ -217,7 +237,7 @@
 }
 
 // Suspected returns the requests under which so many lives at least have ended, as far as is
-// known at now, and that are not kept from endpoints.
+// known at now, the last one recently, and that are not kept from endpoints.
 func (s *Suspects) Suspected(least int, now time.Time) []fingerprint.Fingerprint {
 	if s.size.Load() == 0 {
 		return nil
@@ -226,7 +246,7 @@
 	defer s.mu.Unlock()
 	var list []fingerprint.Fingerprint
 	for f, r := range s.kept {
-		if !r.barredUntil.After(now) && s.ends(r, now) >= least {
+		if !r.barredUntil.After(now) && r.recentUntil.After(now) && s.ends(r, now) >= least {
 			list = append(list, f)
 		}
 	}
--- a/test/e2e/place_test.go
+++ b/test/e2e/place_test.go
@@ -21,7 +21,7 @@
 	w.eventually(func() bool { return complete(w.entries[0], "hello", 1).whole }, "the model is served")
 	require.Empty(t, w.engineRecord(w.engines[2]), "a policy forbids the hall")
 	require.NotEmpty(t, w.engineRecord(w.engines[3]))
-	// The giver of orders is replaced: the next one goes on with a higher term.
+	// The leader is replaced: the next one goes on with a higher term.
 	w.put(w.entries[0], "policies", "not-in-curepipe", `{"match":"false"}`)
 	w.entries[0].kill()
 	w.agents[0].kill()
