Keep it that a process was held up when the HTTP client's own bound has passed, too

Cause of streams that broke off in a long burst: the reason why a check was given up was lost in the error of the HTTP client, so that a gateway that had stood still found its endpoints silent (see the test).

--- a/adapter/probe/prober.go
+++ b/adapter/probe/prober.go
@@ -4,7 +4,10 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/grademill/grademill/port/runner"
@@ -59,10 +62,30 @@
 		}
 	}()
 	one.report, one.err = p.Control.Report(ctx, address)
+	if one.err != nil {
+		one.err = unanswered(ctx, one.err)
+	}
 	one.at = time.Now()
 	return one.report, one.err
 }
 
+// unanswered returns why a question has no answer, whatever of that the client's error kept: it
+// hides the reason when its own bound has passed, too. That is longer than the judgement of the
+// silence takes, so that a process that reaches it first was held up. 18 streams were broken off
+// at once where this was taken for the silence of ten endpoints.
+func unanswered(ctx context.Context, err error) error {
+	var late interface{ Timeout() bool }
+	switch cause := context.Cause(ctx); {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return err
+	case cause != nil:
+		return fmt.Errorf("%w: %w", cause, err)
+	case errors.As(err, &late) && late.Timeout():
+		return fmt.Errorf("%w: %w", ErrHeldUp, err)
+	}
+	return err
+}
+
 // of returns the probe of an address.
 func (p *Prober) of(address string) *probe {
 	p.mu.Lock()
