Carry a begun stream on past four refusals, and serve models alone by a store that is half read

Streams broken off in a long burst, the rest: 24 of 33 had been refused for want of room four times within 0.2 s after their chain broke. Such a stream waits 0.2 s and is sent again now, for as long as its caller bears a pause and the retry budget allows. Served by half of the store, plain services had their few known endpoints overrun: 13 of 280 requests were reset at one of three (286 gateways, all started at once); they are refused as not run, as before.

--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -97,6 +97,12 @@
 		g.refuse(q, comeBackLater, "the service of the route is not configured")
 		return false
 	}
+	if !g.loaded.Load() && q.service.Model == nil {
+		// A plain service has few endpoints, and those that have been read so far would get the
+		// requests of a whole fleet: one of three reset 13 of 280 that 286 gateways sent it.
+		g.refuse(q, comeBackLater, "the store has not been read yet")
+		return false
+	}
 	g.countFirst(q.service.Name)
 	// A request under which three endpoints have ended would end each one that runs it: 57 ends
 	// in 90 s in a fleet of 33, counted on a recorded day.
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -66,7 +66,7 @@
 	q.returned = g.line.Arrive(q.waiting())
 	s := &relay{g: g, q: q, last: q.After, flush: http.NewResponseController(q.w)}
 	reason := ""
-	for q.sends < maxSends {
+	for s.maySendAgain() {
 		seat, short := s.seat()
 		if short != shortageNone {
 			reason = joinReasons(short, reason)
@@ -95,6 +95,22 @@
 	return false
 }
 
+// maySendAgain reports whether the request may be sent once more. One whose caller has events is
+// not broken off for want of room: beyond the usual number of sends it waits until an endpoint
+// that refused may be tried again, for as long as its caller bears a pause. In a burst of three
+// times the traffic 24 of 33 streams that were broken off had only been refused.
+func (s *relay) maySendAgain() bool {
+	if s.q.sends < maxSends {
+		return true
+	}
+	if !s.headSent || s.q.cause != causeNotRun {
+		return false
+	}
+	pause.For(s.q.r.Context(), shortWait)
+	now := time.Now()
+	return s.q.r.Context().Err() == nil && now.Before(s.turn(now).Until)
+}
+
 // joinReasons returns why there is no further try, after why the last one ended.
 func joinReasons(short shortage, last string) string {
 	if last == "" {
--- a/role/gateway/stream_test.go
+++ b/role/gateway/stream_test.go
@@ -187,6 +187,46 @@
 	return site.Event(1) + string(body)
 }
 
+// A stream that has begun is not broken off since the endpoints that it is carried over to are full:
+// they have not run it, and room comes within the pause that its caller bears. In a burst of three
+// times the traffic 18 of 33 streams that were broken off ended so: "outcome":"broken off",
+// "reason":"the endpoint turned it away with status 503" after four sends within 0.2 s.
+func TestStreamOutlastsRefusals(t *testing.T) {
+	t.Parallel()
+	var cards []*site.Endpoint
+	for i := range 16 {
+		cards = append(cards, card(fmt.Sprint("card-", i), "north"))
+	}
+	w := newWorld(t, cards...)
+	w.eventually(func() bool { return covered(cards, 6) })
+	w.knows(cards...)
+	const events, refusals = 100, 5
+	answer, r, _ := w.mid(cards, events)
+	for _, c := range cards {
+		if c.Running() > 0 {
+			w.site.Stop(c)
+			continue
+		}
+		c.Stay(site.Refuse)
+	}
+	arrivals := func() (n int) {
+		for _, c := range cards {
+			for _, seen := range c.Seen() {
+				if seen.Header.Get("X-Request-Id") == r.Header.Get("X-Request-Id") {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	w.eventually(func() bool { return arrivals() > refusals })
+	for _, c := range cards {
+		c.Stay(site.Serve)
+	}
+	require.Equal(t, whole(events), w.rest(answer))
+	layersHold(t, w)
+}
+
 // When a later part of the chain dies, the stream is moved, not begun again.
 func TestStreamMovesAwayFromADeadPart(t *testing.T) {
 	t.Parallel()
--- a/role/gateway/watchdog.go
+++ b/role/gateway/watchdog.go
@@ -72,7 +72,7 @@
 	pause := allowedPause(s.q.route)
 	w := &watchdog{
 		ctx: ctx, relay: s, seat: taken, cancel: cancel, begun: time.Now(),
-		final: !s.q.route.Repeats() || s.q.runs()+1 >= s.q.route.Attempts || s.q.sends+1 >= maxSends,
+		final: !s.q.route.Repeats() || s.q.runs()+1 >= s.q.route.Attempts || s.q.sends+1 >= maxSends && !s.headSent,
 		gaps:  timeout.Estimator{Min: part(overdueLeast, pause), Max: part(overdueMost, pause)},
 	}
 	w.mu.Lock()
