--- a/role/gateway/digest.go
+++ b/role/gateway/digest.go
@@ -21,11 +21,8 @@
 		Cut:            g.feed.Cut(now),
 		Suspects:       g.quarantine.Told(now),
 	}
-	if others == nil {
-		d.Outage = g.outages.Own()
-	}
-	if others == nil && d.GetProven() {
-		d.PartialOutages = g.outages.Partial(time.Unix(0, g.proof.Load()), g.Clock())
+	if others == nil { // the words of a hall are its gateways' own
+		g.partition.Tell(d)
 	}
 	if others != nil && now.UnixNano()-g.leaderNear.Load() < int64(wordFresh) {
 		d.Leading = true // the one that gives orders is of this hall
@@ -104,7 +101,7 @@
 	f := g.fleet.Load()
 	g.quarantine.Adopt(d.GetSuspects(), d.GetGateway(), now)
 	if d.GetMembers() == 0 {
-		g.hearOutage(d.GetGateway(), d.GetOutage(), now)
+		g.partition.Hear(d.GetGateway(), d.GetOutage(), now)
 	}
 	if d.GetLeading() {
 		g.directedAt.Store(now.UnixNano())
@@ -216,6 +213,6 @@
 
 // Tick compares this gateway's proof with the others', and goes on with the quarantine.
 func (g *Gateway) Tick(now time.Time) {
-	g.compare(now)
+	g.partition.Tick(now)
 	g.quarantine.Tick(now)
 }
--- a/role/gateway/follow.go
+++ b/role/gateway/follow.go
@@ -172,7 +172,7 @@
 		g.currentSince.Store(time.Now().UnixNano())
 	}
 	g.proof.Store(max(g.proof.Load(), sent.UnixNano()))
-	if g.outages.Any(g.Clock()) {
+	if g.partition.Asked() {
 		g.gossip.News() // those that have lost the store wait for a proof from after that
 	}
 	if !g.loaded.Swap(true) {
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -26,9 +26,9 @@
 	"github.com/grademill/grademill/role/admission"
 	"github.com/grademill/grademill/role/announcer"
 	"github.com/grademill/grademill/role/gossip"
+	"github.com/grademill/grademill/role/partition"
 	"github.com/grademill/grademill/role/quarantine"
 	"github.com/grademill/grademill/state/lines"
-	"github.com/grademill/grademill/state/outages"
 	"github.com/grademill/grademill/state/peers"
 	"github.com/grademill/grademill/state/turnstile"
 	"github.com/grademill/grademill/state/watchcache"
@@ -99,17 +99,12 @@
 	// loaded is set once the store has been read.
 	loaded   atomic.Bool
 	draining atomic.Bool
-	// failing is set while calls of the store fail, partitionedSince is when this gateway
-	// was found to have lost the store alone, in nanoseconds of Unix time; 0 when it has not.
-	failing          atomic.Bool
-	partitionedSince atomic.Int64
-	// outages are the losses of the store, partition is how this gateway lost it.
-	outages   outages.Outages
-	partition partition
-	// refreshedAt is when the store was last asked at once whether it is there, in nanoseconds
-	// of Unix time; refreshed then ends the rest between two questions for changes.
-	refreshedAt atomic.Int64
-	refreshed   chan struct{}
+	// failing is set while calls of the store fail, partition tells whether they do for this
+	// gateway alone.
+	failing   atomic.Bool
+	partition partition.Detector
+	// refreshed ends the rest between two questions for changes.
+	refreshed chan struct{}
 	// running counts the requests in flight; it is closed before the process
 	// ends.
 	running turnstile.Turnstile
@@ -158,7 +153,7 @@
 	g.proof.Store(g.Clock().Add(-unproven).UnixNano())
 	g.retries = make(map[string]*retry.Budget)
 	g.fleet.Store(new(fleet))
-	g.initOutages()
+	g.initPartition()
 	g.peers.Counter = g.counter
 	g.probes.Control, g.probes.Silence = g.Runners, g.Silence
 	g.initGossip()
@@ -205,7 +200,7 @@
 // proof that it is current, and is not about to stop. It stops being ready some
 // time before it has to refuse requests, so that callers are led elsewhere.
 func (g *Gateway) Ready() bool {
-	return g.loaded.Load() && !g.draining.Load() && !g.partitioned() && g.catalog.Load() != nil &&
+	return g.loaded.Load() && !g.draining.Load() && !g.partition.Alone() && g.catalog.Load() != nil &&
 		g.policy().Ready(g.proofAge())
 }
 
@@ -222,7 +217,7 @@
 		return catalog.Limits{}
 	}
 	limits := c.Limits
-	if g.partitioned() {
+	if g.partition.Alone() {
 		limits.IdleTimeout = restPartitioned
 	}
 	return limits
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -47,7 +47,7 @@
 		return
 	}
 	defer g.running.Leave()
-	if g.partitioned() {
+	if g.partition.Alone() {
 		w.Header().Set("Connection", "close")
 	}
 	abort := false
--- /dev/null
+++ b/role/partition/detector_test.go
@@ -0,0 +1,100 @@
+package partition_test
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/decide/freshness"
+	"github.com/grademill/grademill/decide/overlay"
+	"github.com/grademill/grademill/role/partition"
+	"github.com/grademill/grademill/state/peers"
+	"github.com/grademill/grademill/wire/gossip"
+)
+
+// The gateway of the tests and its age of proof: calls fail, and it is late.
+var (
+	self = overlay.Member{Name: "self", Hall: "north"}
+	late = 2 * time.Second
+)
+
+// Who has the store is told by what comes back for this gateway's outage, and for another hall,
+// whose sums name none, by a proof from well after it.
+func TestAlone(t *testing.T) {
+	for name, c := range map[string]struct {
+		hall    string
+		members int
+		answers bool
+		proven  time.Duration // after the outage was told
+		alone   bool
+	}{
+		"another one, before":           {hall: "north", proven: -time.Second},
+		"another one, seemingly after":  {hall: "north", proven: time.Second},
+		"another one, answers":          {hall: "north", answers: true, proven: -time.Second, alone: true},
+		"another hall, before":          {hall: "south", members: 3, proven: -time.Second},
+		"another hall, seemingly after": {hall: "south", members: 3, proven: 200 * time.Millisecond},
+		"another hall, after":           {hall: "south", members: 3, proven: 400 * time.Millisecond, alone: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			begun := time.Now()
+			var loaded, failing atomic.Bool
+			loaded.Store(true)
+			failing.Store(true)
+			table := &peers.Table{Counter: func(string) peers.Counter { return nil }}
+			d := &partition.Detector{
+				Hall: self.Hall, Policy: freshness.Policy{Revocation: 5 * time.Second}, Peers: table,
+				Age: func() time.Duration { return late }, Proven: func() time.Time { return begun.Add(-late) },
+				Loaded: &loaded, Failing: &failing, Refresh: func() {}, Clock: time.Now, Log: zerolog.Nop(),
+			}
+			d.Init()
+			d.Tick(begun)
+			require.False(t, d.Alone())
+			own := new(gossip.Digest)
+			d.Tell(own)
+			require.NotZero(t, own.GetOutage())
+			r := peers.Report{
+				From: overlay.Member{Name: "other", Hall: c.hall}, Incarnation: 1, Number: 1, Members: c.members,
+				Proven: begun.Add(c.proven),
+			}
+			if c.answers {
+				r.Partial = []uint64{own.GetOutage()}
+			}
+			now := begun.Add(500 * time.Millisecond)
+			require.True(t, table.Hear(r, self, now))
+			d.Tick(now)
+			require.Equal(t, c.alone, d.Alone())
+			failing.Store(false)
+			d.Age = func() time.Duration { return late / 2 }
+			d.Tick(now)
+			require.False(t, d.Alone(), "it has the store again")
+		})
+	}
+}
+
+// A late proof alone is asked for again before the others hear of an outage.
+func TestLateProofIsAskedForFirst(t *testing.T) {
+	begun := time.Now()
+	var loaded, failing atomic.Bool
+	loaded.Store(true)
+	asked := 0
+	d := &partition.Detector{
+		Policy: freshness.Policy{Revocation: 5 * time.Second}, Peers: &peers.Table{},
+		Age: func() time.Duration { return 2 * late }, Loaded: &loaded, Failing: &failing,
+		Refresh: func() { asked++ }, Clock: time.Now, Log: zerolog.Nop(),
+	}
+	d.Init()
+	told := func(at time.Duration) uint64 {
+		d.Tick(begun.Add(at))
+		own := new(gossip.Digest)
+		d.Tell(own)
+		return own.GetOutage()
+	}
+	require.Zero(t, told(0))
+	require.Equal(t, 1, asked)
+	require.Zero(t, told(200*time.Millisecond))
+	require.NotZero(t, told(300*time.Millisecond))
+	require.Equal(t, 1, asked)
+}
