--- a/role/quarantine/quarantine.go
+++ b/role/quarantine/quarantine.go
@@ -27,8 +27,7 @@
 	enoughEnds = 3
 	// enoughUntried is the number that must have ended while none of them was an end of a try
 	// apart from all other suspects. What comes at the same time at many gateways, beside one
-	// that ends endpoints, is at as many ends as the fleet takes to know of the second: three or
-	// four were seen.
+	// that ends endpoints, may be at an end more each until the fleet knows of the second.
 	enoughUntried = 6
 	// toldFrom is the number of ends from which all gateways are told of a request: whichever
 	// sees it run to its end says so.
@@ -99,7 +98,7 @@
 
 // Init prepares for the other methods.
 func (q *Quarantine) Init() {
-	q.known.Lasts = lasts
+	q.known.Lasts, q.known.SuspectFrom = lasts, triedFrom
 	q.writes = make(chan fingerprint.Fingerprint, maxWrites)
 	q.doubtful = make(map[fingerprint.Fingerprint]time.Time)
 	q.stored = make(map[fingerprint.Fingerprint]bool)
@@ -151,7 +150,7 @@
 
 // Suspects returns the requests that are tried at now, or soon, apart from each other.
 func (q *Quarantine) Suspects(now time.Time) []fingerprint.Fingerprint {
-	return q.known.Suspected(triedFrom, now)
+	return q.known.Recent(now)
 }
 
 // Survived notes that a request has run to its end.
--- a/state/suspects/suspects.go
+++ b/state/suspects/suspects.go
@@ -71,12 +71,17 @@
 type Suspects struct {
 	// Lasts is how long an end counts, after the last one under the same request.
 	Lasts time.Duration
+	// SuspectFrom is the number of ends from which a request is a suspect.
+	SuspectFrom int
 
 	// size is the number of requests in kept: most gateways keep none most of the time, and
 	// each request looks.
 	size atomic.Int64
-	mu   sync.Mutex // guards what follows
-	kept map[fingerprint.Fingerprint]*record
+	// recentUntil is until when an end or arrival of any suspect counts as recent, in nanoseconds
+	// of Unix time: after a crash many requests are kept, and few of them are suspects.
+	recentUntil atomic.Int64
+	mu          sync.Mutex // guards what follows
+	kept        map[fingerprint.Fingerprint]*record
 }
 
 // record is what is kept of a request.
@@ -110,9 +115,17 @@
 	case len(r.ends) < maxEnds:
 		r.ends = append(r.ends, e)
 	}
+	s.noteRecent(r, now)
 	return slices.Clone(r.ends)
 }
 
+// noteRecent notes until when a record is recent, if it is that of a suspect; s.mu is held.
+func (s *Suspects) noteRecent(r *record, now time.Time) {
+	if until := r.recentUntil.UnixNano(); s.ends(r, now) >= s.SuspectFrom && until > s.recentUntil.Load() {
+		s.recentUntil.Store(until)
+	}
+}
+
 // Known returns the ends under a request, as far as they count at now.
 func (s *Suspects) Known(f fingerprint.Fingerprint, now time.Time) []End {
 	s.mu.Lock()
@@ -134,6 +147,7 @@
 	if recent && r.recentUntil.Before(until) {
 		r.recentUntil = until
 	}
+	s.noteRecent(r, now)
 }
 
 // Arrived notes that a request under which lives have ended has come again.
@@ -142,6 +156,7 @@
 	defer s.mu.Unlock()
 	if r := s.kept[f]; r != nil {
 		r.recentUntil = now.Add(recentTime)
+		s.noteRecent(r, now)
 	}
 }
 
@@ -236,17 +251,17 @@
 	return n
 }
 
-// Suspected returns the requests under which so many lives at least have ended, as far as is
-// known at now, the last one recently, and that are not kept from endpoints.
-func (s *Suspects) Suspected(least int, now time.Time) []fingerprint.Fingerprint {
-	if s.size.Load() == 0 {
+// Recent returns the suspects of which an end or an arrival is recent at now, and that are not
+// kept from endpoints.
+func (s *Suspects) Recent(now time.Time) []fingerprint.Fingerprint {
+	if now.UnixNano() >= s.recentUntil.Load() {
 		return nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var list []fingerprint.Fingerprint
 	for f, r := range s.kept {
-		if !r.barredUntil.After(now) && r.recentUntil.After(now) && s.ends(r, now) >= least {
+		if !r.barredUntil.After(now) && r.recentUntil.After(now) && s.ends(r, now) >= s.SuspectFrom {
 			list = append(list, f)
 		}
 	}
--- a/state/suspects/suspects_test.go
+++ b/state/suspects/suspects_test.go
@@ -37,15 +37,15 @@
 // Ends are forgotten a while after the last one, and when the request runs to its end.
 func TestEndsAreForgotten(t *testing.T) {
 	t.Parallel()
-	s := suspects.Suspects{Lasts: time.Minute}
+	s := suspects.Suspects{Lasts: time.Minute, SuspectFrom: 2}
 	s.Note(1, end("a", 1), at(0))
+	require.Empty(t, s.Recent(at(1)))
 	s.Note(1, end("b", 1), at(50))
 	require.Equal(t, 2, s.Ends(1, at(100)))
-	require.Equal(t, []fingerprint.Fingerprint{1}, s.Suspected(2, at(51)))
-	require.Empty(t, s.Suspected(3, at(51)))
-	require.Empty(t, s.Suspected(2, at(100)), "not recent")
+	require.Equal(t, []fingerprint.Fingerprint{1}, s.Recent(at(51)))
+	require.Empty(t, s.Recent(at(100)))
 	s.Arrived(1, at(100))
-	require.Equal(t, []fingerprint.Fingerprint{1}, s.Suspected(2, at(101)))
+	require.Equal(t, []fingerprint.Fingerprint{1}, s.Recent(at(101)))
 	require.Zero(t, s.Ends(1, at(111)))
 	require.Len(t, s.Note(1, end("c", 1), at(120)), 1)
 	require.True(t, s.Clear(1, at(121)))
