--- a/adapter/probe/prober.go
+++ b/adapter/probe/prober.go
@@ -25,6 +25,9 @@
 	// Silence returns why a question is given up, or nil once answered is closed; nil for
 	// Silence of this package.
 	Silence func(answered <-chan struct{}) error
+	// Reference returns the address of another endpoint that lives, empty for none. One that
+	// seems silent is compared with it: where neither answers in time, the way there is choked.
+	Reference func(address string) string
 
 	mu   sync.Mutex
 	last map[string]*probe
@@ -57,7 +60,11 @@
 		silence = Silence
 	}
 	go func() {
-		if err := silence(answered); err != nil {
+		err := silence(answered)
+		if err != nil && !errors.Is(err, ErrHeldUp) {
+			err = p.compare(ctx, address, err, answered)
+		}
+		if err != nil {
 			cancel(err)
 		}
 	}()
@@ -69,6 +76,29 @@
 	return one.report, one.err
 }
 
+// compare returns why an endpoint that seems silent is given up, or nil once it has answered: its
+// question went out before that of the reference, so that a way that was choked brings its answer
+// first.
+func (p *Prober) compare(ctx context.Context, address string, silent error, answered <-chan struct{}) error {
+	if p.Reference == nil {
+		return silent
+	}
+	reference := p.Reference(address)
+	if reference == "" {
+		return silent
+	}
+	ctx, cancel := context.WithTimeout(ctx, silentWait+silentTurn)
+	defer cancel()
+	var refused *runner.RefusedError
+	if _, err := p.Control.Report(ctx, reference); err != nil && !errors.As(err, &refused) {
+		return ErrHeldUp
+	}
+	if waited(answered, silentTurn) {
+		return nil
+	}
+	return silent
+}
+
 // unanswered returns why a question has no answer, whatever of that the client's error kept: it
 // hides the reason when its own bound has passed, too. That is longer than the judgement of the
 // silence takes, so that a process that reaches it first was held up. 18 streams were broken off
--- a/adapter/probe/prober_test.go
+++ b/adapter/probe/prober_test.go
@@ -71,3 +71,60 @@
 func (c control) Report(ctx context.Context, address string) (runner.Report, error) {
 	return c.lossy.Report(ctx, address)
 }
+
+// slow answers for each endpoint after a time of its own, never where it has none.
+type slow struct {
+	runner.Control // nil: nothing else is called
+	times          map[string]time.Duration
+}
+
+// Report implements runner.Control.
+func (s slow) Report(ctx context.Context, address string) (runner.Report, error) {
+	took, lives := s.times[address]
+	if !lives {
+		took = time.Hour
+	}
+	select {
+	case <-ctx.Done():
+		return runner.Report{}, context.Cause(ctx)
+	case <-time.After(took):
+		return runner.Report{Pace: 1}, nil
+	}
+}
+
+// While large configurations came three times a second, the links of hosts were full for 0.1 s and
+// more: gateways found 136 endpoints silent in ten seconds, 104 of which answered again at once, and
+// moved 620 streams away from them. Nothing told a silent endpoint from a choked way to all.
+func TestSilenceIsComparedWithAnotherEndpoint(t *testing.T) {
+	const quick, choked = 4 * time.Millisecond, 200 * time.Millisecond
+	for name, c := range map[string]struct {
+		times map[string]time.Duration
+		want  error
+	}{
+		"the other answers":   {map[string]time.Duration{"other": quick}, errSilent},
+		"neither in time":     {map[string]time.Duration{"other": choked, "endpoint": choked}, probe.ErrHeldUp},
+		"its answer comes":    {map[string]time.Duration{"other": quick, "endpoint": 75 * time.Millisecond}, nil},
+		"no other is there":   {map[string]time.Duration{}, probe.ErrHeldUp},
+		"it answers, slowly":  {map[string]time.Duration{"other": quick, "endpoint": choked}, errSilent},
+		"it answers, quickly": {map[string]time.Duration{"endpoint": quick}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := probe.Prober{
+					Control:   slow{times: c.times},
+					Reference: func(string) string { return "other" },
+					Silence: func(answered <-chan struct{}) error {
+						select {
+						case <-answered:
+							return nil
+						case <-time.After(70 * time.Millisecond):
+							return errSilent
+						}
+					},
+				}
+				_, err := p.Ask(t.Context(), "endpoint")
+				require.ErrorIs(t, err, c.want)
+			})
+		})
+	}
+}
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -155,7 +155,7 @@
 	g.fleet.Store(new(fleet))
 	g.initPartition()
 	g.peers.Counter = g.counter
-	g.probes.Control, g.probes.Silence = g.Runners, g.Silence
+	g.probes.Control, g.probes.Silence, g.probes.Reference = g.Runners, g.Silence, g.reference
 	g.initGossip()
 	g.initQuarantine()
 	g.initFeed()
--- a/role/gateway/suspect.go
+++ b/role/gateway/suspect.go
@@ -187,6 +187,24 @@
 	return true
 }
 
+// referenceFresh is how recent an event must be that came through an endpoint with which a silent
+// one is compared: shorter than a silent one is waited for, so that both have not ended together.
+const referenceFresh = 60 * time.Millisecond
+
+// reference returns the address of the endpoint other than one through which an event came last,
+// empty when that is long ago. Where the link of this host is choked no endpoint answers in time:
+// while large configurations came three times a second, 104 of 136 endpoints that were found
+// silent in ten seconds answered again within a second, and 620 streams had been moved for that.
+func (g *Gateway) reference(address string) string {
+	last, found := time.Now().Add(-referenceFresh).UnixNano(), ""
+	for _, b := range g.fleet.Load().byAddress {
+		if at := b.use.eventAt.Load(); b.Address != address && at > last && !b.use.down() {
+			last, found = at, b.Address
+		}
+	}
+	return found
+}
+
 // errAnotherLife is an endpoint that answers for another life than that of its record.
 var errAnotherLife = errors.New("the endpoint has started again")
 
