--- a/role/gateway/partition.go
+++ b/role/gateway/partition.go
@@ -1,10 +1,6 @@
 package gateway
 
-import (
-	"time"
-
-	"github.com/grademill/grademill/role/partition"
-)
+import "time"
 
 // restPartitioned is how long a caller's connection may rest at a gateway that alone has lost
 // the store.
@@ -13,12 +9,12 @@
 // initPartition sets up what tells the loss of the store by this gateway alone from an outage.
 func (g *Gateway) initPartition() {
 	g.refreshed = make(chan struct{}, 1)
-	g.partition = partition.Detector{
-		Hall: g.Hall, Policy: g.policy(), Peers: &g.peers, Age: g.proofAge,
-		Proven: func() time.Time { return time.Unix(0, g.proof.Load()) },
-		Loaded: &g.loaded, Failing: &g.failing, Refresh: g.refresh, Clock: g.Clock, Log: g.Log,
-	}
-	g.partition.Init()
+	d := &g.partition // requests may come already, and look whether this gateway is alone
+	d.Hall, d.Policy, d.Peers = g.Hall, g.policy(), &g.peers
+	d.Age, d.Proven = g.proofAge, func() time.Time { return time.Unix(0, g.proof.Load()) }
+	d.Loaded, d.Failing, d.Refresh = &g.loaded, &g.failing, g.refresh
+	d.Clock, d.Log = g.Clock, g.Log
+	d.Init()
 }
 
 // refresh has the store asked at once whether it is there.
