--- a/role/gateway/stream_test.go
+++ b/role/gateway/stream_test.go
@@ -29,6 +29,8 @@
 	w := newWorld(t, cards...)
 	w.eventually(func() bool { return covered(cards, 2) })
 	w.knows(cards...)
+	// The log tells of records a moment before they are in force.
+	w.eventually(func() bool { return w.do(w.plan("/plan/1", 1)).StatusCode == http.StatusOK })
 	return w, cards
 }
 
