--- a/decide/fingerprint/fingerprint.go
+++ b/decide/fingerprint/fingerprint.go
@@ -37,12 +37,3 @@
 func (f Fingerprint) String() string {
 	return strconv.FormatUint(uint64(f), 16)
 }
-
-// Strings returns fingerprints as the logs write them.
-func Strings(prints []Fingerprint) []string {
-	texts := make([]string, 0, len(prints))
-	for _, f := range prints {
-		texts = append(texts, f.String())
-	}
-	return texts
-}
--- a/role/gateway/quarantine_test.go
+++ b/role/gateway/quarantine_test.go
@@ -242,13 +242,7 @@
 // three have ended.
 func TestRequestIsNotMovedOnceThreeHaveEnded(t *testing.T) {
 	t.Parallel()
-	var cards []*site.Endpoint
-	for i := range 16 {
-		cards = append(cards, card(fmt.Sprint("card-", i), "north"))
-	}
-	w := newWorld(t, cards...)
-	w.eventually(func() bool { return covered(cards, 6) })
-	w.knows(cards...)
+	w, cards := newModelOf(t, 16, 6)
 	w.site.DoomMoved("the prompt")
 	answer, _, later := w.mid(cards, 400)
 	later[0].Kill()
--- a/role/gateway/stream_test.go
+++ b/role/gateway/stream_test.go
@@ -22,12 +22,18 @@
 // newModel starts a world whose cards hold all layers: four in the gateway's
 // hall, two of which hold what the others do, too.
 func newModel(t *testing.T) (*world, []*site.Endpoint) {
+	return newModelOf(t, 4, 2)
+}
+
+// newModelOf starts a world with so many cards in the gateway's hall, of which so many hold each
+// layer, and waits until it serves.
+func newModelOf(t *testing.T, size, copies int) (*world, []*site.Endpoint) {
 	var cards []*site.Endpoint
-	for i := range 4 {
+	for i := range size {
 		cards = append(cards, card(fmt.Sprint("card-", i), "north"))
 	}
 	w := newWorld(t, cards...)
-	w.eventually(func() bool { return covered(cards, 2) })
+	w.eventually(func() bool { return covered(cards, copies) })
 	w.knows(cards...)
 	// The log tells of records a moment before they are in force.
 	w.eventually(func() bool { return w.do(w.plan("/plan/1", 1)).StatusCode == http.StatusOK })
@@ -195,13 +201,7 @@
 // "reason":"the endpoint turned it away with status 503" after four sends within 0.2 s.
 func TestStreamOutlastsRefusals(t *testing.T) {
 	t.Parallel()
-	var cards []*site.Endpoint
-	for i := range 16 {
-		cards = append(cards, card(fmt.Sprint("card-", i), "north"))
-	}
-	w := newWorld(t, cards...)
-	w.eventually(func() bool { return covered(cards, 6) })
-	w.knows(cards...)
+	w, cards := newModelOf(t, 16, 6)
 	const events, refusals = 100, 5
 	answer, r, _ := w.mid(cards, events)
 	for _, c := range cards {
