Read and log what endpoints say of the requests that they take

An endpoint's answers name a limit for all gateways together, ask for rest with a refusal, and say that it leaves. Nothing read them, so that logs could not tell whether a gateway had not heard of a limit, had kept to it for itself or had no other endpoint. They are read, bounded and logged as they change now; nothing heeds them yet.

--- a/port/exchange/exchange.go
+++ b/port/exchange/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/grademill/grademill/decide/chain"
+	"github.com/grademill/grademill/decide/throttle"
 )
 
 // Ask is what a caller says of its request, beside method, path and body.
@@ -54,6 +55,8 @@
 	Blamed string
 	// Running, Waiting and Slots are the load; Slots is 0 when it does not say.
 	Running, Waiting, Slots int
+	// Word is what it says of the requests that it takes.
+	Word throttle.Word
 }
 
 // Dialect translates headers. Its methods are safe for concurrent use.
--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -8,6 +8,7 @@
 	"github.com/grademill/grademill/decide/endpoint"
 	"github.com/grademill/grademill/decide/health"
 	"github.com/grademill/grademill/decide/layer"
+	"github.com/grademill/grademill/state/intake"
 	"github.com/grademill/grademill/state/peers"
 	"github.com/grademill/grademill/state/suspects"
 	"github.com/grademill/grademill/state/witnesses"
@@ -118,6 +119,8 @@
 	// when that was, in nanoseconds of Unix time.
 	waiting, said atomic.Int64
 	health        atomic.Pointer[health.Record]
+	// intake is what it has said of the requests that it takes.
+	intake intake.Intake
 }
 
 // newUsage returns the usage of an endpoint that is not used yet.
--- a/role/gateway/try.go
+++ b/role/gateway/try.go
@@ -64,6 +64,7 @@
 	if !q.route.Repeats() {
 		call.Rest = connectionRestOnce
 	}
+	sent := time.Now()
 	answer, err := g.pool.Do(ctx, call)
 	if err != nil {
 		return g.lost(ctx, q, b, err)
@@ -71,6 +72,10 @@
 	q.arrived.Store(true)
 	t := try{answer: answer, reply: g.Dialect.Reply(answer.Status, answer.Header)}
 	g.noteLoad(b, t.reply)
+	if t.reply.Signed || t.reply.NotRun && answer.Status != http.StatusMisdirectedRequest { // else another one may speak
+		t.reply.Word.Sent, t.reply.Word.Heard = sent, time.Now()
+		g.hearWord(b, t.reply.Word)
+	}
 	switch {
 	case t.reply.NotRun:
 		t.verdict = verdictNotRun
--- /dev/null
+++ b/state/intake/intake.go
@@ -0,0 +1,60 @@
+// Package intake keeps, for one endpoint, what it has said of the requests that it takes and what
+// this gateway may still send it. Reading it takes no lock: every request looks at it.
+package intake
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/grademill/grademill/decide/throttle"
+)
+
+// Intake is the throttle of one endpoint. The zero Intake lets all pass. It is safe for concurrent
+// use.
+type Intake struct {
+	// current is nil while the endpoint has said nothing.
+	current atomic.Pointer[throttle.Throttle]
+}
+
+// Load returns the throttle at the moment.
+func (i *Intake) Load() throttle.Throttle {
+	if t := i.current.Load(); t != nil {
+		return *t
+	}
+	return throttle.Throttle{}
+}
+
+// Hear takes in what an answer says, and returns the throttle before and after.
+func (i *Intake) Hear(w throttle.Word) (before, after throttle.Throttle) {
+	said := throttle.Word{Sent: w.Sent, Heard: w.Heard}
+	if i.current.Load() == nil && w == said {
+		return before, after // nearly every answer says nothing
+	}
+	luck := rand.Float64()
+	return i.update(func(t throttle.Throttle) throttle.Throttle { return t.WithWord(w, luck) })
+}
+
+// update replaces the throttle by what change makes of it, and returns both.
+func (i *Intake) update(change func(throttle.Throttle) throttle.Throttle) (before, after throttle.Throttle) {
+	for {
+		old := i.current.Load()
+		before = throttle.Throttle{}
+		if old != nil {
+			before = *old
+		}
+		after = change(before)
+		if i.current.CompareAndSwap(old, &after) {
+			return before, after
+		}
+	}
+}
+
+// Told is a word of another gateway on the limit of the endpoint.
+func (i *Intake) Told(l throttle.Limit, now time.Time) (before, after throttle.Throttle) {
+	if i.current.Load() == nil && !l.Named() {
+		return before, after
+	}
+	luck := rand.Float64()
+	return i.update(func(t throttle.Throttle) throttle.Throttle { return t.WithLimit(l, now, luck) })
+}
