--- /dev/null
+++ b/role/gateway/limit_test.go
@@ -0,0 +1,146 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/role/gateway"
+	"github.com/grademill/grademill/standin/site"
+)
+
+// The bound that an endpoint's limit sets: within limitSpan it gets half as much again as it
+// allows and limitSlack more, once limitHeard has passed for all gateways to hear of it.
+const (
+	limitSpan  = 4 * time.Second
+	limitSlack = 5
+	limitHeard = 3 * time.Second
+)
+
+// newCrowd starts so many gateways before endpoints, each in a hall, by the number of the gateway.
+func newCrowd(t *testing.T, halls []string, endpoints ...*site.Endpoint) *flock {
+	in := func(i int) func(*gateway.Gateway) {
+		return func(g *gateway.Gateway) { g.Hall = halls[i] }
+	}
+	f := &flock{world: newWorldWith(t, in(0), endpoints...)}
+	f.targets = append(f.targets, f.target)
+	for i := 1; i < len(halls); i++ {
+		g := f.startWith(fmt.Sprint("gateway-", i+1), f.site.StoreAddress, in(i))
+		f.eventually(g.Ready)
+		f.targets = append(f.targets, f.serve(g))
+	}
+	f.eventually(func() bool { return len(f.site.Store.Keys("grademill/gateways/")) == len(halls) })
+	return f
+}
+
+// press sends a request to each gateway in turn, so many times a second, until stop is called, which
+// returns how many were answered by their status.
+func (f *flock) press(perSecond int, make func() *http.Request) (stop func() map[int]int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	answers := map[int]int{}
+	group.Go(func() {
+		due := time.NewTicker(time.Second / time.Duration(perSecond))
+		defer due.Stop()
+		for i := 0; ctx.Err() == nil; i++ {
+			select {
+			case <-ctx.Done():
+				return
+			case <-due.C:
+			}
+			f.target = f.targets[i%len(f.targets)]
+			r := make()
+			group.Go(func() {
+				answer, err := http.DefaultClient.Do(r)
+				if !assert.NoError(f.t, err) {
+					return
+				}
+				_, _ = io.Copy(io.Discard, answer.Body) // a broken answer shows in its status
+				_ = answer.Body.Close()
+				mu.Lock()
+				defer mu.Unlock()
+				answers[answer.StatusCode]++
+			})
+		}
+	})
+	return func() map[int]int {
+		cancel()
+		group.Wait()
+		return answers
+	}
+}
+
+// limited checks that an endpoint that named a limit got no more than it allows, and something.
+func limited(t *testing.T, e *site.Endpoint, limit float64) {
+	t.Helper()
+	require.False(t, e.NamedAt().IsZero(), "it has named its limit")
+	var later []time.Time
+	for _, at := range e.Arrived() {
+		if at.After(e.NamedAt().Add(limitHeard)) {
+			later = append(later, at)
+		}
+	}
+	require.NotEmpty(t, later, "it gets a part of what it takes")
+	require.LessOrEqual(t, site.MostWithin(later, limitSpan), int(1.5*limit*limitSpan.Seconds())+limitSlack)
+}
+
+// An endpoint that was in need named a limit of 3.8 requests a second, and went on to get 10 to 16 a
+// second from five gateways, 42 within four seconds where 28 are allowed. Their logs held no word of it.
+func TestLimitOfAnEndpointIsKeptByAllTogether(t *testing.T) {
+	const limit = 3.8
+	halls := []string{"north", "north", "north", "south", "south"}
+	for _, c := range []struct {
+		name      string
+		endpoints []*site.Endpoint
+		path      string
+	}{
+		{"first of a chain", []*site.Endpoint{
+			card("card-0", "north"), card("card-1", "north"), card("card-2", "south"), card("card-3", "south"),
+		}, "/plan/1"},
+		{"plain service", []*site.Endpoint{plain("plain-0"), plain("plain-1")}, "/freeze/1"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := newCrowd(t, halls, c.endpoints...)
+			if c.path == "/plan/1" {
+				f.eventually(func() bool { return covered(c.endpoints, 2) })
+			}
+			stop := f.press(50, func() *http.Request { return f.plan(c.path, 3) })
+			inNeed := f.busiest(c.endpoints)
+			inNeed.Say(site.Says{Limit: limit})
+			f.eventually(func() bool { return !inNeed.NamedAt().IsZero() })
+			named := inNeed.NamedAt()
+			f.eventually(func() bool { return time.Since(named) > limitHeard+limitSpan+time.Second })
+			answers := stop()
+			limited(t, inNeed, limit)
+			total := 0
+			for _, n := range answers {
+				total += n
+			}
+			require.Greater(t, answers[http.StatusOK], total*9/10, "the others have room: %v", answers)
+		})
+	}
+}
+
+// busiest returns the endpoint that first got twenty requests.
+func (f *flock) busiest(endpoints []*site.Endpoint) *site.Endpoint {
+	f.t.Helper()
+	var most *site.Endpoint
+	f.eventually(func() bool {
+		for _, e := range endpoints {
+			if len(e.Arrived()) >= 20 {
+				most = e
+			}
+		}
+		return most != nil
+	})
+	return most
+}
--- a/standin/site/endpoint.go
+++ b/standin/site/endpoint.go
@@ -79,6 +79,9 @@
 	layers  [2]int
 	orders  uint64
 	fence   uint64
+	// says is what it says of the requests that it takes, namedAt when it first named the limit.
+	says    Says
+	namedAt time.Time
 	// left counts the requests whose caller closed the connection.
 	left int
 }
@@ -188,7 +191,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if mode == Refuse {
+	if away := e.say(w.Header()); away || mode == Refuse {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- /dev/null
+++ b/standin/site/says.go
@@ -0,0 +1,72 @@
+package site
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Says is what an endpoint says of the requests that it takes.
+type Says struct {
+	// Limit is the requests a second that it takes from all gateways, 0 when it names none. With
+	// Above it names it only while it runs more streams than that.
+	Limit float64
+	Above int
+	// Rest is what it asks for with each request, all of which it turns away; 0 for none.
+	Rest time.Duration
+	// Leaving is set when it says that it is about to end.
+	Leaving bool
+	// Limits are texts in place of the limit, for words that cannot be read.
+	Limits []string
+}
+
+// Say sets what the endpoint says from now on.
+func (e *Endpoint) Say(s Says) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.says, e.namedAt = s, time.Time{}
+}
+
+// NamedAt returns when the endpoint first named the limit that it was last told to name, zero when it
+// has not.
+func (e *Endpoint) NamedAt() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.namedAt
+}
+
+// say writes what the endpoint says into the head of an answer, and reports whether the request is
+// turned away.
+func (e *Endpoint) say(h http.Header) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.says
+	if s.Limit > 0 && (s.Above == 0 || len(e.running) > s.Above) {
+		h.Set("Server-Limit", strconv.FormatFloat(s.Limit, 'f', -1, 64))
+		if e.namedAt.IsZero() {
+			e.namedAt = time.Now()
+		}
+	}
+	for _, text := range s.Limits {
+		h.Add("Server-Limit", text)
+	}
+	if s.Leaving {
+		h.Set("Server-Leaving", "1")
+	}
+	if s.Rest > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(s.Rest.Seconds(), 'f', -1, 64))
+	}
+	return s.Rest > 0
+}
+
+// MostWithin returns the largest number of times that lie within one span.
+func MostWithin(times []time.Time, span time.Duration) int {
+	most, first := 0, 0
+	for i, at := range times {
+		for at.Sub(times[first]) >= span {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
