Tests that fail: an endpoint gets the rest that it asks for, and nothing new when it says that it leaves

One gateway, 50 requests a second. Within a rest of 2 s an endpoint gets 7 requests (first of a chain) and more (plain service, where 170 of 277 callers are refused since the retry budget is spent); 2 are allowed. One that says that it leaves is sent requests as long as its record does not say so.

--- a/role/gateway/limit_test.go
+++ b/role/gateway/limit_test.go
@@ -124,11 +124,7 @@
 			f.eventually(func() bool { return time.Since(named) > limitHeard+limitSpan+time.Second })
 			answers := stop()
 			limited(t, inNeed, limit)
-			total := 0
-			for _, n := range answers {
-				total += n
-			}
-			require.Greater(t, answers[http.StatusOK], total*9/10, "the others have room: %v", answers)
+			servedAll(t, answers)
 		})
 	}
 }
