--- a/decide/throttle/throttle.go
+++ b/decide/throttle/throttle.go
@@ -153,6 +153,8 @@
 // Held returns why no request may go out at now, Free when one may.
 func (t Throttle) Held(now time.Time) Hold {
 	switch {
+	case t.leaving:
+		return Leaving
 	case now.Before(t.rest) || t.proving && now.Before(t.provenAt):
 		return Resting
 	case t.limits(now) && t.savedUp(now) < 1:
@@ -164,6 +166,9 @@
 // From returns when a request may go out at the earliest, as known at now; false when that is not
 // known.
 func (t Throttle) From(now time.Time) (time.Time, bool) {
+	if t.leaving {
+		return time.Time{}, false
+	}
 	from := now
 	for _, until := range []time.Time{t.rest, t.provenAt} {
 		if t.proving && until.After(from) {
--- a/decide/throttle/throttle_test.go
+++ b/decide/throttle/throttle_test.go
@@ -90,6 +90,13 @@
 	assert.Equal(t, throttle.Free, again.Held(at(5)))
 }
 
+func TestLeavingHoldsForGood(t *testing.T) {
+	left := throttle.Throttle{}.WithWord(word(0, throttle.Word{Leaving: true}), 0).WithWord(word(1, throttle.Word{}), 0)
+	assert.Equal(t, throttle.Leaving, left.Held(at(100)))
+	_, known := left.From(at(100))
+	assert.False(t, known)
+}
+
 func TestDemandIsCountedWhileALimitIsNamed(t *testing.T) {
 	named := throttle.Throttle{}.WithWord(word(0, throttle.Word{Limit: 4}), 0)
 	for s := 0.0; s < 5; s += 0.1 {
--- a/role/gateway/rest_test.go
+++ b/role/gateway/rest_test.go
@@ -82,7 +82,7 @@
 }
 
 // An endpoint that leaves says so in its answers, and a gateway may hear of that seconds before the record in
-// the store does, or without it.
+// the store does, or without it. It went on to be sent requests until its record said so: nothing read that word.
 func TestEndpointThatSaysThatItLeavesGetsNothingNew(t *testing.T) {
 	for path, endpoints := range spoken() {
 		t.Run(path, func(t *testing.T) {
