--- a/role/gateway/limit_test.go
+++ b/role/gateway/limit_test.go
@@ -71,11 +71,22 @@
 			})
 		}
 	})
-	return func() map[int]int {
+	stop = func() map[int]int {
 		cancel()
 		group.Wait()
 		return answers
 	}
+	f.t.Cleanup(func() { stop() }) // before the gateways end, when the test fails
+	return stop
+}
+
+// settled waits until all that the endpoints of a model hold is in force at the gateways, so that these
+// choose by it from then on.
+func (f *flock) settled(endpoints []*site.Endpoint) {
+	f.t.Helper()
+	f.eventually(func() bool { return covered(endpoints, 2) })
+	f.knows(endpoints...)
+	f.eventually(func() bool { return f.do(f.plan("/plan/1", 1)).StatusCode == http.StatusOK })
 }
 
 // limited checks that an endpoint that named a limit got no more than it allows, and something.
@@ -114,7 +125,7 @@
 			t.Parallel()
 			f := newCrowd(t, halls, c.endpoints...)
 			if c.path == "/plan/1" {
-				f.eventually(func() bool { return covered(c.endpoints, 2) })
+				f.settled(c.endpoints)
 			}
 			stop := f.press(50, func() *http.Request { return f.plan(c.path, 3) })
 			inNeed := f.busiest(c.endpoints)
--- a/role/gateway/rest_test.go
+++ b/role/gateway/rest_test.go
@@ -30,7 +30,7 @@
 func speak(t *testing.T, path string, endpoints []*site.Endpoint, says site.Says) (*flock, *site.Endpoint, time.Time, func() map[int]int) {
 	f := newCrowd(t, []string{"north"}, endpoints...)
 	if path == "/plan/1" {
-		f.eventually(func() bool { return covered(endpoints, 2) })
+		f.settled(endpoints)
 	}
 	stop := f.press(50, func() *http.Request { return f.plan(path, 3) })
 	e := f.busiest(endpoints)
