Soak: endpoints name limits, ask for rest and say that they leave, beside kills and cuts

What endpoints see is checked: a limit over spans of four seconds, rests, and nothing new after a word of leaving; by lives of gateways that had heard it.

--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -52,6 +52,7 @@
 	w.checkKeys(c)
 	w.checkLeaving()
 	w.checkEndings()
+	w.checkWords(c)
 	assert.Greater(w.t, len(c.all), 50, "requests were sent")
 	assert.GreaterOrEqual(w.t, float64(served), 0.7*float64(late), "served again after all is mended")
 	w.t.Logf("%d requests, %d of %d served after the faults", len(c.all), served, late)
--- a/test/soak/site_test.go
+++ b/test/soak/site_test.go
@@ -149,6 +149,7 @@
 	b.left[e] = time.Now()
 	b.mu.Unlock()
 	if says {
+		e.Say(site.Says{Leaving: true})
 		b.site.Leave(e)
 	} else {
 		b.site.Withdraw(e)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -51,7 +51,7 @@
 
 func TestSoak(t *testing.T) {
 	for i := range uint64(*seeds) {
-		t.Run(fmt.Sprint("seed ", *from+i), func(t *testing.T) { soak(t, *from+i, load{}) })
+		t.Run(fmt.Sprint("seed ", *from+i), func(t *testing.T) { soak(t, *from+i, load{words: true}) })
 	}
 }
 
@@ -81,6 +81,12 @@
 	unplanned []time.Time
 	// storeFaults are the times at which the store was harmed or mended.
 	storeFaults []time.Time
+	// speeches are what endpoints said of the requests that they take.
+	speeches []speech
+
+	mu sync.Mutex // guards what follows
+	// linkFaults are the times at which links of endpoints, or what they answer, were harmed.
+	linkFaults map[*site.Endpoint][]time.Time
 }
 
 // load is what callers ask of the endpoints.
@@ -91,10 +97,12 @@
 	burst int
 	// deadly is set when a request comes again and again that ends who begins to run it.
 	deadly bool
+	// words is set when endpoints say how much they take.
+	words bool
 }
 
 // pastCapacity is a load that the slots of the endpoints do not let in.
-var pastCapacity = load{slots: 3, burst: 60}
+var pastCapacity = load{slots: 3, burst: 60, words: true}
 
 // TestSoakPastCapacity plays a fresh seed with more callers than there is room for: what is
 // refused has not run, also then.
@@ -118,7 +126,9 @@
 			assert.NoError(t, os.CopyFS(fmt.Sprintf("%s/seed-%d", *keep, seed), os.DirFS(dir)))
 		}
 	})
-	w := &world{t: t, backs: newBacks(t, l.slots), r: rand.New(rand.NewPCG(seed, 1))}
+	w := &world{
+		t: t, backs: newBacks(t, l.slots), r: rand.New(rand.NewPCG(seed, 1)), linkFaults: make(map[*site.Endpoint][]time.Time),
+	}
 	n, flat := gateways, 0
 	if seed%2 == 1 {
 		n, flat = gatewaysByHall, flatFleet
@@ -150,7 +160,12 @@
 	for i := range l.burst {
 		group.Go(func() { c.run(burst, seed*1000+uint64(callerCount+i)) })
 	}
+	var speakers sync.WaitGroup
+	if l.words {
+		speakers.Go(func() { w.speak(seed, faults) })
+	}
 	w.inject(faults)
+	speakers.Wait()
 	time.Sleep(4 * time.Second) // all is mended: requests are served again
 	mended := time.Now()
 	time.Sleep(2 * time.Second)
@@ -244,6 +259,11 @@
 	if e == nil {
 		return func() {}
 	}
+	if kind > 12 {
+		w.mu.Lock()
+		w.linkFaults[e] = append(w.linkFaults[e], time.Now())
+		w.mu.Unlock()
+	}
 	switch kind {
 	case 11:
 		return func() { w.backs.crash(e) }
--- /dev/null
+++ b/test/soak/words_test.go
@@ -0,0 +1,165 @@
+package soak_test
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/grademill/grademill/standin/site"
+)
+
+// The bounds of what endpoints ask for.
+const (
+	// wordHeard is how long a gateway may take to heed a word that it has got.
+	wordHeard = 500 * time.Millisecond
+	// limitHeard is how long all gateways together may take to keep to a limit. Within limitSpan an
+	// endpoint gets half as much again as it allows, and limitSlack more.
+	limitHeard = 3 * time.Second
+	limitSpan  = 4 * time.Second
+	limitSlack = 5
+	// restSlack is how many requests may come within a rest.
+	restSlack = 2
+	// leavingHeard is how long after its word an endpoint that leaves may get requests.
+	leavingHeard = 2 * time.Second
+)
+
+// speech is what an endpoint said for a while.
+type speech struct {
+	endpoint    *site.Endpoint
+	says        site.Says
+	from, until time.Time
+}
+
+// process is one life of a gateway.
+type process struct {
+	node *node
+	life int
+}
+
+// speak has endpoints ask for what they can bear, one after the other, for a time.
+func (w *world) speak(seed uint64, d time.Duration) {
+	r := rand.New(rand.NewPCG(seed, 9))
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		e, _ := w.backs.pick(r, []string{records, model}[r.IntN(2)])
+		if e == nil {
+			return
+		}
+		s := speech{endpoint: e, from: time.Now()}
+		lasts := time.Duration(2+r.IntN(3)) * time.Second
+		switch r.IntN(3) {
+		case 0:
+			s.says.Rest = time.Duration(1000+r.IntN(2000)) * time.Millisecond
+		case 1:
+			s.says.Limit, s.says.Above = 1+5*r.Float64(), 2
+		default:
+			s.says.Limit = 0.2 + 5*r.Float64()
+			lasts = limitHeard + limitSpan
+		}
+		w.t.Logf("%s: %s says %+v for %s", s.from.Format("15:04:05.000"), e.ID, s.says, lasts)
+		e.Say(s.says)
+		time.Sleep(lasts)
+		e.Say(site.Says{})
+		s.until = time.Now()
+		w.speeches = append(w.speeches, s)
+	}
+}
+
+// checkWords checks that endpoints got what they had asked for.
+func (w *world) checkWords(c *callers) {
+	byID := make(map[string]sent, len(c.all))
+	for _, s := range c.all {
+		byID[s.id] = s
+	}
+	for _, s := range w.speeches {
+		if w.linkHarmed(s) {
+			continue
+		}
+		if s.says.Rest > 0 {
+			w.checkRest(s, byID)
+		} else if s.says.Above == 0 {
+			w.checkLimit(s, byID)
+		}
+	}
+	for e, left := range w.backs.left {
+		w.checkLeavingWord(e, left, byID)
+	}
+}
+
+// linkHarmed reports whether the link of an endpoint was harmed around what it said.
+func (w *world) linkHarmed(s speech) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, at := range w.linkFaults[s.endpoint] {
+		if at.After(s.from.Add(-touch)) && at.Before(s.until) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkLimit checks what an endpoint got, once a limit had to be heard of, from gateways that had passed
+// on one of its answers.
+func (w *world) checkLimit(s speech, byID map[string]sent) {
+	told := make(map[process]time.Time)
+	var counted []time.Time
+	seen := s.endpoint.Seen()
+	for i, at := range s.endpoint.Arrived() {
+		one, ok := byID[seen[i].Header.Get("X-Request-Id")]
+		from := process{one.node, one.life}
+		if !ok || at.Before(s.from) || at.After(s.until) {
+			continue
+		}
+		if known := told[from]; !known.IsZero() && at.After(known.Add(wordHeard)) && at.After(s.from.Add(limitHeard)) {
+			counted = append(counted, at)
+		}
+		if one.status == 200 && one.whole && told[from].IsZero() {
+			told[from] = one.ended
+		}
+	}
+	most := site.MostWithin(counted, limitSpan)
+	assert.LessOrEqual(w.t, most, int(1.5*s.says.Limit*limitSpan.Seconds())+limitSlack, "%s named %.2f a second", s.endpoint.ID, s.says.Limit)
+	w.t.Logf("%s named %.2f a second and got %d, %d in the fullest span", s.endpoint.ID, s.says.Limit, len(counted), most)
+}
+
+// checkRest checks what an endpoint got within each rest that it asked a gateway for.
+func (w *world) checkRest(s speech, byID map[string]sent) {
+	arrived := make(map[process][]time.Time)
+	seen := s.endpoint.Seen()
+	for i, at := range s.endpoint.Arrived() {
+		one, ok := byID[seen[i].Header.Get("X-Request-Id")]
+		if ok && at.After(s.from) && at.Before(s.until) {
+			from := process{one.node, one.life}
+			arrived[from] = append(arrived[from], at)
+		}
+	}
+	for from, times := range arrived {
+		for i, asked := range times {
+			n := 0
+			for _, at := range times[i+1:] {
+				if d := at.Sub(asked); d > wordHeard && d < s.says.Rest {
+					n++
+				}
+			}
+			assert.LessOrEqual(w.t, n, restSlack, "%s within a rest that %s asked for at %s", from.node.name, s.endpoint.ID, asked)
+		}
+	}
+}
+
+// checkLeavingWord checks that a gateway that has passed on an answer of an endpoint that said that it
+// leaves sends it nothing later, in touch with the store or not.
+func (w *world) checkLeavingWord(e *site.Endpoint, said time.Time, byID map[string]sent) {
+	told := make(map[process]time.Time)
+	for _, r := range e.Seen() {
+		one, ok := byID[r.Header.Get("X-Request-Id")]
+		from := process{one.node, one.life}
+		if !ok || one.at.Before(said) {
+			continue
+		}
+		if known := told[from]; !known.IsZero() {
+			assert.Less(w.t, one.at.Sub(known), leavingHeard, "%s got %s from %s that had heard that it leaves", e.ID, one.id, from.node.name)
+		} else if one.status == 200 && one.whole {
+			told[from] = one.ended
+		}
+	}
+}
