Send nothing to a first endpoint whose host refuses connections

Where no other chain was left, requests were sent to endpoints that had been found ended, four times within milliseconds: 306 refused connections in 1.2 s, each a retry taken from those whose streams waited for other endpoints to load the layers. Endpoints that are merely silent are still tried.

--- a/role/gateway/chooser.go
+++ b/role/gateway/chooser.go
@@ -146,7 +146,10 @@
 		}
 		c.open++
 		hold := b.use.intake.Held(now)
-		if q.avoids(b.Address) || hold == throttle.Leaving || use != useDoubtful && b.use.avoided(now) {
+		// What its host refuses connections to is not in doubt. Sends there would only use up the retries
+		// that callers need once others hold its layers.
+		out := hold == throttle.Leaving || b.use.down() && b.use.ended.Load()
+		if q.avoids(b.Address) || out || use != useDoubtful && b.use.avoided(now) {
 			c.avoided++
 			continue
 		}
--- a/role/gateway/limit_test.go
+++ b/role/gateway/limit_test.go
@@ -56,8 +56,7 @@
 				return
 			case <-due.C:
 			}
-			f.target = f.targets[i%len(f.targets)]
-			r := request()
+			r := f.aim(request(), i)
 			group.Go(func() {
 				answer, err := http.DefaultClient.Do(r)
 				if !assert.NoError(f.t, err) {
@@ -80,6 +79,12 @@
 	return stop
 }
 
+// aim has a request go to one of the gateways in turn.
+func (f *flock) aim(r *http.Request, turn int) *http.Request {
+	r.URL.Host = f.targets[turn%len(f.targets)][len("http://"):]
+	return r
+}
+
 // settled waits until all that the endpoints of a model hold is in force at the gateways, so that these
 // choose by it from then on.
 func (f *flock) settled(endpoints []*site.Endpoint) {
--- a/role/gateway/loss_test.go
+++ b/role/gateway/loss_test.go
@@ -310,3 +310,34 @@
 	// every 0.25 s for each late event.
 	require.Less(t, u.asked.Load(), int64(58))
 }
+
+// While the only endpoint that held the first layers was gone, each request was sent to it four times within
+// milliseconds, since nothing else was left: 306 connections refused in 1.2 s, which used up the retries of all,
+// so that streams were broken off with "the retry budget is used up" before others had loaded its layers.
+func TestNothingIsSentToWhatRefusesConnections(t *testing.T) {
+	w, cards := newModelOf(t, 2, 1)
+	for _, c := range cards {
+		if from, _ := c.Layers(); from == 0 {
+			c.Kill()
+			w.site.Stop(c)
+		}
+	}
+	ask := func() *http.Request {
+		r := w.plan("/plan/1", 3)
+		r.Header.Set("X-Deadline-Ms", "1000")
+		return r
+	}
+	w.eventually(func() bool { // a check that was begun before may have passed
+		w.do(ask())
+		return strings.Contains(w.log.String(), `"ended":true`)
+	})
+	r := ask()
+	id := r.Header.Get("X-Request-Id")
+	notRun(t, w.do(r), id, cards...)
+	w.logged(`"request":"` + id + `","route"`)
+	for _, line := range strings.Split(w.log.String(), "\n") {
+		if strings.Contains(line, `"request":"`+id+`"`) && strings.Contains(line, "request ended") {
+			require.Contains(t, line, `"sends":0`)
+		}
+	}
+}
--- a/role/gateway/spared_test.go
+++ b/role/gateway/spared_test.go
@@ -27,8 +27,7 @@
 	stop := f.press(20, func() *http.Request { return f.plan("/plan/1", 3) })
 	bare := 0
 	for arrival := range 12 {
-		r := f.request("POST", "/plan/9", deadly)
-		r.URL.Host = f.targets[arrival%len(f.targets)][len("http://"):]
+		r := f.aim(f.request("POST", "/plan/9", deadly), arrival)
 		r.Header.Set("X-Token-Usage", "10,3")
 		r.Header.Set("X-Deadline-Ms", "300")
 		f.do(r)
