Move the words of endpoints and their pace out of the gateway's package

role/throttling exchanges and logs words on limits, state/pace keeps how slow an endpoint is; choosing a plain endpoint is split in three.

--- a/role/gateway/chooser.go
+++ b/role/gateway/chooser.go
@@ -12,6 +12,7 @@
 	"github.com/grademill/grademill/decide/layer"
 	"github.com/grademill/grademill/decide/throttle"
 	"github.com/grademill/grademill/decide/unseen"
+	"github.com/grademill/grademill/state/pace"
 )
 
 // chooser chooses chains of one model; it may be used by one goroutine at a
@@ -220,7 +221,7 @@
 // before memory counts.
 func (c *chooser) perLayer(q *query, b *backend, now time.Time) float64 {
 	chance := c.chance[b.hall] * (1 + chanceEndpoint*rand.Float64())
-	slow := float64(b.use.slowness(now)) / paceUnit
+	slow := float64(b.use.slowness(now)) / pace.Unit
 	return c.layerTime(q.service.Model, q.service.Model.Cards[b.Card], q, b.use) * slow * chance
 }
 
--- a/role/gateway/digest.go
+++ b/role/gateway/digest.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/grademill/grademill/decide/layer"
+	"github.com/grademill/grademill/state/pace"
 	"github.com/grademill/grademill/state/peers"
 	"github.com/grademill/grademill/wire/gossip"
 )
@@ -35,14 +36,14 @@
 		if others != nil && b.Hall == g.Hall { // the hall's word on its own endpoints
 			checked = max(checked, b.use.othersCheckedAt.Load())
 		}
-		use := b.use.told(now, others[id], checked)
+		use := b.use.told(now, others[id], checked, g.throttling.Wanted(&b.use.intake, now))
 		if held, odd := b.misheld(now); odd && use.GetCheckedMillis() > 0 {
 			use.Misheld, use.HeldFirst, use.HeldEnd = true, uint32(held.First), uint32(held.End)
 		}
 		if d.GetLeading() {
 			b.use.tellOrder(use, now)
 		}
-		b.use.tellIntake(use, now, others != nil)
+		g.throttling.Tell(use, &b.use.intake, others != nil, now)
 		if silentUse(use) {
 			continue
 		}
@@ -61,16 +62,16 @@
 		at-lately >= int64(checkedTold) && u.ordered.Load() == nil
 }
 
-// told returns what is told of an endpoint at now, with what others have there, and a check
-// that it passed at a time, in nanoseconds of Unix time.
-func (u *usage) told(now time.Time, others peers.Share, checked int64) *gossip.Use {
+// told returns what is told of an endpoint at now, with what others have there, a check that it
+// passed at a time, in nanoseconds of Unix time, and what is wanted of its limit.
+func (u *usage) told(now time.Time, others peers.Share, checked, wanted int64) *gossip.Use {
 	s := peers.Share{
 		Active: u.active.Load(), Entered: u.entered.Load(), Held: u.held.Load(), Reading: u.reading.Load(),
+		Wanted: wanted,
 	}
 	if u.down() && now.UnixNano()-u.silentAt.Load() < int64(wordFresh) {
 		s.Down = 1
 	}
-	s.Wanted = int64(u.intake.Load().Demand(now) * thousandths)
 	s = s.Plus(others)
 	use := &gossip.Use{
 		Active: uint32(max(s.Active, 0)), Entered: uint32(max(s.Entered, 0)), Held: uint64(max(s.Held, 0)),
@@ -80,8 +81,8 @@
 	}
 	if age := now.UnixNano() - checked; age < int64(checkedTold) {
 		use.CheckedMillis = uint32(time.Duration(age).Milliseconds()) + 1
-		if pace := u.slowness(now); pace > paceUnit {
-			use.Pace = uint32(pace)
+		if slow := u.slowness(now); slow > pace.Unit {
+			use.Pace = uint32(slow)
 		}
 	}
 	return use
@@ -121,12 +122,12 @@
 		if age := use.GetCheckedMillis(); age > 0 {
 			at := now.Add(-time.Duration(age) * time.Millisecond)
 			b.use.noteOthersCheck(at)
-			b.use.setPace(float64(use.GetPace())/paceUnit, at)
+			b.use.pace.Set(float64(use.GetPace())/pace.Unit, at)
 			if use.GetMisheld() {
 				b.noteHeld(layer.Range{First: int(use.GetHeldFirst()), End: int(use.GetHeldEnd())}, at)
 			}
 		}
-		g.hearLimit(b, use, d.GetMembers() > 0, now)
+		g.throttling.HearOthers(b.ID, &b.use.intake, use, d.GetMembers() > 0, now)
 		if use.GetAvoidedMillis() > 0 {
 			g.adoptStall(b, now, time.Duration(use.GetAvoidedMillis())*time.Millisecond)
 		}
@@ -218,7 +219,9 @@
 // Tick compares this gateway's proof with the others', divides the limits of endpoints anew, and goes
 // on with the quarantine.
 func (g *Gateway) Tick(now time.Time) {
-	g.divideAll(now)
+	for id, b := range g.fleet.Load().byID {
+		g.throttling.Divide(id, &b.use.intake, now)
+	}
 	g.partition.Tick(now)
 	g.quarantine.Tick(now)
 }
--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -9,6 +9,7 @@
 	"github.com/grademill/grademill/decide/health"
 	"github.com/grademill/grademill/decide/layer"
 	"github.com/grademill/grademill/state/intake"
+	"github.com/grademill/grademill/state/pace"
 	"github.com/grademill/grademill/state/peers"
 	"github.com/grademill/grademill/state/suspects"
 	"github.com/grademill/grademill/state/witnesses"
@@ -76,7 +77,7 @@
 	// number of those that lately got no answer of the endpoint.
 	othersActive, othersHeld, othersDown atomic.Int64
 	// pace is how slow it is, as it last said.
-	pace atomic.Pointer[pace]
+	pace pace.Pace
 	// shortUntil is when it may be tried again after it refused for want of
 	// room, in nanoseconds of Unix time.
 	shortUntil atomic.Int64
@@ -146,44 +147,14 @@
 	}
 }
 
-// paceUnit is the pace of an endpoint that is as fast as its kind.
-const paceUnit = 1000
-
 // paceFresh is how long the word of an endpoint about its pace counts: it is asked anew
 // several times meanwhile.
 const paceFresh = 3 * surveyEvery
 
-// pace is how slow an endpoint said it was. It is immutable.
-type pace struct {
-	// thousandths is paceUnit for one that is as fast as its kind, and more for a
-	// slower one.
-	thousandths int64
-	at          time.Time
-}
-
-// setPace notes how slow the endpoint said at a time that it was, as a multiple of the
-// time of its kind, unless it has said so since.
-func (u *usage) setPace(multiple float64, at time.Time) {
-	if multiple <= 0 {
-		multiple = 1
-	}
-	next := &pace{thousandths: int64(multiple * paceUnit), at: at}
-	for {
-		old := u.pace.Load()
-		if old != nil && !old.at.Before(at) || u.pace.CompareAndSwap(old, next) {
-			return
-		}
-	}
-}
-
 // slowness returns how slow the endpoint is at now, in thousandths of the time of its
 // kind.
 func (u *usage) slowness(now time.Time) int64 {
-	p := u.pace.Load()
-	if p == nil || now.Sub(p.at) > paceFresh {
-		return paceUnit
-	}
-	return p.thousandths
+	return u.pace.Thousandths(now, paceFresh)
 }
 
 // orderedLayers returns the layers of the order that the endpoint carries out at now,
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"github.com/grademill/grademill/role/gossip"
 	"github.com/grademill/grademill/role/partition"
 	"github.com/grademill/grademill/role/quarantine"
+	"github.com/grademill/grademill/role/throttling"
 	"github.com/grademill/grademill/state/lines"
 	"github.com/grademill/grademill/state/peers"
 	"github.com/grademill/grademill/state/turnstile"
@@ -113,6 +114,8 @@
 	gossip  gossip.Gossip
 	// quarantine are the requests that are kept from endpoints.
 	quarantine quarantine.Quarantine
+	// throttling heeds what endpoints say of the requests that they take.
+	throttling throttling.Throttling
 	// announcer keeps this gateway in the store.
 	announcer announcer.Announcer
 	// feed is where the store's changes come from, cache what others may ask of them.
@@ -157,6 +160,7 @@
 	g.peers.Counter = g.counter
 	g.probes.Control, g.probes.Silence, g.probes.Reference = g.Runners, g.Silence, g.reference
 	g.initGossip()
+	g.initThrottling()
 	g.initQuarantine()
 	g.initFeed()
 	g.pool.Opened = g.Meter.Connection
--- a/role/gateway/plain.go
+++ b/role/gateway/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -69,48 +70,62 @@
 	g.giveUp(q, reason)
 }
 
-// pick returns the backend of a plain service that is the least loaded, by what
-// this gateway has there, what the endpoint said lately, and how often it fails.
-// One that takes nothing for now is not returned even where there is no other.
-func (g *Gateway) pick(q *query) *backend {
-	now := time.Now()
-	var best, spare, wanted *backend
-	var held []*backend
-	least, leastWanted := 0.0, 0.0
+// candidates are the backends of a plain service as one request finds them.
+type candidates struct {
+	// free may be sent to, limited have no part of their limit left for this gateway, and resting
+	// take nothing for another reason.
+	free, limited, resting []*backend
+	// spare is one that is passed over and takes requests, nil for none.
+	spare *backend
+}
+
+// candidates returns the backends that a request may go to at now.
+func (g *Gateway) candidates(q *query, now time.Time) candidates {
+	var c candidates
 	isolated := g.isolated(q.service.Name, now)
 	for _, b := range g.fleet.Load().open[q.service.Name] {
 		if q.avoids(b.Address) {
 			continue
 		}
-		hold := b.use.intake.Held(now)
+		hold, passedOver := b.use.intake.Held(now), !q.mayBegin(b, isolated) || b.use.avoided(now)
 		switch {
-		case hold != throttle.Free && hold != throttle.Limited:
-			held = append(held, b)
-			continue
-		case !q.mayBegin(b, isolated), b.use.avoided(now):
-			if hold == throttle.Free {
-				spare = b
-			}
-			continue
-		}
-		score := g.load(b, now)
-		if wanted == nil || score < leastWanted {
-			wanted, leastWanted = b, score
-		}
-		if hold == throttle.Limited {
-			held = append(held, b)
-			continue
-		}
-		if best == nil || score < least {
-			best, least = b, score
+		case hold == throttle.Free && passedOver:
+			c.spare = b
+		case hold == throttle.Free:
+			c.free = append(c.free, b)
+		case hold == throttle.Limited && !passedOver:
+			c.limited = append(c.limited, b)
+		case hold != throttle.Limited:
+			c.resting = append(c.resting, b)
 		}
 	}
-	if wanted != nil && !q.hasLooked() {
+	return c
+}
+
+// pick returns the backend of a plain service that is the least loaded, by what
+// this gateway has there, what the endpoint said lately, and how often it fails.
+// One that takes nothing for now is not returned even where there is no other.
+func (g *Gateway) pick(q *query) *backend {
+	now := time.Now()
+	c := g.candidates(q, now)
+	if wanted := g.leastLoaded(slices.Concat(c.free, c.limited), now); wanted != nil && !q.hasLooked() {
 		wanted.use.intake.Want(now)
 	}
-	g.noteHeld(q, held, now)
-	if best == nil {
-		return spare
+	g.noteHeld(q, slices.Concat(c.limited, c.resting), now)
+	if best := g.leastLoaded(c.free, now); best != nil {
+		return best
+	}
+	return c.spare
+}
+
+// leastLoaded returns the least loaded of some backends, nil for none.
+func (g *Gateway) leastLoaded(list []*backend, now time.Time) *backend {
+	var best *backend
+	least := 0.0
+	for _, b := range list {
+		if score := g.load(b, now); best == nil || score < least {
+			best, least = b, score
+		}
 	}
 	return best
 }
--- a/role/gateway/survey.go
+++ b/role/gateway/survey.go
@@ -51,7 +51,7 @@
 		return
 	}
 	g.noteAnswer(b, begun, time.Now())
-	b.use.setPace(report.Pace, begun)
+	b.use.pace.Set(report.Pace, begun)
 	b.noteHeld(report.Layers, begun)
 	g.Log.Debug().Str("endpoint", b.ID).Stringer("layers", report.Layers).Int("used", report.Used).
 		Int("total", report.Total).Int("active", report.Active).Int("queued", report.Queued).
--- a/role/gateway/suspect.go
+++ b/role/gateway/suspect.go
@@ -180,7 +180,7 @@
 	b.use.checkedAt.Store(now.UnixNano())
 	g.noteAnswer(b, begun, now)
 	if err == nil {
-		b.use.setPace(report.Pace, begun)
+		b.use.pace.Set(report.Pace, begun)
 		b.noteHeld(report.Layers, begun)
 		g.noteStalls(report)
 	}
--- a/role/gateway/try.go
+++ b/role/gateway/try.go
@@ -74,7 +74,7 @@
 	g.noteLoad(b, t.reply)
 	if t.reply.Signed || t.reply.NotRun && answer.Status != http.StatusMisdirectedRequest { // else another one may speak
 		t.reply.Word.Sent, t.reply.Word.Heard = sent, time.Now()
-		g.hearWord(b, t.reply.Word)
+		g.throttling.Hear(b.ID, &b.use.intake, t.reply.Word)
 	}
 	switch {
 	case t.reply.NotRun:
