Refuse at once what an endpoint's limit holds off beyond the time of use

Where every endpoint of a plain service was limited, all callers waited for the same next turn, up to half of their objective, and most were refused then. A request waits now only if its turn, behind those that wait already, comes in time; others are refused at once, and come back one after the other. Of 30 at once before an endpoint that takes four a second more than 22 are refused, each with the endpoint and the time in its line.

--- a/role/gateway/chooser.go
+++ b/role/gateway/chooser.go
@@ -159,10 +159,10 @@
 		}
 		if usable.First == 0 {
 			c.firsts++
-		}
-		if use != useFull && usable.First == 0 && (hold == throttle.Resting || hold == throttle.Limited && c.heldOut) {
-			c.held = append(c.held, b)
-			usable.First = 1 // what passes through it from another endpoint is no request to it
+			if use != useFull && c.holds(hold) {
+				c.held = append(c.held, b)
+				usable.First = 1 // what passes through it from another endpoint is no request to it
+			}
 		}
 		room, free := b.room(q.service.Model, need)
 		if use != useFull && usable.First == 0 && b.noSlot(c.unseen) {
@@ -179,6 +179,11 @@
 	}
 }
 
+// holds reports whether an endpoint is left out as the first of a chain for a reason of its own.
+func (c *chooser) holds(hold throttle.Hold) bool {
+	return hold == throttle.Resting || hold == throttle.Limited && c.heldOut
+}
+
 // shortage returns why no chain was found where there is one.
 func (c *chooser) shortage() shortage {
 	if c.firsts > 0 && len(c.held) == c.firsts {
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -216,7 +216,11 @@
 		comeBack, q.admitted = g.line.ComeBack(q.waiting(), time.Now())
 		g.refuse(q, max(comeBack, time.Until(q.takenFrom())), reason)
 	case !q.mayHaveRun:
-		g.refuse(q, max(comeBackSoon, time.Until(q.takenFrom())), reason)
+		comeBack := comeBackSoon
+		if q.takenBy() != nil { // callers that came back together would be refused together
+			comeBack, _ = g.line.ComeBack(q.waiting(), time.Now())
+		}
+		g.refuse(q, max(comeBack, time.Until(q.takenFrom())), reason)
 	case q.left(time.Now()) <= 0:
 		g.fail(q, http.StatusGatewayTimeout, reason)
 	default:
--- a/role/gateway/intake.go
+++ b/role/gateway/intake.go
@@ -21,11 +21,11 @@
 func (g *Gateway) noteHeld(q *query, held []*backend, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.heldUntil = time.Time{}
+	q.heldUntil, q.heldAt = time.Time{}, nil
 	for _, b := range held {
 		t := b.use.intake.Load()
 		if from, known := t.From(now); known && (q.heldUntil.IsZero() || from.Before(q.heldUntil)) {
-			q.heldUntil = from
+			q.heldUntil, q.heldAt = from, b
 		}
 		if q.looked || len(q.held) >= maxHeld {
 			continue
@@ -39,14 +39,19 @@
 }
 
 // awaitIntake waits, in place of being refused, until an endpoint of a plain service takes a request
-// again, and reports whether that comes while the answer can be in time.
+// again, and reports whether that comes while the answer can be in time: a request whose turn would come
+// later, behind those that wait already, is refused at once.
 func (g *Gateway) awaitIntake(q *query) bool {
+	b := q.takenBy()
+	if b == nil || q.r.Context().Err() != nil {
+		return false
+	}
 	now := time.Now()
-	from := q.takenFrom()
-	wait := from.Sub(now)
-	if from.IsZero() || wait > q.start.Add(objective(q.route)/2).Sub(now) || q.r.Context().Err() != nil {
+	from, known, leave := b.use.intake.Wait(now)
+	defer leave()
+	if !known || from.After(q.start.Add(objective(q.route)/2)) {
 		return false
 	}
-	pause.For(q.r.Context(), max(wait, time.Millisecond))
+	pause.For(q.r.Context(), max(from.Sub(now), time.Millisecond))
 	return true
 }
--- a/role/gateway/limit_test.go
+++ b/role/gateway/limit_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -175,3 +176,39 @@
 	stop()
 	require.Contains(t, f.log.String(), `"relays":1`)
 }
+
+// Where no other endpoint is there, a caller whose turn cannot come in time is told so at once, and when to
+// come back, while the endpoint gets what it takes.
+func TestWhatALimitHoldsOffIsRefusedAtOnce(t *testing.T) {
+	const limit, burst = 4.0, 30
+	only := plain("plain-0")
+	w := newWorld(t, only)
+	only.Say(site.Says{Limit: limit})
+	require.Equal(t, http.StatusOK, w.do(w.request("POST", "/freeze/0", "x")).StatusCode)
+	w.logged(`"limit_per_s":4`)
+	var group sync.WaitGroup
+	for range burst {
+		r := w.request("POST", "/freeze/1", "x")
+		group.Go(func() {
+			answer, err := http.DefaultClient.Do(r)
+			if assert.NoError(t, err) {
+				_ = answer.Body.Close()
+				assert.True(t, answer.StatusCode == http.StatusOK || answer.Header.Get("Retry-After") != "", answer.Status)
+			}
+		})
+	}
+	group.Wait()
+	w.eventually(func() bool { return strings.Count(w.log.String(), "request ended") > burst })
+	unexplained, refused := 0, 0
+	for _, line := range strings.Split(w.log.String(), "\n") {
+		if strings.Contains(line, `"outcome":"not run"`) {
+			refused++
+			if !strings.Contains(line, `"sends":0`) || !strings.Contains(line, `"held":["plain-0 limit`) {
+				unexplained++
+			}
+		}
+	}
+	require.Greater(t, refused, burst*3/4)
+	require.Zero(t, unexplained, "each refusal names the endpoint, and nothing was sent")
+	require.LessOrEqual(t, len(only.Arrived()), burst-refused+1)
+}
--- a/role/gateway/query.go
+++ b/role/gateway/query.go
@@ -86,10 +86,11 @@
 	used []string
 	// looked is set once it has looked for an endpoint, held names those that it would have begun at
 	// and that did not take it, for the log, and heldUntil is when one may, zero when that is not
-	// known.
+	// known, and heldAt which one.
 	looked    bool
 	held      []string
 	heldUntil time.Time
+	heldAt    *backend
 	// isolation is the endpoint at which it is tried apart from others under which endpoints have
 	// ended, empty while it is not suspected.
 	isolation string
@@ -120,6 +121,14 @@
 	return q.heldUntil
 }
 
+// takenBy returns the endpoint that may take the request first that takes none at the last look, nil
+// when that is not known.
+func (q *query) takenBy() *backend {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.heldAt
+}
+
 // heldBy returns the endpoints that did not take the request, for the log.
 func (q *query) heldBy() []string {
 	q.mu.Lock()
--- a/role/gateway/try.go
+++ b/role/gateway/try.go
@@ -72,8 +72,8 @@
 	q.arrived.Store(true)
 	t := try{answer: answer, reply: g.Dialect.Reply(answer.Status, answer.Header)}
 	g.noteLoad(b, t.reply)
-	if t.reply.Signed || t.reply.NotRun && answer.Status != http.StatusMisdirectedRequest { // else another one may speak
-		t.reply.Word.Sent, t.reply.Word.Heard = sent, time.Now()
+	t.reply.Word.Sent, t.reply.Word.Heard = sent, time.Now()
+	if ownWord(t) {
 		g.throttling.Hear(b.ID, &b.use.intake, t.reply.Word)
 	}
 	switch {
@@ -94,6 +94,12 @@
 	return t
 }
 
+// ownWord reports whether an answer is surely the endpoint's own: a misdirected request has reached
+// another one at its address, whose limits are none of the endpoint's.
+func ownWord(t try) bool {
+	return t.reply.Signed || t.reply.NotRun && t.answer.Status != http.StatusMisdirectedRequest
+}
+
 // errUnsigned is an answer that the endpoint does not vouch for.
 var errUnsigned = errors.New("the endpoint does not vouch for its answer")
 
--- a/state/intake/intake.go
+++ b/state/intake/intake.go
@@ -15,6 +15,8 @@
 type Intake struct {
 	// current is nil while the endpoint has said nothing.
 	current atomic.Pointer[throttle.Throttle]
+	// waiting is the number of requests that wait for it.
+	waiting atomic.Int64
 }
 
 // Load returns the throttle at the moment.
@@ -96,6 +98,19 @@
 	return throttle.Free
 }
 
+// Wait counts a request that waits for the endpoint until leave is called, and returns when it may go
+// out, as known at now, after those that wait already; false when that is not known.
+func (i *Intake) Wait(now time.Time) (from time.Time, known bool, leave func()) {
+	ahead := i.waiting.Add(1) - 1
+	leave = func() { i.waiting.Add(-1) }
+	t := i.Load()
+	from, known = t.From(now)
+	if share, _ := t.Share(); t.Named() && share > 0 {
+		from = from.Add(time.Duration(float64(ahead) / share * float64(time.Second)))
+	}
+	return from, known, leave
+}
+
 // Silent reports whether the endpoint has never said anything.
 func (i *Intake) Silent() bool {
 	return i.current.Load() == nil
