--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -97,6 +97,7 @@
 	w := replicas(t)
 	l := run(requests, tokens, w.entries[0])
 	w.underWay(200)
+	w.begun(requests)
 	w.entries[0].stop()
 	l.whole(t)
 	for _, a := range l.answers {
--- a/test/e2e/load_test.go
+++ b/test/e2e/load_test.go
@@ -72,6 +72,20 @@
 	}, "%d steps have run", steps)
 }
 
+// begun waits until so many requests have begun to run: one that an entry has not read when it is
+// stopped is refused, as it should be.
+func (w *world) begun(requests int) {
+	w.eventually(func() bool {
+		seen := make(map[string]bool)
+		for _, e := range w.engines {
+			for _, r := range w.engineRecord(e) {
+				seen[r.Request] = true
+			}
+		}
+		return len(seen) >= requests
+	}, "%d requests have begun", requests)
+}
+
 // attempt names one attempt of a request at one engine.
 type attempt struct {
 	request string
