--- a/role/gateway/seat.go
+++ b/role/gateway/seat.go
@@ -99,9 +99,9 @@
 type sight struct {
 	// need is the number of tokens that it was taken to need.
 	need int
-	// open, avoided, crowded and held count the endpoints with layers, those that were
-	// passed over, those without room, and those that take nothing for now.
-	open, avoided, crowded, held int
+	// open, avoided and crowded count the endpoints with layers, those that were
+	// passed over, and those without room.
+	open, avoided, crowded int
 }
 
 // shortage says why there is no chain.
@@ -150,7 +150,7 @@
 		found, ok = g.findAdmitted(c, q, f, need, useSound)
 	}
 	if !ok {
-		q.seen = sight{need: need, open: c.open, avoided: c.avoided, crowded: c.crowded, held: len(c.held)}
+		q.seen = sight{need: need, open: c.open, avoided: c.avoided, crowded: c.crowded}
 		short := c.shortage()
 		c.collect(q, f, need, useFull)
 		if _, exists := c.finder.Find(c.holders); exists {
