Words of endpoints: drop state that follows from other state, and one place for each bound

A throttle's rest says by itself whether one is being tried, and a part of 0 that none is known; a request keeps the endpoint that may take it first, and not the time, too; refusals of both kinds of services find their time in one place. A digest's wants are written where its limits are, and an endpoint that has said nothing costs one load of a pointer. What a limit allows stands once for the tests, which had it three times. Texts that the stand-in could name in place of a limit were used by nothing. Checks, bounds and what is sent stay as they were.

--- a/decide/apportion/division_test.go
+++ b/decide/apportion/division_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/grademill/grademill/decide/apportion"
 	"github.com/grademill/grademill/decide/throttle"
+	"github.com/grademill/grademill/standin/site"
 )
 
 // The model of a fleet that keeps to a limit: a virtual clock that moves in steps, gateways in three
@@ -21,8 +22,6 @@
 	underWay = 30 * time.Millisecond
 	lasts    = 30 * time.Second
 	flat     = 12
-	span     = 4 * time.Second
-	slack    = 5
 	even     = 1
 	// leastUse is the part of a limit that is used at least, by callers that do not wait.
 	leastUse = 0.5
@@ -79,7 +78,7 @@
 
 var epoch = time.Date(2026, 11, 2, 10, 0, 0, 0, time.UTC)
 
-// play returns the requests that reach the endpoint a second, and the largest number within the span
+// play returns the requests that reach the endpoint a second, and the largest number within site.LimitSpan
 // beyond what the limit allows there (negative when all are within it).
 func (m *model) play() (goodput float64, beyond int) {
 	every := m.every()
@@ -177,13 +176,12 @@
 
 // worst returns by how much the fullest span exceeds what is allowed there.
 func (m *model) worst() int {
-	beyond, first := -slack, 0
+	beyond, first := -site.Allowed(0), 0
 	for i, at := range m.sent {
-		for at.Sub(m.sent[first]) >= span {
+		for at.Sub(m.sent[first]) >= site.LimitSpan {
 			first++
 		}
-		allowed := 1.5*m.limit(at.Sub(epoch))*span.Seconds() + slack
-		beyond = max(beyond, i-first+1-int(allowed))
+		beyond = max(beyond, i-first+1-site.Allowed(m.limit(at.Sub(epoch))))
 	}
 	return beyond
 }
--- a/decide/throttle/throttle.go
+++ b/decide/throttle/throttle.go
@@ -57,10 +57,9 @@
 	unclear bool
 	// limit is the newest word on a limit; the zero Limit while none was ever named.
 	limit Limit
-	// share is the part of the limit that is this gateway's, in requests a second; known is set
-	// once it has been worked out. Until then nothing passes.
+	// share is the part of the limit that is this gateway's, in requests a second, 0 until it has
+	// been worked out.
 	share float64
-	known bool
 	// saved are the requests that may go out at once, as of savedAt: at most what is saved up
 	// in BurstSpan, or one.
 	saved   float64
@@ -71,12 +70,9 @@
 	demand rate.Meter
 	// wantedSince is since when there have been such requests.
 	wantedSince time.Time
-	// rest is until when it wants nothing, zero for never; proving is set from then on, until a
-	// request that went out later is answered without another rest. Until provenAt one such
-	// request is under way.
-	rest     time.Time
-	proving  bool
-	provenAt time.Time
+	// rest is until when it wants nothing, zero when it has not asked for rest, or has answered a
+	// request since that went out later. Until provenAt one such request is under way.
+	rest, provenAt time.Time
 }
 
 // WithWord returns the throttle after an answer; luck, from 0 to 1, draws times apart that would
@@ -96,11 +92,9 @@
 		if until.After(t.rest) {
 			t.rest = until
 		}
-		t.proving, t.provenAt = true, time.Time{}
-		return t
-	}
-	if t.proving && !w.Sent.Before(t.rest) {
-		t.proving, t.rest = false, time.Time{}
+		t.provenAt = time.Time{}
+	} else if !w.Sent.Before(t.rest) {
+		t.rest, t.provenAt = time.Time{}, time.Time{}
 	}
 	return t
 }
@@ -113,7 +107,7 @@
 	if !l.Named() {
 		t.freeAt = now.Add(time.Duration(luck * float64(returnSpan)))
 	} else if !t.Named() {
-		t.share, t.known, t.saved, t.savedAt = 0, false, 0, now
+		t.share, t.saved, t.savedAt = 0, 0, now
 		t.demand = rate.Meter{Span: demandSpan}
 	}
 	t.limit = l
@@ -124,7 +118,7 @@
 // requests a second.
 func (t Throttle) WithShare(share float64, now time.Time) Throttle {
 	t.saved, t.savedAt = t.savedUp(now), now
-	t.share, t.known = share, true
+	t.share = share
 	t.saved = min(t.saved, t.most())
 	return t
 }
@@ -141,7 +135,7 @@
 
 // WithRequest returns the throttle after a request that is sent at now.
 func (t Throttle) WithRequest(now time.Time) Throttle {
-	if t.proving {
+	if !t.rest.IsZero() {
 		t.provenAt = now.Add(trialWait)
 	}
 	if t.limits(now) {
@@ -155,7 +149,7 @@
 	switch {
 	case t.leaving:
 		return Leaving
-	case now.Before(t.rest) || t.proving && now.Before(t.provenAt):
+	case now.Before(t.rest) || now.Before(t.provenAt):
 		return Resting
 	case t.limits(now) && t.savedUp(now) < 1:
 		return Limited
@@ -171,7 +165,7 @@
 	}
 	from := now
 	for _, until := range []time.Time{t.rest, t.provenAt} {
-		if t.proving && until.After(from) {
+		if until.After(from) {
 			from = until
 		}
 	}
@@ -197,9 +191,8 @@
 // Limit returns the newest word on the limit.
 func (t Throttle) Limit() Limit { return t.limit }
 
-// Share returns this gateway's part of the limit, in requests a second; known is false until it has
-// been worked out.
-func (t Throttle) Share() (share float64, known bool) { return t.share, t.known }
+// Share returns this gateway's part of the limit, in requests a second, 0 until it has been worked out.
+func (t Throttle) Share() float64 { return t.share }
 
 // Rest returns until when the endpoint wants nothing, zero when it has not asked for rest.
 func (t Throttle) Rest() time.Time { return t.rest }
--- a/role/gateway/admission.go
+++ b/role/gateway/admission.go
@@ -35,7 +35,7 @@
 			return taken, gate.Granted
 		case short == shortageLayers && turn.Urgency == urgency.New:
 			return nil, gate.Never
-		case short == shortageHeld && q.takenFrom().After(turn.Until): // its caller is told when
+		case short == shortageHeld && q.takenFrom(time.Now()).After(turn.Until): // its caller is told when
 			return nil, gate.Never
 		}
 		return nil, gate.Full
--- a/role/gateway/digest.go
+++ b/role/gateway/digest.go
@@ -29,21 +29,21 @@
 		d.Leading = true // the one that gives orders is of this hall
 	}
 	for id, b := range g.fleet.Load().byID {
-		if b.use.untouched(now) && !b.use.intake.Load().Tells(now) && (others == nil || others[id] == peers.Share{}) {
+		if b.use.untouched(now) && (others == nil || others[id] == peers.Share{}) {
 			continue // most of a large fleet
 		}
 		checked := b.use.checkedAt.Load()
 		if others != nil && b.Hall == g.Hall { // the hall's word on its own endpoints
 			checked = max(checked, b.use.othersCheckedAt.Load())
 		}
-		use := b.use.told(now, others[id], checked, g.throttling.Wanted(&b.use.intake, now))
+		use := b.use.told(now, others[id], checked)
 		if held, odd := b.misheld(now); odd && use.GetCheckedMillis() > 0 {
 			use.Misheld, use.HeldFirst, use.HeldEnd = true, uint32(held.First), uint32(held.End)
 		}
 		if d.GetLeading() {
 			b.use.tellOrder(use, now)
 		}
-		g.throttling.Tell(use, &b.use.intake, others != nil, now)
+		g.throttling.Tell(use, &b.use.intake, others[id], others != nil, now)
 		if silentUse(use) {
 			continue
 		}
@@ -59,15 +59,14 @@
 	at := now.UnixNano()
 	lately := max(u.checkedAt.Load(), u.othersCheckedAt.Load())
 	return u.active.Load() == 0 && u.held.Load() == 0 && !u.down() && at >= u.stalledUntil.Load() &&
-		at-lately >= int64(checkedTold) && u.ordered.Load() == nil
+		at-lately >= int64(checkedTold) && u.ordered.Load() == nil && !u.intake.Tells(now)
 }
 
-// told returns what is told of an endpoint at now, with what others have there, a check that it
-// passed at a time, in nanoseconds of Unix time, and what is wanted of its limit.
-func (u *usage) told(now time.Time, others peers.Share, checked, wanted int64) *gossip.Use {
+// told returns what is told of an endpoint at now, with what others have there, and a check
+// that it passed at a time, in nanoseconds of Unix time.
+func (u *usage) told(now time.Time, others peers.Share, checked int64) *gossip.Use {
 	s := peers.Share{
 		Active: u.active.Load(), Entered: u.entered.Load(), Held: u.held.Load(), Reading: u.reading.Load(),
-		Wanted: wanted,
 	}
 	if u.down() && now.UnixNano()-u.silentAt.Load() < int64(wordFresh) {
 		s.Down = 1
@@ -76,7 +75,6 @@
 	use := &gossip.Use{
 		Active: uint32(max(s.Active, 0)), Entered: uint32(max(s.Entered, 0)), Held: uint64(max(s.Held, 0)),
 		Reading: uint32(max(s.Reading, 0)), Down: uint32(max(s.Down, 0)),
-		WantedMillis:  uint32(max(s.Wanted, 0)),
 		AvoidedMillis: uint32(max((u.stalledUntil.Load()-now.UnixNano())/int64(time.Millisecond), 0)),
 	}
 	if age := now.UnixNano() - checked; age < int64(checkedTold) {
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -211,16 +211,8 @@
 		q.set(0, outcomeLeft, reason)
 	case !q.mayHaveRun && g.quarantine.Left(q.print, time.Now()) > 0:
 		g.refuse(q, g.quarantine.Left(q.print, time.Now()), reason)
-	case !q.mayHaveRun && q.service.Model != nil:
-		var comeBack time.Duration
-		comeBack, q.admitted = g.line.ComeBack(q.waiting(), time.Now())
-		g.refuse(q, max(comeBack, time.Until(q.takenFrom())), reason)
 	case !q.mayHaveRun:
-		comeBack := comeBackSoon
-		if q.takenBy() != nil { // callers that came back together would be refused together
-			comeBack, _ = g.line.ComeBack(q.waiting(), time.Now())
-		}
-		g.refuse(q, max(comeBack, time.Until(q.takenFrom())), reason)
+		g.refuse(q, g.comeBack(q, time.Now()), reason)
 	case q.left(time.Now()) <= 0:
 		g.fail(q, http.StatusGatewayTimeout, reason)
 	default:
@@ -228,6 +220,15 @@
 	}
 }
 
+// comeBack returns when the caller of a request that is refused at now for want of room is to come back.
+func (g *Gateway) comeBack(q *query, now time.Time) time.Duration {
+	wait := comeBackSoon
+	if q.service.Model != nil || q.nextTaker() != nil { // callers that came back together would be refused together
+		wait, q.admitted = g.line.ComeBack(q.waiting(), now)
+	}
+	return max(wait, q.takenFrom(now).Sub(now))
+}
+
 // answer writes an answer of the gateway's own.
 func (g *Gateway) answer(q *query, status int, reason string) {
 	h := q.w.Header()
--- a/role/gateway/intake.go
+++ b/role/gateway/intake.go
@@ -16,23 +16,24 @@
 // maxHeld bounds the endpoints that the log of a request names as those that took it not.
 const maxHeld = 4
 
-// noteHeld notes which endpoints hold a request off at now, when one may take it, and, at its first
-// look, why, for the log.
+// noteHeld notes which of the endpoints that hold a request off at now may take it first and, at its
+// first look, why each does not, for the log.
 func (g *Gateway) noteHeld(q *query, held []*backend, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.heldUntil, q.heldAt = time.Time{}, nil
+	q.next = nil
+	var first time.Time
 	for _, b := range held {
 		t := b.use.intake.Load()
-		if from, known := t.From(now); known && (q.heldUntil.IsZero() || from.Before(q.heldUntil)) {
-			q.heldUntil, q.heldAt = from, b
+		if from, known := t.From(now); known && (q.next == nil || from.Before(first)) {
+			q.next, first = b, from
 		}
 		if q.looked || len(q.held) >= maxHeld {
 			continue
 		}
 		hold := t.Held(now)
-		share, _ := t.Share()
-		q.held = append(q.held, fmt.Sprintf("%s %s limit=%.3g share=%.3g wanted=%.3g", b.ID, hold, t.Limit().Rate, share, t.Demand(now)))
+		q.held = append(q.held, fmt.Sprintf("%s %s limit=%.3g share=%.3g wanted=%.3g",
+			b.ID, hold, t.Limit().Rate, t.Share(), t.Demand(now)))
 		g.Meter.Held(string(hold))
 	}
 	q.looked = true
@@ -42,7 +43,7 @@
 // again, and reports whether that comes while the answer can be in time: a request whose turn would come
 // later, behind those that wait already, is refused at once.
 func (g *Gateway) awaitIntake(q *query) bool {
-	b := q.takenBy()
+	b := q.nextTaker()
 	if b == nil || q.r.Context().Err() != nil {
 		return false
 	}
--- a/role/gateway/limit_test.go
+++ b/role/gateway/limit_test.go
@@ -17,14 +17,6 @@
 	"github.com/grademill/grademill/standin/site"
 )
 
-// The bound that an endpoint's limit sets: within limitSpan it gets half as much again as it
-// allows and limitSlack more, once limitHeard has passed for all gateways to hear of it.
-const (
-	limitSpan  = 4 * time.Second
-	limitSlack = 5
-	limitHeard = 3 * time.Second
-)
-
 // newCrowd starts so many gateways before endpoints, each in a hall, by the number of the gateway.
 func newCrowd(t *testing.T, halls []string, endpoints ...*site.Endpoint) *flock {
 	in := func(i int) func(*gateway.Gateway) {
@@ -101,12 +93,12 @@
 	require.False(t, e.NamedAt().IsZero(), "it has named its limit")
 	var later []time.Time
 	for _, at := range e.Arrived() {
-		if at.After(e.NamedAt().Add(limitHeard)) {
+		if at.After(e.NamedAt().Add(site.LimitHeard)) {
 			later = append(later, at)
 		}
 	}
 	require.NotEmpty(t, later, "it gets a part of what it takes")
-	require.LessOrEqual(t, site.MostWithin(later, limitSpan), int(1.5*limit*limitSpan.Seconds())+limitSlack)
+	require.LessOrEqual(t, site.MostWithin(later, site.LimitSpan), site.Allowed(limit))
 }
 
 // An endpoint that was in need named a limit of 3.8 requests a second, and went on to get 10 to 16 a
@@ -138,7 +130,7 @@
 			inNeed.Say(site.Says{Limit: limit})
 			f.eventually(func() bool { return !inNeed.NamedAt().IsZero() })
 			named := inNeed.NamedAt()
-			f.eventually(func() bool { return time.Since(named) > limitHeard+limitSpan+time.Second })
+			f.eventually(func() bool { return time.Since(named) > site.LimitHeard+site.LimitSpan+time.Second })
 			answers := stop()
 			limited(t, inNeed, limit)
 			servedAll(t, answers)
--- a/role/gateway/query.go
+++ b/role/gateway/query.go
@@ -85,12 +85,11 @@
 	// used names the endpoints, for the log.
 	used []string
 	// looked is set once it has looked for an endpoint, held names those that it would have begun at
-	// and that did not take it, for the log, and heldUntil is when one may, zero when that is not
-	// known, and heldAt which one.
-	looked    bool
-	held      []string
-	heldUntil time.Time
-	heldAt    *backend
+	// and that did not take it, for the log, and next is the one of them, at the last look, that may
+	// take it first; nil when none is known to.
+	looked bool
+	held   []string
+	next   *backend
 	// isolation is the endpoint at which it is tried apart from others under which endpoints have
 	// ended, empty while it is not suspected.
 	isolation string
@@ -113,20 +112,24 @@
 	return q.looked
 }
 
-// takenFrom returns when an endpoint may take the request that takes none at the last look, zero when
-// that is not known.
-func (q *query) takenFrom() time.Time {
+// nextTaker returns the endpoint that may take the request first of those that took it not at the last
+// look, nil when none is known to.
+func (q *query) nextTaker() *backend {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.heldUntil
+	return q.next
 }
 
-// takenBy returns the endpoint that may take the request first that takes none at the last look, nil
-// when that is not known.
-func (q *query) takenBy() *backend {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.heldAt
+// takenFrom returns when that endpoint may take it, as known at now; now when there is none.
+func (q *query) takenFrom(now time.Time) time.Time {
+	next := q.nextTaker()
+	if next == nil {
+		return now
+	}
+	if from, known := next.use.intake.Load().From(now); known {
+		return from
+	}
+	return now
 }
 
 // heldBy returns the endpoints that did not take the request, for the log.
--- a/role/throttling/throttling.go
+++ b/role/throttling/throttling.go
@@ -18,8 +18,8 @@
 	// limitChange is the part by which a limit must change for the log to tell of it: some endpoints
 	// name another one with each answer.
 	limitChange = 0.1
-	// thousandths is the unit in which gateways tell each other of requests a second.
-	thousandths = 1000
+	// limitUnit is a limit of one request a second, as digests tell it.
+	limitUnit = 1000
 	// maxTold is the largest limit that is told of, in requests a second: nothing reaches it.
 	maxTold = 1e6
 	// settleDigests is the number of digests after which all gateways know of a demand.
@@ -57,44 +57,42 @@
 		return
 	}
 	limit := throttle.Limit{
-		Rate: float64(use.GetLimitMillis()) / thousandths, At: now.Add(-time.Duration(age-1) * time.Millisecond), Relays: 1,
-	}
-	if forHall {
-		limit.Relays = 2
+		Rate: float64(use.GetLimitMillis()) / limitUnit, At: now.Add(-time.Duration(age-1) * time.Millisecond),
+		Relays: relays(forHall) + 1,
 	}
 	before, after := i.Told(limit, now)
 	t.changed(endpoint, i, before, after, now)
 }
 
-// Tell adds to a use what other gateways need to know of the endpoint's limit: what this one has heard
-// from the endpoint itself or, for all of its hall, from another one that has. A word that was told on
-// would come back as a newer one, and never end.
-func (t *Throttling) Tell(use *gossip.Use, i *intake.Intake, forHall bool, now time.Time) {
+// Tell adds to a use what other gateways need to know of the endpoint's limit, and what this one wants
+// of it with what the given others do.
+func (t *Throttling) Tell(use *gossip.Use, i *intake.Intake, others peers.Share, forHall bool, now time.Time) {
 	known := i.Load()
-	limit, relays := known.Limit(), 0
-	if forHall {
-		relays = 1
-	}
-	if !known.Tells(now) || limit.Relays > relays {
+	use.WantedMillis = uint32(max(others.Wanted+int64(known.Demand(now)*peers.WantedUnit), 0))
+	limit := known.Limit()
+	if !known.Tells(now) || limit.Relays > relays(forHall) {
 		return
 	}
-	use.LimitMillis = uint32(min(limit.Rate, maxTold) * thousandths)
+	use.LimitMillis = uint32(min(limit.Rate, maxTold) * limitUnit)
 	use.LimitAgeMillis = uint32(max(now.Sub(limit.At), 0).Milliseconds()) + 1
 }
 
-// Wanted returns what this gateway wants of an endpoint's limit, as digests tell it.
-func (t *Throttling) Wanted(i *intake.Intake, now time.Time) int64 {
-	return int64(i.Load().Demand(now) * thousandths)
+// relays returns through how many gateways a word may have come that is told: none but, for all of a
+// hall, one of its own. A word that was told on further would come back as a newer one, and never end.
+func relays(forHall bool) int {
+	if forHall {
+		return 1
+	}
+	return 0
 }
 
-// Divide works this gateway's part of an endpoint's limit out anew, where it names one that concerns
-// this gateway: what others want changes with each digest.
+// Divide works this gateway's part of an endpoint's limit out anew, where it wants one: what others
+// want changes with each digest.
 func (t *Throttling) Divide(endpoint string, i *intake.Intake, now time.Time) {
 	if i.Silent() {
-		return
+		return // nearly every endpoint
 	}
-	known := i.Load()
-	if _, shared := known.Share(); known.Named() && (!shared || known.Demand(now) > 0) {
+	if i.Load().Demand(now) > 0 {
 		t.divide(endpoint, i, now)
 	}
 }
@@ -103,7 +101,7 @@
 func (t *Throttling) divide(endpoint string, i *intake.Intake, now time.Time) float64 {
 	known := i.Load()
 	near, far := t.Peers.Claims(endpoint)
-	own := known.Claim(now, settleDigests*t.Every()) * thousandths
+	own := known.Claim(now, settleDigests*t.Every())
 	share := apportion.Division{
 		Key: endpoint, Limit: known.Limit().Rate, Fleet: t.Peers.Size(), Near: near, Far: far, Even: apportion.DefaultEven,
 		Own: apportion.Claim{Name: t.Name, Members: 1, Wanted: own},
--- a/standin/site/says.go
+++ b/standin/site/says.go
@@ -16,8 +16,6 @@
 	Rest time.Duration
 	// Leaving is set when it says that it is about to end.
 	Leaving bool
-	// Limits are texts in place of the limit, for words that cannot be read.
-	Limits []string
 }
 
 // Say sets what the endpoint says from now on.
@@ -54,9 +52,6 @@
 			e.namedAt = time.Now()
 		}
 	}
-	for _, text := range s.Limits {
-		h.Add("Server-Limit", text)
-	}
 	if s.Leaving {
 		h.Set("Server-Leaving", "1")
 	}
@@ -66,6 +61,19 @@
 	return s.Rest > 0
 }
 
+// LimitSpan is the span in which an endpoint that names a limit gets no more than Allowed, once
+// LimitHeard has passed for all gateways to hear of it.
+const (
+	LimitSpan  = 4 * time.Second
+	LimitHeard = 3 * time.Second
+)
+
+// Allowed returns how many requests an endpoint that names a limit a second may get within LimitSpan: half
+// as many again as it takes, and five.
+func Allowed(limit float64) int {
+	return int(1.5*limit*LimitSpan.Seconds()) + 5
+}
+
 // MostWithin returns the largest number of times that lie within one span.
 func MostWithin(times []time.Time, span time.Duration) int {
 	most, first := 0, 0
--- a/state/intake/intake.go
+++ b/state/intake/intake.go
@@ -52,7 +52,7 @@
 	}
 }
 
-// Told is a word of another gateway on the limit of the endpoint.
+// Told takes in a word of another gateway on the limit, and returns the throttle before and after.
 func (i *Intake) Told(l throttle.Limit, now time.Time) (before, after throttle.Throttle) {
 	if i.current.Load() == nil && !l.Named() {
 		return before, after
@@ -105,12 +105,18 @@
 	leave = func() { i.waiting.Add(-1) }
 	t := i.Load()
 	from, known = t.From(now)
-	if share, _ := t.Share(); t.Named() && share > 0 {
+	if share := t.Share(); t.Named() && share > 0 {
 		from = from.Add(time.Duration(float64(ahead) / share * float64(time.Second)))
 	}
 	return from, known, leave
 }
 
+// Tells reports whether other gateways are to be told at now what is known of the limit.
+func (i *Intake) Tells(now time.Time) bool {
+	t := i.current.Load()
+	return t != nil && t.Tells(now)
+}
+
 // Silent reports whether the endpoint has never said anything.
 func (i *Intake) Silent() bool {
 	return i.current.Load() == nil
--- a/state/peers/share.go
+++ b/state/peers/share.go
@@ -1,5 +1,8 @@
 package peers
 
+// WantedUnit is one request a second, as Share counts what is wanted.
+const WantedUnit = 1000
+
 // Share is what one or several gateways have at an endpoint.
 type Share struct {
 	// Active is the number of requests, Entered that of those whose chain begins there,
@@ -8,8 +11,8 @@
 	Active, Entered, Held, Reading int64
 	// Down is the number of gateways that lately got no answer of the endpoint.
 	Down int64
-	// Wanted is the number of requests that would begin there, in thousandths a second, while the
-	// endpoint names a limit.
+	// Wanted is the number of requests that would begin there while the endpoint names a limit, as
+	// multiples of one a second in WantedUnit.
 	Wanted int64
 }
 
--- a/state/peers/table.go
+++ b/state/peers/table.go
@@ -187,7 +187,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for key, e := range t.known {
-		c := apportion.Claim{Name: key.Name, Members: max(e.Members, 1), Wanted: float64(e.Shares[endpoint].Wanted)}
+		c := apportion.Claim{Name: key.Name, Members: max(e.Members, 1), Wanted: float64(e.Shares[endpoint].Wanted) / WantedUnit}
 		if key.Name != "" {
 			near = append(near, c)
 		} else {
--- a/test/soak/words_test.go
+++ b/test/soak/words_test.go
@@ -13,11 +13,6 @@
 const (
 	// wordHeard is how long a gateway may take to heed a word that it has got.
 	wordHeard = 500 * time.Millisecond
-	// limitHeard is how long all gateways together may take to keep to a limit. Within limitSpan an
-	// endpoint gets half as much again as it allows, and limitSlack more.
-	limitHeard = 3 * time.Second
-	limitSpan  = 4 * time.Second
-	limitSlack = 5
 	// restSlack is how many requests may come within a rest.
 	restSlack = 2
 	// leavingHeard is how long after its word an endpoint that leaves may get requests.
@@ -54,7 +49,7 @@
 			s.says.Limit, s.says.Above = 1+5*r.Float64(), 2
 		default:
 			s.says.Limit = 0.2 + 5*r.Float64()
-			lasts = limitHeard + limitSpan
+			lasts = site.LimitHeard + site.LimitSpan
 		}
 		w.t.Logf("%s: %s says %+v for %s", s.from.Format("15:04:05.000"), e.ID, s.says, lasts)
 		e.Say(s.says)
@@ -112,15 +107,15 @@
 		if !ok || at.Before(s.from) || at.After(s.until) {
 			continue
 		}
-		if known := told[from]; !known.IsZero() && at.After(known.Add(wordHeard)) && at.After(s.from.Add(limitHeard)) {
+		if known := told[from]; !known.IsZero() && at.After(known.Add(wordHeard)) && at.After(s.from.Add(site.LimitHeard)) {
 			counted = append(counted, at)
 		}
 		if one.status == 200 && one.whole && told[from].IsZero() {
 			told[from] = one.ended
 		}
 	}
-	most := site.MostWithin(counted, limitSpan)
-	assert.LessOrEqual(w.t, most, int(1.5*s.says.Limit*limitSpan.Seconds())+limitSlack, "%s named %.2f a second", s.endpoint.ID, s.says.Limit)
+	most := site.MostWithin(counted, site.LimitSpan)
+	assert.LessOrEqual(w.t, most, site.Allowed(s.says.Limit), "%s named %.2f a second", s.endpoint.ID, s.says.Limit)
 	w.t.Logf("%s named %.2f a second and got %d, %d in the fullest span", s.endpoint.ID, s.says.Limit, len(counted), most)
 }
 
