Soak: one way to read what an endpoint got, in place of three loops

The checks of limits, rests and words of leaving each paired an endpoint's requests with what their callers were told.

--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -44,7 +44,7 @@
 		w.checkStop(s)
 		if s.at.After(mended) {
 			late++
-			if s.status == http.StatusOK && s.whole {
+			if s.passedOn() {
 				served++
 			}
 		}
--- a/test/soak/words_test.go
+++ b/test/soak/words_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -95,23 +96,43 @@
 	return false
 }
 
+// arrival is a request as an endpoint got it.
+type arrival struct {
+	sent
+	from    process
+	arrived time.Time
+}
+
+// arrivals returns the requests of callers that an endpoint got within a time, in order.
+func arrivals(e *site.Endpoint, from, until time.Time, byID map[string]sent) []arrival {
+	var list []arrival
+	times := e.Arrived()
+	for i, r := range e.Seen()[:len(times)] {
+		one, ok := byID[r.Header.Get("X-Request-Id")]
+		if ok && !times[i].Before(from) && !times[i].After(until) {
+			list = append(list, arrival{one, process{one.node, one.life}, times[i]})
+		}
+	}
+	return list
+}
+
+// passedOn reports whether the caller has got a whole answer to the request.
+func (s sent) passedOn() bool {
+	return s.status == http.StatusOK && s.whole
+}
+
 // checkLimit checks what an endpoint got, once a limit had to be heard of, from gateways that had passed
 // on one of its answers.
 func (w *world) checkLimit(s speech, byID map[string]sent) {
 	told := make(map[process]time.Time)
 	var counted []time.Time
-	seen := s.endpoint.Seen()
-	for i, at := range s.endpoint.Arrived() {
-		one, ok := byID[seen[i].Header.Get("X-Request-Id")]
-		from := process{one.node, one.life}
-		if !ok || at.Before(s.from) || at.After(s.until) {
-			continue
+	for _, a := range arrivals(s.endpoint, s.from, s.until, byID) {
+		known := told[a.from]
+		if !known.IsZero() && a.arrived.After(known.Add(wordHeard)) && a.arrived.After(s.from.Add(site.LimitHeard)) {
+			counted = append(counted, a.arrived)
 		}
-		if known := told[from]; !known.IsZero() && at.After(known.Add(wordHeard)) && at.After(s.from.Add(site.LimitHeard)) {
-			counted = append(counted, at)
-		}
-		if one.status == 200 && one.whole && told[from].IsZero() {
-			told[from] = one.ended
+		if known.IsZero() && a.passedOn() {
+			told[a.from] = a.ended
 		}
 	}
 	most := site.MostWithin(counted, site.LimitSpan)
@@ -122,13 +143,8 @@
 // checkRest checks what an endpoint got within each rest that it asked a gateway for.
 func (w *world) checkRest(s speech, byID map[string]sent) {
 	arrived := make(map[process][]time.Time)
-	seen := s.endpoint.Seen()
-	for i, at := range s.endpoint.Arrived() {
-		one, ok := byID[seen[i].Header.Get("X-Request-Id")]
-		if ok && at.After(s.from) && at.Before(s.until) {
-			from := process{one.node, one.life}
-			arrived[from] = append(arrived[from], at)
-		}
+	for _, a := range arrivals(s.endpoint, s.from, s.until, byID) {
+		arrived[a.from] = append(arrived[a.from], a.arrived)
 	}
 	for from, times := range arrived {
 		for i, asked := range times {
@@ -147,16 +163,14 @@
 // leaves sends it nothing later, in touch with the store or not.
 func (w *world) checkLeavingWord(e *site.Endpoint, said time.Time, byID map[string]sent) {
 	told := make(map[process]time.Time)
-	for _, r := range e.Seen() {
-		one, ok := byID[r.Header.Get("X-Request-Id")]
-		from := process{one.node, one.life}
-		if !ok || one.at.Before(said) {
+	for _, a := range arrivals(e, said, time.Now(), byID) {
+		if a.at.Before(said) {
 			continue
 		}
-		if known := told[from]; !known.IsZero() {
-			assert.Less(w.t, one.at.Sub(known), leavingHeard, "%s got %s from %s that had heard that it leaves", e.ID, one.id, from.node.name)
-		} else if one.status == 200 && one.whole {
-			told[from] = one.ended
+		if known := told[a.from]; !known.IsZero() {
+			assert.Less(w.t, a.at.Sub(known), leavingHeard, "%s got %s from %s that had heard that it leaves", e.ID, a.id, a.from.node.name)
+		} else if a.passedOn() {
+			told[a.from] = a.ended
 		}
 	}
 }
