Tests of what endpoints ask for: one way to start gateways, and each bound once

What starts a flock of gateways stood twice, the bounds of rests and of leaving in two packages, and the loop over a rest in both. The stand-in holds the bounds now, beside that of limits; assertions and figures are the same.

--- a/role/gateway/limit_test.go
+++ b/role/gateway/limit_test.go
@@ -109,25 +109,10 @@
 func TestLimitOfAnEndpointIsKeptByAllTogether(t *testing.T) {
 	const limit = 3.8
 	halls := []string{"north", "north", "north", "south", "south"}
-	for _, c := range []struct {
-		name      string
-		endpoints []*site.Endpoint
-		path      string
-	}{
-		{"first of a chain", []*site.Endpoint{
-			card("card-0", "north"), card("card-1", "north"), card("card-2", "south"), card("card-3", "south"),
-		}, "/plan/1"},
-		{"plain service", []*site.Endpoint{plain("plain-0"), plain("plain-1")}, "/freeze/1"},
-	} {
-		t.Run(c.name, func(t *testing.T) {
+	for path, endpoints := range spoken() {
+		t.Run(path, func(t *testing.T) {
 			t.Parallel()
-			f := newCrowd(t, halls, c.endpoints...)
-			if c.path == "/plan/1" {
-				f.settled(c.endpoints)
-			}
-			stop := f.press(50, func() *http.Request { return f.plan(c.path, 3) })
-			inNeed := f.busiest(c.endpoints)
-			inNeed.Say(site.Says{Limit: limit})
+			f, inNeed, _, stop := speak(t, path, halls, endpoints, site.Says{Limit: limit})
 			f.eventually(func() bool { return !inNeed.NamedAt().IsZero() })
 			named := inNeed.NamedAt()
 			f.eventually(func() bool { return time.Since(named) > site.LimitHeard+site.LimitSpan+time.Second })
--- a/role/gateway/quarantine_test.go
+++ b/role/gateway/quarantine_test.go
@@ -55,15 +55,9 @@
 	for i := range f.size() {
 		f.endpoints = append(f.endpoints, f.fresh(fmt.Sprint("endpoint-", i)))
 	}
-	f.world = newWorld(t, f.endpoints...)
+	crowd := newCrowd(t, slices.Repeat([]string{"north"}, gateways), f.endpoints...)
+	f.world, f.targets = crowd.world, crowd.targets
 	f.site.Doom(deadly)
-	f.targets = append(f.targets, f.target)
-	for i := 1; i < gateways; i++ {
-		g := f.start(fmt.Sprint("gateway-", i+1))
-		f.eventually(g.Ready)
-		f.targets = append(f.targets, f.serve(g))
-	}
-	f.eventually(func() bool { return len(f.site.Store.Keys("grademill/gateways/")) == gateways })
 	return f
 }
 
--- a/role/gateway/rest_test.go
+++ b/role/gateway/rest_test.go
@@ -10,14 +10,6 @@
 	"github.com/grademill/grademill/standin/site"
 )
 
-// The bounds of what endpoints ask for: from restHeard after it has asked for a rest an endpoint gets
-// restSlack more at most, and leaveHeard after it has said that it leaves nothing more.
-const (
-	restHeard  = 500 * time.Millisecond
-	restSlack  = 2
-	leaveHeard = 2 * time.Second
-)
-
 // spoken are the fleets before which endpoints speak: four cards, and two plain endpoints.
 func spoken() map[string][]*site.Endpoint {
 	return map[string][]*site.Endpoint{
@@ -26,9 +18,12 @@
 	}
 }
 
-// speak has the busiest endpoint before one gateway say something, and returns it with when it did so.
-func speak(t *testing.T, path string, endpoints []*site.Endpoint, says site.Says) (*flock, *site.Endpoint, time.Time, func() map[int]int) {
-	f := newCrowd(t, []string{"north"}, endpoints...)
+// speak has the busiest endpoint before a gateway in each of some halls say something, under 50 requests a
+// second, and returns it with when it did so, and what ends the requests.
+func speak(t *testing.T, path string, halls []string, endpoints []*site.Endpoint, says site.Says) (
+	*flock, *site.Endpoint, time.Time, func() map[int]int,
+) {
+	f := newCrowd(t, halls, endpoints...)
 	if path == "/plan/1" {
 		f.settled(endpoints)
 	}
@@ -58,7 +53,7 @@
 	for path, endpoints := range spoken() {
 		t.Run(path, func(t *testing.T) {
 			t.Parallel()
-			f, e, _, stop := speak(t, path, endpoints, site.Says{Rest: rest})
+			f, e, _, stop := speak(t, path, []string{"north"}, endpoints, site.Says{Rest: rest})
 			before := len(e.Arrived())
 			f.eventually(func() bool { return len(e.Arrived()) > before })
 			asked := e.Arrived()[before]
@@ -67,15 +62,7 @@
 			e.Say(site.Says{})
 			f.eventually(func() bool { return len(e.Arrived()) > before+len(away)+5 }) // it is used again
 			answers := stop()
-			for _, at := range away {
-				n := 0
-				for _, later := range away {
-					if d := later.Sub(at); d > restHeard && d < rest {
-						n++
-					}
-				}
-				require.LessOrEqual(t, n, restSlack, "within a rest asked for at %s, of %d", at, len(away))
-			}
+			require.LessOrEqual(t, site.MostWithinRest(away, rest), site.RestSlack, "of %d", len(away))
 			servedAll(t, answers)
 		})
 	}
@@ -87,11 +74,11 @@
 	for path, endpoints := range spoken() {
 		t.Run(path, func(t *testing.T) {
 			t.Parallel()
-			f, e, said, stop := speak(t, path, endpoints, site.Says{Leaving: true})
-			f.eventually(func() bool { return time.Since(said) > leaveHeard+2*time.Second })
+			f, e, said, stop := speak(t, path, []string{"north"}, endpoints, site.Says{Leaving: true})
+			f.eventually(func() bool { return time.Since(said) > site.LeavingHeard+2*time.Second })
 			servedAll(t, stop())
 			last := e.Arrived()[len(e.Arrived())-1]
-			require.Less(t, last.Sub(said), leaveHeard)
+			require.Less(t, last.Sub(said), site.LeavingHeard)
 		})
 	}
 }
--- a/standin/site/says.go
+++ b/standin/site/says.go
@@ -74,6 +74,29 @@
 	return int(1.5*limit*LimitSpan.Seconds()) + 5
 }
 
+// An endpoint that has asked for a rest gets RestSlack requests more at most, from RestHeard later to the
+// end of the rest. LeavingHeard is how long after it has said that it leaves it may get any.
+const (
+	RestHeard    = 500 * time.Millisecond
+	RestSlack    = 2
+	LeavingHeard = 2 * time.Second
+)
+
+// MostWithinRest returns the largest number of times that lie within a rest that was asked for at one of them.
+func MostWithinRest(times []time.Time, rest time.Duration) int {
+	most := 0
+	for i, asked := range times {
+		n := 0
+		for _, at := range times[i+1:] {
+			if d := at.Sub(asked); d > RestHeard && d < rest {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
 // MostWithin returns the largest number of times that lie within one span.
 func MostWithin(times []time.Time, span time.Duration) int {
 	most, first := 0, 0
--- a/test/soak/words_test.go
+++ b/test/soak/words_test.go
@@ -10,15 +10,8 @@
 	"github.com/grademill/grademill/standin/site"
 )
 
-// The bounds of what endpoints ask for.
-const (
-	// wordHeard is how long a gateway may take to heed a word that it has got.
-	wordHeard = 500 * time.Millisecond
-	// restSlack is how many requests may come within a rest.
-	restSlack = 2
-	// leavingHeard is how long after its word an endpoint that leaves may get requests.
-	leavingHeard = 2 * time.Second
-)
+// wordHeard is how long a gateway may take to heed a word that it has passed on.
+const wordHeard = 500 * time.Millisecond
 
 // speech is what an endpoint said for a while.
 type speech struct {
@@ -147,15 +140,8 @@
 		arrived[a.from] = append(arrived[a.from], a.arrived)
 	}
 	for from, times := range arrived {
-		for i, asked := range times {
-			n := 0
-			for _, at := range times[i+1:] {
-				if d := at.Sub(asked); d > wordHeard && d < s.says.Rest {
-					n++
-				}
-			}
-			assert.LessOrEqual(w.t, n, restSlack, "%s within a rest that %s asked for at %s", from.node.name, s.endpoint.ID, asked)
-		}
+		assert.LessOrEqual(w.t, site.MostWithinRest(times, s.says.Rest), site.RestSlack,
+			"%s within a rest that %s asked for", from.node.name, s.endpoint.ID)
 	}
 }
 
@@ -168,7 +154,7 @@
 			continue
 		}
 		if known := told[a.from]; !known.IsZero() {
-			assert.Less(w.t, a.at.Sub(known), leavingHeard, "%s got %s from %s that had heard that it leaves", e.ID, a.id, a.from.node.name)
+			assert.Less(w.t, a.at.Sub(known), site.LeavingHeard, "%s got %s from %s that had heard that it leaves", e.ID, a.id, a.from.node.name)
 		} else if a.passedOn() {
 			told[a.from] = a.ended
 		}
