Say what each gateway believes of an endpoint, and by which record

The three hypotheses of the leaving endpoint could not be told apart: a request said where it went, not by which record its gateway took the endpoint for open, and nothing said that a lapsed record was kept for a grace.

- 'request ended' names the endpoint of the last send, its record's revision and how long ago that was taken in
- 'endpoint changed' and 'endpoint gone' name the former record
- a key that is kept for a grace around an outage, and one that is back, are logged with the revision by which the endpoint is used meanwhile
- gauges: endpoints open and leaving, the store's revision
- records of endpoints have a package of their own, state/roster

--- a/adapter/meter/gateway.go
+++ b/adapter/meter/gateway.go
@@ -23,6 +23,8 @@
 	quarantine  *prometheus.CounterVec
 	platform    *prometheus.CounterVec
 	digests     *prometheus.CounterVec
+	fleet       *prometheus.GaugeVec
+	revision    prometheus.Gauge
 	connections prometheus.Counter
 	dropped     prometheus.Counter
 }
@@ -73,6 +75,12 @@
 			Namespace: namespace, Name: "gateway_digest_bytes_total",
 			Help: "Bytes of digests for other gateways, by whether they were sent or dropped for their part of the link.",
 		}, []string{"fate"}),
+		fleet: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "gateway_endpoints", Help: "Endpoints that this gateway knows of: open or leaving.",
+		}, []string{"state"}),
+		revision: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "gateway_store_revision", Help: "Revision up to which this gateway knows the store.",
+		}),
 		connections: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "gateway_connections_total", Help: "Connections opened to endpoints.",
 		}),
@@ -81,7 +89,7 @@
 		}),
 	}
 	m.Registry.MustRegister(
-		m.ended, m.first, m.total, m.pause, m.retries, m.checks, m.orders, m.held, m.quarantine, m.platform, m.digests, m.connections, m.dropped)
+		m.ended, m.first, m.total, m.pause, m.retries, m.checks, m.orders, m.held, m.quarantine, m.platform, m.digests, m.fleet, m.revision, m.connections, m.dropped)
 	return m
 }
 
@@ -115,6 +123,15 @@
 	m.digests.WithLabelValues(fate).Add(float64(bytes))
 }
 
+// Fleet notes how many endpoints take new work, and how many are leaving.
+func (m *Gateway) Fleet(open, leaving int) {
+	m.fleet.WithLabelValues("open").Set(float64(open))
+	m.fleet.WithLabelValues("leaving").Set(float64(leaving))
+}
+
+// Store notes up to which revision the store is known.
+func (m *Gateway) Store(revision uint64) { m.revision.Set(float64(revision)) }
+
 // Order counts an order.
 func (m *Gateway) Order(result string) { m.orders.WithLabelValues(result).Inc() }
 
--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -5,12 +5,12 @@
 	"time"
 
 	"github.com/grademill/grademill/decide/backoff"
-	"github.com/grademill/grademill/decide/endpoint"
 	"github.com/grademill/grademill/decide/health"
 	"github.com/grademill/grademill/decide/layer"
 	"github.com/grademill/grademill/state/intake"
 	"github.com/grademill/grademill/state/pace"
 	"github.com/grademill/grademill/state/peers"
+	"github.com/grademill/grademill/state/roster"
 	"github.com/grademill/grademill/state/suspects"
 	"github.com/grademill/grademill/state/witnesses"
 )
@@ -52,9 +52,21 @@
 	return f
 }
 
+// size returns the number of endpoints that take new work and of those that are leaving.
+func (f *fleet) size() (open, leaving int) {
+	for _, b := range f.byID {
+		if b.Leaving {
+			leaving++
+		} else {
+			open++
+		}
+	}
+	return open, leaving
+}
+
 // backend is an endpoint with its usage.
 type backend struct {
-	endpoint.Endpoint
+	roster.Record
 	use *usage
 	// hall is the index of its data hall in the fleet.
 	hall int
--- a/role/gateway/follow.go
+++ b/role/gateway/follow.go
@@ -8,6 +8,7 @@
 	"github.com/grademill/grademill/decide/freshness"
 	"github.com/grademill/grademill/port/kv"
 	"github.com/grademill/grademill/state/mirror"
+	"github.com/grademill/grademill/state/roster"
 )
 
 // The figures of following the store.
@@ -20,17 +21,17 @@
 	lapseGrace = 2200 * time.Millisecond
 )
 
-// members are the records of the store; only the mirror's goroutine uses them.
+// members are the endpoints that the store names; only the mirror's goroutine uses them.
 type members struct {
-	endpoints map[string]endpoint.Endpoint
-	usage     map[string]*usage
-	// changed is set when the fleet must be made anew.
-	changed bool
+	roster roster.Roster
+	usage  map[string]*usage
+	// reconfigured is set when a configuration has come that may name other services.
+	reconfigured bool
 }
 
 // follow keeps the gateway's view of the store current until ctx ends.
 func (g *Gateway) follow(ctx context.Context) {
-	g.members = members{endpoints: make(map[string]endpoint.Endpoint), usage: make(map[string]*usage)}
+	g.members.usage = make(map[string]*usage)
 	m := mirror.Mirror{
 		Feed: &g.feed, Wait: g.policy().Wait(), Settle: min(changesSettle, g.policy().Wait()), Grace: lapseGrace,
 		Now: g.Clock, Refresh: g.refreshed, Put: g.put, Gone: g.gone, Partial: g.partial, Confirm: g.confirm, Log: g.Log,
@@ -66,23 +67,20 @@
 		g.forget(id)
 		return
 	}
-	former, known := g.members.endpoints[id]
-	if former == e {
+	change, former := g.members.roster.Put(roster.Record{Endpoint: e, Revision: p.Revision, Since: time.Now()})
+	switch change {
+	case roster.Same:
 		return
-	}
-	if former.Follows(e) {
+	case roster.Outlived:
 		g.Log.Info().Str("endpoint", id).Int64("born", e.Born).Int64("known", former.Born).Uint64("revision", p.Revision).
 			Msg("record of a former life of an endpoint is passed over")
 		return
-	}
-	if known && e.Follows(former) {
+	case roster.Restarted:
 		g.startedAgain(former, e)
 	}
-	g.members.endpoints[id] = e
-	g.members.changed = true
 	g.Log.Info().Str("endpoint", id).Int64("born", e.Born).Str("service", e.Service).Str("address", e.Address).Str("hall", e.Hall).
 		Bool("leaving", e.Leaving).Stringer("layers", e.Layers).Str("card", e.Card).
-		Uint64("revision", p.Revision).Msg("endpoint changed")
+		Uint64("revision", p.Revision).Uint64("former_revision", former.Revision).Msg("endpoint changed")
 }
 
 // gone takes in that a key has gone.
@@ -102,30 +100,30 @@
 
 // forget drops an endpoint that has no record.
 func (g *Gateway) forget(id string) {
-	e, known := g.members.endpoints[id]
+	r, known := g.members.roster.Drop(id)
 	if !known {
 		return
 	}
+	e := r.Endpoint
 	g.pool.Drop(e.Address)
 	g.probes.Forget(e.Address)
 	if u := g.members.usage[id]; u != nil && u.down() { // its record has lapsed, too
-		g.endedAfterSilence(&backend{Endpoint: e, use: u}, time.Now())
+		g.endedAfterSilence(&backend{Record: r, use: u}, time.Now())
 	}
-	delete(g.members.endpoints, id)
 	delete(g.members.usage, id)
-	g.members.changed = true
-	g.Log.Info().Str("endpoint", id).Msg("endpoint gone")
+	g.Log.Info().Bool("leaving", e.Leaving).Uint64("former_revision", r.Revision).Dur("record_age_ms", time.Since(r.Since)).
+		Str("endpoint", id).Msg("endpoint gone")
 }
 
 // startedAgain ends a former life of an endpoint that has started again under its ID: what ran
 // there is lost, and nothing that was known or ordered counts for the new life.
-func (g *Gateway) startedAgain(former, e endpoint.Endpoint) {
+func (g *Gateway) startedAgain(former roster.Record, e endpoint.Endpoint) {
 	g.pool.Drop(former.Address)
 	g.probes.Forget(former.Address)
 	g.Log.Info().Str("endpoint", e.ID).Int64("born", e.Born).Int64("former", former.Born).Msg("endpoint has started again")
 	if u := g.members.usage[e.ID]; u != nil {
 		delete(g.members.usage, e.ID)
-		g.lifeEnded(&backend{Endpoint: former, use: u}, time.Now())
+		g.lifeEnded(&backend{Record: former, use: u}, time.Now())
 	}
 }
 
@@ -140,7 +138,7 @@
 		return
 	}
 	g.catalog.Store(c)
-	g.members.changed = true // it may name other services
+	g.members.reconfigured = true
 	g.Log.Info().Uint64("version", c.Version).Uint64("revision", p.Revision).Msg("configuration is in force")
 }
 
@@ -153,21 +151,25 @@
 		return
 	}
 	g.proof.Store(max(g.proof.Load(), sent.UnixNano()))
-	g.Log.Info().Int("endpoints", len(g.members.endpoints)).Dur("proof_age_ms", g.proofAge()).
+	g.Log.Info().Int("endpoints", g.members.roster.Size()).Dur("proof_age_ms", g.proofAge()).
 		Msg("a part of the store has been read")
 }
 
 // rebuild makes the fleet anew if endpoints have changed.
 func (g *Gateway) rebuild() {
-	if g.members.changed {
-		g.members.changed = false
-		g.fleet.Store(newFleet(g.backends()))
+	if changed := g.members.roster.TakeChanged(); !changed && !g.members.reconfigured {
+		return
 	}
+	g.members.reconfigured = false
+	f := newFleet(g.backends())
+	g.fleet.Store(f)
+	g.Meter.Fleet(f.size())
 }
 
 // confirm notes that all that had been written at a time is known.
 func (g *Gateway) confirm(sent time.Time) {
 	g.rebuild()
+	g.Meter.Store(g.cache.At())
 	if g.failing.Swap(false) || !g.loaded.Load() {
 		g.currentSince.Store(time.Now().UnixNano())
 	}
@@ -176,7 +178,7 @@
 		g.gossip.News() // those that have lost the store wait for a proof from after that
 	}
 	if !g.loaded.Swap(true) {
-		g.Log.Info().Int("endpoints", len(g.members.endpoints)).Msg("the store has been read")
+		g.Log.Info().Int("endpoints", g.members.roster.Size()).Msg("the store has been read")
 	}
 }
 
@@ -184,15 +186,16 @@
 // the address of one of these.
 func (g *Gateway) backends() []*backend {
 	c := g.catalog.Load()
-	all := make([]*backend, 0, len(g.members.endpoints))
-	for id, e := range g.members.endpoints {
-		if c != nil && c.Services[e.Service] == nil {
+	records := g.members.roster.Records()
+	all := make([]*backend, 0, len(records))
+	for _, r := range records {
+		if c != nil && c.Services[r.Service] == nil {
 			continue
 		}
-		if g.members.usage[id] == nil {
-			g.members.usage[id] = newUsage()
+		if g.members.usage[r.ID] == nil {
+			g.members.usage[r.ID] = newUsage()
 		}
-		all = append(all, &backend{Endpoint: e, use: g.members.usage[id]})
+		all = append(all, &backend{Record: r, use: g.members.usage[r.ID]})
 	}
 	return all
 }
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -260,6 +260,10 @@
 	if q.print != 0 {
 		line = line.Stringer("print", q.print)
 	}
+	if q.last != nil { // what this gateway believed of the endpoint when it sent the request there
+		line = line.Str("endpoint", q.last.ID).Uint64("record_revision", q.last.Revision).
+			Dur("record_age_ms", q.sentAt.Sub(q.last.Since))
+	}
 	if q.route != nil && q.Patience > 0 { // of a caller that has come back, what its earlier tries took
 		line = line.Dur("under_route_ms", max(q.route.Timeout-q.Patience, 0))
 	}
--- a/role/gateway/meter.go
+++ b/role/gateway/meter.go
@@ -22,6 +22,10 @@
 	Order(result string)
 	// Held counts a request that an endpoint does not take for now, by the reason.
 	Held(reason string)
+	// Fleet notes how many endpoints take new work, and how many are leaving, as this gateway believes.
+	Fleet(open, leaving int)
+	// Store notes up to which revision the store is known.
+	Store(revision uint64)
 	// Quarantine counts an event of the requests under which endpoints have ended.
 	Quarantine(event string)
 }
--- a/role/gateway/query.go
+++ b/role/gateway/query.go
@@ -40,6 +40,9 @@
 	// have run it.
 	sends int
 	ran   []*backend
+	// last is the endpoint that it was last sent to, nil for none, and sentAt when that was.
+	last   *backend
+	sentAt time.Time
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
 	// arrived is set once a send may have reached an endpoint: only what follows it
--- a/role/gateway/try.go
+++ b/role/gateway/try.go
@@ -48,6 +48,7 @@
 // answer of the try, if any, is to be closed.
 func (g *Gateway) send(ctx context.Context, q *query, b *backend, c chain.Chain, after string) try {
 	q.sends++
+	q.last, q.sentAt = b, time.Now()
 	q.reached.Store(false)
 	header := q.r.Header.Clone()
 	g.Dialect.Send(header, exchange.Send{
@@ -64,7 +65,6 @@
 	if !q.route.Repeats() {
 		call.Rest = connectionRestOnce
 	}
-	sent := time.Now()
 	answer, err := g.pool.Do(ctx, call)
 	if err != nil {
 		return g.lost(ctx, q, b, err)
@@ -72,7 +72,7 @@
 	q.arrived.Store(true)
 	t := try{answer: answer, reply: g.Dialect.Reply(answer.Status, answer.Header)}
 	g.noteLoad(b, t.reply)
-	t.reply.Word.Sent, t.reply.Word.Heard = sent, time.Now()
+	t.reply.Word.Sent, t.reply.Word.Heard = q.sentAt, time.Now()
 	if ownWord(t) {
 		g.throttling.Hear(b.ID, &b.use.intake, t.reply.Word)
 	}
--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -193,13 +193,19 @@
 			m.put(p)
 		}
 	}
+	if len(page.Pairs) == 0 && page.At > m.at {
+		m.Log.Debug().Uint64("from", m.at).Uint64("to", page.At).Msg("the store's revision has risen without a change")
+	}
 	m.at, m.lag, m.paced, m.overdue = max(m.at, page.At), page.Lag, page.Paced, false
 	return nil
 }
 
 // put takes in a pair, unless the copy has it or a later one.
 func (m *Mirror) put(p kv.Pair) {
-	delete(m.doubtful, p.Key)
+	if _, waited := m.doubtful[p.Key]; waited {
+		m.Log.Info().Str("key", p.Key).Uint64("revision", p.Revision).Msg("a key that had lapsed around an outage is back")
+		delete(m.doubtful, p.Key)
+	}
 	if p.Revision <= m.known[p.Key] {
 		return
 	}
@@ -216,6 +222,8 @@
 	if time.Now().Before(due) {
 		if _, waits := m.doubtful[key]; !waits {
 			m.doubtful[key] = due
+			m.Log.Info().Str("key", key).Uint64("revision", m.known[key]).Time("until", due).
+				Msg("a key has gone around an outage, and is kept for a grace as it was")
 		}
 		return
 	}
