--- a/state/watchcache/feed_test.go
+++ b/state/watchcache/feed_test.go
@@ -183,3 +183,30 @@
 	}
 	return h.asks.Ask(ctx, address, q)
 }
+
+// A watch may miss a change and still answer with a revision beyond it; those who ask this gateway must get it
+// once it has been found.
+func TestChangeMissedByAWatchIsNotRelayed(t *testing.T) {
+	for name, at := range map[string]uint64{"at a later revision": 9, "at the same revision": 8} {
+		t.Run(name, func(t *testing.T) {
+			s := &scripted{scan: kv.Page{Pairs: []kv.Pair{{Key: "a", Revision: 1}, {Key: "b", Revision: 2}}, At: 2}}
+			seat := newFeed(s, nil)
+			_, err := seat.Scan(t.Context(), "", "")
+			require.NoError(t, err)
+			s.changes = kv.Page{At: 8}
+			_, err = seat.Changes(t.Context(), "", 2, 0)
+			require.NoError(t, err)
+			asker := newFeed(&scripted{}, asks{seat.Cache}, "seat")
+			page, err := asker.Changes(t.Context(), "", 2, time.Second)
+			require.NoError(t, err)
+			require.EqualValues(t, 8, page.At)
+
+			s.scan = kv.Page{Pairs: []kv.Pair{{Key: "a", Revision: 1}, {Key: "b", Revision: 7}}, At: at}
+			_, err = seat.Scan(t.Context(), "", "")
+			require.NoError(t, err)
+			page, err = asker.Changes(t.Context(), "", 8, time.Second)
+			require.NoError(t, err)
+			require.Equal(t, []kv.Pair{{Key: "b", Revision: 7}}, page.Pairs)
+		})
+	}
+}
