Keep an endpoint's leaving for the rest of its life

Callers' requests could be sent to an endpoint that was about to end.

Cause: the newest record counted, whatever it said. A record that had been written before the one that says 'leaving' and came after it, or came again after the record had gone, opened the endpoint anew. Leaving is monotone within one life, and nothing kept that.

Changed: the roster keeps the departures of endpoints, by life, beyond their records (4,096 at most, the oldest go first). A later record of the same life opens nothing; a later life, told by the time of its start, does.

--- a/layout_test.go
+++ b/layout_test.go
@@ -28,6 +28,7 @@
 	"decide/claim",
 	"decide/comeback",
 	"decide/config",
+	"decide/departure",
 	"decide/endpoint",
 	"decide/event",
 	"decide/fair",
--- a/role/gateway/follow.go
+++ b/role/gateway/follow.go
@@ -81,6 +81,10 @@
 	g.Log.Info().Str("endpoint", id).Int64("born", e.Born).Str("service", e.Service).Str("address", e.Address).Str("hall", e.Hall).
 		Bool("leaving", e.Leaving).Stringer("layers", e.Layers).Str("card", e.Card).
 		Uint64("revision", p.Revision).Uint64("former_revision", former.Revision).Msg("endpoint changed")
+	if left := g.members.roster.Departed(id); !e.Leaving && left.Covers(e, p.Revision) {
+		g.Log.Warn().Str("endpoint", id).Int64("born", e.Born).Uint64("revision", p.Revision).Uint64("left_revision", left.Revision).
+			Bool("announced", left.Announced).Msg("record of an endpoint that has left says otherwise, it gets no new work")
+	}
 }
 
 // gone takes in that a key has gone.
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -1,13 +1,20 @@
-// Package roster keeps the endpoints of a fleet by their records in the store.
+// Package roster keeps the endpoints of a fleet by their records in the store, and which of them
+// have left.
 package roster
 
 import (
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/grademill/grademill/decide/departure"
 	"github.com/grademill/grademill/decide/endpoint"
 )
 
+// maxDepartures bounds the departures that are kept. The oldest are dropped first: endpoints that
+// left long ago have ended.
+const maxDepartures = 4096
+
 // Record is an endpoint as its record in the store describes it.
 type Record struct {
 	endpoint.Endpoint
@@ -36,7 +43,15 @@
 type Roster struct {
 	mu      sync.Mutex // guards what follows
 	records map[string]Record
-	changed bool
+	// departures are by the ID of the endpoint; they outlast its record.
+	departures map[string]departed
+	changed    bool
+}
+
+// departed is a departure and when it was learned of.
+type departed struct {
+	departure.Departure
+	at time.Time
 }
 
 // Put takes in a record, and returns what it means with the former record of the endpoint.
@@ -45,7 +60,8 @@
 	defer r.mu.Unlock()
 	former, known := r.records[next.ID]
 	switch {
-	case former.Endpoint == next.Endpoint:
+	case known && former.Endpoint == next.Endpoint:
+		r.renew(former, next.Revision)
 		return Same, former
 	case former.Follows(next.Endpoint):
 		return Outlived, former
@@ -55,12 +71,50 @@
 	}
 	r.records[next.ID] = next
 	r.changed = true
+	if next.Leaving {
+		r.depart(departure.Departure{Endpoint: next.ID, Born: next.Born, Announced: true, Revision: next.Revision}, next.Since)
+	}
 	if known && next.Follows(former.Endpoint) {
 		return Restarted, former
 	}
 	return Changed, former
 }
 
+// renew notes that a record has been written again as it was; r.mu is held.
+func (r *Roster) renew(former Record, revision uint64) {
+	if r.departures[former.ID].Covers(former.Endpoint, former.Revision) {
+		r.changed = true // it may have come back
+	}
+	former.Revision = max(former.Revision, revision)
+	r.records[former.ID] = former
+}
+
+// depart notes a departure that was learned of at a time; r.mu is held.
+func (r *Roster) depart(d departure.Departure, at time.Time) {
+	if r.departures == nil {
+		r.departures = make(map[string]departed)
+	}
+	known := r.departures[d.Endpoint]
+	next := known.Departure.With(d)
+	if next == known.Departure {
+		return
+	}
+	if len(r.departures) >= maxDepartures {
+		delete(r.departures, r.newest()[maxDepartures-1].Endpoint)
+	}
+	r.departures[d.Endpoint] = departed{next, at}
+}
+
+// newest returns the departures, the newest first; r.mu is held.
+func (r *Roster) newest() []departed {
+	list := make([]departed, 0, len(r.departures))
+	for _, d := range r.departures {
+		list = append(list, d)
+	}
+	slices.SortFunc(list, func(a, b departed) int { return b.at.Compare(a.at) })
+	return list
+}
+
 // Drop forgets an endpoint, and returns its record; false when there was none.
 func (r *Roster) Drop(id string) (Record, bool) {
 	r.mu.Lock()
@@ -73,6 +127,13 @@
 	return former, known
 }
 
+// Departed returns the departure of an endpoint, the zero Departure for none.
+func (r *Roster) Departed(id string) departure.Departure {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.departures[id].Departure
+}
+
 // TakeChanged reports whether the roster has changed since the last call.
 func (r *Roster) TakeChanged() bool {
 	r.mu.Lock()
@@ -82,12 +143,14 @@
 	return changed
 }
 
-// Records returns all endpoints, in no order.
+// Records returns all endpoints, in no order. Those that have left are leaving, whatever their
+// records say.
 func (r *Roster) Records() []Record {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	list := make([]Record, 0, len(r.records))
-	for _, record := range r.records {
+	for id, record := range r.records {
+		record.Leaving = record.Leaving || r.departures[id].Covers(record.Endpoint, record.Revision)
 		list = append(list, record)
 	}
 	return list
