Tell other gateways which endpoints have left, with the store's revision

Callers were served; the users saw a request reach an endpoint 12.1 s after the store had acknowledged its leaving.

Cause: a gateway learned of a departure from its own copy of the store alone. While it alone was cut off it kept the last record, and after the cut it took its own outage for one of the store: a record that has gone around an outage may have lapsed because its owner could not renew it, and is kept for 2.2 s after the store is found again. The endpoint had left in calm times, and every other gateway knew.

Changed: digests hold the departures of the last minute, each with the life, the revision at which the record said so or went, and its age; 32 at a time, the newest always, the others by turns. A record older than that revision opens nothing; one that is written later does. A fact of the store with its revision needs no second witness, and passes through any gateway without becoming newer.

While it was being written its last step failed three of 36 times since a cut of 60 ms is no outage; it waits for one now.

Why it works: what the outage hid is a fact that does not need the store to travel, and the revision orders it against any record.

--- a/role/gateway/departure_test.go
+++ b/role/gateway/departure_test.go
@@ -41,6 +41,7 @@
 	w.site.Withdraw(a)
 	w.logged(`"endpoint":"a","message":"endpoint gone"`)
 	w.eventually(func() bool { return w.avoids(a) })
+	w.logged(`"apart":true`) // until then it might be one call that has failed
 	store.cut.Store(false)
 	w.logged("the store answers again")
 	require.True(t, w.avoids(a))
--- a/role/gateway/follow.go
+++ b/role/gateway/follow.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/grademill/grademill/decide/endpoint"
@@ -21,12 +23,23 @@
 	lapseGrace = 2200 * time.Millisecond
 )
 
-// members are the endpoints that the store names; only the mirror's goroutine uses them.
+// members are the endpoints that the store names.
 type members struct {
 	roster roster.Roster
-	usage  map[string]*usage
 	// reconfigured is set when a configuration has come that may name other services.
-	reconfigured bool
+	reconfigured atomic.Bool
+
+	mu    sync.Mutex // guards usage, and that one fleet is made at a time
+	usage map[string]*usage
+}
+
+// takeUsage forgets the usage of an endpoint and returns it, nil for none.
+func (m *members) takeUsage(id string) *usage {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	u := m.usage[id]
+	delete(m.usage, id)
+	return u
 }
 
 // follow keeps the gateway's view of the store current until ctx ends.
@@ -64,7 +77,9 @@
 	e, err := g.Records.DecodeEndpoint(id, p.Value)
 	if err != nil {
 		g.Log.Warn().Str("endpoint", id).Err(err).Uint64("revision", p.Revision).Msg("record not understood, it names no endpoint")
-		g.forget(id)
+		if r, known := g.members.roster.Drop(id); known {
+			g.forget(r)
+		}
 		return
 	}
 	change, former := g.members.roster.Put(roster.Record{Endpoint: e, Revision: p.Revision, Since: time.Now()})
@@ -88,7 +103,7 @@
 }
 
 // gone takes in that a key has gone.
-func (g *Gateway) gone(key string) {
+func (g *Gateway) gone(key string, revision uint64) {
 	if key == leaderKey {
 		g.led.Store(false)
 		g.Log.Info().Msg("nobody gives orders")
@@ -98,25 +113,22 @@
 		return
 	}
 	if id, ok := g.Records.EndpointID(key); ok {
-		g.forget(id)
+		if r, known := g.members.roster.Remove(id, revision, time.Now()); known {
+			g.forget(r)
+		}
 	}
 }
 
-// forget drops an endpoint that has no record.
-func (g *Gateway) forget(id string) {
-	r, known := g.members.roster.Drop(id)
-	if !known {
-		return
-	}
+// forget drops all that is known of an endpoint that has no record any more.
+func (g *Gateway) forget(r roster.Record) {
 	e := r.Endpoint
 	g.pool.Drop(e.Address)
 	g.probes.Forget(e.Address)
-	if u := g.members.usage[id]; u != nil && u.down() { // its record has lapsed, too
+	if u := g.members.takeUsage(e.ID); u != nil && u.down() { // its record has lapsed, too
 		g.endedAfterSilence(&backend{Record: r, use: u}, time.Now())
 	}
-	delete(g.members.usage, id)
 	g.Log.Info().Bool("leaving", e.Leaving).Uint64("former_revision", r.Revision).Dur("record_age_ms", time.Since(r.Since)).
-		Str("endpoint", id).Msg("endpoint gone")
+		Str("endpoint", e.ID).Msg("endpoint gone")
 }
 
 // startedAgain ends a former life of an endpoint that has started again under its ID: what ran
@@ -125,8 +137,7 @@
 	g.pool.Drop(former.Address)
 	g.probes.Forget(former.Address)
 	g.Log.Info().Str("endpoint", e.ID).Int64("born", e.Born).Int64("former", former.Born).Msg("endpoint has started again")
-	if u := g.members.usage[e.ID]; u != nil {
-		delete(g.members.usage, e.ID)
+	if u := g.members.takeUsage(e.ID); u != nil {
 		g.lifeEnded(&backend{Record: former, use: u}, time.Now())
 	}
 }
@@ -142,7 +153,7 @@
 		return
 	}
 	g.catalog.Store(c)
-	g.members.reconfigured = true
+	g.members.reconfigured.Store(true)
 	g.Log.Info().Uint64("version", c.Version).Uint64("revision", p.Revision).Msg("configuration is in force")
 }
 
@@ -161,10 +172,12 @@
 
 // rebuild makes the fleet anew if endpoints have changed.
 func (g *Gateway) rebuild() {
-	if changed := g.members.roster.TakeChanged(); !changed && !g.members.reconfigured {
+	g.members.mu.Lock()
+	defer g.members.mu.Unlock()
+	changed, reconfigured := g.members.roster.TakeChanged(), g.members.reconfigured.Swap(false)
+	if !changed && !reconfigured {
 		return
 	}
-	g.members.reconfigured = false
 	f := newFleet(g.backends())
 	g.fleet.Store(f)
 	g.Meter.Fleet(f.size())
@@ -187,7 +200,7 @@
 }
 
 // backends returns the endpoints of the services that the configuration names. Others may have
-// the address of one of these.
+// the address of one of these. The lock of the members is held.
 func (g *Gateway) backends() []*backend {
 	c := g.catalog.Load()
 	records := g.members.roster.Records()
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -139,7 +139,6 @@
 	mu sync.Mutex
 	// retries are by service; guarded by mu.
 	retries map[string]*retry.Budget
-	// members is written by the mirror's goroutine alone.
 	members members
 }
 
--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -36,9 +36,10 @@
 	// Grace is how long after an outage of the store an entry that has gone is
 	// kept: leases lapse while nobody can renew them, and their owners return.
 	Grace time.Duration
-	// Put and Gone are told of each key that was written or has gone.
+	// Put and Gone are told of each key that was written or has gone, and of the revision at which
+	// it had.
 	Put  func(kv.Pair)
-	Gone func(key string)
+	Gone func(key string, revision uint64)
 	// Confirm is told, after the changes of each answer, a time by which the copy held
 	// all that had been written: when the question was sent, or what another process
 	// that answered it could prove.
@@ -55,9 +56,8 @@
 
 	// known are the revisions of the keys in the copy.
 	known map[string]uint64
-	// doubtful are keys that have gone around an outage, with the time at which
-	// they count as gone.
-	doubtful map[string]time.Time
+	// doubtful are keys that have gone around an outage.
+	doubtful map[string]doubt
 	// at is the revision up to which the copy is current.
 	at uint64
 	// reading is the reading of all that is under way, nil for none. It goes on where a call
@@ -76,6 +76,12 @@
 	lastAnswer, restored time.Time
 }
 
+// doubt is a key that has gone at a revision, and counts as gone from due on.
+type doubt struct {
+	revision uint64
+	due      time.Time
+}
+
 // reading is a reading of all keys, page by page.
 type reading struct {
 	// begun and sent are when the first page was asked for, by the clock of package time and by
@@ -91,7 +97,7 @@
 // Run follows the prefix until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
 	m.known = make(map[string]uint64)
-	m.doubtful = make(map[string]time.Time)
+	m.doubtful = make(map[string]doubt)
 	if m.Now == nil {
 		m.Now = time.Now
 	}
@@ -163,7 +169,7 @@
 	}
 	for key := range m.known {
 		if !r.seen[key] {
-			m.gone(key)
+			m.gone(key, r.first)
 		}
 	}
 	m.at, m.lag, m.paced = r.first, 0, false
@@ -178,8 +184,8 @@
 	if m.failures > 0 || m.overdue {
 		wait = 0 // a store that is back is to be known at once, and its silence too
 	}
-	for _, due := range m.doubtful {
-		wait = min(wait, max(time.Until(due), 0))
+	for _, d := range m.doubtful {
+		wait = min(wait, max(time.Until(d.due), 0))
 	}
 	page, err := m.Feed.Changes(ctx, m.Prefix, m.at, wait)
 	if err != nil {
@@ -188,7 +194,7 @@
 	m.answered()
 	for _, p := range page.Pairs {
 		if p.Deleted {
-			m.gone(p.Key)
+			m.gone(p.Key, p.Revision)
 		} else {
 			m.put(p)
 		}
@@ -213,35 +219,35 @@
 	m.Put(p)
 }
 
-// gone takes a key away, at once or after the grace of an outage.
-func (m *Mirror) gone(key string) {
+// gone takes a key away that has gone at a revision, at once or after the grace of an outage.
+func (m *Mirror) gone(key string, revision uint64) {
 	if _, held := m.known[key]; !held {
 		return
 	}
 	due := m.restored.Add(m.Grace)
 	if time.Now().Before(due) {
 		if _, waits := m.doubtful[key]; !waits {
-			m.doubtful[key] = due
-			m.Log.Info().Str("key", key).Uint64("revision", m.known[key]).Time("until", due).
+			m.doubtful[key] = doubt{revision, due}
+			m.Log.Info().Str("key", key).Uint64("revision", m.known[key]).Uint64("gone_revision", revision).Time("until", due).
 				Msg("a key has gone around an outage, and is kept for a grace as it was")
 		}
 		return
 	}
-	m.forget(key)
+	m.forget(key, revision)
 }
 
-func (m *Mirror) forget(key string) {
+func (m *Mirror) forget(key string, revision uint64) {
 	delete(m.known, key)
 	delete(m.doubtful, key)
-	m.Gone(key)
+	m.Gone(key, revision)
 }
 
 // expire forgets the doubtful keys whose grace is over.
 func (m *Mirror) expire() {
 	now := time.Now()
-	for key, due := range m.doubtful {
-		if !now.Before(due) {
-			m.forget(key)
+	for key, d := range m.doubtful {
+		if !now.Before(d.due) {
+			m.forget(key, d.revision)
 		}
 	}
 }
--- a/state/mirror/mirror_test.go
+++ b/state/mirror/mirror_test.go
@@ -157,7 +157,7 @@
 	m := &mirror.Mirror{
 		Feed: f, Wait: time.Second, Settle: 300 * time.Millisecond, Grace: grace, Log: zerolog.Nop(),
 		Put:     func(p kv.Pair) { held[p.Key] = string(p.Value) },
-		Gone:    func(key string) { delete(held, key) },
+		Gone:    func(key string, _ uint64) { delete(held, key) },
 		Confirm: func(time.Time) {},
 		Lost:    func(error) {},
 	}
@@ -335,7 +335,7 @@
 		var partial, confirmed []time.Duration
 		m := &mirror.Mirror{
 			Feed: f, Wait: time.Second, Log: zerolog.Nop(), Lost: func(error) {},
-			Put: func(kv.Pair) { held++ }, Gone: func(string) {},
+			Put: func(kv.Pair) { held++ }, Gone: func(string, uint64) {},
 			Partial: func(proven time.Time) {
 				require.Equal(t, begun, proven)
 				require.Equal(t, 2*(len(partial)+1), held)
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -3,6 +3,7 @@
 package roster
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -46,6 +47,8 @@
 	// departures are by the ID of the endpoint; they outlast its record.
 	departures map[string]departed
 	changed    bool
+	// turn is where the next telling of the older departures begins.
+	turn int
 }
 
 // departed is a departure and when it was learned of.
@@ -54,6 +57,23 @@
 	at time.Time
 }
 
+// What is told of departures.
+const (
+	// toldFor is how long a departure is told to others: longer than a gateway is usually without
+	// the store.
+	toldFor = time.Minute
+	// maxTold is the number of departures that are told at a time. The newer half of them is always
+	// among these, the rest by turns.
+	maxTold = 32
+)
+
+// News is a departure as one process tells it to another.
+type News struct {
+	departure.Departure
+	// Age is how long ago the first process learned of it.
+	Age time.Duration
+}
+
 // Put takes in a record, and returns what it means with the former record of the endpoint.
 func (r *Roster) Put(next Record) (Change, Record) {
 	r.mu.Lock()
@@ -89,33 +109,85 @@
 	r.records[former.ID] = former
 }
 
-// depart notes a departure that was learned of at a time; r.mu is held.
-func (r *Roster) depart(d departure.Departure, at time.Time) {
+// depart notes a departure that was learned of at a time, and reports whether it is news; r.mu is
+// held.
+func (r *Roster) depart(d departure.Departure, at time.Time) bool {
 	if r.departures == nil {
 		r.departures = make(map[string]departed)
 	}
 	known := r.departures[d.Endpoint]
 	next := known.Departure.With(d)
 	if next == known.Departure {
-		return
+		return false
 	}
 	if len(r.departures) >= maxDepartures {
-		delete(r.departures, r.newest()[maxDepartures-1].Endpoint)
+		delete(r.departures, r.oldest())
 	}
 	r.departures[d.Endpoint] = departed{next, at}
+	return true
+}
+
+// oldest returns the endpoint of the oldest departure; r.mu is held.
+func (r *Roster) oldest() string {
+	oldest := ""
+	for id, d := range r.departures {
+		if oldest == "" || d.at.Before(r.departures[oldest].at) {
+			oldest = id
+		}
+	}
+	return oldest
+}
+
+// Remove takes in at now that the record of an endpoint has gone, and returns the record; false when
+// there was none.
+func (r *Roster) Remove(id string, revision uint64, now time.Time) (Record, bool) {
+	former, known := r.Drop(id)
+	if known {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.depart(departure.Departure{Endpoint: id, Born: former.Born, Revision: revision}, now)
+	}
+	return former, known
+}
+
+// Adopt takes in at now what another process tells, and returns the record that it overrules; false
+// when there is none.
+func (r *Roster) Adopt(n News, now time.Time) (Record, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	record, known := r.records[n.Endpoint]
+	was := record.Leaving || r.departures[n.Endpoint].Covers(record.Endpoint, record.Revision)
+	if !r.depart(n.Departure, now.Add(-n.Age)) {
+		return record, false
+	}
+	overruled := known && !was && r.departures[n.Endpoint].Covers(record.Endpoint, record.Revision)
+	r.changed = r.changed || overruled
+	return record, overruled
 }
 
-// newest returns the departures, the newest first; r.mu is held.
-func (r *Roster) newest() []departed {
-	list := make([]departed, 0, len(r.departures))
+// Told returns the departures to tell others of at now.
+func (r *Roster) Told(now time.Time) []News {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []News
 	for _, d := range r.departures {
-		list = append(list, d)
+		if age := now.Sub(d.at); age < toldFor {
+			list = append(list, News{d.Departure, max(age, 0)})
+		}
 	}
-	slices.SortFunc(list, func(a, b departed) int { return b.at.Compare(a.at) })
-	return list
+	slices.SortFunc(list, func(a, b News) int { return cmp.Compare(a.Age, b.Age) })
+	if len(list) <= maxTold {
+		return list
+	}
+	told, older := list[:maxTold/2:maxTold/2], list[maxTold/2:]
+	for range maxTold - len(told) {
+		r.turn = (r.turn + 1) % len(older)
+		told = append(told, older[r.turn])
+	}
+	return told
 }
 
-// Drop forgets an endpoint, and returns its record; false when there was none.
+// Drop forgets an endpoint whose record names none any more, and returns its record; false when there was none.
 func (r *Roster) Drop(id string) (Record, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/state/watchcache/proof_test.go
+++ b/state/watchcache/proof_test.go
@@ -163,7 +163,7 @@
 	m := mirror.Mirror{
 		Feed: &p.feed, Wait: questionWait, Settle: settle, Log: zerolog.Nop(),
 		Put:  func(pair kv.Pair) { p.held[pair.Key] = max(p.held[pair.Key], pair.Revision) },
-		Gone: func(string) {}, Confirm: p.confirm, Lost: func(error) {},
+		Gone: func(string, uint64) {}, Confirm: p.confirm, Lost: func(error) {},
 	}
 	m.Run(ctx)
 }
