Pass on what a watch has missed, and compare the copies of the store

What callers would have seen: a gateway that has its changes from another one sends requests to an endpoint that left, by a configuration that was replaced or with a key that was taken away, with a fresh proof of age.

Cause: a gateway that had read all anew told those that ask it only what lay above the revision up to which it had seemed to know all. A watch that passes a change over and still leads to a later revision leaves the change below that. And whoever asks may have got to a revision through another gateway than the one that finds the change.

Changed: what a reading of all finds is compared key by key, and told whatever the asker knows, until a newer change of the key. Answers hold a sum over all keys with their revisions; where two copies at the same revision differ, the asker reads all anew, at most once in 10 to 20 s.

--- a/adapter/watchhttp/watch.go
+++ b/adapter/watchhttp/watch.go
@@ -104,7 +104,7 @@
 // decode returns the answer that a message holds.
 func decode(c *wire.Changes) watchcache.Answer {
 	a := watchcache.Answer{
-		At: c.GetAt(), Age: time.Duration(c.GetAgeMicros()) * time.Microsecond,
+		At: c.GetAt(), Sum: c.GetSum(), Age: time.Duration(c.GetAgeMicros()) * time.Microsecond,
 		Held: time.Duration(c.GetHeldMicros()) * time.Microsecond,
 	}
 	for _, p := range c.GetPairs() {
@@ -117,7 +117,7 @@
 // down: the proof must not look newer than it is.
 func encode(a watchcache.Answer) *wire.Changes {
 	c := &wire.Changes{
-		At: a.At, AgeMicros: uint64(a.Age.Microseconds()) + 1, HeldMicros: uint64(a.Held.Microseconds()),
+		At: a.At, Sum: a.Sum, AgeMicros: uint64(a.Age.Microseconds()) + 1, HeldMicros: uint64(a.Held.Microseconds()),
 	}
 	for _, p := range a.Pairs {
 		c.Pairs = append(c.Pairs, &wire.Pair{Key: p.Key, Value: p.Value, Revision: p.Revision, Deleted: p.Deleted})
--- a/state/watchcache/cache.go
+++ b/state/watchcache/cache.go
@@ -36,12 +36,14 @@
 
 // Answer answers a Question.
 type Answer struct {
-	// Pairs are the changes after the revision, in order.
+	// Pairs are the changes after the revision, in order, and late ones: see Feed.
 	Pairs []kv.Pair
 	// At is the store's revision that the answer stands for.
 	At uint64
 	// Age is how long before the answer all that had been written was certainly known.
 	Age time.Duration
+	// Sum is that of the copy at the revision, 0 when it is not known.
+	Sum uint64
 	// Held is how long the question waited. The answer's proof is therefore no older
 	// than Age less Held before the question was sent, whatever the way took.
 	Held time.Duration
@@ -65,13 +67,14 @@
 	Now func() time.Time
 
 	mu sync.Mutex // guards what follows
-	// pairs are the changes after floor, in the order in which they were learned, and bytes
-	// their size.
-	pairs []kv.Pair
-	bytes int
-	floor uint64
-	// at is the revision up to which all is known.
-	at uint64
+	// changes are those after floor, in the order in which they were learned, and bytes their
+	// size.
+	changes []change
+	bytes   int
+	floor   uint64
+	// at is the revision up to which all is known, sum that of the copy, 0 when it is not known.
+	at  uint64
+	sum uint64
 	// proven is when that was certainly all that had been written; direct is set while
 	// the store itself said so.
 	proven time.Time
@@ -80,11 +83,21 @@
 	changed chan struct{}
 }
 
-// Reset begins anew: all was read, at a revision, by a question that was sent at a time.
-func (c *Cache) Reset(at uint64, sent time.Time) {
+// change is a change that is kept for others.
+type change struct {
+	kv.Pair
+	// late is set for one that a watch may have passed over: those who ask may have been told of
+	// later revisions without it.
+	late bool
+}
+
+// Reset begins anew: all was read, at a revision, by a question that was sent at a time, and gave a copy of a
+// sum.
+func (c *Cache) Reset(at uint64, sent time.Time, sum uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pairs, c.bytes, c.floor, c.at, c.proven, c.direct = nil, 0, at, at, sent, true
+	c.sum = sum
+	c.changes, c.bytes, c.floor, c.at, c.proven, c.direct = nil, 0, at, at, sent, true
 	c.wake()
 }
 
@@ -95,27 +108,50 @@
 	return c.at
 }
 
-// Add notes the changes of a page, which was certainly all at a time; direct is set when
-// the store itself said so.
-func (c *Cache) Add(page kv.Page, proven time.Time, direct bool) {
+// Add notes the changes of a page, which was certainly all at a time, and the sum of the copy with
+// them; direct is set when the store itself said so.
+func (c *Cache) Add(page kv.Page, proven time.Time, direct bool, sum uint64) {
+	c.add(page, proven, direct, false, sum)
+}
+
+// AddFound notes the changes that a reading of all has found in place of a watch, by a question that
+// was sent at a time.
+func (c *Cache) AddFound(page kv.Page, sent time.Time, sum uint64) {
+	c.add(page, sent, true, true, sum)
+}
+
+func (c *Cache) add(page kv.Page, proven time.Time, direct, found bool, sum uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.sum = sum
+	known := c.at
+	c.at, c.proven, c.direct = max(c.at, page.At), proven, direct
 	for _, p := range page.Pairs {
-		c.pairs = append(c.pairs, p)
+		c.supersede(p.Key)
+		c.changes = append(c.changes, change{p, found || p.Revision <= known})
 		c.bytes += size(p)
 	}
 	drop := 0
 	for ; c.bytes > maxKept; drop++ {
-		c.bytes -= size(c.pairs[drop])
-		c.floor = max(c.floor, c.pairs[drop].Revision)
+		dropped := c.changes[drop]
+		c.bytes -= size(dropped.Pair)
+		c.floor = max(c.floor, dropped.Revision)
 	}
 	if drop > 0 { // so that what is dropped is freed
-		c.pairs = append([]kv.Pair(nil), c.pairs[drop:]...)
+		c.changes = append([]change(nil), c.changes[drop:]...)
 	}
-	c.at, c.proven, c.direct = max(c.at, page.At), proven, direct
 	c.wake()
 }
 
+// supersede has late changes of a key told no more, since a newer one tells all; c.mu is held.
+func (c *Cache) supersede(key string) {
+	for i := range c.changes {
+		if c.changes[i].Key == key {
+			c.changes[i].late = false
+		}
+	}
+}
+
 // now reads the clock of proofs.
 func (c *Cache) now() time.Time {
 	if c.Now == nil {
@@ -185,10 +221,10 @@
 		}
 		return Answer{}, c.changed, nil
 	}
-	a := Answer{At: c.at, Age: age, Held: held}
-	for _, p := range c.pairs {
-		if p.Revision > q.After {
-			a.Pairs = append(a.Pairs, p)
+	a := Answer{At: c.at, Age: age, Held: held, Sum: c.sum}
+	for _, known := range c.changes {
+		if known.late || known.Revision > q.After {
+			a.Pairs = append(a.Pairs, known.Pair)
 		}
 	}
 	return a, nil, nil
--- a/state/watchcache/feed.go
+++ b/state/watchcache/feed.go
@@ -23,6 +23,9 @@
 	// come back is not to meet the whole fleet, and those that others ask go on asking
 	// it. As much again at most, drawn anew each time, is added.
 	storeRest = 2 * time.Second
+	// compareRest is the least time between two readings of all because another gateway's replica
+	// differs: it may be that one which lacks something. As much again at most is added.
+	compareRest = 10 * time.Second
 	// cutFor is how long after a failed call of the store a gateway leaves asking it to
 	// others.
 	cutFor = 5 * time.Second
@@ -33,8 +36,10 @@
 	Ask(ctx context.Context, address string, q Question) (Answer, error)
 }
 
-// Feed is a kv.Feed that asks other gateways where it can, and the store otherwise. Set
-// the exported fields before the first call; calls are made by one goroutine.
+// Feed is a kv.Feed that asks other gateways where it can, and the store otherwise. A watch of the
+// store may pass a change over; a reading of all finds it, and whoever asks this gateway is told it
+// late, whatever revision it knows. Set the exported fields before the first call; calls are made by
+// one goroutine.
 type Feed struct {
 	// Store is the store, Source asks other gateways.
 	Store  kv.Feed
@@ -53,9 +58,11 @@
 	failed atomic.Int64
 	// next is when the store may next be asked although others are there for that.
 	next time.Time
-	// keys are those that are there, scan is the reading of all that is under way.
-	keys map[string]bool
-	scan scan
+	// replica is what is known, scan the reading of all that is under way.
+	replica replica
+	scan    scan
+	// compared is when a difference to another gateway's replica last had all read anew.
+	compared time.Time
 	// source is whom the last answer came from, empty for the store.
 	source string
 	// waiting ends the question that waits at the store, nil while none does; refreshed is set
@@ -87,7 +94,7 @@
 // Scan implements kv.Feed.
 func (f *Feed) Scan(ctx context.Context, prefix, after string) (kv.Page, error) {
 	if after == "" {
-		f.scan = scan{sent: f.Cache.now(), seen: make(map[string]bool)}
+		f.scan = scan{sent: f.Cache.now()}
 	}
 	page, err := f.Store.Scan(ctx, prefix, after)
 	f.note(err)
@@ -106,16 +113,17 @@
 	sent  time.Time
 	at    uint64
 	pairs []kv.Pair
-	seen  map[string]bool
+	seen  replica
 }
 
 // take takes a page in.
 func (s *scan) take(page kv.Page) {
-	if len(s.seen) == 0 {
+	if !s.seen.read() {
 		s.at = page.At
+		s.seen.revisions = make(map[string]uint64)
 	}
 	for _, p := range page.Pairs {
-		s.seen[p.Key] = true
+		s.seen.put(p.Key, p.Revision)
 	}
 	s.pairs = append(s.pairs, page.Pairs...)
 }
@@ -123,46 +131,34 @@
 // scanned notes that all has been read. Who asks this gateway is told what differs from
 // what had been known before, and need not read all again.
 func (f *Feed) scanned() {
-	if f.keys == nil {
-		f.Cache.Reset(f.scan.at, f.scan.sent)
+	sum := f.scan.seen.sumAt(f.scan.at)
+	if !f.replica.read() {
+		f.Cache.Reset(f.scan.at, f.scan.sent, sum)
 	} else {
-		page := kv.Page{Pairs: f.scan.differences(f.Cache.At(), f.keys), At: f.scan.at}
-		f.Cache.Add(page, f.scan.sent, true)
+		page := kv.Page{Pairs: f.scan.differences(f.replica.revisions), At: f.scan.at}
+		f.Cache.AddFound(page, f.scan.sent, sum)
 	}
-	f.keys = f.scan.seen
+	f.replica = f.scan.seen
 	f.scan = scan{}
 }
 
-// differences returns what has changed since a revision at which some keys were there.
-func (s *scan) differences(since uint64, keys map[string]bool) []kv.Pair {
+// differences returns what has changed since some keys had some revisions. A revision up to which
+// all seemed to be known does not do: a watch may have passed changes over.
+func (s *scan) differences(known map[string]uint64) []kv.Pair {
 	var list []kv.Pair
 	for _, p := range s.pairs {
-		if p.Revision > since {
+		if p.Revision > known[p.Key] {
 			list = append(list, p)
 		}
 	}
-	for key := range keys {
-		if !s.seen[key] {
+	for key := range known {
+		if _, there := s.seen.revisions[key]; !there {
 			list = append(list, kv.Pair{Key: key, Revision: s.at, Deleted: true})
 		}
 	}
 	return list
 }
 
-// learn keeps the keys that are there current.
-func (f *Feed) learn(pairs []kv.Pair) {
-	if f.keys == nil {
-		return // all is still to be read
-	}
-	for _, p := range pairs {
-		if p.Deleted {
-			delete(f.keys, p.Key)
-		} else {
-			f.keys[p.Key] = true
-		}
-	}
-}
-
 // Changes implements kv.Feed.
 func (f *Feed) Changes(ctx context.Context, prefix string, revision uint64, wait time.Duration) (kv.Page, error) {
 	seats := f.Seats()
@@ -179,7 +175,7 @@
 		answer, err := f.Source.Ask(ctx, address, q)
 		if err == nil {
 			f.use(address, nil)
-			return f.relayed(answer, sent), nil
+			return f.relayed(address, answer, revision, sent)
 		}
 		if ctx.Err() != nil {
 			return kv.Page{}, err
@@ -197,13 +193,20 @@
 	return f.ask(ctx, prefix, revision, 0)
 }
 
-// relayed returns the page of another gateway's answer to a question that was sent at a
-// time.
-func (f *Feed) relayed(a Answer, sent time.Time) kv.Page {
-	page := kv.Page{Pairs: a.Pairs, At: a.At, Lag: a.Age - a.Held, Paced: true}
-	f.learn(page.Pairs)
-	f.Cache.Add(page, sent.Add(-page.Lag), false)
-	return page
+// relayed returns the page of another gateway's answer to a question for the changes after a
+// revision that was sent at a time. Where the replicas differ that this gateway and the other one
+// have of the same revision, one of them lacks a change, and all is read anew.
+func (f *Feed) relayed(address string, a Answer, revision uint64, sent time.Time) (kv.Page, error) {
+	page := kv.Page{Pairs: f.replica.learn(a.Pairs), At: a.At, Lag: a.Age - a.Held, Paced: true}
+	sum := f.replica.sumAt(max(revision, page.At))
+	f.Cache.Add(page, sent.Add(-page.Lag), false, sum)
+	if a.Sum == 0 || sum == 0 || a.Sum == sum || revision > a.At || time.Since(f.compared) < compareRest {
+		return page, nil
+	}
+	f.compared = time.Now().Add(time.Duration(rand.Float64() * float64(compareRest)))
+	f.Log.Warn().Str("address", address).Uint64("revision", a.At).Int("keys", len(f.replica.revisions)).
+		Msg("another gateway holds something else of the store at the same revision, reading all again")
+	return kv.Page{}, trace.Wrap(&kv.CompactedError{Revision: a.At})
 }
 
 // ask asks the store itself.
@@ -218,8 +221,8 @@
 	}
 	f.note(err)
 	if err == nil {
-		f.learn(page.Pairs)
-		f.Cache.Add(page, sent, true)
+		page.Pairs = f.replica.learn(page.Pairs)
+		f.Cache.Add(page, sent, true, f.replica.sumAt(max(revision, page.At)))
 	}
 	return page, err
 }
--- a/state/watchcache/feed_test.go
+++ b/state/watchcache/feed_test.go
@@ -73,7 +73,7 @@
 // What another gateway no longer keeps is read from the store as a whole, at once.
 func TestOlderRevisionsAreReadAnew(t *testing.T) {
 	var cache watchcache.Cache
-	cache.Reset(100, time.Now())
+	cache.Reset(100, time.Now(), 0)
 	s := &scripted{}
 	feed := newFeed(s, asks{&cache}, "seat")
 	for range 3 {
@@ -108,10 +108,10 @@
 func TestSecondSeatHasTimeToAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var cache watchcache.Cache
-		cache.Reset(5, time.Now())
+		cache.Reset(5, time.Now(), 0)
 		go func() {
 			time.Sleep(400 * time.Millisecond)
-			cache.Add(kv.Page{At: 5}, time.Now(), true)
+			cache.Add(kv.Page{At: 5}, time.Now(), true, 0)
 		}()
 		s := &scripted{}
 		feed := newFeed(s, halfDead{asks{&cache}}, "dead", "seat")
@@ -129,7 +129,7 @@
 	t.Parallel()
 	now := time.Unix(1000, 0)
 	cache := watchcache.Cache{Now: func() time.Time { return now }}
-	cache.Reset(5, now)
+	cache.Reset(5, now, 0)
 	now = now.Add(10 * time.Second) // nothing has run meanwhile
 	answer, err := cache.Ask(t.Context(), watchcache.Question{After: 5, Age: time.Minute, Wait: time.Second})
 	require.NoError(t, err)
--- a/state/watchcache/proof_test.go
+++ b/state/watchcache/proof_test.go
@@ -42,6 +42,23 @@
 	writes  []write
 	changed chan struct{}
 	chance  *rand.Rand
+	// deaf is set while watches miss changes though they tell of later revisions, floor is the
+	// revision up to which the history has been forgotten.
+	deaf  bool
+	floor uint64
+}
+
+// setDeaf has watches miss changes. At the end the history is forgotten, and a change follows.
+func (s *store) setDeaf(deaf bool) {
+	s.mu.Lock()
+	s.deaf = deaf
+	if !deaf {
+		s.floor = uint64(len(s.writes) + 1)
+	}
+	s.mu.Unlock()
+	if !deaf {
+		s.put()
+	}
 }
 
 // put writes one of a few keys.
@@ -82,9 +99,12 @@
 
 // Scan implements kv.Feed.
 func (s *store) Scan(ctx context.Context, prefix, _ string) (kv.Page, error) {
-	return s.Changes(ctx, prefix, 0, 0)
+	return s.Changes(ctx, prefix, everything, 0)
 }
 
+// everything is the revision after which a reading of all asks.
+const everything = 0
+
 // Changes implements kv.Feed.
 func (s *store) Changes(ctx context.Context, _ string, revision uint64, wait time.Duration) (kv.Page, error) {
 	time.Sleep(s.way())
@@ -98,6 +118,9 @@
 		}
 		page, _ = s.since(revision)
 	}
+	if revision != everything && revision < s.forgotten() {
+		return kv.Page{}, &kv.CompactedError{Revision: revision}
+	}
 	time.Sleep(s.way())
 	if s.lost() {
 		return kv.Page{}, errLost
@@ -105,10 +128,20 @@
 	return page, nil
 }
 
+// forgotten returns the revision up to which the history has been forgotten.
+func (s *store) forgotten() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.floor
+}
+
 func (s *store) since(revision uint64) (kv.Page, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	page := kv.Page{At: uint64(len(s.writes))}
+	if s.deaf && revision != everything {
+		return page, s.changed
+	}
 	for _, w := range s.writes {
 		if w.revision > revision {
 			page.Pairs = append(page.Pairs, kv.Pair{Key: w.key, Revision: w.revision})
@@ -190,30 +223,54 @@
 	return answer, err
 }
 
-// play plays a schedule of two processes that ask the store and two that ask these, and
-// returns what was proven wrongly, empty for nothing, and the number of proofs of the
-// latter.
+// fleet is two processes that ask the store and two that ask these.
+type fleet struct {
+	store *store
+	from  source
+	all   []*process
+}
+
+// newFleet returns a fleet whose schedule a seed draws.
+func newFleet(seed uint64) *fleet {
+	s := &store{changed: make(chan struct{}), chance: rand.New(rand.NewPCG(seed, 1))}
+	s.put()
+	f := &fleet{store: s, from: source{s: s, named: map[string]*process{"a": {s: s}, "b": {s: s}}}}
+	f.all = []*process{f.from.named["a"], f.from.named["b"], {s: s}, {s: s}}
+	return f
+}
+
+// run runs the processes until ctx ends; what it returns waits for that.
+func (f *fleet) run(ctx context.Context) (wait func()) {
+	seats := [][]string{nil, nil, {"a", "b"}, {"b", "a"}}
+	var group sync.WaitGroup
+	for i, p := range f.all {
+		p.feed.Store, p.feed.Source = f.store, f.from
+		p.feed.Seats = func() []string { return seats[i] }
+		group.Go(func() { p.run(ctx) })
+	}
+	return group.Wait
+}
+
+// write writes to the store for a time.
+func (f *fleet) write(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		time.Sleep(f.store.rest())
+		f.store.put()
+	}
+}
+
+// play plays a schedule, and returns what was proven wrongly, empty for nothing, and the number of
+// proofs of those that ask others.
 func play(t *testing.T, seed uint64, blind bool) (broken string, confirms int) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &store{changed: make(chan struct{}), chance: rand.New(rand.NewPCG(seed, 1))}
-		s.put()
+		f := newFleet(seed)
+		f.from.blind = blind
 		ctx, cancel := context.WithCancel(t.Context())
-		from := source{s: s, named: map[string]*process{"a": {s: s}, "b": {s: s}}, blind: blind}
-		all := []*process{from.named["a"], from.named["b"], {s: s}, {s: s}}
-		seats := [][]string{nil, nil, {"a", "b"}, {"b", "a"}}
-		var group sync.WaitGroup
-		for i, p := range all {
-			p.feed.Store, p.feed.Source = s, from
-			p.feed.Seats = func() []string { return seats[i] }
-			group.Go(func() { p.run(ctx) })
-		}
-		for end := time.Now().Add(scheduleTime); time.Now().Before(end); {
-			time.Sleep(s.rest())
-			s.put()
-		}
+		wait := f.run(ctx)
+		f.write(scheduleTime)
 		cancel()
-		group.Wait()
-		for i, p := range all {
+		wait()
+		for i, p := range f.all {
 			if p.broken != "" {
 				broken = fmt.Sprintf("process %d: %s", i, p.broken)
 			}
@@ -251,3 +308,31 @@
 	}
 	require.Greater(t, wrong, blind/4)
 }
+
+// A change that all watches have missed reaches every copy once one of them has been read anew.
+func TestCopiesLackWhatAWatchMissed(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(1000) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(seed)
+			ctx, cancel := context.WithCancel(t.Context())
+			done := f.run(ctx)
+			for range 3 {
+				f.write(time.Second)
+				f.store.setDeaf(true)
+				f.write(time.Second)
+				f.store.setDeaf(false)
+			}
+			time.Sleep(3 * scheduleTime) // answers go on being lost
+			cancel()
+			done()
+			newest := make(map[string]uint64)
+			for _, w := range f.store.writes {
+				newest[w.key] = w.revision
+			}
+			for i, p := range f.all {
+				require.Equal(t, newest, p.held, "seed %d, process %d", seed, i)
+			}
+		})
+	}
+}
