Tell other gateways that an endpoint has said that it leaves

Callers of one gateway were led away from an endpoint about to end, those of the others were not.

Cause: the word that comes with an answer was kept by the gateway that got the answer, in the usage of the endpoint. The others waited for the record, or for an answer of their own; with the usage it was lost when the record lapsed and came back.

Changed: the word is a departure like that of a record, kept by the roster and told with the digests.

--- a/role/gateway/departure.go
+++ b/role/gateway/departure.go
@@ -17,6 +17,16 @@
 	}
 }
 
+// hearLeaving takes in that an endpoint has said by itself that it leaves, and has others know.
+func (g *Gateway) hearLeaving(endpoint string) {
+	b := g.fleet.Load().byID[endpoint]
+	if b == nil {
+		return // its record has gone meanwhile
+	}
+	g.members.roster.Adopt(roster.News{Departure: departure.Departure{Endpoint: b.ID, Born: b.Born, Announced: true}}, time.Now())
+	g.rebuild()
+}
+
 // hearDepartures takes in the endpoints that have left by the word of another gateway: this one's copy of
 // the store may be behind. One gateway is enough, since it tells what the store holds and not what
 // it concludes.
--- a/role/gateway/departure_test.go
+++ b/role/gateway/departure_test.go
@@ -82,3 +82,20 @@
 	e.Hall = "south"
 	return e
 }
+
+// The word of an endpoint that it leaves was known to the gateway alone that had got it.
+func TestOwnWordOfALeavingEndpointIsKnownToOneGateway(t *testing.T) {
+	t.Parallel()
+	a := plain("a")
+	w := newWorld(t, a, far("b"))
+	second := w.start("gateway-2")
+	w.eventually(second.Ready)
+	w.eventually(func() bool { return len(w.site.Store.Keys("grademill/gateways/")) == 2 })
+	a.Say(site.Says{Leaving: true})
+	require.False(t, w.avoids(a))
+	w.target = w.serve(second)
+	before := len(a.Seen())
+	w.synced() // several digests later
+	require.True(t, w.avoids(a))
+	require.Len(t, a.Seen(), before)
+}
--- a/role/gateway/intake.go
+++ b/role/gateway/intake.go
@@ -10,7 +10,7 @@
 
 // initThrottling sets up what heeds the words of endpoints.
 func (g *Gateway) initThrottling() {
-	g.throttling = throttling.Throttling{Name: g.Name, Peers: &g.peers, Every: g.gossip.Every, Log: g.Log}
+	g.throttling = throttling.Throttling{Name: g.Name, Peers: &g.peers, Every: g.gossip.Every, Left: g.hearLeaving, Log: g.Log}
 }
 
 // maxHeld bounds the endpoints that the log of a request names as those that took it not.
--- a/role/throttling/throttling.go
+++ b/role/throttling/throttling.go
@@ -35,7 +35,9 @@
 	Peers *peers.Table
 	// Every returns the time between two digests.
 	Every func() time.Duration
-	Log   zerolog.Logger
+	// Left is told of an endpoint that has said that it leaves.
+	Left func(endpoint string)
+	Log  zerolog.Logger
 }
 
 // Hear takes in what an endpoint says with an answer.
@@ -114,6 +116,7 @@
 func (t *Throttling) changed(endpoint string, i *intake.Intake, before, after throttle.Throttle, now time.Time) {
 	if after.Held(now) == throttle.Leaving && before.Held(now) != throttle.Leaving {
 		t.Log.Info().Str("endpoint", endpoint).Msg("endpoint says that it leaves")
+		t.Left(endpoint)
 	}
 	from, to := before.Limit(), after.Limit()
 	if from == to {
