Check an endpoint that could not be judged until it can be

Callers' streams could go on to an endpoint that had ended, until its record lapsed.

Cause: where a process was held up, further checks of a silent endpoint ended after 20, or five seconds. A longer spell spent them all, and nothing asked any more.

Changed: they go on until one of them says something, an event comes through the endpoint, or its record has gone; the time between them grows from 0.25 to 1 s, so that they take less of a held-up process than before.

--- a/role/gateway/loss_test.go
+++ b/role/gateway/loss_test.go
@@ -240,7 +240,24 @@
 // the dead endpoint was used by the next ones.
 func TestEndpointIsCheckedAgainAfterAHeldUpCheck(t *testing.T) {
 	t.Parallel()
-	var heldUp atomic.Bool
+	w, heldUp := dieWhileHeldUp(t)
+	heldUp.Store(false)
+	w.logged("endpoint does not answer")
+}
+
+// A dead endpoint stayed in use where the process was held up for longer than it went on checking.
+func TestEndpointIsInUseAfterALongHeldUpSpell(t *testing.T) {
+	t.Parallel()
+	w, heldUp := dieWhileHeldUp(t)
+	time.Sleep(6 * time.Second)
+	heldUp.Store(false)
+	w.logged("endpoint does not answer")
+}
+
+// dieWhileHeldUp has an endpoint die under a stream while all checks are held up, until the stream has
+// broken off.
+func dieWhileHeldUp(t *testing.T) (*world, *atomic.Bool) {
+	heldUp := new(atomic.Bool)
 	cards := []*site.Endpoint{card("card-0", "north"), card("card-1", "north")}
 	w := newWorldWith(t, func(g *gateway.Gateway) {
 		g.Silence = func(answered <-chan struct{}) error {
@@ -259,8 +276,7 @@
 	require.Error(t, err, "nothing else holds the layers")
 	usesOf(t, w, r.Header.Get("X-Request-Id")) // it has ended
 	require.NotContains(t, w.log.String(), "endpoint does not answer")
-	heldUp.Store(false)
-	w.logged("endpoint does not answer")
+	return w, heldUp
 }
 
 // unheard is the control of endpoints whose answers this process has no time to hear.
--- a/role/gateway/suspect.go
+++ b/role/gateway/suspect.go
@@ -41,10 +41,6 @@
 	toldEnough = 1200 * time.Millisecond
 	// contradicts is how long the answer of an endpoint counts against their word.
 	contradicts = 3 * time.Second
-	// heldUpWait is the time between two checks while this process is held up, and heldUpChecks
-	// the number of those that follow the first: a busy spell of a few seconds is outlasted.
-	heldUpWait   = 250 * time.Millisecond
-	heldUpChecks = 20
 	// verifyPoll is how often the end of another's check is looked for: a check of an
 	// endpoint that lives takes a few milliseconds.
 	verifyPoll = 2 * time.Millisecond
@@ -82,15 +78,19 @@
 	}()
 }
 
-// recheckHeldUp checks an endpoint again that could not be judged, until it can be or an event has
-// come through it since a time.
+// heldUpWait is the time between two checks of an endpoint while this process is held up. It grows,
+// since checks hold the process up further.
+var heldUpWait = backoff.Backoff{Base: 250 * time.Millisecond, Max: time.Second}
+
+// recheckHeldUp checks an endpoint again that could not be judged, until it can be, an event has come
+// through it since a time, or its record has gone.
 func (g *Gateway) recheckHeldUp(b *backend, since time.Time) {
 	if !b.use.heldUp.CompareAndSwap(false, true) {
 		return // these checks are under way
 	}
 	defer b.use.heldUp.Store(false)
-	for range heldUpChecks {
-		pause.For(context.Background(), heldUpWait)
+	for checks := 1; g.current(b); checks++ {
+		pause.For(context.Background(), heldUpWait.Delay(checks, 0))
 		if b.use.down() || b.use.eventAt.Load() > since.UnixNano() {
 			return
 		}
@@ -105,6 +105,12 @@
 	}
 }
 
+// current reports whether the life of an endpoint is the one that its record tells of.
+func (g *Gateway) current(b *backend) bool {
+	now := g.fleet.Load().byID[b.ID]
+	return now != nil && now.use == b.use
+}
+
 // verify checks an endpoint that has broken off an answer, and returns once it is known
 // whether it has ended: what has ended does not count as a try of the request.
 func (g *Gateway) verify(ctx context.Context, b *backend) {
