Keep an agent's leaving for the rest of its incarnation

One that was sent before the agent said that it leaves, and arrives after it, opened the endpoint anew, and calls were sent there that the agent refuses. A later incarnation opens it.

Evidence: TestLateIntroductionReopensALeavingEndpoint failed before.

--- a/decide/view/view.go
+++ b/decide/view/view.go
@@ -60,6 +60,9 @@
 		v.known[e.Name] = k
 	}
 	former := k.endpoint
+	if former.Incarnation == e.Incarnation && former.Leaving {
+		e = e.WithLeaving(true) // an agent does not take it back; its introductions may overtake each other
+	}
 	if former.Incarnation != e.Incarnation {
 		// What was open at the former incarnation is gone with it, and those
 		// who opened it take it off the former count.
--- /dev/null
+++ b/decide/view/view_test.go
@@ -0,0 +1,28 @@
+package view_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/decide/config"
+	"github.com/grademill/grademill/decide/fleet"
+	"github.com/grademill/grademill/decide/view"
+)
+
+// An introduction that was sent before the agent said that it leaves may arrive after it.
+func TestLateIntroductionReopensALeavingEndpoint(t *testing.T) {
+	var v view.View
+	before := fleet.Endpoint{Name: "a", Service: "records", Incarnation: 7}
+	services := map[string]config.Object[config.Service]{"records": {Value: config.Service{Kind: config.Plain}}}
+	open := func() int { return len(v.Snapshot(services).Plain["records"]) }
+	v.Introduced(before)
+	require.Equal(t, 1, open())
+	v.Introduced(before.WithLeaving(true))
+	v.Introduced(before)
+	require.Zero(t, open())
+	next := before
+	next.Incarnation++
+	v.Introduced(next)
+	require.Equal(t, 1, open(), "it has started again")
+}
