Soak: look at what endpoints get long after they left, gateway by gateway

An endpoint was passed over for good when any fault of the store came within five seconds of its leaving, at whichever gateway; so nearly all were, and what they got later was never looked at. Now each request counts that a gateway sends 2.5 s after the leaving or later, unless that gateway or its way to the store was harmed within the five seconds before. Endpoints that say that they leave have a record that was written before arrive up to 4 s later. They serve on to the end.

The check is narrower in nothing but this: a fault of one gateway's way no longer excuses the others, and one that is over excuses none.

--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -15,8 +15,7 @@
 	// leaveBound is how long after an endpoint said that it leaves it may still
 	// get work from a gateway that is in touch with the store.
 	leaveBound = 2500 * time.Millisecond
-	// touch is how long around a fault of the store gateways count as out of
-	// touch.
+	// touch is how long after a fault a gateway counts as out of touch.
 	touch = 5 * time.Second
 	// handOver is how long after the signal to stop a request may be taken and
 	// must still end.
@@ -50,7 +49,7 @@
 		}
 	}
 	w.checkKeys(c)
-	w.checkLeaving()
+	w.checkLeaving(c)
 	w.checkEndings()
 	w.checkWords(c)
 	assert.Greater(w.t, len(c.all), 50, "requests were sent")
@@ -99,20 +98,28 @@
 	}
 }
 
-// checkLeaving checks that endpoints that leave get no new work, around which the
-// store was well.
-func (w *world) checkLeaving() {
+// checkLeaving checks that endpoints that leave get no new work, however long they go on serving, from
+// gateways that were in touch when they got the request.
+func (w *world) checkLeaving(c *callers) {
+	byID := make(map[string]sent, len(c.all))
+	for _, s := range c.all {
+		byID[s.id] = s
+	}
+	checked := 0
 	for e, left := range w.backs.left {
-		if w.storeHarmed(left) {
-			continue
+		for _, a := range arrivals(e, left.Add(leaveBound), time.Now(), byID) {
+			if w.outOfTouch(a.node, a.at) {
+				continue
+			}
+			assert.Fail(w.t, "a leaving endpoint got work", "%s got %s from %s %s after it left", e.ID, a.id, a.node.name, a.arrived.Sub(left))
 		}
-		seen := e.Seen()
-		for i, at := range e.Arrived() {
-			if at.After(left.Add(leaveBound)) {
-				assert.Fail(w.t, "a leaving endpoint got work", "%s %s after it left", seen[i].Header.Get("X-Request-Id"), at.Sub(left))
+		for _, s := range c.all {
+			if s.at.After(left.Add(leaveBound)) && !w.outOfTouch(s.node, s.at) {
+				checked++
 			}
 		}
 	}
+	w.t.Logf("%d endpoints left, and %d times a request was sent that one of them must not get", len(w.backs.left), checked)
 }
 
 // checkEndings checks that a request reached no more than three endpoints later than the gateways
@@ -130,21 +137,13 @@
 	}
 }
 
-// storeHarmed reports whether a gateway may have been out of touch around a time.
-func (w *world) storeHarmed(around time.Time) bool {
-	for _, at := range w.storeFaults {
-		if d := at.Sub(around); d > -touch && d < touch {
-			return true
-		}
-	}
-	return len(w.unplanned) > 0 && w.frozen(around)
-}
-
-// frozen reports whether another fault came near a time: a frozen gateway hears of
-// nothing.
-func (w *world) frozen(around time.Time) bool {
-	for _, at := range w.unplanned {
-		if d := at.Sub(around); d > -touch && d < touch {
+// outOfTouch reports whether a gateway may have heard of nothing lately: it, or its way to the store, was
+// harmed.
+func (w *world) outOfTouch(n *node, at time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, harmed := range w.harms[n] {
+		if at.After(harmed.from) && at.Before(harmed.until.Add(touch)) {
 			return true
 		}
 	}
--- a/test/soak/site_test.go
+++ b/test/soak/site_test.go
@@ -140,8 +140,12 @@
 	b.site.Doom(body)
 }
 
-// release replaces an endpoint: the new one comes first, the old one leaves.
-func (b *backs) release(e *site.Endpoint, says bool) {
+// lateRecord is by how much a record that an endpoint wrote before it said that it leaves may come after it.
+const lateRecord = 4 * time.Second
+
+// release replaces an endpoint: the new one comes first, the old one leaves. It goes on serving. One that
+// says that it leaves has written a record before that comes late.
+func (b *backs) release(e *site.Endpoint, says bool, late time.Duration) {
 	b.add(e.Service, e.Hall)
 	time.Sleep(700 * time.Millisecond)
 	b.mu.Lock()
@@ -151,6 +155,7 @@
 	if says {
 		e.Say(site.Says{Leaving: true})
 		b.site.Leave(e)
+		time.AfterFunc(late, func() { b.site.Announce(e) })
 	} else {
 		b.site.Withdraw(e)
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -79,16 +79,31 @@
 	r     *rand.Rand
 	// unplanned is set once a fault other than planned work has been injected.
 	unplanned []time.Time
-	// storeFaults are the times at which the store was harmed or mended.
-	storeFaults []time.Time
 	// speeches are what endpoints said of the requests that they take.
 	speeches []speech
 
 	mu sync.Mutex // guards what follows
+	// harms are when gateways, or their ways to the store, were harmed.
+	harms map[*node][]span
 	// linkFaults are the times at which links of endpoints, or what they answer, were harmed.
 	linkFaults map[*site.Endpoint][]time.Time
 }
 
+// span is the time of a fault.
+type span struct{ from, until time.Time }
+
+// harmed returns a fault that keeps a gateway from hearing of changes while it lasts.
+func (w *world) harmed(n *node, fault func()) func() {
+	return func() {
+		s := span{from: time.Now()}
+		fault()
+		s.until = time.Now()
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.harms[n] = append(w.harms[n], s)
+	}
+}
+
 // load is what callers ask of the endpoints.
 type load struct {
 	// slots is the number of requests that an endpoint takes at once, 0 for the usual.
@@ -128,6 +143,7 @@
 	})
 	w := &world{
 		t: t, backs: newBacks(t, l.slots), r: rand.New(rand.NewPCG(seed, 1)), linkFaults: make(map[*site.Endpoint][]time.Time),
+		harms: make(map[*node][]span),
 	}
 	n, flat := gateways, 0
 	if seed%2 == 1 {
@@ -219,10 +235,7 @@
 			p.treat(pass)
 		}
 	}
-	store := func(how treatment) func() {
-		w.storeFaults = append(w.storeFaults, time.Now())
-		return during(n.store, how)
-	}
+	store := func(how treatment) func() { return w.harmed(n, during(n.store, how)) }
 	service := []string{records, model}[w.r.IntN(2)]
 	e, link := w.backs.pick(w.r, service)
 	kind := w.r.IntN(16)
@@ -238,13 +251,13 @@
 	case 3:
 		return func() { n.signal(syscall.SIGHUP) }
 	case 4:
-		return n.kill
+		return w.harmed(n, n.kill)
 	case 5:
-		return func() {
+		return w.harmed(n, func() {
 			n.signal(syscall.SIGSTOP)
 			time.Sleep(lasts)
 			n.signal(syscall.SIGCONT)
-		}
+		})
 	case 6:
 		return store(mute)
 	case 7:
@@ -269,7 +282,8 @@
 		return func() { w.backs.crash(e) }
 	case 12:
 		says := w.r.IntN(2) == 0
-		return func() { w.backs.release(e, says) }
+		late := time.Duration(w.r.IntN(int(lateRecord)))
+		return func() { w.backs.release(e, says, late) }
 	case 13:
 		return during(link, []treatment{slow, mute, reset, deaf}[w.r.IntN(4)])
 	}
