Move the endpoints' records and departures out of the gateway's package

role/membership takes in records and what others tell of departures, and logs both; role/gateway keeps the usages and makes the fleet. A set for concurrent use (state/set) replaces the watchers' own, and what an endpoint says of its layers beside its record is a value (decide/holding).

--- a/layout_test.go
+++ b/layout_test.go
@@ -38,6 +38,7 @@
 	"decide/flow",
 	"decide/freshness",
 	"decide/health",
+	"decide/holding",
 	"decide/isolation",
 	"decide/layer",
 	"decide/limit",
--- a/role/gateway/digest.go
+++ b/role/gateway/digest.go
@@ -28,7 +28,7 @@
 	if others != nil && now.UnixNano()-g.leaderNear.Load() < int64(wordFresh) {
 		d.Leading = true // the one that gives orders is of this hall
 	}
-	g.tellDepartures(d, now)
+	g.membership.Tell(d, now)
 	for id, b := range g.fleet.Load().byID {
 		if b.use.untouched(now) && (others == nil || others[id] == peers.Share{}) {
 			continue // most of a large fleet
@@ -101,7 +101,7 @@
 
 // Heard takes in a digest of another gateway, or of another hall.
 func (g *Gateway) Heard(d *gossip.Digest, now time.Time) {
-	g.hearDepartures(d, now)
+	g.membership.Hear(d, now)
 	f := g.fleet.Load()
 	g.quarantine.Adopt(d.GetSuspects(), d.GetGateway(), now)
 	if d.GetMembers() == 0 {
--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -6,6 +6,7 @@
 
 	"github.com/grademill/grademill/decide/backoff"
 	"github.com/grademill/grademill/decide/health"
+	"github.com/grademill/grademill/decide/holding"
 	"github.com/grademill/grademill/decide/layer"
 	"github.com/grademill/grademill/state/intake"
 	"github.com/grademill/grademill/state/pace"
@@ -52,18 +53,6 @@
 	return f
 }
 
-// size returns the number of endpoints that take new work and of those that are leaving.
-func (f *fleet) size() (open, leaving int) {
-	for _, b := range f.byID {
-		if b.Leaving {
-			leaving++
-		} else {
-			open++
-		}
-	}
-	return open, leaving
-}
-
 // backend is an endpoint with its usage.
 type backend struct {
 	roster.Record
@@ -123,7 +112,7 @@
 	// one of another gateway, in nanoseconds of Unix time.
 	checkedAt, othersCheckedAt atomic.Int64
 	// holding is what it says that it holds while its record differs, nil for none.
-	holding atomic.Pointer[holding]
+	holding atomic.Pointer[holding.Holding]
 	// ordered is the order that it carries out, nil for none that is known of.
 	ordered atomic.Pointer[ordered]
 	// watchers watch the streams that pass through it.
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/grademill/grademill/role/admission"
 	"github.com/grademill/grademill/role/announcer"
 	"github.com/grademill/grademill/role/gossip"
+	"github.com/grademill/grademill/role/membership"
 	"github.com/grademill/grademill/role/partition"
 	"github.com/grademill/grademill/role/quarantine"
 	"github.com/grademill/grademill/role/throttling"
@@ -139,7 +140,9 @@
 	mu sync.Mutex
 	// retries are by service; guarded by mu.
 	retries map[string]*retry.Budget
-	members members
+	// membership keeps the endpoints, members their usages.
+	membership membership.Membership
+	members    members
 }
 
 // unproven is the age of the proof of a gateway that has none yet: beyond all bounds.
@@ -155,6 +158,7 @@
 	g.proof.Store(g.Clock().Add(-unproven).UnixNano())
 	g.retries = make(map[string]*retry.Budget)
 	g.fleet.Store(new(fleet))
+	g.initMembership()
 	g.initPartition()
 	g.peers.Counter = g.counter
 	g.probes.Control, g.probes.Silence, g.probes.Reference = g.Runners, g.Silence, g.reference
--- a/role/gateway/seat.go
+++ b/role/gateway/seat.go
@@ -67,13 +67,13 @@
 // watch and unwatch change whose watchdog is told when a part is lost.
 func (s *seat) watch(w *watchdog) {
 	for _, b := range s.parts {
-		b.use.watchers.add(w)
+		b.use.watchers.Add(w)
 	}
 }
 
 func (s *seat) unwatch(w *watchdog) {
 	for _, b := range s.parts {
-		b.use.watchers.remove(w)
+		b.use.watchers.Remove(w)
 	}
 }
 
--- /dev/null
+++ b/state/set/set.go
@@ -0,0 +1,38 @@
+// Package set has sets for concurrent use.
+package set
+
+import (
+	"maps"
+	"slices"
+	"sync"
+)
+
+// Set is a set of values. The zero Set is empty. It is safe for concurrent use.
+type Set[T comparable] struct {
+	mu     sync.Mutex
+	values map[T]struct{}
+}
+
+// Add adds a value.
+func (s *Set[T]) Add(value T) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.values == nil {
+		s.values = make(map[T]struct{})
+	}
+	s.values[value] = struct{}{}
+}
+
+// Remove removes a value.
+func (s *Set[T]) Remove(value T) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.values, value)
+}
+
+// Values returns the values of the moment, in no order.
+func (s *Set[T]) Values() []T {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.values))
+}
--- a/state/watchcache/cache.go
+++ b/state/watchcache/cache.go
@@ -91,13 +91,12 @@
 	late bool
 }
 
-// Reset begins anew: all was read, at a revision, by a question that was sent at a time, and gave a copy of a
-// sum.
+// Reset begins anew: all was read, at a revision, by a question that was sent at a time. Sum is that of
+// the copy.
 func (c *Cache) Reset(at uint64, sent time.Time, sum uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.sum = sum
-	c.changes, c.bytes, c.floor, c.at, c.proven, c.direct = nil, 0, at, at, sent, true
+	c.changes, c.bytes, c.floor, c.at, c.sum, c.proven, c.direct = nil, 0, at, at, sum, sent, true
 	c.wake()
 }
 
@@ -120,12 +119,12 @@
 	c.add(page, sent, true, true, sum)
 }
 
+// add notes a page. Found is set for changes that no watch told of.
 func (c *Cache) add(page kv.Page, proven time.Time, direct, found bool, sum uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.sum = sum
 	known := c.at
-	c.at, c.proven, c.direct = max(c.at, page.At), proven, direct
+	c.at, c.sum, c.proven, c.direct = max(c.at, page.At), sum, proven, direct
 	for _, p := range page.Pairs {
 		c.supersede(p.Key)
 		c.changes = append(c.changes, change{p, found || p.Revision <= known})
@@ -222,9 +221,9 @@
 		return Answer{}, c.changed, nil
 	}
 	a := Answer{At: c.at, Age: age, Held: held, Sum: c.sum}
-	for _, known := range c.changes {
-		if known.late || known.Revision > q.After {
-			a.Pairs = append(a.Pairs, known.Pair)
+	for _, one := range c.changes {
+		if one.late || one.Revision > q.After {
+			a.Pairs = append(a.Pairs, one.Pair)
 		}
 	}
 	return a, nil, nil
