--- a/decide/story/story.go
+++ b/decide/story/story.go
@@ -39,7 +39,18 @@
 // beliefMessages begin the lines that change what a gateway holds true.
 var beliefMessages = []string{
 	"endpoint ", "first endpoint ", "configuration ", "the store ", "order given", "this gateway ", "nobody gives orders",
-	"record not understood", "request is quarantined", "gateway ", "the right to give orders", "settings ",
+	"record not understood", "record of an endpoint", "request is quarantined", "gateway ", "the right to give orders", "settings ",
+}
+
+// departureMessages begin the lines that tell whether an endpoint takes new work.
+var departureMessages = []string{
+	"endpoint gone", "endpoint says that it leaves", "endpoint has left", "record of an endpoint that has left",
+}
+
+// departs reports whether the line tells that an endpoint takes no new work.
+func (l *Line) departs() bool {
+	begins := func(prefix string) bool { return strings.HasPrefix(l.Message, prefix) }
+	return slices.ContainsFunc(departureMessages, begins) || l.Message == "endpoint changed" && string(l.Fields["leaving"]) == "true"
 }
 
 // Read reads a log. Lines that are not JSON, such as those of a crash, are
@@ -114,8 +125,9 @@
 }
 
 // Lines returns the story in the order of time: what its gateways came to believe
-// of the endpoints that the request names, what any gateway found of endpoints that ended
-// under the same request, also when it came before, and what was decided about it.
+// of the endpoints that the request names, what any gateway knew of their leaving, however long before,
+// what any found of endpoints that ended under the same request, also when it came before, and what was
+// decided about it.
 func (s *Story) Lines() []Line {
 	if len(s.told) == 0 {
 		return nil
@@ -125,17 +137,19 @@
 	from, to := s.told[0].At.Add(-s.Before), s.told[len(s.told)-1].At
 	processes := make(map[string]bool)
 	var named strings.Builder
+	endpoints := make(map[string]bool)
 	fingerprint := ""
 	for _, l := range s.told {
 		processes[l.Process] = true
 		fingerprint = cmp.Or(fingerprint, l.text("print"))
+		endpoints[l.text("endpoint")] = true
 		for _, value := range l.Fields {
 			named.Write(value)
 		}
 	}
 	lines := slices.Clone(s.told)
 	for _, l := range s.beliefs {
-		if l.concerns(fingerprint) {
+		if l.concerns(fingerprint) || l.departs() && endpoints[l.text("endpoint")] {
 			if !l.At.After(to) {
 				lines = append(lines, l)
 			}
