--- a/role/gateway/departure_test.go
+++ b/role/gateway/departure_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"net/http/httptest"
-	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -27,13 +25,7 @@
 	t.Parallel()
 	a := plain("a")
 	w := newWorld(t, a, far("b"))
-	store := &switched{store: w.site.Store}
-	server := httptest.NewServer(store)
-	t.Cleanup(server.Close)
-	second := w.startAt("gateway-2", strings.TrimPrefix(server.URL, "http://"))
-	w.eventually(second.Ready)
-	w.eventually(func() bool { return len(w.site.Store.Keys("grademill/gateways/")) == 2 })
-	w.target = w.serve(second)
+	_, store := w.startSwitched()
 	w.eventually(func() bool { return !w.avoids(a) })
 
 	store.cut.Store(true)
--- a/role/gateway/store_test.go
+++ b/role/gateway/store_test.go
@@ -120,6 +120,19 @@
 	s.store.ServeHTTP(w, r)
 }
 
+// startSwitched runs a second gateway, to which requests go from then on, and returns what cuts it from the
+// store.
+func (w *world) startSwitched() (*gateway.Gateway, *switched) {
+	store := &switched{store: w.site.Store}
+	server := httptest.NewServer(store)
+	w.t.Cleanup(server.Close)
+	second := w.startAt("gateway-2", strings.TrimPrefix(server.URL, "http://"))
+	w.eventually(second.Ready)
+	w.eventually(func() bool { return len(w.site.Store.Keys("grademill/gateways/")) == 2 })
+	w.target = w.serve(second)
+	return second, store
+}
+
 // A gateway that alone loses the store stops being ready while it can still serve,
 // ends the connections of its callers, and in the end tells them to come back at
 // once, since another gateway serves them. It is ready again when the store is
@@ -128,13 +141,7 @@
 	t.Parallel()
 	e := plain("a")
 	w := newWorld(t, e)
-	store := &switched{store: w.site.Store}
-	server := httptest.NewServer(store)
-	t.Cleanup(server.Close)
-	second := w.startAt("gateway-2", strings.TrimPrefix(server.URL, "http://"))
-	w.eventually(second.Ready)
-	w.eventually(func() bool { return len(w.site.Store.Keys("grademill/gateways/")) == 2 })
-	w.target = w.serve(second)
+	second, store := w.startSwitched()
 	require.False(t, w.do(w.request("POST", "/renew/", "x")).Close)
 
 	store.cut.Store(true)
