Test of copies that differ: wait for as long as the rest between two comparisons

A process that compared early may not compare again for compareRest, 10 to 20 s, as the constant says; the test waited 12 s. What it asserts is unchanged.

--- a/state/watchcache/proof_test.go
+++ b/state/watchcache/proof_test.go
@@ -24,6 +24,9 @@
 	schedules = 10000
 	// scheduleTime is how long each lasts, on the virtual clock.
 	scheduleTime = 4 * time.Second
+	// compareTime is longer than the rest between two comparisons with another process, and a
+	// reading of all after it.
+	compareTime = 28 * time.Second
 	// questionWait and settle are as in a gateway.
 	questionWait = 1100 * time.Millisecond
 	settle       = 600 * time.Millisecond
@@ -323,7 +326,7 @@
 				f.write(time.Second)
 				f.store.setDeaf(false)
 			}
-			time.Sleep(3 * scheduleTime) // answers go on being lost
+			time.Sleep(compareTime) // answers go on being lost
 			cancel()
 			done()
 			newest := make(map[string]uint64)
