Count calls of the store by kind and result

Calls were counted by path, which holds the number of the lease for renewals: a label without a bound, and no way to tell a page from a grant or a refused call from one that was done.

--- a/adapter/meter/gateway.go
+++ b/adapter/meter/gateway.go
@@ -22,6 +22,7 @@
 	held        *prometheus.CounterVec
 	quarantine  *prometheus.CounterVec
 	platform    *prometheus.CounterVec
+	store       *prometheus.CounterVec
 	digests     *prometheus.CounterVec
 	fleet       *prometheus.GaugeVec
 	revision    prometheus.Gauge
@@ -69,8 +70,12 @@
 			Help: "Events of the requests under which endpoints have ended.",
 		}, []string{"event"}),
 		platform: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: namespace, Name: "gateway_platform_calls_total", Help: "Calls of the platform and of controls.",
+			Namespace: namespace, Name: "gateway_platform_calls_total", Help: "Calls of the controls of endpoints.",
 		}, []string{"kind"}),
+		store: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "gateway_store_calls_total",
+			Help: "Calls of the store by kind and result: done, refused or unanswered.",
+		}, []string{"kind", "result"}),
 		digests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "gateway_digest_bytes_total",
 			Help: "Bytes of digests for other gateways, by whether they were sent or dropped for their part of the link.",
@@ -89,7 +94,7 @@
 		}),
 	}
 	m.Registry.MustRegister(
-		m.ended, m.first, m.total, m.pause, m.retries, m.checks, m.orders, m.held, m.quarantine, m.platform, m.digests, m.fleet, m.revision, m.connections, m.dropped)
+		m.ended, m.first, m.total, m.pause, m.retries, m.checks, m.orders, m.held, m.quarantine, m.platform, m.store, m.digests, m.fleet, m.revision, m.connections, m.dropped)
 	return m
 }
 
@@ -141,7 +146,10 @@
 // Quarantine counts an event of the requests under which endpoints have ended.
 func (m *Gateway) Quarantine(event string) { m.quarantine.WithLabelValues(event).Inc() }
 
-// PlatformCall counts a call of the platform.
+// StoreCall counts a call of the store.
+func (m *Gateway) StoreCall(kind, result string) { m.store.WithLabelValues(kind, result).Inc() }
+
+// PlatformCall counts a call of an endpoint's controls.
 func (m *Gateway) PlatformCall(kind string) { m.platform.WithLabelValues(kind).Inc() }
 
 // Dropped counts log lines that were dropped.
--- a/cmd/grademill-gateway/daemon.go
+++ b/cmd/grademill-gateway/daemon.go
@@ -63,7 +63,7 @@
 	s := file.Gateway
 	d.gateway = &gateway.Gateway{
 		Name: file.Name, Hall: file.Hall, Address: file.Address,
-		Store: platform.NewStore(s.Store, d.metrics.PlatformCall),
+		Store: platform.NewStore(s.Store, d.metrics.StoreCall),
 		Records: gateway.Records{
 			Catalog: platform.ConfigKey, DecodeCatalog: platform.DecodeCatalog,
 			EndpointID: platform.EndpointID, DecodeEndpoint: platform.DecodeEndpoint,
--- a/role/gateway/world_test.go
+++ b/role/gateway/world_test.go
@@ -107,7 +107,7 @@
 	metrics := meter.NewGateway()
 	g := &gateway.Gateway{
 		Name: name, Hall: "north", Address: freePort(w.t),
-		Store: platform.NewStore(store, metrics.PlatformCall),
+		Store: platform.NewStore(store, metrics.StoreCall),
 		Records: gateway.Records{
 			Catalog: platform.ConfigKey, DecodeCatalog: platform.DecodeCatalog,
 			EndpointID: platform.EndpointID, DecodeEndpoint: platform.DecodeEndpoint,
