Read the store by stale pages when a gateway starts

Each gateway reads all keys when it starts, some five pages of full price: that grows as gateways times endpoints. A reading whose pages are no older than the first proves as much as before. Otherwise the changes since the oldest page do, asked of another gateway where one is known: nothing is confirmed, told to others or served by key before.

Changes that a reading held beyond its revision were not kept for others, who could lack them until their sums were compared; they are kept now (seen in TestStaleReadingBeyondTheKeptChangesAsksTheStore).

--- a/port/kv/feed.go
+++ b/port/kv/feed.go
@@ -24,12 +24,15 @@
 }
 
 // Feed reads a store together with its revision, so that a copy of it can be
-// kept current. All reads are linearizable: what was written before the call
-// was sent is seen.
+// kept current. All reads but stale ones are linearizable: what was written before
+// the call was sent is seen.
 type Feed interface {
 	// Scan returns a page of the pairs whose keys start with prefix and lie
 	// after the key after. Several pages are no snapshot.
 	Scan(ctx context.Context, prefix, after string) (Page, error)
+	// ScanStale returns a page as Scan does, as of a revision that may be seconds old. It
+	// costs the store less.
+	ScanStale(ctx context.Context, prefix, after string) (Page, error)
 	// Changes waits up to wait for changes under prefix after a revision. An
 	// empty page means that there was none. It returns a CompactedError when
 	// the store no longer knows what changed since.
--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -44,8 +44,8 @@
 	// all that had been written: when the question was sent, or what another process
 	// that answered it could prove.
 	Confirm func(proven time.Time)
-	// Partial is told the same after each page but the last of the first reading of all: what
-	// the pages so far hold had been written by then. Nil for nobody.
+	// Partial is told the same after each page but the last of the first reading of all, while the
+	// pages prove it: what they hold had been written by then. Nil for nobody.
 	Partial func(proven time.Time)
 	// Now reads the clock of the times that Confirm is told, nil for time.Now. Where proofs must
 	// not seem younger than they are, it goes on while the host is suspended.
@@ -64,7 +64,7 @@
 	// failed: while a whole fleet reads, the store is slow, and would be for good if each
 	// failure began it anew.
 	reading *reading
-	// overdue is set after a reading that took so long that its proof is old.
+	// overdue is set after a reading whose proof is old, or that proves nothing.
 	overdue bool
 	// lag and paced are those of the last page.
 	lag   time.Duration
@@ -87,8 +87,10 @@
 	// begun and sent are when the first page was asked for, by the clock of package time and by
 	// that of the proofs.
 	begun, sent time.Time
-	// first is the revision of the first page: what changes later is told by changes.
-	first uint64
+	// first is the revision of the first page, and at the lowest one of a page: what changes
+	// later is told by changes. The reading proves what had been written when it began while
+	// no page is older than the first.
+	first, at uint64
 	// after is the last key that was read, and seen are all.
 	after string
 	seen  map[string]bool
@@ -120,6 +122,9 @@
 		default:
 			loaded = true
 			m.expire()
+			if sent.IsZero() {
+				continue
+			}
 			m.Confirm(sent.Add(-m.lag))
 			if !m.paced {
 				m.rest(ctx, m.Settle-time.Since(begun))
@@ -140,21 +145,23 @@
 }
 
 // load reads all keys and settles the difference to the copy. It returns when the reading
-// began, which may be before a call that failed. What the first one reads is told page by page.
+// began, which may be before a call that failed, and the zero time when the pages prove nothing.
+// What the first one reads is told page by page.
 func (m *Mirror) load(ctx context.Context, first bool) (time.Time, error) {
 	if m.reading == nil {
 		m.reading = &reading{begun: time.Now(), sent: m.Now(), seen: make(map[string]bool)}
 	}
 	r := m.reading
 	for {
-		page, err := m.Feed.Scan(ctx, m.Prefix, r.after)
+		page, err := m.page(ctx, r.after, first)
 		if err != nil {
 			return r.sent, err
 		}
 		m.answered()
 		if r.after == "" {
-			r.first = page.At
+			r.first, r.at = page.At, page.At
 		}
+		r.at = min(r.at, page.At)
 		for _, p := range page.Pairs {
 			r.seen[p.Key] = true
 			m.put(p)
@@ -163,7 +170,7 @@
 		if !page.More || len(page.Pairs) == 0 {
 			break
 		}
-		if first && m.Partial != nil {
+		if first && m.Partial != nil && r.proves() {
 			m.Partial(r.sent)
 		}
 	}
@@ -172,12 +179,32 @@
 			m.gone(key, r.first)
 		}
 	}
-	m.at, m.lag, m.paced = r.first, 0, false
-	m.overdue = time.Since(r.begun) > m.Wait
+	m.at, m.lag, m.paced = r.at, 0, false
+	m.overdue = !r.proves() || time.Since(r.begun) > m.Wait
 	m.reading = nil
+	if !r.proves() {
+		m.Log.Info().Int("keys", len(r.seen)).Uint64("revision", r.at).Uint64("first_page", r.first).
+			Msg("what has been read of the store is old, asking for what has changed since")
+		return time.Time{}, nil
+	}
 	return r.sent, nil
 }
 
+// page reads the page that begins after a key. Where nothing is known yet, all pages but the first
+// may be stale: when a whole fleet starts, they are most of what it asks of the store.
+func (m *Mirror) page(ctx context.Context, after string, first bool) (kv.Page, error) {
+	if first && after != "" {
+		return m.Feed.ScanStale(ctx, m.Prefix, after)
+	}
+	return m.Feed.Scan(ctx, m.Prefix, after)
+}
+
+// proves reports whether the pages so far hold all that had been written under their keys when the
+// reading began.
+func (r *reading) proves() bool {
+	return r.at >= r.first
+}
+
 // follow asks once for changes and applies them.
 func (m *Mirror) follow(ctx context.Context) error {
 	wait := m.Wait
--- a/state/mirror/mirror_test.go
+++ b/state/mirror/mirror_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"testing"
@@ -34,6 +35,9 @@
 	failEvery, scans int
 	// pageTime is how long a page takes.
 	pageTime time.Duration
+	// old is the store as stale pages show it, nil for one that is current; stale counts them.
+	old   *feed
+	stale int
 }
 
 // callTime is how long a call without an answer hangs, beyond what it asks to wait.
@@ -91,6 +95,19 @@
 	return kv.Page{Pairs: list[:min(2, len(list))], More: len(list) > 2, At: f.rev}, nil
 }
 
+func (f *feed) ScanStale(ctx context.Context, prefix, after string) (kv.Page, error) {
+	f.stale++
+	if f.old != nil {
+		return f.old.Scan(ctx, prefix, after)
+	}
+	return f.Scan(ctx, prefix, after)
+}
+
+// age has stale pages show the store as it is now from here on.
+func (f *feed) age() {
+	f.old = &feed{pairs: maps.Clone(f.pairs), rev: f.rev}
+}
+
 func (f *feed) Changes(ctx context.Context, _ string, revision uint64, wait time.Duration) (kv.Page, error) {
 	until := time.Now().Add(wait)
 	for {
@@ -357,3 +374,77 @@
 		require.Equal(t, []time.Duration{4 * page, 4 * page}, confirmed[:2])
 	})
 }
+
+// Most pages of a first reading are stale. What they lack is told by the changes since the oldest of
+// them, and nothing is confirmed before.
+func TestFirstReadingByStalePagesIsBroughtUpToDate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := new(feed)
+		for _, key := range []string{"a", "b", "c", "d", "e"} {
+			f.set(key, "1")
+		}
+		f.age()
+		f.set("d", "2")
+		f.remove("e")
+		f.set("f", "1")
+		newest := time.Now()
+		held := make(map[string]string)
+		m := &mirror.Mirror{
+			Feed: f, Wait: time.Second, Settle: 300 * time.Millisecond, Log: zerolog.Nop(),
+			Put:  func(p kv.Pair) { held[p.Key] = string(p.Value) },
+			Gone: func(key string, _ uint64) { delete(held, key) },
+			Confirm: func(proven time.Time) {
+				require.False(t, proven.Before(newest))
+				require.Equal(t, map[string]string{"a": "1", "b": "1", "c": "1", "d": "2", "f": "1"}, held)
+			},
+			Partial: func(time.Time) { require.Subset(t, []string{"a", "b"}, slices.Collect(maps.Keys(held))) },
+			Lost:    func(error) {},
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		m.Run(ctx)
+		require.Equal(t, 2, f.stale)
+		require.Equal(t, 1, f.scans, "only the first page is asked of the store itself")
+	})
+}
+
+// A reading whose stale pages are as new as its first one needs no changes to prove it.
+func TestStalePagesThatAreNewProveAReading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := new(feed)
+		for _, key := range []string{"a", "b", "c"} {
+			f.set(key, "1")
+		}
+		begun, confirmed := time.Now(), time.Time{}
+		m := &mirror.Mirror{
+			Feed: f, Wait: time.Second, Log: zerolog.Nop(), Put: func(kv.Pair) {}, Gone: func(string, uint64) {},
+			Confirm: func(proven time.Time) {
+				if confirmed.IsZero() {
+					confirmed = proven
+				}
+			},
+			Lost: func(error) {},
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		m.Run(ctx)
+		require.Equal(t, begun, confirmed)
+	})
+}
+
+// A store that has forgotten what changed since stale pages is read anew, by pages that are current.
+func TestForgottenSinceStalePages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := new(feed)
+		for _, key := range []string{"a", "b", "c"} {
+			f.set(key, "1")
+		}
+		f.age()
+		f.set("c", "2")
+		f.compact()
+		held := copyOf(t, f)
+		pass(time.Second)
+		require.Equal(t, map[string]string{"a": "1", "b": "1", "c": "2"}, held)
+		require.Equal(t, 1, f.stale)
+	})
+}
--- a/state/watchcache/cache.go
+++ b/state/watchcache/cache.go
@@ -100,6 +100,13 @@
 	c.wake()
 }
 
+// Begin begins anew: all was read as of a revision, which proves nothing yet.
+func (c *Cache) Begin(at uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.changes, c.bytes, c.floor, c.at, c.sum, c.direct = nil, 0, at, at, 0, false
+}
+
 // At returns the revision up to which all is known.
 func (c *Cache) At() uint64 {
 	c.mu.Lock()
--- a/state/watchcache/feed.go
+++ b/state/watchcache/feed.go
@@ -61,6 +61,8 @@
 	// replica is what is known, scan the reading of all that is under way.
 	replica replica
 	scan    scan
+	// unproven is set from a reading that proves nothing to the next changes.
+	unproven bool
 	// compared is when a difference to another gateway's replica last had all read anew.
 	compared time.Time
 	// source is whom the last answer came from, empty for the store.
@@ -97,6 +99,17 @@
 		f.scan = scan{sent: f.Cache.now()}
 	}
 	page, err := f.Store.Scan(ctx, prefix, after)
+	return f.scannedPage(page, err)
+}
+
+// ScanStale implements kv.Feed. It goes on with the reading that Scan has begun.
+func (f *Feed) ScanStale(ctx context.Context, prefix, after string) (kv.Page, error) {
+	page, err := f.Store.ScanStale(ctx, prefix, after)
+	return f.scannedPage(page, err)
+}
+
+// scannedPage notes what the store has answered to a question for a page.
+func (f *Feed) scannedPage(page kv.Page, err error) (kv.Page, error) {
 	f.note(err)
 	if err != nil {
 		return page, err
@@ -110,18 +123,20 @@
 
 // scan is a reading of all, page by page.
 type scan struct {
-	sent  time.Time
-	at    uint64
-	pairs []kv.Pair
-	seen  replica
+	sent time.Time
+	// first is the revision of the first page, at the lowest one of a page.
+	first, at uint64
+	pairs     []kv.Pair
+	seen      replica
 }
 
 // take takes a page in.
 func (s *scan) take(page kv.Page) {
 	if !s.seen.read() {
-		s.at = page.At
+		s.first, s.at = page.At, page.At
 		s.seen.revisions = make(map[string]uint64)
 	}
+	s.at = min(s.at, page.At)
 	for _, p := range page.Pairs {
 		s.seen.put(p.Key, p.Revision)
 	}
@@ -132,9 +147,13 @@
 // what had been known before, and need not read all again.
 func (f *Feed) scanned() {
 	sum := f.scan.seen.sumAt(f.scan.at)
-	if !f.replica.read() {
+	f.unproven = f.scan.at < f.scan.first
+	switch {
+	case f.unproven:
+		f.Cache.Begin(f.scan.at)
+	case !f.replica.read():
 		f.Cache.Reset(f.scan.at, f.scan.sent, sum)
-	} else {
+	default:
 		page := kv.Page{Pairs: f.scan.differences(f.replica.revisions), At: f.scan.at}
 		f.Cache.AddFound(page, f.scan.sent, sum)
 	}
@@ -182,7 +201,10 @@
 		}
 		last = err
 	}
-	if errors.Is(last, ErrForgotten) { // all is read again, which is one call
+	if errors.Is(last, ErrForgotten) {
+		if f.unproven { // all has just been read, and the store knows what has changed since
+			return f.ask(ctx, prefix, revision, 0)
+		}
 		return kv.Page{}, trace.Wrap(&kv.CompactedError{Revision: revision})
 	}
 	if now := time.Now(); now.Before(f.next) {
@@ -197,9 +219,8 @@
 // revision that was sent at a time. Where the replicas differ that this gateway and the other one
 // have of the same revision, one of them lacks a change, and all is read anew.
 func (f *Feed) relayed(address string, a Answer, revision uint64, sent time.Time) (kv.Page, error) {
-	page := kv.Page{Pairs: f.replica.learn(a.Pairs), At: a.At, Lag: a.Age - a.Held, Paced: true}
-	sum := f.replica.sumAt(max(revision, page.At))
-	f.Cache.Add(page, sent.Add(-page.Lag), false, sum)
+	page := kv.Page{Pairs: a.Pairs, At: a.At, Lag: a.Age - a.Held, Paced: true}
+	page, sum := f.learn(page, sent.Add(-page.Lag), false, revision)
 	if a.Sum == 0 || sum == 0 || a.Sum == sum || revision > a.At || time.Since(f.compared) < compareRest {
 		return page, nil
 	}
@@ -221,12 +242,23 @@
 	}
 	f.note(err)
 	if err == nil {
-		page.Pairs = f.replica.learn(page.Pairs)
-		f.Cache.Add(page, sent, true, f.replica.sumAt(max(revision, page.At)))
+		page, _ = f.learn(page, sent, true, revision)
 	}
 	return page, err
 }
 
+// learn takes a page of the changes after a revision into the replica and the cache, and returns it
+// with what is news alone, and the sum of the replica. A reading of all holds changes beyond its
+// revision, which are no news and belong into the cache all the same: who asks may lack them.
+func (f *Feed) learn(page kv.Page, proven time.Time, direct bool, revision uint64) (kv.Page, uint64) {
+	all := page
+	page.Pairs, all.Pairs = f.replica.learn(page.Pairs, f.Cache.At())
+	sum := f.replica.sumAt(max(revision, page.At))
+	f.Cache.Add(all, proven, direct, sum)
+	f.unproven = false
+	return page, sum
+}
+
 // wait asks the store, and returns errRefreshed when that was refreshed.
 func (f *Feed) wait(ctx context.Context, prefix string, revision uint64, wait time.Duration) (kv.Page, error) {
 	ctx, end := context.WithCancelCause(ctx)
--- a/state/watchcache/feed_test.go
+++ b/state/watchcache/feed_test.go
@@ -28,6 +28,10 @@
 	return s.scan, s.err
 }
 
+func (s *scripted) ScanStale(ctx context.Context, prefix, after string) (kv.Page, error) {
+	return s.Scan(ctx, prefix, after)
+}
+
 func (s *scripted) Changes(context.Context, string, uint64, time.Duration) (kv.Page, error) {
 	s.asked++
 	return s.changes, s.err
@@ -210,3 +214,47 @@
 		})
 	}
 }
+
+// A gateway that has read all by stale pages asks others what has changed since, and the store itself
+// where these no longer know.
+func TestStaleReadingIsBroughtUpToDateByOthers(t *testing.T) {
+	stale := &scripted{scan: kv.Page{Pairs: []kv.Pair{{Key: "a", Revision: 9}}, At: 9, More: true}}
+	var seat watchcache.Cache
+	seat.Reset(5, time.Now(), 0)
+	seat.Add(kv.Page{Pairs: []kv.Pair{{Key: "b", Revision: 7}}, At: 9}, time.Now(), true, 0)
+	feed := newFeed(stale, asks{&seat}, "seat")
+	_, err := feed.Scan(t.Context(), "", "")
+	require.NoError(t, err)
+	stale.scan = kv.Page{Pairs: []kv.Pair{{Key: "b", Revision: 2}}, At: 5}
+	_, err = feed.ScanStale(t.Context(), "", "a")
+	require.NoError(t, err)
+	_, err = feed.Cache.Ask(t.Context(), watchcache.Question{Age: time.Minute})
+	require.ErrorIs(t, err, watchcache.ErrIndirect, "the pages prove nothing")
+
+	page, err := feed.Changes(t.Context(), "", 5, 0)
+	require.NoError(t, err)
+	require.Equal(t, []kv.Pair{{Key: "b", Revision: 7}}, page.Pairs)
+	require.Zero(t, stale.asked)
+}
+
+func TestStaleReadingBeyondTheKeptChangesAsksTheStore(t *testing.T) {
+	s := &scripted{scan: kv.Page{Pairs: []kv.Pair{{Key: "a", Revision: 9}}, At: 9, More: true}}
+	var seat watchcache.Cache
+	seat.Reset(8, time.Now(), 0)
+	feed := newFeed(s, asks{&seat}, "seat")
+	_, err := feed.Scan(t.Context(), "", "")
+	require.NoError(t, err)
+	s.scan = kv.Page{Pairs: []kv.Pair{{Key: "b", Revision: 2}}, At: 5}
+	_, err = feed.ScanStale(t.Context(), "", "a")
+	require.NoError(t, err)
+	s.changes = kv.Page{Pairs: []kv.Pair{{Key: "b", Revision: 7}, {Key: "a", Revision: 9}}, At: 9}
+	page, err := feed.Changes(t.Context(), "", 5, 0)
+	require.NoError(t, err)
+	require.Equal(t, []kv.Pair{{Key: "b", Revision: 7}}, page.Pairs)
+	require.Equal(t, 1, s.asked)
+
+	// Others are told of the changes that the pages held beyond the revision of the reading, too.
+	answer, err := feed.Cache.Ask(t.Context(), watchcache.Question{After: 5, Age: time.Minute})
+	require.NoError(t, err)
+	require.Len(t, answer.Pairs, 2)
+}
--- a/state/watchcache/proof_test.go
+++ b/state/watchcache/proof_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -27,6 +29,8 @@
 	// compareTime is longer than the rest between two comparisons with another process, and a
 	// reading of all after it.
 	compareTime = 28 * time.Second
+	// lateStart is how much later each process starts than the one before.
+	lateStart = 500 * time.Millisecond
 	// questionWait and settle are as in a gateway.
 	questionWait = 1100 * time.Millisecond
 	settle       = 600 * time.Millisecond
@@ -100,13 +104,55 @@
 
 var errLost = errors.New("the answer was lost")
 
-// Scan implements kv.Feed.
-func (s *store) Scan(ctx context.Context, prefix, _ string) (kv.Page, error) {
-	return s.Changes(ctx, prefix, everything, 0)
+// Scan implements kv.Feed. A page holds one key.
+func (s *store) Scan(_ context.Context, _, after string) (kv.Page, error) {
+	return s.page(after, 0)
 }
 
-// everything is the revision after which a reading of all asks.
-const everything = 0
+// staleness bounds how old a stale page is.
+const staleness = 2 * time.Second
+
+// ScanStale implements kv.Feed.
+func (s *store) ScanStale(_ context.Context, _, after string) (kv.Page, error) {
+	s.mu.Lock()
+	old := time.Duration(s.chance.Int64N(int64(staleness)))
+	s.mu.Unlock()
+	return s.page(after, old)
+}
+
+// page returns the first key after another one as the store was some time ago.
+func (s *store) page(after string, old time.Duration) (kv.Page, error) {
+	time.Sleep(s.way())
+	page := s.asOf(time.Now().Add(-old), after)
+	time.Sleep(s.way())
+	if s.lost() {
+		return kv.Page{}, errLost
+	}
+	return page, nil
+}
+
+// asOf returns the first key after another one as the store was at a time.
+func (s *store) asOf(at time.Time, after string) kv.Page {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	page, newest := kv.Page{}, make(map[string]uint64)
+	for _, w := range s.writes {
+		if w.at.After(at) {
+			break
+		}
+		page.At, newest[w.key] = w.revision, w.revision
+	}
+	for _, key := range slices.Sorted(maps.Keys(newest)) {
+		if key > after {
+			page.More = len(page.Pairs) > 0
+			if page.More {
+				break
+			}
+			page.Pairs = append(page.Pairs, kv.Pair{Key: key, Revision: newest[key]})
+		}
+	}
+	return page
+}
 
 // Changes implements kv.Feed.
 func (s *store) Changes(ctx context.Context, _ string, revision uint64, wait time.Duration) (kv.Page, error) {
@@ -121,7 +167,7 @@
 		}
 		page, _ = s.since(revision)
 	}
-	if revision != everything && revision < s.forgotten() {
+	if revision < s.forgotten() {
 		return kv.Page{}, &kv.CompactedError{Revision: revision}
 	}
 	time.Sleep(s.way())
@@ -142,7 +188,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	page := kv.Page{At: uint64(len(s.writes))}
-	if s.deaf && revision != everything {
+	if s.deaf {
 		return page, s.changed
 	}
 	for _, w := range s.writes {
@@ -249,7 +295,10 @@
 	for i, p := range f.all {
 		p.feed.Store, p.feed.Source = f.store, f.from
 		p.feed.Seats = func() []string { return seats[i] }
-		group.Go(func() { p.run(ctx) })
+		group.Go(func() {
+			time.Sleep(time.Duration(i) * lateStart)
+			p.run(ctx)
+		})
 	}
 	return group.Wait
 }
--- a/state/watchcache/replica.go
+++ b/state/watchcache/replica.go
@@ -37,25 +37,36 @@
 	}
 }
 
-// learn takes changes in, and returns those that are news: all until all has been read.
-func (r *replica) learn(pairs []kv.Pair) []kv.Pair {
+// learn takes changes in. It returns those that are news, which are all until all has been read, and
+// with them those after a revision.
+func (r *replica) learn(pairs []kv.Pair, after uint64) (news, later []kv.Pair) {
 	if !r.read() {
-		return pairs
+		return pairs, pairs
 	}
-	news := pairs[:0:0]
 	for _, p := range pairs {
-		known, there := r.revisions[p.Key]
-		switch {
-		case there && p.Revision <= known || p.Deleted && !there:
-			continue
-		case p.Deleted:
-			r.remove(p.Key)
-		default:
-			r.put(p.Key, p.Revision)
+		fresh := r.take(p)
+		if fresh {
+			news = append(news, p)
 		}
-		news = append(news, p)
+		if fresh || p.Revision > after {
+			later = append(later, p)
+		}
+	}
+	return news, later
+}
+
+// take takes a change in, and reports whether it is news.
+func (r *replica) take(p kv.Pair) bool {
+	known, there := r.revisions[p.Key]
+	switch {
+	case there && p.Revision <= known || p.Deleted && !there:
+		return false
+	case p.Deleted:
+		r.remove(p.Key)
+	default:
+		r.put(p.Key, p.Revision)
 	}
-	return news
+	return true
 }
 
 // sumAt returns the sum of the replica as one of a revision of the store, 0 when it holds later
