Give what one gateway does for many to hosts with thick links

Who asks the store for a hall, speaks for it, passes sums on and gives orders was ranked by a hash of names, blind to the host. Announcements and digests tell the link, and hosts whose link is half of the best eighth's or more come first. Where links are alike nothing changes; a single thick link among thin ones does not get all.

--- a/decide/overlay/overlay.go
+++ b/decide/overlay/overlay.go
@@ -28,6 +28,8 @@
 	Heard bool
 	// Cut is set while the store gives it no answer, as far as it has said so.
 	Cut bool
+	// LinkMegabits is what the link of its host carries, in Mbit/s, 0 when that is not known.
+	LinkMegabits uint32
 }
 
 // Overlay is what one gateway takes the fleet to be. It is immutable; the zero
@@ -84,7 +86,7 @@
 
 // Delegate reports whether this gateway speaks for its hall to the others.
 func (o Overlay) Delegate() bool {
-	return !o.Flat() && o.rank(o.Self.Hall, o.live(o.Self.Hall)) == 0
+	return !o.Flat() && o.turn(o.Self.Hall, o.live(o.Self.Hall)) == 0
 }
 
 // live returns the other gateways of a hall that run, as far as this one can tell: it
@@ -105,10 +107,8 @@
 // given turn. Each hall has others, so that none has all that work. The hall must have a
 // gateway.
 func (o Overlay) Relay(hall string, turn int) Member {
-	list := o.In(hall)
-	names := namesOf(list)
-	top := rendezvous.Top(o.Self.Hall, names, relays)
-	return list[slices.Index(names, top[turn%len(top)])]
+	list := ranking(o.Self.Hall, o.In(hall))
+	return list[turn%min(relays, len(list))]
 }
 
 // seats is the number of gateways of a hall that ask the store for changes: one may be
@@ -134,18 +134,13 @@
 	if len(able) == 0 {
 		return nil
 	}
-	names := namesOf(able)
-	before := rendezvous.Before(storeKey, o.Self.Name, names)
-	if eligible && before < seats {
+	if eligible && o.turn(storeKey, able) < seats {
 		return nil
 	}
-	top := rendezvous.Top(storeKey, names, seats)
-	if before%2 == 1 {
-		slices.Reverse(top)
-	}
-	list := make([]Member, len(top))
-	for i, name := range top {
-		list[i] = able[slices.Index(names, name)]
+	list := ranking(storeKey, able)
+	list = list[:min(seats, len(list))]
+	if rendezvous.Before(storeKey, o.Self.Name, namesOf(able))%2 == 1 {
+		slices.Reverse(list)
 	}
 	return list
 }
@@ -163,7 +158,7 @@
 // Turn returns how many gateways come before this one in doing a thing of the whole fleet.
 // Those that are known to have ended do not count.
 func (o Overlay) Turn(key string) int {
-	return o.rank(key, append(o.live(o.Self.Hall), o.outside(o.Self.Hall)...))
+	return o.turn(key, append(o.live(o.Self.Hall), o.outside(o.Self.Hall)...))
 }
 
 // keepers is the number of gateways that keep count of a thing: some may have ended without the
@@ -195,6 +190,12 @@
 	return list
 }
 
+// turn returns how many of a list come before this gateway in doing a thing for others.
+func (o Overlay) turn(key string, others []Member) int {
+	list := ranking(key, append(slices.Clone(others), o.Self))
+	return slices.IndexFunc(list, func(m Member) bool { return m.Name == o.Self.Name })
+}
+
 // rank returns how many of a list come before this gateway for a key.
 func (o Overlay) rank(key string, others []Member) int {
 	return rendezvous.Before(key, o.Self.Name, namesOf(others))
--- a/decide/overlay/overlay_test.go
+++ b/decide/overlay/overlay_test.go
@@ -209,3 +209,51 @@
 		require.Len(t, named, min(size, 5))
 	}
 }
+
+// mixed returns a fleet whose halls have a few hosts with thick links among many with thin ones.
+func mixed(halls, thick, each int) []overlay.Member {
+	list := fleet(halls, each)
+	for i := range list {
+		list[i].LinkMegabits = 20
+		if i%each < thick {
+			list[i].LinkMegabits = 1000
+		}
+	}
+	return list
+}
+
+// A host with a thin link does nothing for many others while its hall has thick ones: the changes of a
+// configuration for 93 others filled such a link for seconds.
+func TestThinLinksServeNobody(t *testing.T) {
+	t.Parallel()
+	for _, size := range []struct{ halls, thick, each int }{{5, 3, 19}, {5, 14, 94}, {5, 25, 200}} {
+		all := mixed(size.halls, size.thick, size.each)
+		thin := func(m overlay.Member) bool { return m.LinkMegabits < 1000 }
+		seats := 0
+		for _, o := range views(all) {
+			if len(o.Seats()) == 0 {
+				seats++
+				require.False(t, thin(o.Self))
+			}
+			require.False(t, o.Delegate() && thin(o.Self))
+			require.False(t, o.Turn("orders") == 0 && thin(o.Self))
+			for _, hall := range o.Halls() {
+				require.False(t, thin(o.Relay(hall, 1)) || thin(o.Relay(hall, 2)))
+			}
+		}
+		require.Equal(t, 2*size.halls, seats)
+	}
+}
+
+// A single thick link among thin ones is not to carry all.
+func TestOneThickLinkServesNotAll(t *testing.T) {
+	t.Parallel()
+	seats := make(map[bool]int)
+	for _, o := range views(mixed(5, 1, 19)) {
+		if len(o.Seats()) == 0 {
+			seats[o.Self.LinkMegabits == 1000]++
+		}
+	}
+	require.Equal(t, 10, seats[true]+seats[false])
+	require.Greater(t, seats[false], 5)
+}
--- a/role/announcer/announcer.go
+++ b/role/announcer/announcer.go
@@ -77,7 +77,9 @@
 // enrol writes the announcement under a new lease and returns the lease, empty when
 // that failed.
 func (a *Announcer) enrol(ctx context.Context, key string) string {
-	text, err := proto.Marshal(&gossip.Announcement{Address: a.Self.Address, Hall: a.Self.Hall})
+	text, err := proto.Marshal(&gossip.Announcement{
+		Address: a.Self.Address, Hall: a.Self.Hall, LinkMegabits: a.Self.LinkMegabits,
+	})
 	if err != nil {
 		a.Log.Error().Err(err).Msg("announcement not encoded")
 		return ""
@@ -106,7 +108,9 @@
 		return true
 	}
 	name, _, _ := strings.Cut(rest, "/")
-	a.Peers.Announce(p.Key, overlay.Member{Name: name, Address: text.GetAddress(), Hall: text.GetHall()})
+	a.Peers.Announce(p.Key, overlay.Member{
+		Name: name, Address: text.GetAddress(), Hall: text.GetHall(), LinkMegabits: text.GetLinkMegabits(),
+	})
 	return true
 }
 
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -181,9 +181,15 @@
 	group.Wait()
 }
 
+// The units of links.
+const (
+	bitsPerByte    = 8
+	bitsPerMegabit = 1e6
+)
+
 // initGossip sets up the exchange of digests, and how the others find this gateway.
 func (g *Gateway) initGossip() {
-	self := overlay.Member{Name: g.Name, Address: g.Address, Hall: g.Hall}
+	self := overlay.Member{Name: g.Name, Address: g.Address, Hall: g.Hall, LinkMegabits: uint32(g.LinkRate * bitsPerByte / bitsPerMegabit)}
 	g.announcer = announcer.Announcer{
 		Self: self, Incarnation: g.started.UnixNano(), Store: g.Store, Peers: &g.peers,
 		Ready: &g.loaded, Ending: &g.draining, Log: g.Log,
--- a/role/gossip/gossip.go
+++ b/role/gossip/gossip.go
@@ -197,6 +197,7 @@
 	s.number++
 	d := s.Local.Digest(now, others)
 	d.Gateway, d.Incarnation, d.Number, d.Hall = s.Self.Name, s.Incarnation, s.number, s.Self.Hall
+	d.LinkMegabits = s.Self.LinkMegabits
 	d.Members = uint32(members)
 	return d
 }
@@ -298,7 +299,9 @@
 		return
 	}
 	r := peers.Report{
-		From:        overlay.Member{Name: d.GetGateway(), Address: from, Hall: d.GetHall(), Cut: d.GetCut()},
+		From: overlay.Member{
+			Name: d.GetGateway(), Address: from, Hall: d.GetHall(), Cut: d.GetCut(), LinkMegabits: d.GetLinkMegabits(),
+		},
 		Incarnation: d.GetIncarnation(), Number: d.GetNumber(), Members: int(d.GetMembers()),
 		Every: millis(d.GetEveryMillis()), Partial: d.GetPartialOutages(),
 		Shares: make(map[string]peers.Share, len(d.GetUses())),
