Keep changes of the store for others by time, and the newest of each key alone

A gateway that asks the store for its hall kept 128 kB of changes for the others. Now what is younger than six seconds is kept whatever it takes, and of each key the newest change alone, so that what is kept is bounded by what the store holds. Both tests fail before.

--- a/state/watchcache/cache.go
+++ b/state/watchcache/cache.go
@@ -6,16 +6,23 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/grademill/grademill/port/kv"
 )
 
-// maxKept bounds the bytes of the changes that are kept for others: some seconds of
-// records of a few hundred bytes, and one configuration. Whoever needs older ones asks
-// the store itself.
-const maxKept = 128 << 10
+// What is kept for others. Of each key only the newest change is, so that no more is kept than the
+// store holds. Whoever needs an older change reads all anew.
+const (
+	// keptFor is how long a change is kept whatever it takes: longer than a question of another
+	// gateway is late. A bound by bytes alone is passed within a second when a large fleet starts or
+	// is configured, and then all read the store anew.
+	keptFor = 6 * time.Second
+	// maxKept bounds the bytes of older changes.
+	maxKept = 128 << 10
+)
 
 // pairOverhead is what a pair takes beside its key and value, in bytes.
 const pairOverhead = 64
@@ -86,6 +93,8 @@
 // change is a change that is kept for others.
 type change struct {
 	kv.Pair
+	// at is when it was learned.
+	at time.Time
 	// late is set for one that a watch may have passed over: those who ask may have been told of
 	// later revisions without it.
 	late bool
@@ -130,15 +139,15 @@
 func (c *Cache) add(page kv.Page, proven time.Time, direct, found bool, sum uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	known := c.at
+	known, now := c.at, c.now()
 	c.at, c.sum, c.proven, c.direct = max(c.at, page.At), sum, proven, direct
+	c.supersede(page.Pairs)
 	for _, p := range page.Pairs {
-		c.supersede(p.Key)
-		c.changes = append(c.changes, change{p, found || p.Revision <= known})
+		c.changes = append(c.changes, change{p, now, found || p.Revision <= known})
 		c.bytes += size(p)
 	}
 	drop := 0
-	for ; c.bytes > maxKept; drop++ {
+	for ; c.bytes > maxKept && now.Sub(c.changes[drop].at) > keptFor; drop++ {
 		dropped := c.changes[drop]
 		c.bytes -= size(dropped.Pair)
 		c.floor = max(c.floor, dropped.Revision)
@@ -149,13 +158,22 @@
 	c.wake()
 }
 
-// supersede has late changes of a key told no more, since a newer one tells all; c.mu is held.
-func (c *Cache) supersede(key string) {
-	for i := range c.changes {
-		if c.changes[i].Key == key {
-			c.changes[i].late = false
-		}
+// supersede drops the changes of keys that newer ones tell all of; c.mu is held.
+func (c *Cache) supersede(newer []kv.Pair) {
+	if len(newer) == 0 {
+		return
 	}
+	keys := make(map[string]bool, len(newer))
+	for _, p := range newer {
+		keys[p.Key] = true
+	}
+	c.changes = slices.DeleteFunc(c.changes, func(old change) bool {
+		if keys[old.Key] {
+			c.bytes -= size(old.Pair)
+			return true
+		}
+		return false
+	})
 }
 
 // now reads the clock of proofs.
--- a/state/watchcache/feed_test.go
+++ b/state/watchcache/feed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -258,3 +259,40 @@
 	require.NoError(t, err)
 	require.Len(t, answer.Pairs, 2)
 }
+
+// What changes within a second when a large fleet starts is more than the bound in bytes, and is kept for
+// others all the same: before, each of them read the whole store anew.
+func TestStartOfALargeFleetIsKeptForOthers(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1000, 0)
+	cache := watchcache.Cache{Now: func() time.Time { return now }}
+	cache.Reset(0, now, 0)
+	value := make([]byte, 400)
+	for i := range uint64(1000) {
+		now = now.Add(time.Millisecond)
+		cache.Add(kv.Page{Pairs: []kv.Pair{{Key: fmt.Sprint("endpoint-", i), Value: value, Revision: i + 1}}, At: i + 1}, now, true, 0)
+	}
+	answer, err := cache.Ask(t.Context(), watchcache.Question{Age: time.Minute})
+	require.NoError(t, err)
+	require.Len(t, answer.Pairs, 1000)
+
+	now = now.Add(10 * time.Second)
+	cache.Add(kv.Page{Pairs: []kv.Pair{{Key: "another", Revision: 1001}}, At: 1001}, now, true, 0)
+	_, err = cache.Ask(t.Context(), watchcache.Question{Age: time.Minute})
+	require.ErrorIs(t, err, watchcache.ErrForgotten, "what nobody needs any more is bounded in bytes")
+}
+
+// Of a key that is written again and again the newest value alone is kept, and told.
+func TestNewestChangeOfAKeyIsKept(t *testing.T) {
+	t.Parallel()
+	var cache watchcache.Cache
+	cache.Reset(0, time.Now(), 0)
+	for i := range uint64(20) {
+		page := kv.Page{Pairs: []kv.Pair{{Key: "configuration", Value: make([]byte, 80<<10), Revision: i + 1}}, At: i + 1}
+		cache.Add(page, time.Now(), true, 0)
+	}
+	answer, err := cache.Ask(t.Context(), watchcache.Question{Age: time.Minute})
+	require.NoError(t, err)
+	require.Len(t, answer.Pairs, 1)
+	require.EqualValues(t, 20, answer.Pairs[0].Revision)
+}
