--- a/role/gateway/follow.go
+++ b/role/gateway/follow.go
@@ -56,7 +56,7 @@
 		g.Log.Info().Msg("nobody gives orders")
 		return
 	}
-	if g.announcer.Gone(key) || g.quarantine.Gone(key, time.Now()) {
+	if g.announcer.Gone(key, revision) || g.quarantine.Gone(key, time.Now()) {
 		return
 	}
 	g.membership.Gone(key, revision)
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -191,7 +191,7 @@
 func (g *Gateway) initGossip() {
 	self := overlay.Member{Name: g.Name, Address: g.Address, Hall: g.Hall, LinkMegabits: uint32(g.LinkRate * bitsPerByte / bitsPerMegabit)}
 	g.announcer = announcer.Announcer{
-		Self: self, Incarnation: g.started.UnixNano(), Store: g.Store, Peers: &g.peers,
+		Self: self, Store: g.Store, Peers: &g.peers,
 		Ready: &g.loaded, Ending: &g.draining, Log: g.Log,
 	}
 	g.gossip = gossip.Gossip{
