Leave the store to the few of a hall that ask it, also when it answers late

When the store forgets its history, questions that wait at it stay without an answer.

A question is now asked anew 0.25 s after its wait. Two more gateways of a hall stand by to ask the store when the first two have no answer. The others, where they have heard any of these, leave it to them until their proof is half a second late, and then ask seldom: the gateways may differ on who is to ask.

--- a/adapter/watchhttp/watch.go
+++ b/adapter/watchhttp/watch.go
@@ -66,6 +66,9 @@
 	return fmt.Sprintf("the other gateway refused the question with status %d: %s", e.Status, e.Reason)
 }
 
+// Unwrap says that the other gateway has heard the question.
+func (e *RefusedError) Unwrap() error { return watchcache.ErrRefused }
+
 // Ask implements watchcache.Source.
 func (c *Client) Ask(ctx context.Context, address string, q watchcache.Question) (watchcache.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, q.Wait+callSlack)
--- a/decide/overlay/overlay.go
+++ b/decide/overlay/overlay.go
@@ -111,9 +111,14 @@
 	return list[turn%min(relays, len(list))]
 }
 
-// seats is the number of gateways of a hall that ask the store for changes: one may be
-// slow, or end.
-const seats = 2
+// The gateways of a hall that ask the store for changes.
+const (
+	// seats is the number of those that always do: one may be slow, or end.
+	seats = 2
+	// standbys is the number of those that do while the former have no answer. The others do not, so
+	// that a store that answers late does not meet the whole fleet.
+	standbys = 2
+)
 
 // storeKey is the key by which gateways are ranked for asking the store.
 const storeKey = "store"
@@ -122,27 +127,46 @@
 // this one can ask them; none when it is to ask the store itself. Half of the gateways of
 // a hall have them in the other order.
 func (o Overlay) Seats() []Member {
-	if o.Flat() {
+	list, turn := o.storeRanking()
+	if turn < seats {
 		return nil
 	}
+	list = list[:min(seats, len(list))]
+	if rendezvous.Before(storeKey, o.Self.Name, namesOf(o.live(o.Self.Hall)))%2 == 1 {
+		slices.Reverse(list)
+	}
+	return list
+}
+
+// Standbys returns the gateways of this one's hall that ask the store while those of the seats have
+// no answer, and reports whether this one is to do so.
+func (o Overlay) Standbys() (list []Member, self bool) {
+	list, turn := o.storeRanking()
+	if turn < seats+standbys {
+		return nil, turn >= seats
+	}
+	return list[min(seats, len(list)):min(seats+standbys, len(list))], false
+}
+
+// storeRanking returns the other gateways of this one's hall in the order in which they are to ask the
+// store, and how many come before this one. Those that the store does not answer are not among them.
+func (o Overlay) storeRanking() ([]Member, int) {
+	if o.Flat() {
+		return nil, 0
+	}
 	live := o.live(o.Self.Hall)
 	able := slices.DeleteFunc(slices.Clone(live), func(m Member) bool { return m.Cut })
 	eligible := !o.Self.Cut
 	if len(able) == 0 && o.Self.Cut { // the store is away: it is not to meet all when it is back
 		able, eligible = live, true
 	}
-	if len(able) == 0 {
-		return nil
-	}
-	if eligible && o.turn(storeKey, able) < seats {
-		return nil
+	switch {
+	case len(able) == 0:
+		return nil, 0
+	case !eligible:
+		return ranking(storeKey, able), len(able) + seats + standbys
 	}
-	list := ranking(storeKey, able)
-	list = list[:min(seats, len(list))]
-	if rendezvous.Before(storeKey, o.Self.Name, namesOf(able))%2 == 1 {
-		slices.Reverse(list)
-	}
-	return list
+	return ranking(storeKey, able), o.turn(storeKey, able)
 }
 
 // Rank returns how many gateways come before this one in looking after a thing of a
--- a/decide/overlay/overlay_test.go
+++ b/decide/overlay/overlay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 
@@ -257,3 +258,32 @@
 	require.Equal(t, 10, seats[true]+seats[false])
 	require.Greater(t, seats[false], 5)
 }
+
+// Two more gateways of a hall ask the store while the first two have no answer, and all others ask these.
+func TestStandbys(t *testing.T) {
+	t.Parallel()
+	standing, asked := make(map[string][]string), make(map[string]map[string]bool)
+	for _, o := range views(fleet(5, 14)) {
+		list, self := o.Standbys()
+		if self {
+			standing[o.Self.Hall] = append(standing[o.Self.Hall], o.Self.Name)
+			require.Len(t, o.Seats(), 2)
+		}
+		require.Equal(t, self || len(o.Seats()) == 0, len(list) == 0)
+		for _, m := range list {
+			if asked[m.Hall] == nil {
+				asked[m.Hall] = make(map[string]bool)
+			}
+			asked[m.Hall][m.Name] = true
+		}
+	}
+	for hall, names := range standing {
+		require.Len(t, names, 2)
+		require.ElementsMatch(t, names, slices.Collect(maps.Keys(asked[hall])))
+	}
+	require.Len(t, standing, 5)
+	for _, o := range views(fleet(5, 3)) {
+		_, self := o.Standbys()
+		require.Equal(t, len(o.Seats()) > 0, self)
+	}
+}
--- a/role/gateway/share.go
+++ b/role/gateway/share.go
@@ -15,20 +15,21 @@
 // initFeed sets up where the store's changes come from.
 func (g *Gateway) initFeed() {
 	g.feed = watchcache.Feed{
-		Store: g.Store, Source: watchhttp.NewClient(), Seats: g.seats, Cache: &g.cache, Log: g.Log,
+		Store: g.Store, Source: watchhttp.NewClient(), Sources: g.sources, Cache: &g.cache, Log: g.Log,
 		Age:    func() time.Duration { return g.proofAge() },
 		LateIn: func() time.Duration { return g.policy().LateIn(g.proofAge()) },
 	}
 }
 
-// seats returns the addresses of the gateways that ask the store for this one, none when
-// it is to ask the store itself.
-func (g *Gateway) seats() []string {
-	var list []string
-	for _, m := range g.gossip.Overlay().Seats() {
+// sources returns the addresses of the gateways that ask the store for this one, none when
+// it is to ask the store itself, and whether it is to do so when these have no answer.
+func (g *Gateway) sources() (list []string, standby bool) {
+	o := g.gossip.Overlay()
+	next, standby := o.Standbys()
+	for _, m := range append(o.Seats(), next...) {
 		list = append(list, m.Address)
 	}
-	return list
+	return list, standby
 }
 
 // serveChanges answers the questions of other gateways for changes until ctx ends.
--- a/state/watchcache/cache.go
+++ b/state/watchcache/cache.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -56,16 +57,19 @@
 	Held time.Duration
 }
 
-// The reasons for which a question is refused. The asker turns to another gateway, or to
-// the store.
+// ErrRefused is a question that another gateway has heard and does not answer. The reasons are of this
+// kind; the asker turns to another gateway, or to the store.
+var ErrRefused = errors.New("the question is refused")
+
+// The reasons for which a question is refused.
 var (
 	// ErrIndirect is a gateway that does not ask the store itself, or that the store has
 	// not answered: ages would add up without a bound.
-	ErrIndirect = errors.New("this gateway does not have its changes from the store")
+	ErrIndirect = fmt.Errorf("%w: this gateway does not have its changes from the store", ErrRefused)
 	// ErrForgotten is a revision that the history no longer reaches.
-	ErrForgotten = errors.New("the changes since then are no longer kept")
+	ErrForgotten = fmt.Errorf("%w: the changes since then are no longer kept", ErrRefused)
 	// ErrNoNews is a question for which no newer proof has come in time.
-	ErrNoNews = errors.New("there was no newer proof in time")
+	ErrNoNews = fmt.Errorf("%w: there was no newer proof in time", ErrRefused)
 )
 
 // Cache is what a gateway has lately learned of the store. The zero Cache is empty.
--- a/state/watchcache/feed.go
+++ b/state/watchcache/feed.go
@@ -26,6 +26,15 @@
 	// compareRest is the least time between two readings of all because another gateway's replica
 	// differs: it may be that one which lacks something. As much again at most is added.
 	compareRest = 10 * time.Second
+	// lastResort is by how much a proof must be late for a gateway to ask the store though it has heard
+	// those that are there for that, and resortRest the least time between two such calls: the gateways
+	// of a hall may differ on who they are. As much again at most is added.
+	lastResort = 500 * time.Millisecond
+	resortRest = 10 * time.Second
+	// overdue is how much later than after its wait the store is asked anew, since its answer does not
+	// come: a store that forgets its history leaves questions that wait without one, and a slow one
+	// takes less.
+	overdue = 250 * time.Millisecond
 	// cutFor is how long after a failed call of the store a gateway leaves asking it to
 	// others.
 	cutFor = 5 * time.Second
@@ -44,9 +53,9 @@
 	// Store is the store, Source asks other gateways.
 	Store  kv.Feed
 	Source Source
-	// Seats returns the addresses of the gateways to ask, in turn; none when this one is
-	// to ask the store.
-	Seats func() []string
+	// Sources returns the addresses of the gateways to ask, in turn; none when this one is
+	// to ask the store. With standby it is to do so when none of them has an answer.
+	Sources func() (addresses []string, standby bool)
 	// Age returns the age of this gateway's proof, and LateIn how long it takes until that
 	// is late: so long another gateway may take to answer.
 	Age, LateIn func() time.Duration
@@ -56,8 +65,9 @@
 
 	// failed is when the store last gave no answer, in nanoseconds of Unix time.
 	failed atomic.Int64
-	// next is when the store may next be asked although others are there for that.
-	next time.Time
+	// next is when the store may next be asked although others are there for that, and resort the
+	// same where these have been heard.
+	next, resort time.Time
 	// replica is what is known, scan the reading of all that is under way.
 	replica replica
 	scan    scan
@@ -65,6 +75,8 @@
 	unproven bool
 	// compared is when a difference to another gateway's replica last had all read anew.
 	compared time.Time
+	// silent are the gateways that have lately not been heard when they were asked.
+	silent silent
 	// source is whom the last answer came from, empty for the store.
 	source string
 	// waiting ends the question that waits at the store, nil while none does; refreshed is set
@@ -180,13 +192,14 @@
 
 // Changes implements kv.Feed.
 func (f *Feed) Changes(ctx context.Context, prefix string, revision uint64, wait time.Duration) (kv.Page, error) {
-	seats := f.Seats()
-	if len(seats) == 0 {
+	addresses, standby := f.Sources()
+	if len(addresses) == 0 {
 		return f.ask(ctx, prefix, revision, wait)
 	}
 	sent := f.Cache.now()
 	var last error
-	for _, address := range seats {
+	alive := false
+	for _, address := range f.silent.last(addresses, time.Now()) {
 		q := Question{After: revision, Age: f.Age()}
 		if wait > 0 {
 			q.Wait = max(f.LateIn(), shortestWait)
@@ -199,6 +212,11 @@
 		if ctx.Err() != nil {
 			return kv.Page{}, err
 		}
+		if errors.Is(err, ErrRefused) {
+			alive = true
+		} else {
+			f.silent.note(address, time.Now())
+		}
 		last = err
 	}
 	if errors.Is(last, ErrForgotten) {
@@ -207,14 +225,30 @@
 		}
 		return kv.Page{}, trace.Wrap(&kv.CompactedError{Revision: revision})
 	}
-	if now := time.Now(); now.Before(f.next) {
+	if !f.mayAsk(alive && !standby, time.Now()) {
 		return kv.Page{}, trace.Wrap(&kv.UnaskedError{Err: last})
 	}
-	f.next = time.Now().Add(storeRest + time.Duration(rand.Float64()*float64(storeRest)))
 	f.use("", last)
 	return f.ask(ctx, prefix, revision, 0)
 }
 
+// mayAsk reports whether this gateway is to ask the store at now though others are there for that. Where
+// these have been heard, it is left to them until this one's proof is old.
+func (f *Feed) mayAsk(left bool, now time.Time) bool {
+	next, rest := &f.next, storeRest
+	if left {
+		if f.LateIn() > -lastResort {
+			return false
+		}
+		next, rest = &f.resort, resortRest
+	}
+	if now.Before(*next) {
+		return false
+	}
+	*next = now.Add(rest + time.Duration(rand.Float64()*float64(rest)))
+	return true
+}
+
 // relayed returns the page of another gateway's answer to a question for the changes after a
 // revision that was sent at a time. Where the replicas differ that this gateway and the other one
 // have of the same revision, one of them lacks a change, and all is read anew.
@@ -259,7 +293,7 @@
 	return page, sum
 }
 
-// wait asks the store, and returns errRefreshed when that was refreshed.
+// wait asks the store, and returns errRefreshed when that was refreshed or the answer is overdue.
 func (f *Feed) wait(ctx context.Context, prefix string, revision uint64, wait time.Duration) (kv.Page, error) {
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
@@ -268,6 +302,10 @@
 	if f.refreshed.Swap(false) {
 		wait = 0
 	}
+	if wait > 0 {
+		late := time.AfterFunc(wait+overdue, func() { end(errRefreshed) })
+		defer late.Stop()
+	}
 	page, err := f.Store.Changes(ctx, prefix, revision, wait)
 	f.refreshed.Store(false)
 	if err != nil && errors.Is(context.Cause(ctx), errRefreshed) {
--- a/state/watchcache/feed_test.go
+++ b/state/watchcache/feed_test.go
@@ -42,8 +42,8 @@
 func newFeed(s kv.Feed, from watchcache.Source, seats ...string) *watchcache.Feed {
 	return &watchcache.Feed{
 		Store: s, Source: from, Cache: new(watchcache.Cache), Log: zerolog.Nop(),
-		Seats: func() []string { return seats },
-		Age:   func() time.Duration { return time.Second }, LateIn: func() time.Duration { return time.Second },
+		Sources: func() ([]string, bool) { return seats, true },
+		Age:     func() time.Duration { return time.Second }, LateIn: func() time.Duration { return time.Second },
 	}
 }
 
@@ -296,3 +296,71 @@
 	require.Len(t, answer.Pairs, 1)
 	require.EqualValues(t, 20, answer.Pairs[0].Revision)
 }
+
+// A gateway that has heard those that ask the store leaves it to them, though they have no newer proof:
+// when the store forgot its history, each of 469 asked it and then read all anew.
+func TestStoreThatAnswersLateDoesNotMeetTheFleet(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := new(scripted)
+		feed := newFeed(s, asks{new(watchcache.Cache)}, "seat", "standby")
+		feed.Sources = func() ([]string, bool) { return []string{"seat", "standby"}, false }
+		_, err := feed.Changes(t.Context(), "", 5, time.Second)
+		var unasked *kv.UnaskedError
+		require.ErrorAs(t, err, &unasked)
+		require.Zero(t, s.asked)
+
+		feed.LateIn = func() time.Duration { return -time.Second }
+		for begun := time.Now(); time.Since(begun) < 20*time.Second; time.Sleep(300 * time.Millisecond) {
+			_, _ = feed.Changes(t.Context(), "", 5, time.Second) // whether it asks is counted
+		}
+		require.GreaterOrEqual(t, s.asked, 1, "those that are heard may take others for the ones to ask")
+		require.LessOrEqual(t, s.asked, 2)
+	})
+}
+
+// heard is a Source that notes whom it asks; nobody answers.
+type heard struct{ list []string }
+
+func (h *heard) Ask(_ context.Context, address string, _ watchcache.Question) (watchcache.Answer, error) {
+	h.list = append(h.list, address)
+	if address == "dead" {
+		return watchcache.Answer{}, errLost
+	}
+	return watchcache.Answer{}, watchcache.ErrNoNews
+}
+
+func TestSilentGatewayIsAskedLast(t *testing.T) {
+	t.Parallel()
+	from := new(heard)
+	feed := newFeed(new(scripted), from, "dead", "seat")
+	for range 2 {
+		_, _ = feed.Changes(t.Context(), "", 5, time.Second) // whom it asks is noted
+	}
+	require.Equal(t, []string{"dead", "seat", "seat", "dead"}, from.list)
+}
+
+// mute is a store that never answers a question that waits.
+type mute struct{ scripted }
+
+func (m *mute) Changes(ctx context.Context, prefix string, revision uint64, wait time.Duration) (kv.Page, error) {
+	if wait > 0 {
+		<-ctx.Done()
+		return kv.Page{}, ctx.Err()
+	}
+	return m.scripted.Changes(ctx, prefix, revision, wait)
+}
+
+// A question that waits is asked anew when its answer is overdue: a store that forgets its history leaves
+// it without one, and the proofs of the whole hall get old meanwhile.
+func TestOverdueQuestionIsAskedAnew(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		feed := newFeed(&mute{}, nil)
+		begun := time.Now()
+		_, err := feed.Changes(t.Context(), "", 5, time.Second)
+		require.NoError(t, err)
+		require.LessOrEqual(t, time.Since(begun), 1300*time.Millisecond)
+		require.False(t, feed.Cut(time.Now()))
+	})
+}
--- a/state/watchcache/proof_test.go
+++ b/state/watchcache/proof_test.go
@@ -294,7 +294,7 @@
 	var group sync.WaitGroup
 	for i, p := range f.all {
 		p.feed.Store, p.feed.Source = f.store, f.from
-		p.feed.Seats = func() []string { return seats[i] }
+		p.feed.Sources = func() ([]string, bool) { return seats[i], i == 2 }
 		group.Go(func() {
 			time.Sleep(time.Duration(i) * lateStart)
 			p.run(ctx)
