Give silent gateways nothing to do, though their announcements have not lapsed

One that has been silent for twelve of its digests, eight seconds at least, is absent until it is heard again, a whole hall when nobody speaks for it. It still counts where it may be cut off rather than ended. Sums pass through three gateways of a hall by turns, not two.

--- a/decide/overlay/overlay.go
+++ b/decide/overlay/overlay.go
@@ -100,8 +100,8 @@
 }
 
 // relays is the number of gateways of a hall that by turns pass the sums of another hall on:
-// one may have ended without the others knowing.
-const relays = 2
+// some may have ended without the others knowing, until their announcements lapse.
+const relays = 3
 
 // Relay returns the gateway of another hall that passes this one's sums on there, at the
 // given turn. Each hall has others, so that none has all that work. The hall must have a
--- a/decide/overlay/overlay_test.go
+++ b/decide/overlay/overlay_test.go
@@ -68,15 +68,17 @@
 	}
 }
 
-// The sums of a hall reach another one through two gateways by turns, which are not the
+// The sums of a hall reach another one through three gateways by turns, which are not the
 // same for all halls.
 func TestRelays(t *testing.T) {
 	through := make(map[string]bool)
 	for _, o := range views(fleet(5, 14)) {
 		for _, hall := range o.Halls() {
-			one, two := o.Relay(hall, 1), o.Relay(hall, 2)
+			one, two, three := o.Relay(hall, 1), o.Relay(hall, 2), o.Relay(hall, 3)
 			require.NotEqual(t, one.Name, two.Name)
-			require.Equal(t, one, o.Relay(hall, 3))
+			require.NotEqual(t, one.Name, three.Name)
+			require.NotEqual(t, two.Name, three.Name)
+			require.Equal(t, one, o.Relay(hall, 4))
 			require.Equal(t, hall, one.Hall)
 			through[one.Name] = true
 		}
@@ -239,7 +241,7 @@
 			require.False(t, o.Delegate() && thin(o.Self))
 			require.False(t, o.Turn("orders") == 0 && thin(o.Self))
 			for _, hall := range o.Halls() {
-				require.False(t, thin(o.Relay(hall, 1)) || thin(o.Relay(hall, 2)))
+				require.False(t, thin(o.Relay(hall, 1)) || thin(o.Relay(hall, 2)) || thin(o.Relay(hall, 3)))
 			}
 		}
 		require.Equal(t, 2*size.halls, seats)
--- a/role/announcer/announcer.go
+++ b/role/announcer/announcer.go
@@ -186,7 +186,7 @@
 	}
 	a.Peers.Announce(p.Key, overlay.Member{
 		Name: name, Address: text.GetAddress(), Hall: text.GetHall(), LinkMegabits: text.GetLinkMegabits(),
-	})
+	}, time.Now())
 	return true
 }
 
--- a/role/gossip/gossip.go
+++ b/role/gossip/gossip.go
@@ -40,6 +40,10 @@
 	// missed is the number of digests after which a gateway that sends none is taken
 	// to have ended, with all it used.
 	missed = 6
+	// missedAnnounced is the same for one that the store names, which may be about to start, and
+	// leastAbsent the least time after which it counts as absent.
+	missedAnnounced = 2 * missed
+	leastAbsent     = 8 * time.Second
 	// linkShare is the part of the host's link that digests may fill, so that requests
 	// go first; linkBurst is how long it may be saved up.
 	linkShare = 0.08
@@ -154,6 +158,7 @@
 // round tells the others what is due at now, and returns when the next round is.
 func (s *Gossip) round(now time.Time) time.Duration {
 	s.Local.Tick(now)
+	s.Peers.Miss(now, max(missedAnnounced*s.Every(), leastAbsent))
 	d := s.digest(now, nil, 0)
 	d.EveryMillis = uint32(s.Every().Milliseconds())
 	o := overlay.Overlay{Self: s.Self, Others: s.Peers.Members(s.Self.Name), FlatUpTo: s.FlatUpTo}
--- a/role/gossip/gossip_test.go
+++ b/role/gossip/gossip_test.go
@@ -79,7 +79,7 @@
 	}
 	for _, n := range all {
 		for _, m := range all {
-			n.table.Announce(m.Self.Name, m.Self)
+			n.table.Announce(m.Self.Name, m.Self, time.Now())
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		var group sync.WaitGroup
--- a/role/gossip/scale_test.go
+++ b/role/gossip/scale_test.go
@@ -221,7 +221,7 @@
 		var group sync.WaitGroup
 		for _, h := range hosts {
 			for _, m := range hosts {
-				h.table.Announce(m.Self.Name, m.Self)
+				h.table.Announce(m.Self.Name, m.Self, time.Now())
 			}
 			group.Go(func() { h.Run(ctx) })
 		}
--- a/state/peers/table.go
+++ b/state/peers/table.go
@@ -55,11 +55,20 @@
 
 	mu sync.Mutex // guards what follows
 	// announced are the gateways that the store names, by its key.
-	announced map[string]overlay.Member
+	announced map[string]*announced
 	// known are the last reports.
 	known map[Key]*entry
 }
 
+// announced is a gateway that the store names.
+type announced struct {
+	overlay.Member
+	// heard is when it, or one that speaks for its hall, was last heard, or else when the store named
+	// it; absent is set once that is long ago.
+	heard  time.Time
+	absent bool
+}
+
 // entry is a report that counts.
 type entry struct {
 	Report
@@ -80,14 +89,14 @@
 	}
 }
 
-// Announce notes a gateway that the store names under a key.
-func (t *Table) Announce(key string, m overlay.Member) {
+// Announce notes at now a gateway that the store names under a key.
+func (t *Table) Announce(key string, m overlay.Member, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.announced == nil {
-		t.announced = make(map[string]overlay.Member)
+		t.announced = make(map[string]*announced)
 	}
-	t.announced[key] = m
+	t.announced[key] = &announced{Member: m, heard: now}
 }
 
 // Withdraw notes that the store names no gateway under a key any more.
@@ -160,6 +169,22 @@
 	}
 }
 
+// Miss finds the gateways that the store names and that have been silent for some time: they are given
+// nothing to do until they are heard again. They may be cut off and not have ended, so that they go on
+// counting in Size and AllHeard.
+func (t *Table) Miss(now time.Time, after time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, a := range t.announced {
+		for _, key := range []Key{{Name: a.Name}, {Hall: a.Hall}} {
+			if e := t.known[key]; e != nil && e.at.After(a.heard) {
+				a.heard = e.at
+			}
+		}
+		a.absent = now.Sub(a.heard) > after
+	}
+}
+
 // Sum returns the sum of what the gateways of a hall said, their number, and when the
 // newest configuration among them was certainly current.
 func (t *Table) Sum(hall string) (shares map[string]Share, members int, proven time.Time) {
@@ -198,7 +223,7 @@
 }
 
 // Members returns the other gateways, each once: those that were heard of and those
-// that the store names.
+// that the store names, without the absent ones.
 func (t *Table) Members(self string) []overlay.Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -215,8 +240,10 @@
 		m.Heard = key.Name != "" // else another gateway speaks for it
 		add(m)
 	}
-	for _, m := range t.announced {
-		add(m)
+	for _, a := range t.announced {
+		if !a.absent {
+			add(a.Member)
+		}
 	}
 	return list
 }
@@ -280,8 +307,7 @@
 // users' fleets.
 const assumedSize = 5
 
-// Size returns the number of gateways, the one that asks included. Several lives of a
-// gateway count once each while the store names them.
+// Size returns the number of gateways, the one that asks included.
 func (t *Table) Size() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/state/peers/table_test.go
+++ b/state/peers/table_test.go
@@ -93,10 +93,10 @@
 func TestAllHeard(t *testing.T) {
 	table, _ := table()
 	now := time.Now()
-	table.Announce("key-self", self)
-	table.Announce("key-a", overlay.Member{Name: "a", Hall: "north"})
-	table.Announce("key-b", overlay.Member{Name: "b", Hall: "south"})
-	table.Announce("key-c", overlay.Member{Name: "c", Hall: "south"})
+	table.Announce("key-self", self, now)
+	table.Announce("key-a", overlay.Member{Name: "a", Hall: "north"}, now)
+	table.Announce("key-b", overlay.Member{Name: "b", Hall: "south"}, now)
+	table.Announce("key-c", overlay.Member{Name: "c", Hall: "south"}, now)
 	require.False(t, table.AllHeard(self.Name))
 	table.Hear(report("a", "north", 1, 0, 1), self, now)
 	table.Hear(report("b", "south", 1, 1, 1), self, now)
@@ -107,3 +107,36 @@
 	table.Withdraw("key-c")
 	require.Len(t, table.Members(self.Name), 2)
 }
+
+// A gateway that the store names long after it was last heard is given nothing to do, and still counts as
+// one that may be cut off.
+func TestSilentGatewaysAreAbsent(t *testing.T) {
+	table, _ := table()
+	now := time.Now()
+	for _, m := range []overlay.Member{{Name: "a", Hall: "north"}, {Name: "b", Hall: "north"}, {Name: "c", Hall: "south"}} {
+		table.Announce("key-"+m.Name, m, now)
+	}
+	table.Miss(now.Add(5*time.Second), 8*time.Second)
+	require.Len(t, table.Members(self.Name), 3, "they may be about to start")
+	now = now.Add(10 * time.Second)
+	table.Hear(report("a", "north", 1, 0, 1), self, now)
+	table.Hear(report("speaker", "south", 1, 4, 1), self, now)
+	table.Miss(now, 8*time.Second)
+	require.ElementsMatch(t, []string{"a", "c", "speaker"}, names(table))
+	require.False(t, table.AllHeard(self.Name))
+	require.Equal(t, 6, table.Size())
+	table.Hear(report("b", "north", 1, 0, 1), self, now)
+	table.Expire(now.Add(time.Minute), 6, time.Second)
+	table.Miss(now.Add(time.Minute), 8*time.Second)
+	require.Empty(t, names(table), "a hall that nobody speaks for has ended")
+	require.Equal(t, 3, table.Size())
+}
+
+// names returns the names of the members of a table.
+func names(table *peers.Table) []string {
+	var list []string
+	for _, m := range table.Members(self.Name) {
+		list = append(list, m.Name)
+	}
+	return list
+}
