Ask others from the first question on when a gateway joins

For its first five seconds it takes the gateways that the store names for running, and asks those of them that ask the store. The test fails before, with one call; the stand-in's store shows stale pages now.

--- a/decide/overlay/overlay.go
+++ b/decide/overlay/overlay.go
@@ -72,6 +72,15 @@
 	return list
 }
 
+// Trusting returns the same fleet with all gateways of this one's hall taken to be heard.
+func (o Overlay) Trusting() Overlay {
+	o.Others = slices.Clone(o.Others)
+	for i := range o.Others {
+		o.Others[i].Heard = o.Others[i].Heard || o.Others[i].Hall == o.Self.Hall
+	}
+	return o
+}
+
 // Halls returns the halls of the other gateways without that of this one, sorted.
 func (o Overlay) Halls() []string {
 	var list []string
--- a/role/gateway/share.go
+++ b/role/gateway/share.go
@@ -12,6 +12,10 @@
 // changesHead bounds the reading of the head of a question for changes.
 const changesHead = 2 * time.Second
 
+// firstWords is how long a gateway that has started and heard of nobody yet takes those that the store
+// names for running: the digests of a large hall are seconds apart.
+const firstWords = 5 * time.Second
+
 // initFeed sets up where the store's changes come from.
 func (g *Gateway) initFeed() {
 	g.feed = watchcache.Feed{
@@ -25,6 +29,10 @@
 // it is to ask the store itself, and whether it is to do so when these have no answer.
 func (g *Gateway) sources() (list []string, standby bool) {
 	o := g.gossip.Overlay()
+	if g.peers.Alone() && time.Since(g.started) < firstWords {
+		o.Others = g.peers.Members(g.Name)
+		o = o.Trusting()
+	}
 	next, standby := o.Standbys()
 	for _, m := range append(o.Seats(), next...) {
 		list = append(list, m.Address)
--- a/role/gateway/share_test.go
+++ b/role/gateway/share_test.go
@@ -118,3 +118,37 @@
 	})
 	require.NotContains(t, w.log.String(), "this gateway is not announced")
 }
+
+// A gateway that joins a large fleet asks those that ask the store for its hall what has changed, from its
+// first question on, though it has heard of none of them yet.
+func TestGatewayThatJoinsALargeFleetAsksOthers(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, plain("a"))
+	gateways, ways := crowd(t, w)
+	for _, g := range gateways {
+		w.eventually(g.Ready)
+	}
+	w.eventually(func() bool { return askers(ways) <= 2 })
+	view := overlay.Overlay{}
+	for _, g := range append(gateways, w.gateway) {
+		view.Others = append(view.Others, overlay.Member{Name: g.Name, Hall: g.Hall, Heard: true})
+	}
+	for i := 0; ; i++ {
+		view.Self = overlay.Member{Name: fmt.Sprint("newcomer-", i), Hall: w.gateway.Hall}
+		if _, standby := view.Standbys(); !standby && len(view.Seats()) > 0 {
+			break
+		}
+	}
+	for i := range 60 { // more than a page holds
+		w.site.Store.SetText(fmt.Sprint("other/", i), nil)
+	}
+	w.site.Store.Age()
+	w.site.Store.SetText("other/last", nil) // what the stale pages show is old
+	way := &counted{next: w.site.Store}
+	server := httptest.NewServer(way)
+	t.Cleanup(server.Close)
+	newcomer := w.startAt(view.Self.Name, server.Listener.Addr().String())
+	w.eventually(newcomer.Ready)
+	require.Zero(t, askers([]*counted{way}))
+	require.Zero(t, way.calls.Load())
+}
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/base64"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -43,8 +44,11 @@
 	floor   uint64
 	rev     uint64
 	changed chan struct{}
-	fault   func(*http.Request) Fault
-	calls   map[string]int
+	// old is the store as stale pages show it, nil for one that is current, and oldRev its revision.
+	old    map[string]Item
+	oldRev uint64
+	fault  func(*http.Request) Fault
+	calls  map[string]int
 }
 
 // protected are the keys that only operators and endpoints may write.
@@ -113,6 +117,13 @@
 	s.wake()
 }
 
+// Age has stale pages show the store as it is now from here on.
+func (s *Store) Age() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.old, s.oldRev = maps.Clone(s.items), s.rev
+}
+
 // Break decides from now on what becomes of each call; nil for no faults.
 func (s *Store) Break(fault func(*http.Request) Fault) {
 	s.mu.Lock()
@@ -167,7 +178,7 @@
 	case r.URL.Path == "/-/kv-key":
 		return s.get(r.URL.Query().Get("key"))
 	case r.URL.Path == "/-/kv-range":
-		return s.scan(r.URL.Query().Get("path_prefix"), r.URL.Query().Get("after_rev"))
+		return s.scan(r.URL.Query().Get("path_prefix"), r.URL.Query().Get("after_rev"), r.URL.Query().Get("stale") == "1")
 	case r.URL.Path == "/-/kv-watch":
 		return s.watch(r)
 	case r.URL.Path == "/-/kv-txn":
@@ -196,19 +207,23 @@
 // pageItems is the number of items of a page; small, so that tests meet several.
 const pageItems = 50
 
-func (s *Store) scan(prefix, after string) (int, any) {
+func (s *Store) scan(prefix, after string, stale bool) (int, any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lapse()
-	list := make([]Item, 0, len(s.items))
-	for key, item := range s.items {
+	items, at := s.items, s.rev
+	if stale && s.old != nil {
+		items, at = s.old, s.oldRev
+	}
+	list := make([]Item, 0, len(items))
+	for key, item := range items {
 		if strings.HasPrefix(key, prefix) && key > after {
 			list = append(list, item)
 		}
 	}
 	slices.SortFunc(list, func(a, b Item) int { return cmp.Compare(a.Key, b.Key) })
 	more := len(list) > pageItems
-	return http.StatusOK, map[string]any{"items": list[:min(len(list), pageItems)], "more": more, "at": s.rev}
+	return http.StatusOK, map[string]any{"items": list[:min(len(list), pageItems)], "more": more, "at": at}
 }
 
 // watch waits for changes.
