Announce a gateway once the store has been read, proven or not

A gateway announced itself when its first reading was proven, and then asked the store again to learn of those that had started with it. It does so now before the question that proves a stale reading, and rests 0.4 s before that question where it knows no other gateway: the fleet that starts with it is then known by one question of each.

--- a/role/gateway/follow.go
+++ b/role/gateway/follow.go
@@ -17,13 +17,17 @@
 	// lapseGrace is how long after an outage of the store a record that lapsed
 	// may be missing: endpoints that live are back within two seconds.
 	lapseGrace = 2200 * time.Millisecond
+	// gatherRest is how long a gateway that knows no other one leaves those that start with it to
+	// announce themselves before it asks for changes: all hosts of a fleet start within 0.3 s.
+	gatherRest = 400 * time.Millisecond
 )
 
 // follow keeps the gateway's view of the store current until ctx ends.
 func (g *Gateway) follow(ctx context.Context) {
 	m := mirror.Mirror{
 		Feed: &g.feed, Wait: g.policy().Wait(), Settle: min(changesSettle, g.policy().Wait()), Grace: lapseGrace,
-		Now: g.Clock, Refresh: g.refreshed, Put: g.put, Gone: g.gone, Partial: g.partial, Confirm: g.confirm, Log: g.Log,
+		Now: g.Clock, Refresh: g.refreshed, Put: g.put, Gone: g.gone, Partial: g.partial, Unproven: g.unproven, Confirm: g.confirm,
+		Log: g.Log,
 		Lost: func(err error) {
 			g.failing.Store(true)
 			g.gossip.News() // so that the others find out whether they have lost it, too
@@ -91,10 +95,21 @@
 		Msg("a part of the store has been read")
 }
 
+// unproven notes that the store has been read as it was some time ago. Another gateway is then asked for
+// what has changed since, if one is known.
+func (g *Gateway) unproven() time.Duration {
+	g.read.Store(true)
+	if len(g.peers.Members(g.Name)) > 0 {
+		return 0
+	}
+	return gatherRest
+}
+
 // confirm notes that all that had been written at a time is known.
 func (g *Gateway) confirm(sent time.Time) {
 	g.rebuild()
 	g.Meter.Store(g.cache.At())
+	g.read.Store(true)
 	if g.failing.Swap(false) || !g.loaded.Load() {
 		g.currentSince.Store(time.Now().UnixNano())
 	}
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -98,7 +98,9 @@
 	// configuration, in nanoseconds by Clock.
 	proof   atomic.Int64
 	started time.Time
-	// loaded is set once the store has been read.
+	// read is set once the store has been read as it was at some time, loaded once as it was at a
+	// time that is known.
+	read     atomic.Bool
 	loaded   atomic.Bool
 	draining atomic.Bool
 	// failing is set while calls of the store fail, partition tells whether they do for this
@@ -145,8 +147,8 @@
 	members    members
 }
 
-// unproven is the age of the proof of a gateway that has none yet: beyond all bounds.
-const unproven = time.Hour
+// noProof is the age of the proof of a gateway that has none yet: beyond all bounds.
+const noProof = time.Hour
 
 // Run follows the store until ctx ends. The handler serves meanwhile.
 func (g *Gateway) Run(ctx context.Context) {
@@ -155,7 +157,7 @@
 		g.Clock = hostclock.Now
 	}
 	g.cache.Now = g.Clock
-	g.proof.Store(g.Clock().Add(-unproven).UnixNano())
+	g.proof.Store(g.Clock().Add(-noProof).UnixNano())
 	g.retries = make(map[string]*retry.Budget)
 	g.fleet.Store(new(fleet))
 	g.initMembership()
@@ -192,7 +194,7 @@
 	self := overlay.Member{Name: g.Name, Address: g.Address, Hall: g.Hall, LinkMegabits: uint32(g.LinkRate * bitsPerByte / bitsPerMegabit)}
 	g.announcer = announcer.Announcer{
 		Self: self, Store: g.Store, Peers: &g.peers,
-		Ready: &g.loaded, Ending: &g.draining, Log: g.Log,
+		Ready: &g.read, Ending: &g.draining, Log: g.Log,
 	}
 	g.gossip = gossip.Gossip{
 		Self: self, Incarnation: uint64(g.started.UnixNano()), Local: g, Peers: &g.peers, LinkRate: g.LinkRate, FlatUpTo: g.FlatFleet,
--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -47,6 +47,9 @@
 	// Partial is told the same after each page but the last of the first reading of all, while the
 	// pages prove it: what they hold had been written by then. Nil for nobody.
 	Partial func(proven time.Time)
+	// Unproven is told of a reading of all that proves nothing yet, and returns how long to rest before
+	// the question for what has changed since. Nil for no rest.
+	Unproven func() time.Duration
 	// Now reads the clock of the times that Confirm is told, nil for time.Now. Where proofs must
 	// not seem younger than they are, it goes on while the host is suspended.
 	Now func() time.Time
@@ -123,6 +126,9 @@
 			loaded = true
 			m.expire()
 			if sent.IsZero() {
+				if m.Unproven != nil {
+					m.rest(ctx, m.Unproven())
+				}
 				continue
 			}
 			m.Confirm(sent.Add(-m.lag))
--- a/state/mirror/mirror_test.go
+++ b/state/mirror/mirror_test.go
@@ -397,6 +397,10 @@
 				require.False(t, proven.Before(newest))
 				require.Equal(t, map[string]string{"a": "1", "b": "1", "c": "1", "d": "2", "f": "1"}, held)
 			},
+			Unproven: func() time.Duration {
+				require.Equal(t, "1", held["d"])
+				return 200 * time.Millisecond
+			},
 			Partial: func(time.Time) { require.Subset(t, []string{"a", "b"}, slices.Collect(maps.Keys(held))) },
 			Lost:    func(error) {},
 		}
