Ask the store for what another gateway no longer keeps, before reading all again

The store keeps more: one call tells what has changed, and only where it has forgotten it, too, all is read.

--- a/state/watchcache/feed.go
+++ b/state/watchcache/feed.go
@@ -71,8 +71,6 @@
 	// replica is what is known, scan the reading of all that is under way.
 	replica replica
 	scan    scan
-	// unproven is set from a reading that proves nothing to the next changes.
-	unproven bool
 	// compared is when a difference to another gateway's replica last had all read anew.
 	compared time.Time
 	// silent are the gateways that have lately not been heard when they were asked.
@@ -159,9 +157,8 @@
 // what had been known before, and need not read all again.
 func (f *Feed) scanned() {
 	sum := f.scan.seen.sumAt(f.scan.at)
-	f.unproven = f.scan.at < f.scan.first
 	switch {
-	case f.unproven:
+	case f.scan.at < f.scan.first: // it proves nothing yet
 		f.Cache.Begin(f.scan.at)
 	case !f.replica.read():
 		f.Cache.Reset(f.scan.at, f.scan.sent, sum)
@@ -198,7 +195,7 @@
 	}
 	sent := f.Cache.now()
 	var last error
-	alive := false
+	alive, forgotten := false, false
 	for _, address := range f.silent.last(addresses, time.Now()) {
 		q := Question{After: revision, Age: f.Age()}
 		if wait > 0 {
@@ -217,13 +214,10 @@
 		} else {
 			f.silent.note(address, time.Now())
 		}
-		last = err
+		last, forgotten = err, forgotten || errors.Is(err, ErrForgotten)
 	}
-	if errors.Is(last, ErrForgotten) {
-		if f.unproven { // all has just been read, and the store knows what has changed since
-			return f.ask(ctx, prefix, revision, 0)
-		}
-		return kv.Page{}, trace.Wrap(&kv.CompactedError{Revision: revision})
+	if forgotten { // the store keeps more, and reading all again takes several calls
+		return f.ask(ctx, prefix, revision, 0)
 	}
 	if !f.mayAsk(alive && !standby, time.Now()) {
 		return kv.Page{}, trace.Wrap(&kv.UnaskedError{Err: last})
@@ -289,7 +283,6 @@
 	page.Pairs, all.Pairs = f.replica.learn(page.Pairs, f.Cache.At())
 	sum := f.replica.sumAt(max(revision, page.At))
 	f.Cache.Add(all, proven, direct, sum)
-	f.unproven = false
 	return page, sum
 }
 
