Announce gateways without leases, and remove the announcements of those that have ended

An announcement is one write now, none where a former life of the gateway has left it, and stays until the gateway stops. One that has been silent for half a minute is removed by the gateway that speaks for its hall, or by one of the fleet where the whole hall is silent, up to 32 in a call; never by one that hears fewer than half as many others, which is cut off itself. A gateway whose announcement has gone writes it again, so that one that is cut off from the others still counts with them.

The stand-in's store hung on calls with a body that it was told not to answer, even after the caller had left.

--- a/decide/overlay/overlay.go
+++ b/decide/overlay/overlay.go
@@ -194,6 +194,18 @@
 	return o.turn(key, append(o.live(o.Self.Hall), o.outside(o.Self.Hall)...))
 }
 
+// cleanKey is the key by which gateways are ranked for cleaning up after those that have ended.
+const cleanKey = "clean"
+
+// Cleans reports whether this gateway is to clean up after another one that has ended: one of its hall
+// does, and one of the fleet where there is no other hall, or none of that hall is left.
+func (o Overlay) Cleans(ended Member) bool {
+	if !o.Flat() && (ended.Hall == o.Self.Hall || len(o.In(ended.Hall)) > 0) {
+		return ended.Hall == o.Self.Hall && o.Delegate()
+	}
+	return o.Turn(cleanKey) == 0
+}
+
 // keepers is the number of gateways that keep count of a thing: some may have ended without the
 // others knowing, or be cut off.
 const keepers = 5
--- a/role/announcer/announcer.go
+++ b/role/announcer/announcer.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
@@ -23,19 +22,19 @@
 
 // The figures of being announced.
 const (
-	// leaseTime is how long a gateway stays announced without renewal, and renewEvery the time
-	// between two renewals. Digests tell of a death within seconds; the lease only has to tell
-	// those that have ended from those that are cut off, and each renewal is a call.
-	leaseTime  = 30 * time.Second
-	renewEvery = 10 * time.Second
 	// lookEvery is the time between two looks whether something is to be done, and between two calls
 	// while they fail.
 	lookEvery = 2 * time.Second
-	// lapseSpread is how long at most a gateway whose announcement has gone waits: leases of a whole
-	// fleet lapse together.
-	lapseSpread = time.Second
+	// goneSpread is how long at most a gateway whose announcement has gone waits: those of a whole hall
+	// may go together.
+	goneSpread = time.Second
 	// readyEvery is how often a gateway that starts looks whether it has read the store.
 	readyEvery = 20 * time.Millisecond
+	// silentFor is how long a gateway must have been silent for its announcement to be removed. One that
+	// has only been cut off from the others announces itself again.
+	silentFor = 30 * time.Second
+	// maxRemoved is the number of keys that the store takes in one call.
+	maxRemoved = 32
 )
 
 // prefix and a name are the key of an announcement.
@@ -43,64 +42,51 @@
 
 // Store is what an Announcer needs of the store.
 type Store interface {
-	// Grant makes a lease that lapses unless it is kept alive.
-	Grant(ctx context.Context, ttl time.Duration) (string, error)
-	// KeepAlive renews a lease, or returns a kv.NotFoundError when it lapsed.
-	KeepAlive(ctx context.Context, lease string) error
 	// Put writes if the condition holds and returns the new revision.
 	Put(ctx context.Context, w kv.Write) (uint64, error)
-	// Revoke ends a lease; its keys go with it.
-	Revoke(ctx context.Context, lease string) error
+	// Remove removes pairs that are still at their revisions, all or none.
+	Remove(ctx context.Context, pairs []kv.Pair) error
 }
 
-// Announcer announces one gateway. Set the exported fields before Run.
+// Announcer announces one gateway, and removes the announcements of others that have ended. These have no
+// lease: each renewal would be a call, and digests tell of an end. Set the exported fields before Run.
 type Announcer struct {
 	// Self is the gateway.
 	Self  overlay.Member
 	Store Store
 	// Peers are told of the others.
 	Peers *peers.Table
+	// Overlay returns the fleet of the moment.
+	Overlay func() overlay.Overlay
 	// Ready is set once the store has been read, Ending once the gateway is about to
 	// stop.
 	Ready, Ending *atomic.Bool
 	Log           zerolog.Logger
 
 	mu sync.Mutex // guards what follows
-	// lapsed wakes Run when the own announcement has gone, nil before Run.
-	lapsed chan struct{}
-	// revision is that of the own announcement in the store, 0 for none, and written what it says.
-	revision uint64
-	written  *gossip.Announcement
+	// gone wakes Run when the own announcement has gone, nil before Run.
+	gone chan struct{}
+	// known are the announcements in the store, without their values.
+	known map[string]kv.Pair
+	// written is what the own announcement says, nil for none.
+	written *gossip.Announcement
 }
 
 // Run keeps the gateway announced until ctx ends.
 func (a *Announcer) Run(ctx context.Context) {
-	lapsed := a.init()
+	gone := a.init()
 	for !a.Ready.Load() && ctx.Err() == nil {
 		pause.For(ctx, readyEvery)
 	}
-	lease, renewed := "", time.Time{}
 	for ctx.Err() == nil && !a.Ending.Load() {
-		now := time.Now()
-		switch {
-		case lease == "":
-			lease, renewed = a.announce(ctx), now
-		case now.Sub(renewed) >= renewEvery:
-			err := a.Store.KeepAlive(ctx, lease)
-			if kv.Missing(err) {
-				lease = ""
-				continue
-			}
-			if err == nil { // else it may go on: a new lease would find the key still there
-				renewed = now
-			}
-		}
-		if !a.rest(ctx, lapsed) {
-			lease = ""
-		}
+		a.announce(ctx)
+		a.prune(ctx, time.Now())
+		a.rest(ctx, gone)
 	}
-	if lease != "" {
-		_ = a.Store.Revoke(context.WithoutCancel(ctx), lease) // it lapses otherwise
+	if own, _ := a.own(); own.Revision != 0 {
+		if err := a.Store.Remove(context.WithoutCancel(ctx), []kv.Pair{own}); err != nil {
+			a.Log.Info().Err(err).Msg("the announcement of this gateway is left for others to remove")
+		}
 	}
 }
 
@@ -108,54 +94,64 @@
 func (a *Announcer) init() <-chan struct{} {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.lapsed = make(chan struct{}, 1)
-	return a.lapsed
+	a.gone = make(chan struct{}, 1)
+	return a.gone
 }
 
-// rest waits between two looks, and reports whether the own announcement is still there.
-func (a *Announcer) rest(ctx context.Context, lapsed <-chan struct{}) bool {
+// rest waits until the next look, which comes soon when the own announcement has gone.
+func (a *Announcer) rest(ctx context.Context, gone <-chan struct{}) {
 	timer := time.NewTimer(lookEvery)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
-	case <-lapsed:
-		pause.For(ctx, time.Duration(rand.Float64()*float64(lapseSpread)))
-		revision, _ := a.own()
-		return revision != 0
+	case <-gone:
+		pause.For(ctx, time.Duration(rand.Float64()*float64(goneSpread)))
 	}
-	return true
 }
 
-// announce returns the lease under which this gateway is announced, empty when it is not.
-func (a *Announcer) announce(ctx context.Context) string {
-	revision, written := a.own()
-	if lease := written.GetLease(); lease != "" && proto.Equal(written, a.announcement(lease)) && a.Store.KeepAlive(ctx, lease) == nil {
-		a.Log.Info().Str("lease", lease).Uint64("revision", revision).Msg("a former announcement of this gateway goes on")
-		return lease
+// announce writes the own announcement, unless the store holds it, from a former life too.
+func (a *Announcer) announce(ctx context.Context) {
+	own, written := a.own()
+	text := &gossip.Announcement{Address: a.Self.Address, Hall: a.Self.Hall, LinkMegabits: a.Self.LinkMegabits}
+	if written != nil && proto.Equal(written, text) {
+		return
 	}
-	lease, err := a.Store.Grant(ctx, leaseTime)
-	if err == nil {
-		err = a.write(ctx, lease, revision)
+	value, err := proto.Marshal(text)
+	if err != nil {
+		a.Log.Error().Err(err).Msg("announcement not encoded")
+		return
 	}
+	revision, err := a.Store.Put(ctx, kv.Write{Key: a.key(), Value: value, If: own.Revision})
 	if err != nil {
-		a.Log.Info().Err(err).Msg("this gateway is not announced")
-		return ""
+		a.Log.Info().Err(err).Uint64("former_revision", own.Revision).Msg("this gateway is not announced")
+		return
 	}
-	return lease
+	a.note(kv.Pair{Key: a.key(), Revision: revision}, text)
 }
 
-// write writes the announcement in place of the one at a revision, 0 for none.
-func (a *Announcer) write(ctx context.Context, lease string, former uint64) error {
-	text, err := proto.Marshal(a.announcement(lease))
-	if err != nil {
-		return trace.Wrap(err)
+// prune removes the announcements of gateways that have ended, if that is for this one to do.
+func (a *Announcer) prune(ctx context.Context, now time.Time) {
+	silent := a.Peers.Silent(now, silentFor)
+	if len(silent) == 0 || 2*a.Peers.Heard() < len(silent) {
+		return // who hears few of the others is itself cut off
+	}
+	o := a.Overlay()
+	var ended []kv.Pair
+	var names []string
+	a.mu.Lock()
+	for key, m := range silent {
+		if pair, there := a.known[key]; there && m.Name != a.Self.Name && o.Cleans(m) && len(ended) < maxRemoved {
+			ended, names = append(ended, pair), append(names, m.Name)
+		}
 	}
-	revision, err := a.Store.Put(ctx, kv.Write{Key: a.key(), Value: text, If: former, Lease: lease})
-	if err == nil {
-		a.noteOwn(revision, a.announcement(lease))
+	a.mu.Unlock()
+	if len(ended) == 0 {
+		return
 	}
-	return err
+	err := a.Store.Remove(ctx, ended)
+	a.Log.Info().Strs("gateways", names).Int("silent", len(silent)).Int("heard", a.Peers.Heard()).AnErr("error", err).
+		Msg("announcements of gateways that have ended are removed")
 }
 
 // key is that of the own announcement.
@@ -163,11 +159,6 @@
 	return prefix + a.Self.Name
 }
 
-// announcement returns what this gateway writes of itself under a lease.
-func (a *Announcer) announcement(lease string) *gossip.Announcement {
-	return &gossip.Announcement{Address: a.Self.Address, Hall: a.Self.Hall, LinkMegabits: a.Self.LinkMegabits, Lease: lease}
-}
-
 // Put takes in a pair of the store, and reports whether it is the announcement of a
 // gateway.
 func (a *Announcer) Put(p kv.Pair) bool {
@@ -181,9 +172,7 @@
 		return true
 	}
 	name, _, _ := strings.Cut(rest, "/")
-	if p.Key == a.key() {
-		a.noteOwn(p.Revision, &text)
-	}
+	a.note(kv.Pair{Key: p.Key, Revision: p.Revision}, &text)
 	a.Peers.Announce(p.Key, overlay.Member{
 		Name: name, Address: text.GetAddress(), Hall: text.GetHall(), LinkMegabits: text.GetLinkMegabits(),
 	}, time.Now())
@@ -196,39 +185,51 @@
 	if !strings.HasPrefix(key, prefix) {
 		return false
 	}
-	a.Peers.Withdraw(key)
-	if key == a.key() {
-		a.forgetOwn(revision)
+	if a.forget(key, revision) {
+		a.Peers.Withdraw(key)
 	}
 	return true
 }
 
-// own returns the own announcement in the store with its revision, nil for none.
-func (a *Announcer) own() (uint64, *gossip.Announcement) {
+// own returns the own announcement in the store, the zero pair and nil for none.
+func (a *Announcer) own() (kv.Pair, *gossip.Announcement) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.revision, a.written
+	return a.known[a.key()], a.written
 }
 
-// noteOwn notes what the store holds of this gateway at a revision.
-func (a *Announcer) noteOwn(revision uint64, text *gossip.Announcement) {
+// note notes an announcement in the store.
+func (a *Announcer) note(p kv.Pair, text *gossip.Announcement) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if revision > a.revision {
-		a.revision, a.written = revision, text
+	if a.known == nil {
+		a.known = make(map[string]kv.Pair)
+	}
+	if p.Revision <= a.known[p.Key].Revision {
+		return
+	}
+	a.known[p.Key] = p
+	if p.Key == a.key() {
+		a.written = text
 	}
 }
 
-// forgetOwn notes that the own announcement has gone at a revision.
-func (a *Announcer) forgetOwn(revision uint64) {
+// forget notes that an announcement has gone at a revision, and reports whether it has not been written
+// again since.
+func (a *Announcer) forget(key string, revision uint64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if revision <= a.revision { // it has been written again since
-		return
+	if revision <= a.known[key].Revision {
+		return false
 	}
-	a.revision, a.written = 0, nil
+	delete(a.known, key)
+	if key != a.key() {
+		return true
+	}
+	a.written = nil
 	select {
-	case a.lapsed <- struct{}{}:
+	case a.gone <- struct{}{}:
 	default: // before Run, or Run has yet to take the last one in
 	}
+	return true
 }
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -52,6 +52,12 @@
 type Store interface {
 	kv.Feed
 	announcer.Store
+	// Grant makes a lease that lapses unless it is kept alive.
+	Grant(ctx context.Context, ttl time.Duration) (string, error)
+	// KeepAlive renews a lease, or returns a kv.NotFoundError when it lapsed.
+	KeepAlive(ctx context.Context, lease string) error
+	// Revoke ends a lease; its keys go with it.
+	Revoke(ctx context.Context, lease string) error
 }
 
 // Gateway is one gateway. Set the exported fields before Run.
@@ -193,7 +199,7 @@
 func (g *Gateway) initGossip() {
 	self := overlay.Member{Name: g.Name, Address: g.Address, Hall: g.Hall, LinkMegabits: uint32(g.LinkRate * bitsPerByte / bitsPerMegabit)}
 	g.announcer = announcer.Announcer{
-		Self: self, Store: g.Store, Peers: &g.peers,
+		Self: self, Store: g.Store, Peers: &g.peers, Overlay: g.gossip.Overlay,
 		Ready: &g.read, Ending: &g.draining, Log: g.Log,
 	}
 	g.gossip = gossip.Gossip{
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/base64"
 	"encoding/json"
+	"io"
 	"maps"
 	"net/http"
 	"slices"
@@ -159,12 +160,12 @@
 		w.WriteHeader(fault.Status)
 		return
 	case fault.Silent && !fault.Lost:
-		<-r.Context().Done()
+		hang(r)
 		return
 	}
 	status, answer := s.call(r)
 	if fault.Silent {
-		<-r.Context().Done()
+		hang(r)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -172,6 +173,12 @@
 	_ = json.NewEncoder(w).Encode(answer) // the caller may have left
 }
 
+// hang waits until the caller has left, which shows only once the body has been read.
+func hang(r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
 // call does one call.
 func (s *Store) call(r *http.Request) (int, any) {
 	switch {
--- a/state/peers/table.go
+++ b/state/peers/table.go
@@ -185,6 +185,33 @@
 	}
 }
 
+// Silent returns the gateways that the store names and that have been silent for some time by the last
+// call of Miss, by the key.
+func (t *Table) Silent(now time.Time, after time.Duration) map[string]overlay.Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make(map[string]overlay.Member)
+	for key, a := range t.announced {
+		if a.absent && now.Sub(a.heard) > after {
+			list[key] = a.Member
+		}
+	}
+	return list
+}
+
+// Heard returns the number of other gateways that are heard by themselves.
+func (t *Table) Heard() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for key := range t.known {
+		if key.Name != "" {
+			n++
+		}
+	}
+	return n
+}
+
 // Sum returns the sum of what the gateways of a hall said, their number, and when the
 // newest configuration among them was certainly current.
 func (t *Table) Sum(hall string) (shares map[string]Share, members int, proven time.Time) {
