Read all anew where the store leaves two questions for changes without an answer

The second question has 0.3 s now, after which the gateways that ask the store for others read all: their proofs are 2.8 s old at most then, and nobody else has to ask.

--- a/state/watchcache/feed.go
+++ b/state/watchcache/feed.go
@@ -35,6 +35,9 @@
 	// come: a store that forgets its history leaves questions that wait without one, and a slow one
 	// takes less.
 	overdue = 250 * time.Millisecond
+	// anewWait bounds that second question: a store that forgets its history may leave it without an
+	// answer, too, and all is read then.
+	anewWait = 300 * time.Millisecond
 	// cutFor is how long after a failed call of the store a gateway leaves asking it to
 	// others.
 	cutFor = 5 * time.Second
@@ -86,6 +89,9 @@
 // errRefreshed ends a question that waits at the store, since the answer is wanted at once.
 var errRefreshed = errors.New("whether the store answers is wanted at once")
 
+// errOverdue ends a question that waits at the store and should have been answered.
+var errOverdue = errors.New("the store should have answered")
+
 // Refresh has the question that waits at the store asked again without a wait, or the next one if
 // none waits: the next proof, or the failure, is there as soon as the store answers.
 func (f *Feed) Refresh() {
@@ -262,9 +268,10 @@
 func (f *Feed) ask(ctx context.Context, prefix string, revision uint64, wait time.Duration) (kv.Page, error) {
 	sent := f.Cache.now()
 	page, err := f.wait(ctx, prefix, revision, wait)
-	if errors.Is(err, errRefreshed) {
+	late := errors.Is(err, errOverdue)
+	if late || errors.Is(err, errRefreshed) {
 		again := f.Cache.now()
-		page, err = f.Store.Changes(ctx, prefix, revision, 0)
+		page, err = f.anew(ctx, prefix, revision, late)
 		page.Lag = sent.Sub(again) // it proves more than the question that waited
 		sent = again
 	}
@@ -286,7 +293,24 @@
 	return page, sum
 }
 
-// wait asks the store, and returns errRefreshed when that was refreshed or the answer is overdue.
+// anew asks the store without a wait. Where a question is overdue already and this one has no answer
+// either, it returns a CompactedError, so that all is read.
+func (f *Feed) anew(ctx context.Context, prefix string, revision uint64, late bool) (kv.Page, error) {
+	if !late {
+		return f.Store.Changes(ctx, prefix, revision, 0)
+	}
+	bounded, end := context.WithTimeout(ctx, anewWait)
+	defer end()
+	page, err := f.Store.Changes(bounded, prefix, revision, 0)
+	if err != nil && bounded.Err() != nil && ctx.Err() == nil {
+		f.Log.Warn().Uint64("revision", revision).Dur("proof_age_ms", f.Age()).
+			Msg("the store leaves questions for changes without an answer, reading all again")
+		return kv.Page{}, trace.Wrap(&kv.CompactedError{Revision: revision})
+	}
+	return page, err
+}
+
+// wait asks the store, and returns errRefreshed when that was refreshed, errOverdue when the answer is.
 func (f *Feed) wait(ctx context.Context, prefix string, revision uint64, wait time.Duration) (kv.Page, error) {
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
@@ -296,13 +320,13 @@
 		wait = 0
 	}
 	if wait > 0 {
-		late := time.AfterFunc(wait+overdue, func() { end(errRefreshed) })
+		late := time.AfterFunc(wait+overdue, func() { end(errOverdue) })
 		defer late.Stop()
 	}
 	page, err := f.Store.Changes(ctx, prefix, revision, wait)
 	f.refreshed.Store(false)
-	if err != nil && errors.Is(context.Cause(ctx), errRefreshed) {
-		return page, errRefreshed
+	if cause := context.Cause(ctx); err != nil && (cause == errRefreshed || cause == errOverdue) {
+		return page, cause
 	}
 	return page, err
 }
--- a/state/watchcache/feed_test.go
+++ b/state/watchcache/feed_test.go
@@ -347,11 +347,14 @@
 	require.Equal(t, []string{"dead", "seat", "seat", "dead"}, from.list)
 }
 
-// mute is a store that never answers a question that waits.
-type mute struct{ scripted }
+// mute is a store that never answers a question that waits, and with deaf none for changes.
+type mute struct {
+	scripted
+	deaf bool
+}
 
 func (m *mute) Changes(ctx context.Context, prefix string, revision uint64, wait time.Duration) (kv.Page, error) {
-	if wait > 0 {
+	if wait > 0 || m.deaf {
 		<-ctx.Done()
 		return kv.Page{}, ctx.Err()
 	}
@@ -371,3 +374,18 @@
 		require.False(t, feed.Cut(time.Now()))
 	})
 }
+
+// Where the question that is asked anew has no answer either, all is read, before the proofs of the hall
+// are old.
+func TestStoreThatIsDeafToQuestionsIsReadAnew(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		feed := newFeed(&mute{deaf: true}, nil)
+		begun := time.Now()
+		_, err := feed.Changes(t.Context(), "", 5, time.Second)
+		var compacted *kv.CompactedError
+		require.ErrorAs(t, err, &compacted)
+		require.LessOrEqual(t, time.Since(begun), 1600*time.Millisecond)
+		require.False(t, feed.Cut(time.Now()))
+	})
+}
