Begin with stale pages alone while a whole fleet starts

The first page of a first reading is asked of the store itself, so that a gateway that starts in a running fleet can serve by what it has read. Where a stale first page names no other gateway, the fleet is starting and nobody waits for that: the reading goes on with stale pages alone, and the question for what has changed since proves it. One call for each gateway of a fleet that starts in place of two.

--- a/role/gateway/follow.go
+++ b/role/gateway/follow.go
@@ -26,7 +26,7 @@
 func (g *Gateway) follow(ctx context.Context) {
 	m := mirror.Mirror{
 		Feed: &g.feed, Wait: g.policy().Wait(), Settle: min(changesSettle, g.policy().Wait()), Grace: lapseGrace,
-		Now: g.Clock, Refresh: g.refreshed, Put: g.put, Gone: g.gone, Partial: g.partial, Unproven: g.unproven, Confirm: g.confirm,
+		Now: g.Clock, Refresh: g.refreshed, Put: g.put, Gone: g.gone, Partial: g.partial, Unhurried: g.unhurried, Unproven: g.unproven, Confirm: g.confirm,
 		Log: g.Log,
 		Lost: func(err error) {
 			g.failing.Store(true)
@@ -95,14 +95,19 @@
 		Msg("a part of the store has been read")
 }
 
+// unhurried reports whether no other gateway is known: the fleet is starting, and has no callers yet.
+func (g *Gateway) unhurried() bool {
+	return len(g.peers.Members(g.Name)) == 0
+}
+
 // unproven notes that the store has been read as it was some time ago. Another gateway is then asked for
 // what has changed since, if one is known.
 func (g *Gateway) unproven() time.Duration {
 	g.read.Store(true)
-	if len(g.peers.Members(g.Name)) > 0 {
-		return 0
+	if g.unhurried() {
+		return gatherRest
 	}
-	return gatherRest
+	return 0
 }
 
 // confirm notes that all that had been written at a time is known.
--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -47,6 +47,9 @@
 	// Partial is told the same after each page but the last of the first reading of all, while the
 	// pages prove it: what they hold had been written by then. Nil for nobody.
 	Partial func(proven time.Time)
+	// Unhurried reports, after a stale first page of the first reading, whether nobody waits for it to be
+	// proven: it goes on with stale pages alone then. Nil for never.
+	Unhurried func() bool
 	// Unproven is told of a reading of all that proves nothing yet, and returns how long to rest before
 	// the question for what has changed since. Nil for no rest.
 	Unproven func() time.Duration
@@ -92,8 +95,9 @@
 	begun, sent time.Time
 	// first is the revision of the first page, and at the lowest one of a page: what changes
 	// later is told by changes. The reading proves what had been written when it began while
-	// no page is older than the first.
+	// no page is older than the first, unless that is stale itself.
 	first, at uint64
+	stale     bool
 	// after is the last key that was read, and seen are all.
 	after string
 	seen  map[string]bool
@@ -159,7 +163,7 @@
 	}
 	r := m.reading
 	for {
-		page, err := m.page(ctx, r.after, first)
+		page, err := m.page(ctx, r, first)
 		if err != nil {
 			return r.sent, err
 		}
@@ -196,19 +200,35 @@
 	return r.sent, nil
 }
 
-// page reads the page that begins after a key. Where nothing is known yet, all pages but the first
-// may be stale: when a whole fleet starts, they are most of what it asks of the store.
-func (m *Mirror) page(ctx context.Context, after string, first bool) (kv.Page, error) {
-	if first && after != "" {
-		return m.Feed.ScanStale(ctx, m.Prefix, after)
+// page reads the next page of a reading. Where nothing is known yet, all pages but the first may be
+// stale, and that one, too, while nobody waits for the reading to be proven: when a whole fleet starts,
+// they are most of what it asks of the store.
+func (m *Mirror) page(ctx context.Context, r *reading, first bool) (kv.Page, error) {
+	if !first {
+		return m.Feed.Scan(ctx, m.Prefix, r.after)
 	}
-	return m.Feed.Scan(ctx, m.Prefix, after)
+	if r.after != "" {
+		return m.Feed.ScanStale(ctx, m.Prefix, r.after)
+	}
+	if m.Unhurried != nil {
+		page, err := m.Feed.ScanStale(ctx, m.Prefix, "")
+		if err != nil {
+			return page, err
+		}
+		for _, p := range page.Pairs {
+			m.put(p)
+		}
+		if r.stale = m.Unhurried(); r.stale {
+			return page, nil
+		}
+	}
+	return m.Feed.Scan(ctx, m.Prefix, "")
 }
 
 // proves reports whether the pages so far hold all that had been written under their keys when the
 // reading began.
 func (r *reading) proves() bool {
-	return r.at >= r.first
+	return !r.stale && r.at >= r.first
 }
 
 // follow asks once for changes and applies them.
--- a/state/mirror/mirror_test.go
+++ b/state/mirror/mirror_test.go
@@ -452,3 +452,39 @@
 		require.Equal(t, 1, f.stale)
 	})
 }
+
+// While nobody waits for it the first reading is of stale pages alone, and proven by the changes since.
+func TestUnhurriedReadingIsStale(t *testing.T) {
+	for name, unhurried := range map[string]bool{"unhurried": true, "hurried": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := new(feed)
+				for _, key := range []string{"a", "b", "c"} {
+					f.set(key, "1")
+				}
+				f.age()
+				f.set("a", "2")
+				newest, confirmed, partial := time.Now(), false, false
+				held := make(map[string]string)
+				m := &mirror.Mirror{
+					Feed: f, Wait: time.Second, Settle: time.Second, Log: zerolog.Nop(), Gone: func(string, uint64) {}, Lost: func(error) {},
+					Put:       func(p kv.Pair) { held[p.Key] = string(p.Value) },
+					Unhurried: func() bool { return unhurried },
+					Unproven:  func() time.Duration { return 100 * time.Millisecond },
+					Partial:   func(time.Time) { partial = true },
+					Confirm: func(proven time.Time) {
+						confirmed = true
+						require.False(t, proven.Before(newest))
+						require.Equal(t, map[string]string{"a": "2", "b": "1", "c": "1"}, held)
+					},
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+				defer cancel()
+				m.Run(ctx)
+				require.True(t, confirmed)
+				require.Equal(t, !unhurried, partial)
+				require.Equal(t, map[bool]int{true: 0, false: 1}[unhurried], f.scans)
+			})
+		})
+	}
+}
--- a/state/watchcache/feed.go
+++ b/state/watchcache/feed.go
@@ -118,8 +118,11 @@
 	return f.scannedPage(page, err)
 }
 
-// ScanStale implements kv.Feed. It goes on with the reading that Scan has begun.
+// ScanStale implements kv.Feed.
 func (f *Feed) ScanStale(ctx context.Context, prefix, after string) (kv.Page, error) {
+	if after == "" {
+		f.scan = scan{stale: true}
+	}
 	page, err := f.Store.ScanStale(ctx, prefix, after)
 	return f.scannedPage(page, err)
 }
@@ -140,6 +143,8 @@
 // scan is a reading of all, page by page.
 type scan struct {
 	sent time.Time
+	// stale is set when the first page may be older than the question for it.
+	stale bool
 	// first is the revision of the first page, at the lowest one of a page.
 	first, at uint64
 	pairs     []kv.Pair
@@ -164,7 +169,7 @@
 func (f *Feed) scanned() {
 	sum := f.scan.seen.sumAt(f.scan.at)
 	switch {
-	case f.scan.at < f.scan.first: // it proves nothing yet
+	case f.scan.stale || f.scan.at < f.scan.first: // it proves nothing yet
 		f.Cache.Begin(f.scan.at)
 	case !f.replica.read():
 		f.Cache.Reset(f.scan.at, f.scan.sent, sum)
--- a/state/watchcache/proof_test.go
+++ b/state/watchcache/proof_test.go
@@ -213,6 +213,8 @@
 	broken string
 	// confirms counts the proofs.
 	confirms int
+	// unhurried is set for one that begins with stale pages.
+	unhurried bool
 }
 
 // confirm checks a proof: what had been written by then is in the copy.
@@ -246,6 +248,7 @@
 		Feed: &p.feed, Wait: questionWait, Settle: settle, Log: zerolog.Nop(),
 		Put:  func(pair kv.Pair) { p.held[pair.Key] = max(p.held[pair.Key], pair.Revision) },
 		Gone: func(string, uint64) {}, Confirm: p.confirm, Lost: func(error) {},
+		Unhurried: func() bool { return p.unhurried },
 	}
 	m.Run(ctx)
 }
@@ -285,6 +288,7 @@
 	s.put()
 	f := &fleet{store: s, from: source{s: s, named: map[string]*process{"a": {s: s}, "b": {s: s}}}}
 	f.all = []*process{f.from.named["a"], f.from.named["b"], {s: s}, {s: s}}
+	f.all[1].unhurried, f.all[2].unhurried = true, true
 	return f
 }
 
