Take no answer from before an answer broke off as a check after it

Callers: a request under which endpoints end was sent on to a third one at once and ended the first layers of all three halls; no chain was left for half a second.

Cause: an endpoint's report serves all who ask for 60 ms, also the check that is to tell whether the endpoint has ended under a request. Where its pace had been asked for in these 60 ms, one of two seconds, it passed for one that lives, and its end was not charged to the request.

--- a/adapter/probe/prober.go
+++ b/adapter/probe/prober.go
@@ -36,21 +36,29 @@
 // probe is the last report of an endpoint. Its mutex is held while the endpoint
 // is asked.
 type probe struct {
-	mu     sync.Mutex
-	at     time.Time
-	report runner.Report
-	err    error
+	mu sync.Mutex
+	// begun is when the question was asked, at when it was answered.
+	begun, at time.Time
+	report    runner.Report
+	err       error
 }
 
 // Ask returns the report of the endpoint at an address, asking it when the last
 // answer is old. The error is ErrHeldUp when nothing can be said of the endpoint.
 func (p *Prober) Ask(ctx context.Context, address string) (runner.Report, error) {
+	return p.AskSince(ctx, address, time.Time{})
+}
+
+// AskSince does the same, and takes no answer to a question that was asked before a time: what has
+// happened by then shows in none.
+func (p *Prober) AskSince(ctx context.Context, address string, since time.Time) (runner.Report, error) {
 	one := p.of(address)
 	one.mu.Lock()
 	defer one.mu.Unlock()
-	if time.Since(one.at) < fresh {
+	if time.Since(one.at) < fresh && !one.begun.Before(since) {
 		return one.report, one.err
 	}
+	one.begun = time.Now()
 	ctx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cancel(nil)
 	answered := make(chan struct{})
--- a/adapter/probe/prober_test.go
+++ b/adapter/probe/prober_test.go
@@ -128,3 +128,39 @@
 		})
 	}
 }
+
+// counting is a client that counts the questions, all of which are answered.
+type counting struct {
+	runner.Control // nil: what is not asked here must not be called
+	asked          int
+}
+
+func (c *counting) Report(context.Context, string) (runner.Report, error) {
+	c.asked++
+	return runner.Report{}, nil
+}
+
+// An answer that serves all who ask for a moment is no word on what happens in that moment: an endpoint
+// that had just answered and then ended under a request passed for one that lives, and its end was not
+// charged to the request.
+func TestAnswerFromBeforeIsNotTaken(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		c := new(counting)
+		p := probe.Prober{Control: c}
+		ask := func(since time.Time) {
+			_, err := p.AskSince(t.Context(), "endpoint", since)
+			require.NoError(t, err)
+		}
+		ask(time.Time{})
+		time.Sleep(10 * time.Millisecond)
+		ask(time.Time{})
+		require.Equal(t, 1, c.asked)
+		broken := time.Now()
+		ask(broken)
+		require.Equal(t, 2, c.asked)
+		time.Sleep(10 * time.Millisecond)
+		ask(broken)
+		require.Equal(t, 2, c.asked, "what was asked after the break serves")
+	})
+}
--- a/role/gateway/suspect.go
+++ b/role/gateway/suspect.go
@@ -114,6 +114,7 @@
 // verify checks an endpoint that has broken off an answer, and returns once it is known
 // whether it has ended: what has ended does not count as a try of the request.
 func (g *Gateway) verify(ctx context.Context, b *backend) {
+	broken := time.Now()
 	for !b.use.checking.CompareAndSwap(false, true) {
 		if ctx.Err() != nil || b.use.down() {
 			return
@@ -122,7 +123,7 @@
 	}
 	defer b.use.checking.Store(false)
 	if !b.use.down() {
-		g.check(b)
+		g.checkSince(b, broken)
 	}
 }
 
@@ -162,12 +163,17 @@
 // gives none in any case. It returns false when nothing can be said of the endpoint, since this
 // process was held up.
 func (g *Gateway) check(b *backend) bool {
+	return g.checkSince(b, time.Time{})
+}
+
+// checkSince does the same, by a question that is asked after a time.
+func (g *Gateway) checkSince(b *backend, since time.Time) bool {
 	if b.Card == "" {
 		g.knock(b)
 		return true
 	}
 	begun := time.Now()
-	report, err := g.probes.Ask(context.Background(), b.Address)
+	report, err := g.probes.AskSince(context.Background(), b.Address, since)
 	now := time.Now()
 	switch {
 	case errors.Is(err, probe.ErrHeldUp):
