Learn of the gateways that start with this one by stale readings

When a fleet starts, each gateway asked the store for changes once to learn of the others and to prove what it had read. Those that know no other gateway now read by stale pages again, four times at most, until the announcements show, and then ask those of their hall that ask the store. A gateway without a proof leaves the store to these for a second. For five seconds from its start it ranks the gateways that the store names, not the few that it has heard, by which it took others for those to ask.

--- a/role/gateway/follow.go
+++ b/role/gateway/follow.go
@@ -18,8 +18,10 @@
 	// may be missing: endpoints that live are back within two seconds.
 	lapseGrace = 2200 * time.Millisecond
 	// gatherRest is how long a gateway that knows no other one leaves those that start with it to
-	// announce themselves before it asks for changes: all hosts of a fleet start within 0.3 s.
-	gatherRest = 400 * time.Millisecond
+	// announce themselves, all hosts of a fleet within 0.3 s, and gatherReadings how often it reads the
+	// store for them, by stale pages, before it asks the store for changes by itself.
+	gatherRest     = 400 * time.Millisecond
+	gatherReadings = 4
 )
 
 // follow keeps the gateway's view of the store current until ctx ends.
@@ -101,13 +103,13 @@
 }
 
 // unproven notes that the store has been read as it was some time ago. Another gateway is then asked for
-// what has changed since, if one is known.
-func (g *Gateway) unproven() time.Duration {
+// what has changed since, once one is known.
+func (g *Gateway) unproven(readings int) (rest time.Duration, again bool) {
 	g.read.Store(true)
 	if g.unhurried() {
-		return gatherRest
+		return gatherRest, readings < gatherReadings
 	}
-	return 0
+	return 0, false
 }
 
 // confirm notes that all that had been written at a time is known.
--- a/role/gateway/share.go
+++ b/role/gateway/share.go
@@ -12,8 +12,8 @@
 // changesHead bounds the reading of the head of a question for changes.
 const changesHead = 2 * time.Second
 
-// firstWords is how long a gateway that has started and heard of nobody yet takes those that the store
-// names for running: the digests of a large hall are seconds apart.
+// firstWords is how long a gateway that has started takes those that the store names for running: the
+// digests of a large hall are seconds apart, and by a part of them it would take others for those to ask.
 const firstWords = 5 * time.Second
 
 // initFeed sets up where the store's changes come from.
@@ -29,7 +29,7 @@
 // it is to ask the store itself, and whether it is to do so when these have no answer.
 func (g *Gateway) sources() (list []string, standby bool) {
 	o := g.gossip.Overlay()
-	if g.peers.Alone() && time.Since(g.started) < firstWords {
+	if time.Since(g.started) < firstWords {
 		o.Others = g.peers.Members(g.Name)
 		o = o.Trusting()
 	}
--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -48,11 +48,12 @@
 	// pages prove it: what they hold had been written by then. Nil for nobody.
 	Partial func(proven time.Time)
 	// Unhurried reports, after a stale first page of the first reading, whether nobody waits for it to be
-	// proven: it goes on with stale pages alone then. Nil for never.
+	// proven: all readings are of stale pages alone then until one is. Nil for never.
 	Unhurried func() bool
-	// Unproven is told of a reading of all that proves nothing yet, and returns how long to rest before
-	// the question for what has changed since. Nil for no rest.
-	Unproven func() time.Duration
+	// Unproven is told of each reading of all that proves nothing yet, and of their number. It returns
+	// how long to rest, and whether to read all again after it rather than to ask for what has changed.
+	// Nil for neither.
+	Unproven func(readings int) (rest time.Duration, again bool)
 	// Now reads the clock of the times that Confirm is told, nil for time.Now. Where proofs must
 	// not seem younger than they are, it goes on while the host is suspended.
 	Now func() time.Time
@@ -70,6 +71,10 @@
 	// failed: while a whole fleet reads, the store is slow, and would be for good if each
 	// failure began it anew.
 	reading *reading
+	// unhurried is set while readings are of stale pages alone, and unproven counts those that proved
+	// nothing.
+	unhurried bool
+	unproven  int
 	// overdue is set after a reading whose proof is old, or that proves nothing.
 	overdue bool
 	// lag and paced are those of the last page.
@@ -111,7 +116,7 @@
 		m.Now = time.Now
 	}
 	loaded := false
-	for first := true; ctx.Err() == nil; first = first && !loaded {
+	for first := true; ctx.Err() == nil; first = first && (!loaded || m.unhurried) {
 		begun, sent := time.Now(), m.Now()
 		var err error
 		if loaded {
@@ -123,18 +128,17 @@
 		switch {
 		case errors.As(err, &compacted):
 			m.Log.Info().Uint64("revision", m.at).Msg("the store forgot its history, reading all again")
-			loaded = false
+			loaded, first, m.unhurried = false, false, false
 		case err != nil:
 			m.failed(ctx, err)
 		default:
 			loaded = true
 			m.expire()
 			if sent.IsZero() {
-				if m.Unproven != nil {
-					m.rest(ctx, m.Unproven())
-				}
+				loaded = !m.readAgain(ctx)
 				continue
 			}
+			m.unhurried = false
 			m.Confirm(sent.Add(-m.lag))
 			if !m.paced {
 				m.rest(ctx, m.Settle-time.Since(begun))
@@ -143,6 +147,17 @@
 	}
 }
 
+// readAgain rests after a reading that proves nothing, and reports whether all is to be read again.
+func (m *Mirror) readAgain(ctx context.Context) bool {
+	if m.Unproven == nil {
+		return false
+	}
+	m.unproven++
+	rest, again := m.Unproven(m.unproven)
+	m.rest(ctx, rest)
+	return again
+}
+
 // rest waits between two questions.
 func (m *Mirror) rest(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(max(d, 0))
@@ -207,7 +222,8 @@
 	if !first {
 		return m.Feed.Scan(ctx, m.Prefix, r.after)
 	}
-	if r.after != "" {
+	if r.after != "" || m.unhurried {
+		r.stale = m.unhurried
 		return m.Feed.ScanStale(ctx, m.Prefix, r.after)
 	}
 	if m.Unhurried != nil {
@@ -218,7 +234,8 @@
 		for _, p := range page.Pairs {
 			m.put(p)
 		}
-		if r.stale = m.Unhurried(); r.stale {
+		if m.unhurried = m.Unhurried(); m.unhurried {
+			r.stale = true
 			return page, nil
 		}
 	}
--- a/state/mirror/mirror_test.go
+++ b/state/mirror/mirror_test.go
@@ -397,9 +397,9 @@
 				require.False(t, proven.Before(newest))
 				require.Equal(t, map[string]string{"a": "1", "b": "1", "c": "1", "d": "2", "f": "1"}, held)
 			},
-			Unproven: func() time.Duration {
+			Unproven: func(int) (time.Duration, bool) {
 				require.Equal(t, "1", held["d"])
-				return 200 * time.Millisecond
+				return 200 * time.Millisecond, false
 			},
 			Partial: func(time.Time) { require.Subset(t, []string{"a", "b"}, slices.Collect(maps.Keys(held))) },
 			Lost:    func(error) {},
@@ -438,19 +438,30 @@
 
 // A store that has forgotten what changed since stale pages is read anew, by pages that are current.
 func TestForgottenSinceStalePages(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := new(feed)
-		for _, key := range []string{"a", "b", "c"} {
-			f.set(key, "1")
-		}
-		f.age()
-		f.set("c", "2")
-		f.compact()
-		held := copyOf(t, f)
-		pass(time.Second)
-		require.Equal(t, map[string]string{"a": "1", "b": "1", "c": "2"}, held)
-		require.Equal(t, 1, f.stale)
-	})
+	for name, unhurried := range map[string]bool{"unhurried": true, "hurried": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := new(feed)
+				for _, key := range []string{"a", "b", "c"} {
+					f.set(key, "1")
+				}
+				f.age()
+				f.set("c", "2")
+				f.compact()
+				held := make(map[string]string)
+				m := &mirror.Mirror{
+					Feed: f, Wait: time.Second, Settle: time.Second, Log: zerolog.Nop(), Confirm: func(time.Time) {},
+					Put: func(p kv.Pair) { held[p.Key] = string(p.Value) }, Gone: func(string, uint64) {}, Lost: func(error) {},
+					Unhurried: func() bool { return unhurried },
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				m.Run(ctx)
+				require.Equal(t, map[string]string{"a": "1", "b": "1", "c": "2"}, held)
+				require.Equal(t, 2, f.stale)
+			})
+		})
+	}
 }
 
 // While nobody waits for it the first reading is of stale pages alone, and proven by the changes since.
@@ -470,8 +481,10 @@
 					Feed: f, Wait: time.Second, Settle: time.Second, Log: zerolog.Nop(), Gone: func(string, uint64) {}, Lost: func(error) {},
 					Put:       func(p kv.Pair) { held[p.Key] = string(p.Value) },
 					Unhurried: func() bool { return unhurried },
-					Unproven:  func() time.Duration { return 100 * time.Millisecond },
-					Partial:   func(time.Time) { partial = true },
+					Unproven: func(readings int) (time.Duration, bool) {
+						return 100 * time.Millisecond, unhurried && readings < 3
+					},
+					Partial: func(time.Time) { partial = true },
 					Confirm: func(proven time.Time) {
 						confirmed = true
 						require.False(t, proven.Before(newest))
@@ -484,6 +497,7 @@
 				require.True(t, confirmed)
 				require.Equal(t, !unhurried, partial)
 				require.Equal(t, map[bool]int{true: 0, false: 1}[unhurried], f.scans)
+				require.Equal(t, map[bool]int{true: 6, false: 2}[unhurried], f.stale, "two pages each time")
 			})
 		})
 	}
--- a/state/watchcache/feed.go
+++ b/state/watchcache/feed.go
@@ -26,6 +26,9 @@
 	// compareRest is the least time between two readings of all because another gateway's replica
 	// differs: it may be that one which lacks something. As much again at most is added.
 	compareRest = 10 * time.Second
+	// firstResort is how long one that has no proof yet leaves the store to those that it has heard: they
+	// may have started with it.
+	firstResort = time.Second
 	// lastResort is by how much a proof must be late for a gateway to ask the store though it has heard
 	// those that are there for that, and resortRest the least time between two such calls: the gateways
 	// of a hall may differ on who they are. As much again at most is added.
@@ -78,6 +81,8 @@
 	compared time.Time
 	// silent are the gateways that have lately not been heard when they were asked.
 	silent silent
+	// proven is set once changes have proven the replica.
+	proven bool
 	// source is whom the last answer came from, empty for the store.
 	source string
 	// waiting ends the question that waits at the store, nil while none does; refreshed is set
@@ -245,6 +250,9 @@
 		if f.LateIn() > -lastResort {
 			return false
 		}
+		if !f.proven && f.resort.IsZero() {
+			f.resort = now.Add(firstResort)
+		}
 		next, rest = &f.resort, resortRest
 	}
 	if now.Before(*next) {
@@ -295,6 +303,7 @@
 	page.Pairs, all.Pairs = f.replica.learn(page.Pairs, f.Cache.At())
 	sum := f.replica.sumAt(max(revision, page.At))
 	f.Cache.Add(all, proven, direct, sum)
+	f.proven = true
 	return page, sum
 }
 
