Begin by stale readings only where no life of a gateway is announced

A gateway that is alone in its fleet would have waited 1.6 s for others at each start: its own announcement tells it that it has served before.

--- a/role/announcer/announcer.go
+++ b/role/announcer/announcer.go
@@ -191,6 +191,13 @@
 	return true
 }
 
+// Known returns the number of gateways that the store names.
+func (a *Announcer) Known() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.known)
+}
+
 // own returns the own announcement in the store, the zero pair and nil for none.
 func (a *Announcer) own() (kv.Pair, *gossip.Announcement) {
 	a.mu.Lock()
--- a/role/gateway/follow.go
+++ b/role/gateway/follow.go
@@ -97,16 +97,17 @@
 		Msg("a part of the store has been read")
 }
 
-// unhurried reports whether no other gateway is known: the fleet is starting, and has no callers yet.
+// unhurried reports whether no gateway is announced, nor a former life of this one: the fleet is starting,
+// and has no callers yet.
 func (g *Gateway) unhurried() bool {
-	return len(g.peers.Members(g.Name)) == 0
+	return g.announcer.Known() == 0
 }
 
 // unproven notes that the store has been read as it was some time ago. Another gateway is then asked for
 // what has changed since, once one is known.
 func (g *Gateway) unproven(readings int) (rest time.Duration, again bool) {
 	g.read.Store(true)
-	if g.unhurried() {
+	if len(g.peers.Members(g.Name)) == 0 {
 		return gatherRest, readings < gatherReadings
 	}
 	return 0, false
--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -51,8 +51,8 @@
 	// proven: all readings are of stale pages alone then until one is. Nil for never.
 	Unhurried func() bool
 	// Unproven is told of each reading of all that proves nothing yet, and of their number. It returns
-	// how long to rest, and whether to read all again after it rather than to ask for what has changed.
-	// Nil for neither.
+	// how long to rest, and whether to read all again after it rather than to ask for what has changed;
+	// neither is done once the reading is hurried. Nil for neither.
 	Unproven func(readings int) (rest time.Duration, again bool)
 	// Now reads the clock of the times that Confirm is told, nil for time.Now. Where proofs must
 	// not seem younger than they are, it goes on while the host is suspended.
@@ -154,6 +154,9 @@
 	}
 	m.unproven++
 	rest, again := m.Unproven(m.unproven)
+	if !m.unhurried {
+		return false
+	}
 	m.rest(ctx, rest)
 	return again
 }
