--- a/adapter/upstream/pool.go
+++ b/adapter/upstream/pool.go
@@ -97,6 +97,23 @@
 	p.idle[address] = append(p.idle[address], c)
 }
 
+// sweepEvery is how often idle connections are looked through.
+const sweepEvery = time.Second
+
+// Run closes idle connections that have rested too long until ctx ends.
+func (p *Pool) Run(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			p.Sweep(now)
+		}
+	}
+}
+
 // Sweep closes the connections that have rested too long.
 func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -19,7 +19,6 @@
 	"github.com/grademill/grademill/decide/catalog"
 	"github.com/grademill/grademill/decide/endpoint"
 	"github.com/grademill/grademill/decide/overlay"
-	"github.com/grademill/grademill/decide/retry"
 	"github.com/grademill/grademill/port/exchange"
 	"github.com/grademill/grademill/port/kv"
 	"github.com/grademill/grademill/port/runner"
@@ -30,6 +29,7 @@
 	"github.com/grademill/grademill/role/partition"
 	"github.com/grademill/grademill/role/quarantine"
 	"github.com/grademill/grademill/role/throttling"
+	"github.com/grademill/grademill/state/budgets"
 	"github.com/grademill/grademill/state/lines"
 	"github.com/grademill/grademill/state/peers"
 	"github.com/grademill/grademill/state/turnstile"
@@ -145,9 +145,8 @@
 	// line is where requests of models wait for room.
 	line admission.Line[*seat]
 
-	mu sync.Mutex
-	// retries are by service; guarded by mu.
-	retries map[string]*retry.Budget
+	// retries are this gateway's part of what may be sent again.
+	retries budgets.Budgets
 	// membership keeps the endpoints, members their usages.
 	membership membership.Membership
 	members    members
@@ -164,7 +163,8 @@
 	}
 	g.cache.Now = g.Clock
 	g.proof.Store(g.Clock().Add(-noProof).UnixNano())
-	g.retries = make(map[string]*retry.Budget)
+	g.retries.Share, g.retries.Reserve, g.retries.Window = g.RetryShare, g.RetryReserve, g.RetryWindow
+	g.retries.Size = g.peers.Size
 	g.fleet.Store(new(fleet))
 	g.initMembership()
 	g.initPartition()
@@ -178,7 +178,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { g.follow(ctx) })
 	group.Go(func() { g.serveChanges(ctx) })
-	group.Go(func() { g.sweep(ctx) })
+	group.Go(func() { g.pool.Run(ctx) })
 	group.Go(func() { g.lead(ctx) })
 	group.Go(func() { g.announcer.Run(ctx) })
 	group.Go(func() { g.gossip.Run(ctx) })
@@ -255,23 +255,6 @@
 	return g.running.Close(force)
 }
 
-// sweepEvery is how often idle connections are looked through.
-const sweepEvery = time.Second
-
-// sweep closes idle connections that have rested too long.
-func (g *Gateway) sweep(ctx context.Context) {
-	ticker := time.NewTicker(sweepEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			g.pool.Sweep(now)
-		}
-	}
-}
-
 // ReadyHandler answers 200 while the gateway is ready.
 func (g *Gateway) ReadyHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -280,39 +263,3 @@
 		}
 	})
 }
-
-// allowRetry takes one retry of a service out of this gateway's part of the
-// budget.
-func (g *Gateway) allowRetry(service string) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.budget(service).Allow(time.Now())
-}
-
-// returnRetry gives a retry back that was taken out of the budget and not used.
-func (g *Gateway) returnRetry(service string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.budget(service).Return()
-}
-
-// countFirst counts a request for a service.
-func (g *Gateway) countFirst(service string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.budget(service).First(time.Now())
-}
-
-// budgetMargin is the part of the allowance that is used: gateways come and go.
-const budgetMargin = 0.85
-
-// budget returns the budget of a service; g.mu is held.
-func (g *Gateway) budget(service string) *retry.Budget {
-	b := g.retries[service]
-	if b == nil {
-		b = &retry.Budget{Share: g.RetryShare * budgetMargin, Window: g.RetryWindow}
-		g.retries[service] = b
-	}
-	b.Reserve = int(float64(g.RetryReserve) * budgetMargin / float64(g.peers.Size()))
-	return b
-}
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -103,7 +103,7 @@
 		g.refuse(q, comeBackLater, "the store has not been read yet")
 		return false
 	}
-	g.countFirst(q.service.Name)
+	g.retries.First(q.service.Name, time.Now())
 	// A request under which three endpoints have ended would end each one that runs it: 57 ends
 	// in 90 s in a fleet of 33, counted on a recorded day.
 	if left := g.quarantine.Left(q.print, q.start); left > 0 {
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -150,7 +150,7 @@
 		}
 	}
 	if short != shortageNone && retry {
-		s.g.returnRetry(s.q.service.Name)
+		s.g.retries.Return(s.q.service.Name)
 	}
 	return taken, short
 }
--- a/role/gateway/try.go
+++ b/role/gateway/try.go
@@ -151,7 +151,7 @@
 
 // again reports whether a request may be sent once more, and counts it.
 func (g *Gateway) again(q *query, cause string) bool {
-	if !g.allowRetry(q.service.Name) {
+	if !g.retries.Allow(q.service.Name, time.Now()) {
 		return false
 	}
 	g.Meter.Retry(cause)
--- a/role/gateway/watchdog.go
+++ b/role/gateway/watchdog.go
@@ -235,7 +235,7 @@
 	}
 	if !reread.Leave(wait, next.readTime(q, nil, 1), spare) || !w.leaveFor(next) {
 		next.release()
-		w.relay.g.returnRetry(q.service.Name)
+		w.relay.g.retries.Return(q.service.Name)
 		return false
 	}
 	w.relay.g.Log.Info().Str("request", q.ID).Str("lost", lost.Address).Dur("wait_ms", wait).
--- /dev/null
+++ b/state/budgets/budgets_test.go
@@ -0,0 +1,33 @@
+package budgets_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/state/budgets"
+)
+
+// Each process has its part of the reserve, and a budget for each service.
+func TestReserveIsDivided(t *testing.T) {
+	size := 4
+	b := budgets.Budgets{Share: 0.2, Reserve: 40, Window: 10 * time.Second, Size: func() int { return size }}
+	now := time.Now()
+	allowed := func(service string) (n int) {
+		for b.Allow(service, now) {
+			n++
+		}
+		return n
+	}
+	require.Equal(t, 8, allowed("a"))
+	require.Equal(t, 8, allowed("b"))
+	b.Return("a")
+	require.Equal(t, 1, allowed("a"))
+	for range 100 {
+		b.First("a", now)
+	}
+	require.Equal(t, 17, allowed("a"))
+	size = 2
+	require.Equal(t, 9, allowed("b"), "another process has left its part")
+}
