Rank the gateways of a hall in one list for who asks the store

A gateway found whether it is to ask the store in a list with itself, and whom to ask in one without. The pool of good links is an eighth of the list, two at least, so that the two differ where that steps: in a hall of 24 with two thick links the others asked these two, which took others for the ones to ask and answered nobody, until the last resort. Found by reading; TestAskersAgreeOnWhoAsksTheStore fails before. The ranking is also made once for a question in place of twice.

--- a/decide/overlay/overlay.go
+++ b/decide/overlay/overlay.go
@@ -109,7 +109,7 @@
 }
 
 // relays is the number of gateways of a hall that by turns pass the sums of another hall on:
-// some may have ended without the others knowing, until their announcements lapse.
+// some may have ended without the others knowing, until their announcements go.
 const relays = 3
 
 // Relay returns the gateway of another hall that passes this one's sums on there, at the
@@ -158,24 +158,28 @@
 }
 
 // storeRanking returns the other gateways of this one's hall in the order in which they are to ask the
-// store, and how many come before this one. Those that the store does not answer are not among them.
+// store, and how many come before this one. Those that the store does not answer are not among them. All
+// are ranked in one list, so that the gateways of a hall agree.
 func (o Overlay) storeRanking() ([]Member, int) {
 	if o.Flat() {
 		return nil, 0
 	}
 	live := o.live(o.Self.Hall)
 	able := slices.DeleteFunc(slices.Clone(live), func(m Member) bool { return m.Cut })
-	eligible := !o.Self.Cut
-	if len(able) == 0 && o.Self.Cut { // the store is away: it is not to meet all when it is back
-		able, eligible = live, true
+	if o.Self.Cut && len(able) > 0 {
+		return ranking(storeKey, able), seats + standbys
 	}
-	switch {
-	case len(able) == 0:
-		return nil, 0
-	case !eligible:
-		return ranking(storeKey, able), len(able) + seats + standbys
+	if len(able) == 0 && o.Self.Cut { // the store is away: it is not to meet all when it is back
+		able = live
 	}
-	return ranking(storeKey, able), o.turn(storeKey, able)
+	list := ranking(storeKey, append(able, o.Self))
+	turn := o.position(list)
+	return slices.Delete(list, turn, turn+1), turn
+}
+
+// position returns where this gateway stands in a list.
+func (o Overlay) position(list []Member) int {
+	return slices.IndexFunc(list, func(m Member) bool { return m.Name == o.Self.Name })
 }
 
 // Rank returns how many gateways come before this one in looking after a thing of a
@@ -237,8 +241,7 @@
 
 // turn returns how many of a list come before this gateway in doing a thing for others.
 func (o Overlay) turn(key string, others []Member) int {
-	list := ranking(key, append(slices.Clone(others), o.Self))
-	return slices.IndexFunc(list, func(m Member) bool { return m.Name == o.Self.Name })
+	return o.position(ranking(key, append(slices.Clone(others), o.Self)))
 }
 
 // rank returns how many of a list come before this gateway for a key.
--- a/decide/overlay/overlay_test.go
+++ b/decide/overlay/overlay_test.go
@@ -289,3 +289,24 @@
 		require.Equal(t, len(o.Seats()) > 0, self)
 	}
 }
+
+// Those that a gateway asks are those that ask the store, at every size of a hall: ranked with itself and
+// without, a gateway of 24 took others for these than they did themselves.
+func TestAskersAgreeOnWhoAsksTheStore(t *testing.T) {
+	t.Parallel()
+	for each := 13; each <= 34; each++ {
+		for thick := 1; thick <= 4; thick++ {
+			asked, direct := make(map[string]bool), make(map[string]bool)
+			for _, o := range views(mixed(2, thick, each)) {
+				list := o.Seats()
+				if len(list) == 0 {
+					direct[o.Self.Name] = true
+				}
+				for _, m := range list {
+					asked[m.Name] = true
+				}
+			}
+			require.Equal(t, direct, asked, "%d of %d with thick links", thick, each)
+		}
+	}
+}
