--- a/decide/catalog/catalog.go
+++ b/decide/catalog/catalog.go
@@ -23,6 +23,8 @@
 	routes map[string][]*Route
 	// teams are by API key.
 	teams map[string]*Team
+	// objectives holds the shortest target latency of the routes of each service.
+	objectives map[string]time.Duration
 }
 
 // New returns a catalog of the given parts.
@@ -32,6 +34,8 @@
 		Services: make(map[string]*Service, len(services)),
 		routes:   make(map[string][]*Route),
 		teams:    make(map[string]*Team),
+
+		objectives: make(map[string]time.Duration),
 	}
 	for _, s := range services {
 		c.Services[s.Name] = s
@@ -39,6 +43,11 @@
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
 		c.routes[host] = append(c.routes[host], r)
+		for _, s := range r.Shares {
+			if known := c.objectives[s.Service]; r.TargetLatency > 0 && (known == 0 || r.TargetLatency < known) {
+				c.objectives[s.Service] = r.TargetLatency
+			}
+		}
 	}
 	for _, list := range c.routes {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -63,6 +72,11 @@
 	return nil, false
 }
 
+// Objective returns the shortest target latency of the routes of a service, 0 if none has one.
+func (c *Catalog) Objective(service string) time.Duration {
+	return c.objectives[service]
+}
+
 // Team returns the team that owns an API key.
 func (c *Catalog) Team(key string) (*Team, bool) {
 	t, ok := c.teams[key]
--- a/role/admission/queue.go
+++ b/role/admission/queue.go
@@ -51,6 +51,9 @@
 type Queue[G any] struct {
 	// Order ranks requests of equal priority; nil means [urgency.Load.Of].
 	Order Order
+	// FleetLoad completes the load from which Retry-After delays are computed by what is known of the
+	// whole fleet; nil means that nothing is known.
+	FleetLoad func(service string, l retryafter.Load) retryafter.Load
 	// Times holds the learned durations of streams.
 	Times streams.Times
 
@@ -95,6 +98,9 @@
 }
 
 func (l *Queue[G]) urgency(r Request, now time.Time) urgency.Urgency {
+	if r.Reserved && r.Retried && !r.Begun {
+		return urgency.Returned
+	}
 	load := urgency.Load{
 		Admitted: l.ready().Admitted(r.Service), Returning: l.retryRates.Get(r.Service).PerSecond(now),
 	}
@@ -156,6 +162,11 @@
 	return l.ready().Waiting()
 }
 
+// WaitingFor returns the number of queued requests of a service.
+func (l *Queue[G]) WaitingFor(service string) int {
+	return l.ready().WaitingIn(service)
+}
+
 // Run admits queued requests as room becomes free, until ctx ends.
 func (l *Queue[G]) Run(ctx context.Context) {
 	g := l.ready()
@@ -177,6 +188,9 @@
 func (l *Queue[G]) RetryAfter(r Request, now time.Time) (time.Duration, float64) {
 	l.refusedAt.Store(now.UnixNano())
 	load := retryafter.Load{Admitted: l.ready().Admitted(r.Service), RequestDuration: l.Times.RequestDuration(r.Service)}
+	if l.FleetLoad != nil {
+		load = l.FleetLoad(r.Service, load)
+	}
 	maxDelay := time.Duration(maxRetryAfterShare * float64(r.Deadline.Sub(now)))
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/role/gate/gate.go
+++ b/role/gate/gate.go
@@ -119,6 +119,13 @@
 	return n
 }
 
+// WaitingIn returns the number of queued requests of a lane.
+func (g *Gate[G]) WaitingIn(lane string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.lane(lane).queue.Len()
+}
+
 // Admitted returns the cost that is admitted to a lane per second, 0 while it is unknown.
 func (g *Gate[G]) Admitted(lane string) float64 {
 	g.mu.Lock()
--- a/role/gateway/admission.go
+++ b/role/gateway/admission.go
@@ -15,6 +15,7 @@
 		Service: q.service.Name, Team: q.team, Priority: maxPriority - q.priority,
 		RouteTimeout: q.route.Timeout, CallerTimeout: q.CallerTimeout, Objective: objective(q.route),
 		Start: q.start, Deadline: q.deadline, Retried: q.returned, Begun: q.everReached.Load(),
+		Reserved: q.decision.Reserved,
 	}
 }
 
@@ -41,6 +42,9 @@
 		return nil, gate.Full
 	})
 	if report == nil {
+		if !r.Begun {
+			g.overload.CountAdmitted(q.service.Name, time.Now())
+		}
 		return taken, shortageNone
 	}
 	if found == shortageNone || report.Code == outcome.Overloaded && found != shortageHeld {
--- a/role/gateway/digest.go
+++ b/role/gateway/digest.go
@@ -224,6 +224,8 @@
 	for id, b := range g.fleet.Load().byID {
 		g.throttling.UpdateShare(id, &b.use.intake, now)
 	}
+	g.overload.Tick(now)
+	g.shareRoom(now)
 	g.partition.Tick(now)
 	g.quarantine.Tick(now)
 }
--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -8,6 +8,7 @@
 	"github.com/grademill/grademill/decide/health"
 	"github.com/grademill/grademill/decide/layer"
 	"github.com/grademill/grademill/decide/layerreport"
+	"github.com/grademill/grademill/state/budget"
 	"github.com/grademill/grademill/state/intake"
 	"github.com/grademill/grademill/state/pace"
 	"github.com/grademill/grademill/state/peers"
@@ -120,6 +121,9 @@
 	// in nanoseconds of Unix time.
 	waiting, loadReportedAt atomic.Int64
 	health                  atomic.Pointer[health.Record]
+	// budget and slotBudget are this gateway's shares of its free memory, in tokens times layers, and
+	// of its free slots.
+	budget, slotBudget budget.Budget
 	// intake holds the limit and backoff period that it has asked for.
 	intake intake.Intake
 }
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/grademill/grademill/role/announcer"
 	"github.com/grademill/grademill/role/gossip"
 	"github.com/grademill/grademill/role/membership"
+	"github.com/grademill/grademill/role/overload"
 	"github.com/grademill/grademill/role/partition"
 	"github.com/grademill/grademill/role/quarantine"
 	"github.com/grademill/grademill/role/throttling"
@@ -90,7 +91,9 @@
 	RetryShare   float64
 	RetryReserve int
 	RetryWindow  time.Duration
-	Log          zerolog.Logger
+	// Overload configures what the gateway does while a model service is short of room.
+	Overload Overload
+	Log      zerolog.Logger
 	// Clock reads the clock that measures the age of freshness proofs: it continues while the host
 	// is suspended. Nil means the clock of the host.
 	Clock func() time.Time
@@ -146,6 +149,8 @@
 	// queue is where requests of models wait for room.
 	queue admission.Queue[*reservation]
 
+	// overload decides which requests are admitted while the fleet is short of room.
+	overload overload.Control
 	// retries is this gateway's share of the retry budget.
 	retries retrybudgets.Budgets
 	// membership tracks the endpoints, members their usages.
@@ -175,6 +180,7 @@
 	g.initThrottling()
 	g.initQuarantine()
 	g.initFeed()
+	g.initOverload()
 	g.pool.OnDial = g.Meter.Connection
 	var group sync.WaitGroup
 	group.Go(func() { g.follow(ctx) })
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -226,6 +226,9 @@
 	wait := retryAfterOverload
 	if q.service.Model != nil || q.nextAvailable() != nil { // callers that retried at the same time would be refused at the same time
 		wait, q.admitted = g.queue.RetryAfter(q.waiting(), now)
+		if q.service.Model != nil {
+			g.overload.CountRefused(q.service.Name, now)
+		}
 	}
 	return max(wait, q.availableFrom(now).Sub(now))
 }
@@ -269,7 +272,8 @@
 		line = line.Dur("under_route_ms", max(q.route.Timeout-q.CallerTimeout, 0))
 	}
 	if q.service != nil && q.service.Model != nil {
-		line = line.Dur("waited_ms", q.waited).Int("ahead", q.ahead).Bool("returned", q.returned)
+		line = line.Dur("waited_ms", q.waited).Int("ahead", q.ahead).Bool("returned", q.returned).
+			Float64("admit_share", q.decision.Share).Int("priority", q.priority)
 	}
 	if q.retryAfter > 0 {
 		line = line.Dur("come_back_ms", q.retryAfter).Float64("admitted_per_s", q.admitted)
--- a/role/gateway/meter.go
+++ b/role/gateway/meter.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"github.com/grademill/grademill/role/overload"
+)
 
 // Meter counts the operations of a gateway.
 type Meter interface {
@@ -29,4 +33,5 @@
 	Store(revision uint64)
 	// Quarantine counts an event of the quarantine.
 	Quarantine(event string)
+	overload.Meter
 }
--- a/role/gateway/query.go
+++ b/role/gateway/query.go
@@ -11,6 +11,7 @@
 	"github.com/grademill/grademill/decide/catalog"
 	"github.com/grademill/grademill/decide/fingerprint"
 	"github.com/grademill/grademill/port/exchange"
+	"github.com/grademill/grademill/role/overload"
 )
 
 // query is one request of a caller while it is served.
@@ -56,6 +57,8 @@
 	// isolationWaited is set once the request has waited for all gateways to know of the suspects.
 	isolationWaited bool
 
+	// decision is that of the overload control on the request of a model.
+	decision overload.Decision
 	// returned is set when the caller has less time left than callers usually have on their first
 	// attempt.
 	returned bool
--- a/role/gateway/reservation.go
+++ b/role/gateway/reservation.go
@@ -115,6 +115,8 @@
 	shortageBudget shortage = "the retry budget is used up"
 	// shortageHeld means that no endpoint at which the chain could begin accepts requests for now.
 	shortageHeld shortage = "endpoints take no more requests for now"
+	// shortageFleet means that the fleet sheds requests of this class and team.
+	shortageFleet shortage = "the fleet has no room for this class"
 	// shortageCaller means that the caller has left, shortageQuarantine that the request is in
 	// quarantine.
 	shortageCaller     shortage = "the caller has left"
@@ -143,6 +145,7 @@
 	need := q.tokens()
 	c.prepare(q.service.Model, f, g.Hall, g.peerFlow(q.service.Name))
 	c.fleetFactor = q.requestFactor()
+	c.shared = g.Overload.RoomShares && !q.everReached.Load() // a request that may have run is not held up
 	c.isolationPlan = g.isolationPlan(q.service.Name, time.Now())
 	found, ok := g.findAdmitted(c, q, f, need, skipAvoidedAndFull)
 	if !ok && q.isolatedAt() == "" && !c.isolationPlan.Empty() { // an endpoint at which a suspect is tried is better than none
@@ -272,10 +275,12 @@
 		b := backendOf(p)
 		memory := int64(need * p.Layers.Len())
 		b.use.take(memory)
+		b.use.budget.Take(float64(memory))
 		b.use.reading.Add(1)
 		s.parts, s.memory = append(s.parts, b), append(s.memory, memory)
 	}
 	s.first = s.parts[0]
 	s.first.use.entered.Add(1)
+	s.first.use.slotBudget.Take(1)
 	return s
 }
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -62,6 +62,10 @@
 func (g *Gateway) serveModel(q *query) bool {
 	q.returned = g.queue.Arrive(q.waiting())
 	s := &relay{g: g, q: q, last: q.LastEvent, flush: http.NewResponseController(q.w)}
+	if !g.admitArrival(q) {
+		g.giveUp(q, string(shortageFleet))
+		return false
+	}
 	reason := ""
 	for s.maySendAgain() {
 		reservation, short := s.reservation()
--- /dev/null
+++ b/role/overload/service.go
@@ -0,0 +1,138 @@
+package overload
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/grademill/grademill/decide/demand"
+	"github.com/grademill/grademill/decide/rate"
+	"github.com/grademill/grademill/decide/shedding"
+	"github.com/grademill/grademill/decide/thinning"
+)
+
+// rateSpan is the time constant of the rates in load reports. It is short, because a burst fills the
+// endpoints within a second.
+const rateSpan = time.Second
+
+// service is what a gateway knows of the load of one model service.
+type service struct {
+	mu sync.Mutex // guards all fields
+	// admitted and refused are the rates of first reservations and of refusals for lack of room.
+	admitted, refused rate.Meter
+	// offered holds the rates of arrivals by class.
+	offered  map[demand.Class]*classRates
+	estimate shedding.Estimate
+	level    shedding.Level
+	thinner  thinning.Thinner
+	// fleet is the demand of all gateways as of the last update, age that of the newest report of
+	// another gateway, and alone is set if it is too old.
+	fleet demand.Demand
+	age   time.Duration
+	alone bool
+	// part and refusedPart are this gateway's parts of the fleet's arrivals and refusals, and shares
+	// its shares of free room by hall.
+	part, refusedPart float64
+	shares            map[string]float64
+	// wantedAt is when the service last had demand.
+	wantedAt time.Time
+	// wasOpen and wasMarginal describe the level that was last logged.
+	wasOpen     bool
+	wasMarginal demand.Class
+}
+
+// classRates holds the rates of the requests of one class.
+type classRates struct {
+	all   rate.Meter
+	teams map[string]rate.Meter
+}
+
+func newService(seed uint64) *service {
+	return &service{
+		admitted: rate.Meter{Span: rateSpan}, refused: rate.Meter{Span: rateSpan}, wasOpen: true,
+		offered: make(map[demand.Class]*classRates), thinner: thinning.Thinner{Seed: seed},
+	}
+}
+
+// arrive counts a request and decides whether to admit it.
+func (s *service) arrive(a Arrival, now time.Time, admission bool) Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rates := s.offered[a.Class]
+	if rates == nil {
+		rates = &classRates{all: rate.Meter{Span: rateSpan}, teams: make(map[string]rate.Meter)}
+		s.offered[a.Class] = rates
+	}
+	rates.all = rates.all.WithCount(now, 1)
+	if !a.Class.Returning && a.Team != "" {
+		team, known := rates.teams[a.Team]
+		if !known {
+			team.Span = rateSpan
+		}
+		rates.teams[a.Team] = team.WithCount(now, 1)
+	}
+	if !admission || a.Exempt || s.level.Open() {
+		return Decision{Admit: true, Share: 1}
+	}
+	share := s.level.Admit(a.Class, a.Team)
+	key := strconv.Itoa(a.Class.Priority) + "/" + a.Team
+	if a.Class.Returning {
+		key = strconv.Itoa(a.Class.Priority) + " returning"
+	}
+	if a.Early {
+		share, key = s.level.AdmitEarly(a.Class), key+" early"
+	}
+	admit := s.thinner.Keep(key, share)
+	return Decision{Admit: admit, Reserved: admit, Share: share}
+}
+
+// count counts a request that was admitted or refused for lack of room.
+func (s *service) count(now time.Time, admitted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if admitted {
+		s.admitted = s.admitted.WithCount(now, 1)
+	} else {
+		s.refused = s.refused.WithCount(now, 1)
+	}
+}
+
+// demand returns the demand at this gateway.
+func (s *service) demand(now time.Time, waiting int) demand.Demand {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := demand.Demand{
+		Admitted: s.admitted.PerSecond(now), Refused: s.refused.PerSecond(now), Waiting: float64(waiting),
+		Classes: make(map[demand.Class]demand.Load, len(s.offered)),
+	}
+	if capacity := s.estimate.Capacity(); capacity > 0 {
+		d.CapacitySum, d.Estimates = capacity, 1
+	}
+	for class, rates := range s.offered {
+		offered := rates.all.PerSecond(now)
+		if offered < minRate {
+			if offered > 0 { // 0 is the rate of the first second, too
+				delete(s.offered, class)
+			}
+			continue
+		}
+		d.Classes[class] = demand.Load{Offered: offered, Teams: rates.byTeam(now)}
+	}
+	return d.Plus(demand.Demand{}) // keeps the teams with the most demand
+}
+
+// byTeam returns the rates of the teams, and forgets those without requests.
+func (r *classRates) byTeam(now time.Time) map[string]float64 {
+	teams := make(map[string]float64, len(r.teams))
+	for team, m := range r.teams {
+		if perSecond := m.PerSecond(now); perSecond >= minRate {
+			teams[team] = perSecond
+		} else if perSecond > 0 {
+			delete(r.teams, team)
+		}
+	}
+	return teams
+}
+
+// minRate is the rate, in requests per second, below which a class or team is forgotten.
+const minRate = 0.02
--- /dev/null
+++ b/state/budget/budget.go
@@ -0,0 +1,43 @@
+// Package budget keeps the share of the free room of one endpoint that a gateway may take. Reads take
+// no lock, because every search for a chain asks for it.
+package budget
+
+import (
+	"sync/atomic"
+
+	"github.com/grademill/grademill/decide/roomshare"
+)
+
+// Budget is a roomshare.Budget that is safe for concurrent use. The zero Budget allows everything.
+type Budget struct {
+	current atomic.Pointer[roomshare.Budget]
+}
+
+// Allows reports whether a request that needs this much may be placed.
+func (b *Budget) Allows(need float64) bool {
+	current := b.current.Load()
+	return current == nil || current.Allows(need)
+}
+
+// Take counts a request that has been placed.
+func (b *Budget) Take(need float64) {
+	b.update(func(c roomshare.Budget) roomshare.Budget { return c.WithRequest(need) })
+}
+
+// Begin begins a round.
+func (b *Budget) Begin(r roomshare.Round) {
+	b.update(func(c roomshare.Budget) roomshare.Budget { return c.WithRound(r) })
+}
+
+func (b *Budget) update(change func(roomshare.Budget) roomshare.Budget) {
+	for {
+		old := b.current.Load()
+		var c roomshare.Budget
+		if old != nil {
+			c = *old
+		}
+		if next := change(c); b.current.CompareAndSwap(old, &next) {
+			return
+		}
+	}
+}
