--- a/layout_test.go
+++ b/layout_test.go
@@ -29,6 +29,7 @@
 	"decide/chain",
 	"decide/claim",
 	"decide/config",
+	"decide/demand",
 	"decide/departure",
 	"decide/endpoint",
 	"decide/event",
--- a/role/gateway/digest.go
+++ b/role/gateway/digest.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/grademill/grademill/decide/demand"
 	"github.com/grademill/grademill/decide/layer"
 	"github.com/grademill/grademill/state/pace"
 	"github.com/grademill/grademill/state/peers"
@@ -16,7 +17,7 @@
 // Digest returns the use that this gateway makes of endpoints at now, plus that of others. others
 // is nil for the gateway's own digest; for the digest of a whole hall it holds the shares of the
 // other gateways of the hall by endpoint ID.
-func (g *Gateway) Digest(now time.Time, others map[string]peers.Usage) *gossip.Digest {
+func (g *Gateway) Digest(now time.Time, others map[string]peers.Usage, _ map[string]demand.Demand) *gossip.Digest {
 	d := &gossip.Digest{
 		Proven:         g.loaded.Load() && !g.failing.Load(),
 		ProofAgeMillis: uint32(max(g.proofAge().Milliseconds(), 0)),
--- a/role/gateway/order_test.go
+++ b/role/gateway/order_test.go
@@ -116,7 +116,7 @@
 		_, err = socket.Write(text)
 		require.NoError(t, err)
 		time.Sleep(10 * time.Millisecond)
-		return w.gateway.Digest(time.Now(), map[string]peers.Usage{}).GetLeading()
+		return w.gateway.Digest(time.Now(), map[string]peers.Usage{}, nil).GetLeading()
 	}
 	for n := range uint64(20) {
 		require.False(t, echoes(&gossip.Digest{Gateway: "gateway-8", Hall: "south", Members: 3}, n+1))
--- a/role/gossip/gossip.go
+++ b/role/gossip/gossip.go
@@ -16,6 +16,7 @@
 	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/grademill/grademill/decide/demand"
 	"github.com/grademill/grademill/decide/overlay"
 	"github.com/grademill/grademill/state/peers"
 	wire "github.com/grademill/grademill/wire/gossip"
@@ -60,8 +61,10 @@
 // Local is the gateway on whose behalf digests are sent and received.
 type Local interface {
 	// Digest returns the gateway's usage without the fields that identify the sender. For the sums
-	// of a hall, others holds the shares of its other gateways, which are added.
-	Digest(now time.Time, others map[string]peers.Usage) *wire.Digest
+	// of a hall, others holds the shares of its other gateways by endpoint, and demands their
+	// demands by service, which are added. Both are nil for the gateway's own digest. The loads
+	// come from [EncodeLoads].
+	Digest(now time.Time, others map[string]peers.Usage, demands map[string]demand.Demand) *wire.Digest
 	// HandleDigest handles a digest of another gateway whose shares have been counted.
 	HandleDigest(d *wire.Digest, now time.Time)
 	// HandleLoss handles the report that an endpoint does not answer another gateway.
@@ -166,7 +169,7 @@
 func (s *Gossip) round(now time.Time) time.Duration {
 	s.Local.Tick(now)
 	s.Peers.MarkAbsent(now, max(missedDigestsAnnounced*s.DigestInterval(), minAbsence))
-	d := s.digest(now, nil, 0)
+	d := s.digest(now, nil, nil, 0)
 	d.EveryMillis = uint32(s.DigestInterval().Milliseconds())
 	o := overlay.Overlay{Self: s.Self, Others: s.Peers.Members(s.Self.Name), FlatFleetSize: s.FlatFleetSize}
 	o.Self.StoreUnreachable = d.GetCut()
@@ -190,8 +193,8 @@
 // sendSums sends the sums of this hall to one gateway of each other hall, which forwards them
 // there. It returns the time until the next sums are due, which grows with their size.
 func (s *Gossip) sendSums(o overlay.Overlay, now time.Time) time.Duration {
-	shares, members, proven := s.Peers.Sum(s.Self.Hall)
-	d := s.digest(now, shares, members+1)
+	shares, demands, members, proven := s.Peers.Sum(s.Self.Hall)
+	d := s.digest(now, shares, demands, members+1)
 	if age := now.Sub(proven); !proven.IsZero() && (!d.GetProven() || age < millis(d.GetProofAgeMillis())) {
 		d.Proven, d.ProofAgeMillis = true, uint32(max(age.Milliseconds(), 0))
 	}
@@ -205,9 +208,9 @@
 }
 
 // digest returns this gateway's own usage, or with members the sums of its hall.
-func (s *Gossip) digest(now time.Time, others map[string]peers.Usage, members int) *wire.Digest {
+func (s *Gossip) digest(now time.Time, others map[string]peers.Usage, demands map[string]demand.Demand, members int) *wire.Digest {
 	s.number++
-	d := s.Local.Digest(now, others)
+	d := s.Local.Digest(now, others, demands)
 	d.Gateway, d.Incarnation, d.Number, d.Hall = s.Self.Name, s.Incarnation, s.number, s.Self.Hall
 	d.LinkMegabits = s.Self.LinkMegabits
 	d.Members = uint32(members)
@@ -317,7 +320,7 @@
 		},
 		Incarnation: d.GetIncarnation(), Number: d.GetNumber(), Members: int(d.GetMembers()),
 		Interval: millis(d.GetEveryMillis()), Partial: d.GetPartialOutages(),
-		Shares: make(map[string]peers.Usage, len(d.GetUses())),
+		Shares: make(map[string]peers.Usage, len(d.GetUses())), Demands: DecodeLoads(d.GetLoads()),
 	}
 	if d.GetRelayed() {
 		r.From.Address = d.GetAddress()
--- a/role/gossip/gossip_test.go
+++ b/role/gossip/gossip_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/grademill/grademill/decide/demand"
 	"github.com/grademill/grademill/decide/overlay"
 	"github.com/grademill/grademill/role/gossip"
 	"github.com/grademill/grademill/state/peers"
@@ -30,16 +31,25 @@
 	heard        atomic.Int64
 	sent         atomic.Int64
 	droppedBytes atomic.Int64
-	stop         func()
+	// former is set for a gateway that sends no loads, like the builds before them.
+	former atomic.Bool
+	stop   func()
 }
 
+// oneRequest is the demand of each node: one request per second.
+var oneRequest = demand.Demand{Admitted: 1, Classes: map[demand.Class]demand.Load{{}: {Offered: 1}}}
+
 // Count implements peers.Counter.
 func (n *node) Count(s peers.Usage) { n.others.Add(s.Active) }
 
 // Digest implements gossip.Local.
-func (n *node) Digest(_ time.Time, others map[string]peers.Usage) *wire.Digest {
+func (n *node) Digest(_ time.Time, others map[string]peers.Usage, demands map[string]demand.Demand) *wire.Digest {
 	active := n.active.Load() + others["card"].Active
-	return &wire.Digest{Uses: []*wire.Use{{Endpoint: "card", Active: uint32(active)}}}
+	d := &wire.Digest{Uses: []*wire.Use{{Endpoint: "card", Active: uint32(active)}}}
+	if !n.former.Load() {
+		d.Loads = gossip.EncodeLoads(map[string]demand.Demand{"chat": oneRequest.Plus(demands["chat"])})
+	}
+	return d
 }
 
 // HandleDigest implements gossip.Local.
@@ -116,6 +126,19 @@
 	}, testTimeout, 5*time.Millisecond)
 }
 
+// waitForDemand waits until each node has learned of the given demand of the others.
+func waitForDemand(t *testing.T, nodes []*node, offered float64) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		for _, n := range nodes {
+			if d := n.table.FleetDemand("chat"); d.Offered() != offered || d.Admitted != offered {
+				return false
+			}
+		}
+		return true
+	}, testTimeout, 5*time.Millisecond)
+}
+
 // Each gateway of a small fleet learns the usage of all others.
 func TestSmallFleet(t *testing.T) {
 	t.Parallel()
@@ -132,6 +155,8 @@
 	t.Parallel()
 	all := start(t, 3, 6, 0)
 	waitForActive(t, all, 17)
+	waitForDemand(t, all, 17)
+	require.Len(t, all[0].table.HallDemands("chat"), 3)
 	var left []*node
 	ended := false
 	for _, n := range all {
@@ -144,10 +169,23 @@
 	}
 	require.True(t, ended)
 	waitForActive(t, left, 16)
+	waitForDemand(t, left, 16)
 	left[0].active.Store(5)
 	waitForActive(t, left[1:], 20)
 }
 
+// Guards against digests without loads that are not understood, or that keep the loads of others
+// from being counted: gateways of the former build may be in the fleet.
+func TestFleetOfBothBuilds(t *testing.T) {
+	t.Parallel()
+	all := start(t, 2, 3, 0)
+	waitForDemand(t, all, 5)
+	all[0].former.Store(true)
+	waitForDemand(t, all[1:], 4)
+	waitForActive(t, all, 5)
+	waitForDemand(t, all[:1], 5)
+}
+
 // On a slow link, digests use no more than their share: the excess is dropped and the others are
 // still sent.
 func TestDigestsKeepToTheirShareOfTheLink(t *testing.T) {
--- a/role/gossip/scale_test.go
+++ b/role/gossip/scale_test.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/grademill/grademill/decide/demand"
 	"github.com/grademill/grademill/decide/overlay"
 	"github.com/grademill/grademill/role/gossip"
 	"github.com/grademill/grademill/state/peers"
@@ -144,7 +145,7 @@
 }
 
 // Digest implements gossip.Local.
-func (h *simGateway) Digest(_ time.Time, others map[string]peers.Usage) *wire.Digest {
+func (h *simGateway) Digest(_ time.Time, others map[string]peers.Usage, _ map[string]demand.Demand) *wire.Digest {
 	d := new(wire.Digest)
 	add := func(endpoint string, s peers.Usage) {
 		d.Uses = append(d.Uses, &wire.Use{
--- a/state/peers/table.go
+++ b/state/peers/table.go
@@ -6,10 +6,12 @@
 package peers
 
 import (
+	"math"
 	"sync"
 	"time"
 
 	"github.com/grademill/grademill/decide/apportion"
+	"github.com/grademill/grademill/decide/demand"
 	"github.com/grademill/grademill/decide/overlay"
 )
 
@@ -39,6 +41,9 @@
 	Interval time.Duration
 	// Shares is the use of endpoints, by endpoint.
 	Shares map[string]Usage
+	// Demands is the demand for model services, by service. It is empty in reports of gateways of
+	// former builds.
+	Demands map[string]demand.Demand
 }
 
 // key returns the subject of the report.
@@ -75,6 +80,7 @@
 // entry is a report in force.
 type entry struct {
 	Report
+	// at is when the report arrived.
 	at      time.Time
 	counted map[Counter]Usage
 }
@@ -215,12 +221,14 @@
 	return n
 }
 
-// Sum returns the sum of the shares of a hall's gateways, their number, and the time at which the
-// newest configuration among them was certainly current.
-func (t *Table) Sum(hall string) (shares map[string]Usage, members int, proven time.Time) {
+// Sum returns the sum of the shares of a hall's gateways by endpoint, that of their demands by
+// service, their number, and the time at which the newest configuration among them was certainly
+// current.
+func (t *Table) Sum(hall string) (shares map[string]Usage, demands map[string]demand.Demand, members int, proven time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	shares = make(map[string]Usage)
+	parts := make(map[string][]demand.Demand)
 	for key, e := range t.reports {
 		if key.Name == "" || e.From.Hall != hall {
 			continue
@@ -232,8 +240,62 @@
 		for endpoint, s := range e.Shares {
 			shares[endpoint] = shares[endpoint].Plus(s)
 		}
+		for service, d := range e.Demands {
+			parts[service] = append(parts[service], d)
+		}
+	}
+	return shares, sums(parts), members, proven
+}
+
+// sums returns the sum of the demands of each key.
+func sums(parts map[string][]demand.Demand) map[string]demand.Demand {
+	result := make(map[string]demand.Demand, len(parts))
+	for key, all := range parts {
+		result[key] = demand.Sum(all...)
+	}
+	return result
+}
+
+// FleetDemand returns the demand of the other gateways for a service: the sum over the reports in
+// force, in which each gateway is counted once.
+func (t *Table) FleetDemand(service string) demand.Demand {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var all []demand.Demand
+	for _, e := range t.reports {
+		if d, ok := e.Demands[service]; ok {
+			all = append(all, d)
+		}
+	}
+	return demand.Sum(all...)
+}
+
+// HallDemands returns the demand of the other gateways for a service by hall, without halls from
+// which no demand for it is reported.
+func (t *Table) HallDemands(service string) map[string]demand.Demand {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	parts := make(map[string][]demand.Demand)
+	for _, e := range t.reports {
+		if d, ok := e.Demands[service]; ok {
+			parts[e.From.Hall] = append(parts[e.From.Hall], d)
+		}
+	}
+	return sums(parts)
+}
+
+// FleetDemandAge returns the time since the newest report in force that covers a service arrived,
+// and the largest duration if there is none.
+func (t *Table) FleetDemandAge(service string, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	age := time.Duration(math.MaxInt64)
+	for _, e := range t.reports {
+		if _, ok := e.Demands[service]; ok {
+			age = min(age, max(now.Sub(e.at), 0))
+		}
 	}
-	return shares, members, proven
+	return age
 }
 
 // Demands returns the demand of the others for the limit of an endpoint: near are gateways with
--- a/state/peers/table_test.go
+++ b/state/peers/table_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/grademill/grademill/decide/demand"
 	"github.com/grademill/grademill/decide/overlay"
 	"github.com/grademill/grademill/state/peers"
 )
@@ -82,7 +83,7 @@
 	near.Proven = now.Add(-time.Second)
 	table.AddReport(near, self, now)
 	table.AddReport(far, self, now)
-	shares, members, proven := table.Sum("north")
+	shares, _, members, proven := table.Sum("north")
 	require.Equal(t, 1, members)
 	require.Equal(t, near.Proven, proven)
 	require.EqualValues(t, 5, shares["card"].Active)
@@ -140,3 +141,59 @@
 	}
 	return list
 }
+
+// asking returns a report with a demand for the service "chat".
+func asking(name, hall string, number uint64, members int, offered float64) peers.Report {
+	r := report(name, hall, number, members, 0)
+	r.Demands = map[string]demand.Demand{"chat": {Admitted: 1, Classes: map[demand.Class]demand.Load{{Priority: 1}: {Offered: offered}}}}
+	return r
+}
+
+// Guards against the demand of a hall counted both from its gateways and from its sums, and against
+// demand of the own hall in the sums of others.
+func TestDemandOfAHallIsCountedOnce(t *testing.T) {
+	table, _ := table()
+	now := time.Now()
+	require.Zero(t, table.FleetDemand("chat").Offered())
+	require.True(t, table.AddReport(asking("near-1", "north", 1, 0, 1), self, now))
+	require.True(t, table.AddReport(asking("near-2", "north", 1, 0, 2), self, now))
+	require.True(t, table.AddReport(asking("far-1", "south", 1, 0, 4), self, now))
+	require.InDelta(t, 7, table.FleetDemand("chat").Offered(), 0)
+	require.True(t, table.AddReport(asking("far-1", "south", 2, 3, 10), self, now))
+	require.False(t, table.AddReport(asking("far-2", "south", 1, 0, 5), self, now))
+	require.False(t, table.AddReport(asking("near-2", "north", 2, 3, 90), self, now))
+	require.InDelta(t, 13, table.FleetDemand("chat").Offered(), 0)
+	require.True(t, table.AddReport(asking("far-2", "south", 2, 3, 11), self, now))
+	require.InDelta(t, 14, table.FleetDemand("chat").Offered(), 0)
+	halls := table.HallDemands("chat")
+	require.Len(t, halls, 2)
+	require.InDelta(t, 3, halls["north"].Offered(), 0)
+	require.InDelta(t, 11, halls["south"].Offered(), 0)
+	_, demands, members, _ := table.Sum("north")
+	require.Equal(t, 2, members)
+	require.InDelta(t, 3, demands["chat"].Offered(), 0)
+	require.InDelta(t, 2, demands["chat"].Admitted, 0)
+	require.Empty(t, table.HallDemands("other"))
+}
+
+// Guards against demand that outlives its gateway: it would keep the others' shares too small.
+func TestExpiredDemandDoesNotCount(t *testing.T) {
+	table, _ := table()
+	now := time.Now()
+	slow := asking("slow", "south", 1, 3, 2)
+	slow.Interval = time.Second
+	table.AddReport(slow, self, now)
+	table.AddReport(asking("near", "north", 1, 0, 1), self, now.Add(time.Second))
+	now = now.Add(time.Second + 500*time.Millisecond)
+	require.Equal(t, 500*time.Millisecond, table.FleetDemandAge("chat", now))
+	now = now.Add(time.Second)
+	table.Expire(now, 6, 150*time.Millisecond)
+	require.InDelta(t, 2, table.FleetDemand("chat").Offered(), 0)
+	require.Equal(t, 2500*time.Millisecond, table.FleetDemandAge("chat", now))
+	table.AddReport(report("former", "north", 1, 0, 1), self, now)
+	require.Equal(t, 2500*time.Millisecond, table.FleetDemandAge("chat", now), "a report without demand does not cover the service")
+	table.Expire(now.Add(time.Minute), 6, 150*time.Millisecond)
+	require.Zero(t, table.FleetDemand("chat").Offered())
+	require.Empty(t, table.HallDemands("chat"))
+	require.Greater(t, table.FleetDemandAge("chat", now), 1000*time.Hour)
+}
