Settings of the overload control of a fleet

The table [gateway.overload] is checked and nil when it is missing. Errors in the weights of teams have their line. The gateway compares reloaded settings by value, since they now hold a pointer and a map.

--- a/cmd/grademill-gateway/daemon.go
+++ b/cmd/grademill-gateway/daemon.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -145,7 +146,7 @@
 		d.log.Error().Err(err).Msg("settings are invalid; the previous ones remain in force")
 		return
 	}
-	d.log.Info().Bool("changed", *file.Gateway != *d.file.Gateway).Msg("settings read again")
+	d.log.Info().Bool("changed", !reflect.DeepEqual(file.Gateway, d.file.Gateway)).Msg("settings read again")
 }
 
 // stop drains the gateway without aborting requests. It reports not ready at
--- a/role/settings/file.go
+++ b/role/settings/file.go
@@ -154,6 +154,46 @@
 	// gateways use a bounded share of it.
 	LinkMegabits float64  `toml:"link_megabits" validate:"min=0,max=10000000"`
 	RetryWindow  Duration `toml:"retry_window" validate:"min=0"`
+	// Overload is the overload control of the fleet; nil switches all of it off.
+	Overload *Overload `toml:"overload" validate:"omitempty"`
+}
+
+// Overload holds the settings of the overload control of a fleet of gateways.
+type Overload struct {
+	// RoomShares limits what a gateway takes of an endpoint's free room to its share.
+	RoomShares bool `toml:"room_shares"`
+	// FleetAdmission makes all gateways admit the same classes of requests, and gives callers that
+	// are refused appointments at the rate at which the fleet has room for them.
+	FleetAdmission bool `toml:"fleet_admission"`
+	// HallSplit divides the demand of a hall among halls.
+	HallSplit bool `toml:"hall_split"`
+	// ReturnShare is the share of the capacity that is reserved for returning callers, nil for the
+	// default of 0.1.
+	ReturnShare *float64 `toml:"return_share" validate:"omitempty,min=0,max=0.5"`
+	// MinShare is the share of the overall served share that every class gets, nil for the default of
+	// 0.4.
+	MinShare *float64 `toml:"min_share" validate:"omitempty,min=0,max=0.9"`
+	// TeamWeights are the weights of teams, above 0. A team that is not listed has weight 1. The upper
+	// bound excludes infinity.
+	TeamWeights map[string]float64 `toml:"team_weights" validate:"dive,keys,required,max=63,endkeys,gt=0,max=1000000"`
+}
+
+// Defaults of the shares of Overload.
+const (
+	defaultReturnShare = 0.1
+	defaultMinShare    = 0.4
+)
+
+// Shares returns ReturnShare and MinShare, or their defaults.
+func (o *Overload) Shares() (returning, least float64) {
+	returning, least = defaultReturnShare, defaultMinShare
+	if o.ReturnShare != nil {
+		returning = *o.ReturnShare
+	}
+	if o.MinShare != nil {
+		least = *o.MinShare
+	}
+	return returning, least
 }
 
 // Error is a fault in a settings file.
@@ -230,8 +270,9 @@
 }
 
 // lineOf returns the line that sets key, 0 if there is none. Among several tables of an array it
-// uses the first.
+// uses the first. The key of a map is in brackets; it may be set in a table of its own.
 func lineOf(data []byte, key string) int {
+	inTable := strings.NewReplacer("[", ".", "]", "").Replace(key)
 	want := strings.Split(key, ".")
 	for i := range want {
 		want[i], _, _ = strings.Cut(want[i], "[")
@@ -244,7 +285,8 @@
 			continue
 		}
 		name, _, assigned := strings.Cut(line, "=")
-		if assigned && table+strings.TrimSpace(name) == strings.Join(want, ".") {
+		full := table + strings.Trim(name, " \t\"'")
+		if assigned && (full == strings.Join(want, ".") || full == inTable) {
 			return n + 1
 		}
 	}
--- a/role/settings/file_test.go
+++ b/role/settings/file_test.go
@@ -72,6 +72,67 @@
 	}
 }
 
+const gatewayText = `role = "gateway"
+name = "g"
+hall = "h"
+address = "1.2.3.4:5"
+[gateway]
+caller = "1.2.3.4:6"
+ready = "1.2.3.4:7"
+store = "1.2.3.4:8"
+`
+
+// Guards against overload control that is on without its table, and against a share of 0 that is
+// taken for a missing one.
+func TestOverload(t *testing.T) {
+	f, err := settings.Parse("f.toml", []byte(gatewayText))
+	require.NoError(t, err)
+	require.Nil(t, f.Gateway.Overload)
+	f, err = settings.Parse("f.toml", []byte(gatewayText+"[gateway.overload]\n"))
+	require.NoError(t, err)
+	require.Equal(t, &settings.Overload{}, f.Gateway.Overload)
+	returning, least := f.Gateway.Overload.Shares()
+	require.Equal(t, []float64{0.1, 0.4}, []float64{returning, least})
+	f, err = settings.Parse("f.toml", []byte(gatewayText+`[gateway.overload]
+room_shares = true
+return_share = 0
+min_share = 0.9
+[gateway.overload.team_weights]
+flood = 0.5
+`))
+	require.NoError(t, err)
+	require.True(t, f.Gateway.Overload.RoomShares)
+	require.False(t, f.Gateway.Overload.FleetAdmission || f.Gateway.Overload.HallSplit)
+	returning, least = f.Gateway.Overload.Shares()
+	require.Equal(t, []float64{0, 0.9}, []float64{returning, least})
+	require.Equal(t, map[string]float64{"flood": 0.5}, f.Gateway.Overload.TeamWeights)
+}
+
+// Guards against wrong values of the overload control that are accepted, or reported without their
+// line.
+func TestWrongOverload(t *testing.T) {
+	for text, key := range map[string]string{
+		"return_share = 0.51":                            "return_share",
+		"return_share = -0.1":                            "return_share",
+		"return_share = nan":                             "return_share",
+		"min_share = 0.91":                               "min_share",
+		"min_share = -1":                                 "min_share",
+		"min_share = \"0.4\"":                            "min_share",
+		"room_shares = 1":                                "room_shares",
+		"hall_splits = true":                             "hall_splits",
+		"team_weights = { a = 1, b = 0 }":                "team_weights[b]",
+		"team_weights = { a = inf }":                     "team_weights[a]",
+		"team_weights = { \"\" = 1 }":                    "team_weights[]",
+		"[gateway.overload.team_weights]\na = 1\nb = -2": "team_weights[b]",
+	} {
+		_, err := settings.Parse("f.toml", []byte(gatewayText+"[gateway.overload]\n"+text+"\n"))
+		var fault *settings.Error
+		require.True(t, errors.As(err, &fault), "%s: %v", text, err)
+		require.Equal(t, "gateway.overload."+key, fault.Key, text)
+		require.Equal(t, 10+strings.Count(text, "\n"), fault.Line, text)
+	}
+}
+
 // The deployment template, filled with the values of a host, gives valid settings, with and without
 // the optional bounds.
 func TestDeployTemplateIsValid(t *testing.T) {
@@ -89,6 +150,7 @@
 	require.Equal(t, 5*time.Second, time.Duration(f.Gateway.Revocation))
 	require.Equal(t, 200, f.Gateway.RetryReserve)
 	require.InDelta(t, 1, f.Gateway.RetryShare, 0)
+	require.Equal(t, &settings.Overload{RoomShares: true, FleetAdmission: true, HallSplit: true}, f.Gateway.Overload)
 	for name := range values {
 		if strings.HasPrefix(name, "bounds.") {
 			delete(values, name)
