--- a/adapter/meter/gateway.go
+++ b/adapter/meter/gateway.go
@@ -26,6 +26,8 @@
 	digests     *prometheus.CounterVec
 	endpoints   *prometheus.GaugeVec
 	revision    prometheus.Gauge
+	load        *prometheus.GaugeVec
+	shed        *prometheus.CounterVec
 	connections prometheus.Counter
 	dropped     prometheus.Counter
 }
@@ -87,6 +89,14 @@
 		revision: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "gateway_store_revision", Help: "Latest store revision known to this gateway.",
 		}),
+		load: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "gateway_fleet_load",
+			Help: "Load of a model service in the whole fleet: capacity (estimated), offered and admitted in requests per second, and shedding (1 or 0).",
+		}, []string{"service", "value"}),
+		shed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "gateway_shed_total",
+			Help: "Requests refused because the fleet has no room for their class, by service and caller: new or returning.",
+		}, []string{"service", "caller"}),
 		connections: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "gateway_connections_total", Help: "Connections opened to endpoints.",
 		}),
@@ -95,7 +105,8 @@
 		}),
 	}
 	m.Registry.MustRegister(
-		m.ended, m.first, m.total, m.pause, m.retries, m.checks, m.orders, m.held, m.quarantine, m.platform, m.store, m.digests, m.endpoints, m.revision, m.connections, m.dropped)
+		m.ended, m.first, m.total, m.pause, m.retries, m.checks, m.orders, m.held, m.quarantine, m.platform, m.store, m.digests, m.endpoints, m.revision, m.load, m.shed,
+		m.connections, m.dropped)
 	return m
 }
 
@@ -148,6 +159,27 @@
 // Quarantine counts an event of a request during which endpoints ended.
 func (m *Gateway) Quarantine(event string) { m.quarantine.WithLabelValues(event).Inc() }
 
+// Level records the load of a model service in the whole fleet, with rates per second.
+func (m *Gateway) Level(service string, capacity, offered, admitted float64, shedding bool) {
+	m.load.WithLabelValues(service, "capacity").Set(capacity)
+	m.load.WithLabelValues(service, "offered").Set(offered)
+	m.load.WithLabelValues(service, "admitted").Set(admitted)
+	level := 0.0
+	if shedding {
+		level = 1
+	}
+	m.load.WithLabelValues(service, "shedding").Set(level)
+}
+
+// Shed counts a request that is refused because the fleet has no room for its class.
+func (m *Gateway) Shed(service string, returning bool) {
+	caller := "new"
+	if returning {
+		caller = "returning"
+	}
+	m.shed.WithLabelValues(service, caller).Inc()
+}
+
 // StoreCall counts a call to the store.
 func (m *Gateway) StoreCall(kind, result string) { m.store.WithLabelValues(kind, result).Inc() }
 
--- a/cmd/grademill-gateway/daemon.go
+++ b/cmd/grademill-gateway/daemon.go
@@ -18,6 +18,7 @@
 
 	"github.com/grademill/grademill/adapter/ingress"
 	"github.com/grademill/grademill/adapter/meter"
+	"github.com/grademill/grademill/decide/shedding"
 	"github.com/grademill/grademill/platform"
 	"github.com/grademill/grademill/role/gateway"
 	"github.com/grademill/grademill/role/settings"
@@ -76,6 +77,13 @@
 		LinkRate: s.LinkMegabits * bytesPerMegabit, FlatFleet: s.FlatFleet,
 		Log: d.log, Meter: d.metrics,
 	}
+	if o := s.Overload; o != nil {
+		returnShare, minShare := o.Shares()
+		d.gateway.Overload = gateway.Overload{
+			RoomShares: o.RoomShares, FleetAdmission: o.FleetAdmission,
+			Policy: shedding.Policy{ReturnShare: returnShare, MinShare: minShare, Weights: o.TeamWeights},
+		}
+	}
 	return d
 }
 
--- a/decide/demand/demand.go
+++ b/decide/demand/demand.go
@@ -96,6 +96,16 @@
 	return Sum(d, other)
 }
 
+// WithoutTeams returns the demand without the names of teams.
+func (d Demand) WithoutTeams() Demand {
+	classes := make(map[Class]Load, len(d.Classes))
+	for class, load := range d.Classes {
+		classes[class] = Load{Offered: load.Offered}
+	}
+	d.Classes = classes
+	return d
+}
+
 // Capacity returns the mean estimate of the fleet's capacity in requests per second, 0 if there is
 // none.
 func (d Demand) Capacity() float64 {
--- a/role/admission/queue.go
+++ b/role/admission/queue.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,9 +70,13 @@
 	// retryRates holds the rate of retried requests per service.
 	retryRates byname.Map[rate.Meter]
 
+	// ReturnShare is the share of the fleet's capacity that is reserved for retries, see
+	// retryafter.Schedule.
+	ReturnShare float64
+
 	mu sync.Mutex
-	// retries schedules the retries of refused callers; guarded by mu.
-	retries retryafter.Schedule
+	// retries schedules the retries of refused callers by service; guarded by mu.
+	retries map[string]*retryafter.Schedule
 }
 
 // ready initializes the gate on the first call and returns it.
@@ -84,17 +89,19 @@
 }
 
 // Arrive records a new request and reports whether it is probably a retry of a refused one: its
-// caller's timeout is a smaller share of the route's than is usual on a first attempt.
-func (l *Queue[G]) Arrive(r Request) bool {
-	share := r.share()
-	returned := l.firstShares.Get(r.Service).IsReturning(share)
+// caller's timeout is a smaller share of the route's than is usual on a first attempt. early is set
+// if it comes sooner than any Retry-After delay that is given.
+func (l *Queue[G]) Arrive(r Request) (returned, early bool) {
+	share, usual := r.share(), l.firstShares.Get(r.Service)
+	early = usual.IsEarly(share, r.RouteTimeout, retryafter.MinDelay)
+	returned = early || usual.IsReturning(share)
 	if returned {
 		l.retryRates.Update(r.Service, func(m rate.Meter) rate.Meter { return m.WithCount(r.Start, 1) })
 	}
 	if r.Start.UnixNano()-l.refusedAt.Load() >= int64(noRefusalPeriod) {
 		l.firstShares.Update(r.Service, func(p callertimeout.Estimate) callertimeout.Estimate { return p.WithShare(share) })
 	}
-	return returned
+	return returned, early
 }
 
 func (l *Queue[G]) urgency(r Request, now time.Time) urgency.Urgency {
@@ -191,8 +198,17 @@
 	if l.FleetLoad != nil {
 		load = l.FleetLoad(r.Service, load)
 	}
+	load.Returned = r.Retried
 	maxDelay := time.Duration(maxRetryAfterShare * float64(r.Deadline.Sub(now)))
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.retries.Delay(now, load, maxDelay), load.Admitted
+	schedule := l.retries[r.Service]
+	if schedule == nil {
+		if l.retries == nil {
+			l.retries = make(map[string]*retryafter.Schedule)
+		}
+		schedule = &retryafter.Schedule{Random: rand.Float64, ReturnShare: l.ReturnShare}
+		l.retries[r.Service] = schedule
+	}
+	return schedule.Delay(now, load, maxDelay), load.Admitted
 }
--- a/role/admission/queue_test.go
+++ b/role/admission/queue_test.go
@@ -68,7 +68,7 @@
 		Service: "assistant", RouteTimeout: routeTimeout, CallerTimeout: routeTimeout - now.Sub(began), Objective: objective,
 		Start: now, Deadline: began.Add(routeTimeout),
 	}
-	r.Retried = p.line.Arrive(r)
+	r.Retried, _ = p.line.Arrive(r)
 	if _, report := p.line.Enter(ctx, r, p.line.Terms(r, now), p.try); report != nil {
 		wait, _ := p.line.RetryAfter(r, time.Now())
 		p.mu.Lock()
--- a/role/gateway/digest.go
+++ b/role/gateway/digest.go
@@ -16,8 +16,8 @@
 
 // Digest returns the use that this gateway makes of endpoints at now, plus that of others. others
 // is nil for the gateway's own digest; for the digest of a whole hall it holds the shares of the
-// other gateways of the hall by endpoint ID.
-func (g *Gateway) Digest(now time.Time, others map[string]peers.Usage, _ map[string]demand.Demand) *gossip.Digest {
+// other gateways of the hall by endpoint ID, and demands their demands by service.
+func (g *Gateway) Digest(now time.Time, others map[string]peers.Usage, demands map[string]demand.Demand) *gossip.Digest {
 	d := &gossip.Digest{
 		Proven:         g.loaded.Load() && !g.failing.Load(),
 		ProofAgeMillis: uint32(max(g.proofAge().Milliseconds(), 0)),
@@ -32,6 +32,7 @@
 		d.Leading = true // the leader is in this hall
 	}
 	g.membership.AddToDigest(d, now)
+	g.addLoads(d, demands, now)
 	for id, b := range g.fleet.Load().byID {
 		if b.use.unused(now) && (others == nil || others[id] == peers.Usage{}) {
 			continue // the case of most endpoints of a large fleet
--- a/role/gateway/overload.go
+++ b/role/gateway/overload.go
@@ -9,7 +9,9 @@
 	"github.com/grademill/grademill/decide/demand"
 	"github.com/grademill/grademill/decide/roomshare"
 	"github.com/grademill/grademill/decide/shedding"
+	"github.com/grademill/grademill/role/gossip"
 	"github.com/grademill/grademill/role/overload"
+	wire "github.com/grademill/grademill/wire/gossip"
 )
 
 // Overload configures what a gateway does while a model service is short of room. The zero value
@@ -26,10 +28,10 @@
 func (g *Gateway) initOverload() {
 	g.overload = overload.Control{
 		Hall: g.Hall, Admission: g.Overload.FleetAdmission, Policy: g.Overload.Policy, Seed: xxhash.Sum64String(g.Name),
-		Reports: &g.peers, Objective: g.shortestObjective, Waiting: g.queue.WaitingFor, Meter: g.Meter, Log: g.Log,
+		Reports: &g.peers, Objective: g.shortestObjective, Position: g.position, Waiting: g.queue.WaitingFor, Meter: g.Meter, Log: g.Log,
 	}
 	if g.Overload.FleetAdmission {
-		g.queue.FleetLoad = g.overload.RetryLoad
+		g.queue.FleetLoad, g.queue.ReturnShare = g.overload.RetryLoad, g.Overload.Policy.ReturnShare
 	}
 }
 
@@ -41,16 +43,40 @@
 	return defaultObjective
 }
 
+// position returns the position of this gateway among all, by name.
+func (g *Gateway) position() float64 {
+	before := 0
+	others := g.gossip.Overlay().Others
+	for _, m := range others {
+		if m.Name < g.Name {
+			before++
+		}
+	}
+	return (float64(before) + 0.5) / float64(len(others)+1)
+}
+
 // admitArrival counts a request of a model and reports whether the fleet has room for its class. A
 // request that resumes a stream is not shed.
-func (g *Gateway) admitArrival(q *query) bool {
+func (g *Gateway) admitArrival(q *query, early bool) bool {
 	q.decision = g.overload.Arrive(overload.Arrival{
 		Service: q.service.Name, Team: q.team, Class: demand.Class{Priority: q.priority, Returning: q.returned},
-		Exempt: q.LastEvent != "",
+		Early: early, Exempt: q.LastEvent != "",
 	}, q.start)
 	return q.decision.Admit
 }
 
+// addLoads adds the load reports to a digest: this gateway's own plus those of others.
+func (g *Gateway) addLoads(d *wire.Digest, others map[string]demand.Demand, now time.Time) {
+	if !g.Overload.RoomShares && !g.Overload.FleetAdmission {
+		return
+	}
+	demands := g.overload.Demands(now)
+	for service, other := range others {
+		demands[service] = demands[service].Plus(other)
+	}
+	d.Loads = gossip.EncodeLoads(demands)
+}
+
 // shareRoom begins a new round of this gateway's budgets of room.
 func (g *Gateway) shareRoom(now time.Time) {
 	c := g.catalog.Load()
@@ -68,15 +94,20 @@
 
 // beginRound begins a new round of the budgets of an endpoint.
 func (g *Gateway) beginRound(m *catalog.Model, b *backend) {
-	share, whole := g.overload.RoomShare(b.Service, b.Hall)
-	typical := float64(m.Prompt) + heldAnswerShare*float64(m.Answer)
+	share, isolated := g.overload.RoomShare(b.Service, b.Hall)
+	turnover := 0.0
+	if d := g.queue.Times.RequestDuration(b.Service); d > 0 {
+		turnover = g.gossip.DigestInterval().Seconds() / d.Seconds()
+	}
+	typical := (float64(m.Prompt) + heldAnswerShare*float64(m.Answer)) * float64(b.Layers.Len())
 	room, free := b.room(m, 0)
-	slots := float64(b.Slots)
-	freeSlots := slots - float64(b.use.entered.Load()+b.use.othersEntered.Load())
-	if whole { // the others are not heard, and may use their own shares
-		free, freeSlots = share*room-float64(b.use.held.Load()), share*slots-float64(b.use.entered.Load())
-		share = 1
+	slots, entered := float64(b.Slots), float64(b.use.entered.Load())
+	if isolated {
+		b.use.budget.Begin(roomshare.IsolatedRound(room, float64(b.use.held.Load()), share, typical, turnover))
+		b.use.slotBudget.Begin(roomshare.IsolatedRound(slots, entered, share, 1, turnover))
+		return
 	}
-	b.use.budget.Begin(roomshare.Round{Free: free, Share: share, Typical: typical * float64(b.Layers.Len())})
-	b.use.slotBudget.Begin(roomshare.Round{Free: freeSlots, Share: share, Typical: 1})
+	freeSlots := slots - entered - float64(b.use.othersEntered.Load())
+	b.use.budget.Begin(roomshare.Round{Free: free, Share: share, Typical: typical, Turnover: turnover})
+	b.use.slotBudget.Begin(roomshare.Round{Free: freeSlots, Share: share, Typical: 1, Turnover: turnover})
 }
--- a/role/gateway/reservation.go
+++ b/role/gateway/reservation.go
@@ -58,10 +58,17 @@
 		return
 	}
 	s.released = true
+	accepted := !s.reading // a rejected request frees nothing
 	s.notePromptRead()
 	s.first.use.entered.Add(-1)
+	if accepted {
+		s.first.use.slotBudget.Release(1)
+	}
 	for i, b := range s.parts {
 		b.use.release(s.memory[i])
+		if accepted {
+			b.use.budget.Release(float64(s.memory[i]))
+		}
 	}
 }
 
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -60,9 +60,10 @@
 // serveModel serves a request of a model. It reports whether the answer has broken off and must not
 // look complete.
 func (g *Gateway) serveModel(q *query) bool {
-	q.returned = g.queue.Arrive(q.waiting())
+	var early bool
+	q.returned, early = g.queue.Arrive(q.waiting())
 	s := &relay{g: g, q: q, last: q.LastEvent, flush: http.NewResponseController(q.w)}
-	if !g.admitArrival(q) {
+	if !g.admitArrival(q, early) {
 		g.giveUp(q, string(shortageFleet))
 		return false
 	}
@@ -231,6 +232,9 @@
 	s.q.avoid(address)
 	if b := s.g.fleet.Load().byAddress[address]; b != nil {
 		b.use.noRoomUntil.Store(time.Now().Add(noRoomWait).UnixNano())
+		if t.answer != nil && t.answer.Status == http.StatusServiceUnavailable {
+			b.use.budget.Reject()
+		}
 		if address != reservation.first.Address {
 			s.g.checkRefused(b, t.answer != nil && t.answer.Status == http.StatusMisdirectedRequest, s.sentAt)
 		}
--- a/role/overload/control.go
+++ b/role/overload/control.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/grademill/grademill/decide/capacity"
 	"github.com/grademill/grademill/decide/demand"
 	"github.com/grademill/grademill/decide/retryafter"
 	"github.com/grademill/grademill/decide/roomshare"
@@ -22,9 +23,6 @@
 	staleReports = 2 * time.Second
 	// forgetAfter is how long a service may be without demand before its estimate is dropped.
 	forgetAfter = 10 * time.Second
-	// targetWaitShare is the target for the wait in the queue as a share of the shortest objective:
-	// most of the objective is needed to read the prompt.
-	targetWaitShare = 0.2
 	// defaultRemoteWeight is how much the demand of a gateway counts at the endpoints of another hall:
 	// most requests stay in the hall of their gateway.
 	defaultRemoteWeight = 0.2
@@ -65,6 +63,8 @@
 	Reports Reports
 	// Objective returns the shortest objective among the routes of a service.
 	Objective func(service string) time.Duration
+	// Position returns the position of this gateway among all, see retryafter.Load.
+	Position func() float64
 	// Waiting returns the number of queued requests of a service.
 	Waiting func(service string) int
 	Meter   Meter
@@ -140,11 +140,16 @@
 	c.of(service).count(now, false)
 }
 
-// Demands returns this gateway's own load report, by service.
+// Demands returns this gateway's own load report, by service. It names teams only while the fleet is
+// short of room, when they matter, and otherwise spares the bytes.
 func (c *Control) Demands(now time.Time) map[string]demand.Demand {
 	demands := make(map[string]demand.Demand)
 	for name, s := range c.all() {
-		if d := s.demand(now, c.Waiting(name)); d.Offered() > 0 || d.Waiting > 0 || d.Admitted > 0 {
+		d, short := s.report(now, c.Waiting(name))
+		if !short {
+			d = d.WithoutTeams()
+		}
+		if d.Offered() > 0 || d.Waiting > 0 || d.Admitted > 0 {
 			demands[name] = d
 		}
 	}
@@ -162,6 +167,7 @@
 func (c *Control) update(name string, s *service, now time.Time) {
 	own := s.demand(now, c.Waiting(name))
 	others := c.Reports.FleetDemand(name)
+	position := c.Position()
 	age := c.Reports.FleetDemandAge(name, now)
 	halls := c.Reports.HallDemands(name)
 	size := c.Reports.Size()
@@ -170,31 +176,32 @@
 	alone := size > 1 && age > staleReports
 	if alone {
 		// The others may still run: this gateway keeps within its part of what the fleet could do.
-		s.level = c.Policy.Level(own, s.estimate.Capacity()*s.part)
+		s.level = c.Policy.Level(own, s.estimate.Value()*s.part)
 	} else {
 		s.part = part(own.Offered(), fleet.Offered(), size)
-		s.estimate = s.estimate.Next(fleet, time.Duration(targetWaitShare*float64(c.Objective(name))), now)
-		s.level = c.Policy.Level(fleet, s.estimate.Capacity())
-		s.refusedPart = part(own.Refused, fleet.Refused, size)
+		s.estimate = s.estimate.Next(fleet, capacity.Target(c.Objective(name), false), now)
+		s.level = c.Policy.Level(fleet, s.estimate.Value())
+		s.refusedPart = s.reported.Refused / (s.reported.Refused + others.Refused)
 		s.shares = shares(s.level, own, halls, c.Hall, size)
 	}
 	if fleet.Offered() > 0 {
 		s.wantedAt = now
 	} else if now.Sub(s.wantedAt) > forgetAfter {
-		s.estimate, s.level = shedding.Estimate{}, shedding.Level{}
+		s.estimate, s.level = capacity.Estimate{}, shedding.Level{}
 	}
-	s.fleet, s.age, s.alone = fleet, age, alone
-	level, capacity, changed := s.level, s.estimate.Capacity(), s.level.Open() != s.wasOpen || s.level.Marginal() != s.wasMarginal
+	s.fleet, s.age, s.alone, s.position = fleet, age, alone, position
+	s.reported, s.latest = s.latest, own
+	level, perSecond, changed := s.level, s.estimate.Value(), s.level.Open() != s.wasOpen || s.level.Marginal() != s.wasMarginal
 	s.wasOpen, s.wasMarginal = level.Open(), level.Marginal()
 	s.mu.Unlock()
-	c.Meter.Level(name, capacity, fleet.Offered(), fleet.Admitted, !level.Open())
+	c.Meter.Level(name, perSecond, fleet.Offered(), fleet.Admitted, !level.Open())
 	if c.Admission && changed {
-		c.logLevel(name, level, capacity, fleet, age, alone)
+		c.logLevel(name, level, perSecond, fleet, age, alone)
 	}
 }
 
-func (c *Control) logLevel(name string, level shedding.Level, capacity float64, fleet demand.Demand, age time.Duration, alone bool) {
-	line := c.Log.Info().Str("service", name).Bool("open", level.Open()).Float64("capacity_per_s", round(capacity)).
+func (c *Control) logLevel(name string, level shedding.Level, perSecond float64, fleet demand.Demand, age time.Duration, alone bool) {
+	line := c.Log.Info().Str("service", name).Bool("open", level.Open()).Float64("capacity_per_s", round(perSecond)).
 		Float64("offered_per_s", round(fleet.Offered())).Float64("admitted_per_s", round(fleet.Admitted)).
 		Float64("waiting", fleet.Waiting).Bool("alone", alone)
 	if age < time.Hour {
@@ -274,7 +281,8 @@
 	if !c.Admission || s.alone {
 		return load
 	}
-	load.Capacity, load.OfferedNew, load.Part = s.estimate.Capacity(), offeredNew(s.fleet), s.refusedPart
+	load.Capacity, load.OfferedNew = s.estimate.Value(), offeredNew(s.fleet)
+	load.Part, load.Position = s.refusedPart, s.position
 	return load
 }
 
--- a/role/overload/service.go
+++ b/role/overload/service.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/grademill/grademill/decide/capacity"
 	"github.com/grademill/grademill/decide/demand"
 	"github.com/grademill/grademill/decide/rate"
 	"github.com/grademill/grademill/decide/shedding"
@@ -22,7 +23,7 @@
 	admitted, refused rate.Meter
 	// offered holds the rates of arrivals by class.
 	offered  map[demand.Class]*classRates
-	estimate shedding.Estimate
+	estimate capacity.Estimate
 	level    shedding.Level
 	thinner  thinning.Thinner
 	// fleet is the demand of all gateways as of the last update, age that of the newest report of
@@ -34,6 +35,11 @@
 	// its shares of free room by hall.
 	part, refusedPart float64
 	shares            map[string]float64
+	// latest is this gateway's demand as of the last update, and reported as of the one before: the
+	// reports of the others are about as old.
+	latest, reported demand.Demand
+	// position is the position of this gateway among all.
+	position float64
 	// wantedAt is when the service last had demand.
 	wantedAt time.Time
 	// wasOpen and wasMarginal describe the level that was last logged.
@@ -105,8 +111,8 @@
 		Admitted: s.admitted.PerSecond(now), Refused: s.refused.PerSecond(now), Waiting: float64(waiting),
 		Classes: make(map[demand.Class]demand.Load, len(s.offered)),
 	}
-	if capacity := s.estimate.Capacity(); capacity > 0 {
-		d.CapacitySum, d.Estimates = capacity, 1
+	if value := s.estimate.Value(); value > 0 {
+		d.CapacitySum, d.Estimates = value, 1
 	}
 	for class, rates := range s.offered {
 		offered := rates.all.PerSecond(now)
@@ -134,5 +140,13 @@
 	return teams
 }
 
+// report returns the demand at this gateway, and whether the fleet is short of room.
+func (s *service) report(now time.Time, waiting int) (demand.Demand, bool) {
+	d := s.demand(now, waiting)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return d, s.fleet.Waiting > 0 || !s.level.Open()
+}
+
 // minRate is the rate, in requests per second, below which a class or team is forgotten.
 const minRate = 0.02
--- a/state/budget/budget.go
+++ b/state/budget/budget.go
@@ -24,6 +24,16 @@
 	b.update(func(c roomshare.Budget) roomshare.Budget { return c.WithRequest(need) })
 }
 
+// Release counts a placed request that has ended.
+func (b *Budget) Release(freed float64) {
+	b.update(func(c roomshare.Budget) roomshare.Budget { return c.WithRelease(freed) })
+}
+
+// Reject counts a request that the endpoint rejected for lack of room.
+func (b *Budget) Reject() {
+	b.update(roomshare.Budget.WithRejection)
+}
+
 // Begin begins a round.
 func (b *Budget) Begin(r roomshare.Round) {
 	b.update(func(c roomshare.Budget) roomshare.Budget { return c.WithRound(r) })
