--- a/layout_test.go
+++ b/layout_test.go
@@ -57,6 +57,7 @@
 	"decide/requestlog",
 	"decide/retry",
 	"decide/retryafter",
+	"decide/roomshare",
 	"decide/route",
 	"decide/throttle",
 	"decide/timeout",
