--- a/decide/roomshare/fleet_test.go
+++ b/decide/roomshare/fleet_test.go
@@ -115,7 +115,7 @@
 			near: make(map[int]digest), sums: make(map[int]digest),
 		}
 		for e := range g.shares {
-			g.shares[e] = roomshare.Share(0, 0, 0, remoteWeight, size)
+			g.shares[e] = roomshare.Share(0, 1, 0, remoteWeight, size)
 		}
 		f.start(g)
 		weights[g.hall] += g.weight
