Fail on a body above its bound instead of cutting it

upstream.Answer.ReadAll (16 MiB) and servicehttp.Client (1 MiB) returned the first part of a longer body without an error, and it was passed on as the whole answer. Both return a readlimit.ExceededError now. The rest of a skipped response above 16 MiB was read as the next response, which fails in the same way.

--- /dev/null
+++ b/adapter/readlimit/read.go
@@ -0,0 +1,39 @@
+// Package readlimit reads streams up to a bound, and tells a stream that ends within the bound
+// from one that exceeds it.
+package readlimit
+
+import (
+	"fmt"
+	"io"
+)
+
+// ExceededError reports a stream that is longer than its bound.
+type ExceededError struct {
+	// Limit is the bound in bytes.
+	Limit int64
+}
+
+// Error returns the bound.
+func (e *ExceededError) Error() string {
+	return fmt.Sprintf("more than the allowed %d bytes", e.Limit)
+}
+
+// ReadAll reads r to its end. It returns an ExceededError, and no bytes, if r holds more than limit
+// bytes.
+func ReadAll(r io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err == nil && int64(len(data)) > limit {
+		return nil, &ExceededError{Limit: limit}
+	}
+	return data, err
+}
+
+// Discard reads r to its end, without keeping it. It returns an ExceededError if r holds more than
+// limit bytes.
+func Discard(r io.Reader, limit int64) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(r, limit+1))
+	if err == nil && n > limit {
+		return &ExceededError{Limit: limit}
+	}
+	return err
+}
--- a/adapter/servicehttp/client.go
+++ b/adapter/servicehttp/client.go
@@ -12,10 +12,11 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/grademill/grademill/adapter/readlimit"
 	"github.com/grademill/grademill/port/service"
 )
 
-// maxReply is the maximum number of bytes read from a response body.
+// maxReply is the maximum size of a response body in bytes.
 const maxReply = 1 << 20
 
 // Client is a service.Service over HTTP. Set Base before the first use.
@@ -29,7 +30,8 @@
 var _ service.Service = (*Client)(nil)
 
 // Do implements service.Service. It never sends the request twice: the request has no GetBody,
-// so the HTTP client cannot repeat it after a broken connection.
+// so the HTTP client cannot repeat it after a broken connection. An answer longer than maxReply is a
+// readlimit.ExceededError.
 func (c *Client) Do(ctx context.Context, r service.Request) (service.Reply, error) {
 	body := struct{ io.Reader }{bytes.NewReader(r.Body)}
 	request, err := http.NewRequestWithContext(ctx, r.Method, c.Base+r.Path, body)
@@ -48,7 +50,7 @@
 		return service.Reply{}, sendError(err)
 	}
 	defer answer.Body.Close() //nolint:errcheck // nothing to save
-	text, err := io.ReadAll(io.LimitReader(answer.Body, maxReply))
+	text, err := readlimit.ReadAll(answer.Body, maxReply)
 	if err != nil {
 		return service.Reply{}, trace.Wrap(err, "read the service's answer")
 	}
--- a/adapter/upstream/call.go
+++ b/adapter/upstream/call.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/grademill/grademill/adapter/readlimit"
 )
 
 // Call is a request to one endpoint.
@@ -172,7 +174,7 @@
 			a.accept(response, stray > 0)
 			return nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBody)); err != nil {
+		if err := readlimit.Discard(response.Body, maxBody); err != nil {
 			return err
 		}
 		if stray++; stray > maxStray || response.Close {
@@ -205,8 +207,8 @@
 	return defaultIdle
 }
 
-// maxBody is the maximum number of bytes that ReadAll reads from a body, and that are read
-// to skip the body of a response to another request.
+// maxBody is the maximum size in bytes of a body for ReadAll, and of the body of a response to
+// another request that is skipped.
 const maxBody = 16 << 20
 
 // Read reads the body. It returns io.EOF only at the body's proper end; a truncated body ends
@@ -219,10 +221,9 @@
 	return n, err
 }
 
-// ReadAll reads the body. It returns only the first maxBody bytes of a longer one, without
-// an error.
+// ReadAll reads the body. It returns a readlimit.ExceededError for one longer than maxBody.
 func (a *Answer) ReadAll() ([]byte, error) {
-	return io.ReadAll(io.LimitReader(a, maxBody))
+	return readlimit.ReadAll(a, maxBody)
 }
 
 // Close ends the call. It returns the connection to the pool if the request and response are
