Take a fraction as gateway.retry_reserve

The platform computes the reserve from the size of the site and may give a fraction, such as 244.5. The gateway refused these settings and ended with code 3. The setting takes a fraction now; the budget uses its whole part.

TestRetryReserveTakesFraction fails on the code before: cannot decode TOML float into struct field of type int.

--- a/cmd/grademill-gateway/daemon.go
+++ b/cmd/grademill-gateway/daemon.go
@@ -71,7 +71,7 @@
 		},
 		Dialect: platform.Dialect{}, Runners: platform.NewControl(d.metrics.PlatformCall),
 		Revocation: time.Duration(s.Revocation),
-		RetryShare: s.RetryShare, RetryReserve: s.RetryReserve, RetryWindow: s.RetryWindow.Or(defaultRetryWindow),
+		RetryShare: s.RetryShare, RetryReserve: int(s.RetryReserve), RetryWindow: s.RetryWindow.Or(defaultRetryWindow),
 		LinkRate: s.LinkMegabits * bytesPerMegabit, FlatFleet: s.FlatFleet,
 		Log: d.log, Meter: d.metrics,
 	}
--- a/role/settings/file.go
+++ b/role/settings/file.go
@@ -144,9 +144,10 @@
 	Revocation Duration `toml:"revocation" validate:"min=0"`
 	// StopTimeout is the time between the stop signal and the forced end of the process.
 	StopTimeout Duration `toml:"stop_timeout" validate:"min=0"`
-	// RetryShare, RetryReserve and RetryWindow bound the retries of all gateways together.
+	// RetryShare, RetryReserve and RetryWindow bound the retries of all gateways together. The
+	// platform may give RetryReserve as a fraction; the budget uses its whole part.
 	RetryShare   float64 `toml:"retry_share" validate:"min=0,max=1"`
-	RetryReserve int     `toml:"retry_reserve" validate:"min=0,max=1000000"`
+	RetryReserve float64 `toml:"retry_reserve" validate:"min=0,max=1000000"`
 	// FlatFleet is the largest fleet in which every gateway sends its digests to all others and
 	// reads the platform's store itself, 0 for the default size.
 	FlatFleet int `toml:"flat_fleet" validate:"min=0,max=10000"`
--- a/role/settings/file_test.go
+++ b/role/settings/file_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
@@ -87,7 +88,7 @@
 	f, err := settings.Parse("gateway.toml", []byte(rendered))
 	require.NoError(t, err)
 	require.Equal(t, 5*time.Second, time.Duration(f.Gateway.Revocation))
-	require.Equal(t, 200, f.Gateway.RetryReserve)
+	require.InDelta(t, 200, f.Gateway.RetryReserve, 0)
 	require.InDelta(t, 1, f.Gateway.RetryShare, 0)
 	for name := range values {
 		if strings.HasPrefix(name, "bounds.") {
@@ -98,6 +99,33 @@
 	require.NoError(t, err, "template without bounds")
 }
 
+// The platform computes the reserve from the size of the site, which can give a fraction. A gateway
+// that refuses it does not start.
+func TestRetryReserveTakesFraction(t *testing.T) {
+	for text, reserve := range map[string]float64{"244.5": 244.5, "200": 200, "0.5": 0.5, "0": 0} {
+		f, err := settings.Load(writeGateway(t, "retry_reserve = "+text))
+		require.NoError(t, err, text)
+		require.InDelta(t, reserve, f.Gateway.RetryReserve, 0)
+	}
+	for _, text := range []string{"-0.5", "1000000.5", "nan", "inf", `"244.5"`} {
+		_, err := settings.Load(writeGateway(t, "retry_reserve = "+text))
+		var fault *settings.Error
+		require.ErrorAs(t, err, &fault, text)
+		require.Equal(t, "gateway.retry_reserve", fault.Key)
+	}
+}
+
+// writeGateway writes valid settings of a gateway with one more line to a file and returns its path.
+func writeGateway(t *testing.T, line string) string {
+	text, err := os.ReadFile("../../examples/ramdin/gateway.toml")
+	require.NoError(t, err)
+	kept := regexp.MustCompile(`(?m)^retry_reserve = .*$`).ReplaceAllLiteralString(string(text), line)
+	require.Contains(t, kept, line)
+	path := filepath.Join(t.TempDir(), "gateway.toml")
+	require.NoError(t, os.WriteFile(path, []byte(kept), 0o600))
+	return path
+}
+
 // render renders a template as the platform does, as far as this template needs: values by name,
 // and sections that appear only if their value is given.
 func render(text string, facts map[string]string) string {
