Log why the gateway process failed before the log is closed

run closed the log on its return, and main wrote the reason of the failure after that, where it was dropped: a gateway whose port was taken ended with code 1 and printed nothing. main flushes and closes the log now.

TestFailedStartIsExplained fails on the code before: the output is empty.

--- a/cmd/grademill-gateway/daemon.go
+++ b/cmd/grademill-gateway/daemon.go
@@ -52,7 +52,8 @@
 	gateway *gateway.Gateway
 	metrics *meter.Gateway
 	log     zerolog.Logger
-	flush   func()
+	// flush writes the buffered log lines and closes the log, which drops all further lines.
+	flush func()
 }
 
 // newDaemon returns a daemon configured by file, which was read from path.
@@ -95,7 +96,6 @@
 // run serves until SIGTERM or SIGINT, or until a server fails. SIGHUP checks the
 // settings again.
 func (d *daemon) run(ctx context.Context) error {
-	defer d.flush()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	signals := make(chan os.Signal, 4)
--- a/cmd/grademill-gateway/main.go
+++ b/cmd/grademill-gateway/main.go
@@ -30,8 +30,12 @@
 		os.Exit(exitSettings)
 	}
 	d := newDaemon(*path, file)
-	if err := d.run(context.Background()); err != nil {
+	err = d.run(context.Background())
+	if err != nil {
 		d.log.Error().Err(err).Msg("process failed")
+	}
+	d.flush()
+	if err != nil {
 		os.Exit(exitFailure)
 	}
 }
--- /dev/null
+++ b/cmd/grademill-gateway/main_test.go
@@ -0,0 +1,129 @@
+// Package main_test runs the gateway as a process.
+package main_test
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	// The tests build the program. These imports invalidate their cached results when it changes.
+	_ "github.com/grademill/grademill/platform"
+	_ "github.com/grademill/grademill/role/gateway"
+	_ "github.com/grademill/grademill/role/settings"
+)
+
+// waitTimeout bounds every wait: a test that reaches it has failed.
+const waitTimeout = 30 * time.Second
+
+// process is a gateway process.
+type process struct {
+	*exec.Cmd
+	// settings is the path of its settings file.
+	settings string
+	// ended is closed once the process has ended.
+	ended chan struct{}
+
+	mu  sync.Mutex
+	out bytes.Buffer
+}
+
+// Write collects the output of the process.
+func (p *process) Write(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.out.Write(b)
+}
+
+func (p *process) output() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.out.String()
+}
+
+// start builds the gateway and runs it with settings in which callers are served at the given
+// address.
+func start(t *testing.T, caller string) *process {
+	dir := t.TempDir()
+	program := filepath.Join(dir, "grademill-gateway")
+	out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
+	require.NoError(t, err, string(out))
+	p := &process{settings: filepath.Join(dir, "gateway.toml"), ended: make(chan struct{})}
+	p.write(t, gatewaySettings(caller, freeAddress(t), freeAddress(t)))
+	p.Cmd = exec.Command(program, "-settings", p.settings)
+	p.Stdout, p.Stderr = p, p
+	require.NoError(t, p.Start())
+	go func() {
+		defer close(p.ended)
+		_ = p.Wait() // tests check ProcessState
+	}()
+	t.Cleanup(func() {
+		_ = p.Process.Kill()
+		<-p.ended
+	})
+	return p
+}
+
+// write replaces the settings file.
+func (p *process) write(t *testing.T, text string) {
+	require.NoError(t, os.WriteFile(p.settings, []byte(text), 0o600))
+}
+
+// waitForLog waits until the process has written a text, and fails if it ends first.
+func (p *process) waitForLog(t *testing.T, text string) {
+	t.Helper()
+	for deadline := time.Now().Add(waitTimeout); !bytes.Contains([]byte(p.output()), []byte(text)); {
+		select {
+		case <-p.ended:
+			require.Contains(t, p.output(), text, "the process has ended")
+		case <-time.After(2 * time.Millisecond):
+			require.True(t, time.Now().Before(deadline), p.output())
+		}
+	}
+}
+
+// freeAddress returns a local address at which nothing listens.
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	return l.Addr().String()
+}
+
+// gatewaySettings returns settings of a gateway that serves callers, health checks and other
+// gateways at the given addresses. Nothing listens at the store's address.
+func gatewaySettings(caller, ready, peers string) string {
+	return fmt.Sprintf(`role = "gateway"
+name = "gateway-1"
+hall = "north"
+address = %q
+[gateway]
+caller = %q
+ready = %q
+store = "127.0.0.1:1"
+retry_reserve = 244.5
+`, peers, caller, ready)
+}
+
+// A gateway that cannot start must say why: the log drops lines that are written after it is closed.
+func TestFailedStartIsExplained(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer taken.Close() //nolint:errcheck // a test's listener
+	p := start(t, taken.Addr().String())
+	select {
+	case <-p.ended:
+	case <-time.After(waitTimeout):
+		require.Fail(t, "the process runs")
+	}
+	require.Equal(t, 1, p.ProcessState.ExitCode(), p.output())
+	require.Contains(t, p.output(), "process failed")
+	require.Contains(t, p.output(), "address already in use")
+}
