Refuse settings of another role when the gateway reads them again

reload read file.Gateway without asking whether there is one, so that SIGHUP with the settings of an entry or an agent ended the process by a nil dereference. The start and SIGHUP share one check now.

TestReloadRefusesSettingsOfAnotherRole fails on the code before: the process ends with a panic in reload.

--- a/cmd/grademill-gateway/daemon.go
+++ b/cmd/grademill-gateway/daemon.go
@@ -140,7 +140,7 @@
 // reload validates the settings file again. Changes take effect at the next
 // start: no setting may change while the gateway serves requests.
 func (d *daemon) reload() {
-	file, err := settings.Load(d.path)
+	file, err := load(d.path)
 	if err != nil {
 		d.log.Error().Err(err).Msg("settings are invalid; the previous ones remain in force")
 		return
--- a/cmd/grademill-gateway/main.go
+++ b/cmd/grademill-gateway/main.go
@@ -21,10 +21,7 @@
 func main() {
 	path := flag.String("settings", platform.SettingsPath(), "settings file")
 	flag.Parse()
-	file, err := settings.Load(*path)
-	if err == nil && file.Gateway == nil {
-		err = &settings.Error{File: *path, Key: "role", Problem: "is " + file.Role + ", not gateway"}
-	}
+	file, err := load(*path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitSettings)
@@ -39,3 +36,15 @@
 		os.Exit(exitFailure)
 	}
 }
+
+// load reads the settings of a gateway. It returns a settings.Error for those of another role.
+func load(path string) (*settings.File, error) {
+	file, err := settings.Load(path)
+	if err != nil {
+		return nil, err
+	}
+	if file.Gateway == nil {
+		return nil, &settings.Error{File: path, Key: "role", Problem: "is " + file.Role + ", not gateway"}
+	}
+	return file, nil
+}
--- a/cmd/grademill-gateway/main_test.go
+++ b/cmd/grademill-gateway/main_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -127,3 +128,19 @@
 	require.Contains(t, p.output(), "process failed")
 	require.Contains(t, p.output(), "address already in use")
 }
+
+// SIGHUP with settings that the gateway cannot use, here those of another role, must not end it.
+func TestReloadRefusesSettingsOfAnotherRole(t *testing.T) {
+	caller, ready, peers := freeAddress(t), freeAddress(t), freeAddress(t)
+	p := start(t, caller)
+	p.waitForLog(t, "gateway serves")
+	entry, err := os.ReadFile("../../examples/ramdin/entry.toml")
+	require.NoError(t, err)
+	p.write(t, string(entry))
+	require.NoError(t, p.Process.Signal(syscall.SIGHUP))
+	p.waitForLog(t, "settings are invalid")
+	require.Contains(t, p.output(), "not gateway")
+	p.write(t, gatewaySettings(caller, ready, peers))
+	require.NoError(t, p.Process.Signal(syscall.SIGHUP))
+	p.waitForLog(t, "settings read again")
+}
