Keep the result of a search for a chain without a data race

A check of the watchdog runs on when its request has ended, and reserve wrote query.lastSearch from it while the request's own goroutine read it for the log. The field is an atomic pointer now.

--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -280,8 +280,8 @@
 	if q.events > 0 {
 		line = line.Int("events", q.events).Dur("pause_ms", q.pause).Int("carried", q.resumed)
 	}
-	if q.lastSearch.need > 0 {
-		line = line.Int("need", q.lastSearch.need).Int("open", q.lastSearch.open).Int("avoided", q.lastSearch.avoided).Int("crowded", q.lastSearch.crowded)
+	if last := q.lastSearch.Load(); last != nil {
+		line = line.Int("need", last.need).Int("open", last.open).Int("avoided", last.avoided).Int("crowded", last.crowded)
 	}
 	line.Msg("request ended")
 }
--- a/role/gateway/query.go
+++ b/role/gateway/query.go
@@ -59,8 +59,9 @@
 	// returned is set when the caller has less time left than callers usually have on their first
 	// attempt.
 	returned bool
-	// lastSearch describes the last search that found no chain.
-	lastSearch candidateCounts
+	// lastSearch describes the last search that found no chain, nil for none. A check of the
+	// watchdog that runs on after the request has ended may still replace it.
+	lastSearch atomic.Pointer[candidateCounts]
 	// waited is how long the request waited in the queue for its first reservation, ahead the
 	// number of requests that were queued when it arrived.
 	waited time.Duration
--- a/role/gateway/reservation.go
+++ b/role/gateway/reservation.go
@@ -150,7 +150,7 @@
 		found, ok = g.findAdmitted(c, q, f, need, skipAvoidedAndFull)
 	}
 	if !ok {
-		q.lastSearch = candidateCounts{need: need, open: c.open, avoided: c.avoided, crowded: c.crowded}
+		q.lastSearch.Store(&candidateCounts{need: need, open: c.open, avoided: c.avoided, crowded: c.crowded})
 		short := c.shortage()
 		c.collect(q, f, need, skipAvoided)
 		if _, exists := c.finder.Find(c.holders); exists {
