Give back unused retries and places in the limits of endpoints

A retry of the budget was kept where abandon found that the attempt had ended, and where a reserved chain was dropped because the caller had left. A place in the limit that an endpoint announces was kept by every reservation that was dropped, and by a plain request without a retry left: a stream that waits for the budget used up the limits of endpoints to which it sent nothing.

--- a/decide/throttle/throttle.go
+++ b/decide/throttle/throttle.go
@@ -59,6 +59,9 @@
 	unreadable bool
 	// limit is the latest limit known, zero if the endpoint has never stated one.
 	limit Limit
+	// limitedSince is when this gateway began to enforce a limit: requests before do not count
+	// against it.
+	limitedSince time.Time
 	// share is this gateway's share of the limit in requests per second, 0 until it is computed.
 	share float64
 	// tokens is the number of requests that may be sent at once, as of tokensAt: at most the share
@@ -109,7 +112,7 @@
 	if !l.Named() {
 		t.resumesAt = now.Add(time.Duration(jitter * float64(resumeSpread)))
 	} else if !t.Named() {
-		t.share, t.tokens, t.tokensAt = 0, 0, now
+		t.share, t.tokens, t.tokensAt, t.limitedSince = 0, 0, now, now
 		t.demand = rate.Meter{Span: demandWindow}
 	}
 	t.limit = l
@@ -146,6 +149,18 @@
 	return t
 }
 
+// WithoutRequest returns the throttle after a request that was counted at taken is given up at now
+// without being sent.
+func (t Throttle) WithoutRequest(taken, now time.Time) Throttle {
+	if t.trialUntil.Equal(taken.Add(trialTimeout)) {
+		t.trialUntil = time.Time{}
+	}
+	if t.limited(now) && !taken.Before(t.limitedSince) {
+		t.tokens, t.tokensAt = min(t.tokensAvailable(now)+1, t.maxTokens()), now
+	}
+	return t
+}
+
 // Held returns why no request may be sent at now, or NotHeld.
 func (t Throttle) Held(now time.Time) HoldReason {
 	switch {
--- a/decide/throttle/throttle_test.go
+++ b/decide/throttle/throttle_test.go
@@ -49,6 +49,26 @@
 	assert.Equal(t, at(0.5), from)
 }
 
+// A request that is given up unsent must not use up the limit, nor give more than was taken.
+func TestUnsentRequestIsNotCounted(t *testing.T) {
+	limited := throttle.Throttle{}.WithReport(answer(0, throttle.Report{Limit: 4}), 0).WithShare(1, at(0))
+	sent := limited.WithRequest(at(2))
+	assert.Equal(t, throttle.Limited, sent.Held(at(2.1)))
+	assert.Equal(t, throttle.NotHeld, sent.WithoutRequest(at(2), at(2.1)).Held(at(2.1)))
+	_, n := countSent(sent.WithoutRequest(at(2), at(4)), 4, 4.1)
+	assert.Equal(t, 1, n, "the tokens stay within the bound")
+	assert.Equal(t, throttle.Limited, limited.WithoutRequest(at(-1), at(0.1)).Held(at(0.1)), "a request from before the limit was not counted")
+}
+
+// The first request after a backoff period, given up unsent, gets no answer that would end the trial.
+func TestUnsentTrialIsRepeated(t *testing.T) {
+	asked := throttle.Throttle{}.WithReport(answer(0, throttle.Report{RetryAfter: 3 * time.Second}), 0)
+	trial := asked.WithRequest(at(3.5))
+	assert.Equal(t, throttle.BackingOff, trial.Held(at(3.6)))
+	assert.Equal(t, throttle.NotHeld, trial.WithoutRequest(at(3.5), at(3.6)).Held(at(3.6)))
+	assert.Equal(t, throttle.BackingOff, trial.WithoutRequest(at(-1), at(3.6)).Held(at(3.6)), "another request is the trial")
+}
+
 func TestLimitIsWithdrawn(t *testing.T) {
 	limited := throttle.Throttle{}.WithReport(answer(0, throttle.Report{Limit: 4}), 0).WithShare(1, at(0))
 	for _, c := range []struct {
--- a/role/gateway/chooser.go
+++ b/role/gateway/chooser.go
@@ -40,6 +40,8 @@
 	// them that accept nothing now.
 	entryCandidates int
 	declining       []*backend
+	// admittedAt is when findAdmitted counted the request against the limit of an endpoint.
+	admittedAt time.Time
 }
 
 // choosers recycles the working memory of choosers.
--- a/role/gateway/plain.go
+++ b/role/gateway/plain.go
@@ -48,10 +48,12 @@
 		if b == nil {
 			break
 		}
-		if b.use.intake.Take(time.Now()) != throttle.NotHeld {
+		admittedAt := time.Now()
+		if b.use.intake.Take(admittedAt) != throttle.NotHeld {
 			continue // another request has taken the room meanwhile
 		}
 		if q.everReached.Load() && !g.allowRetry(q, q.cause) {
+			b.use.intake.GiveBack(admittedAt, time.Now())
 			reason = "the retry budget is used up: " + reason
 			break
 		}
--- a/role/gateway/reservation.go
+++ b/role/gateway/reservation.go
@@ -39,6 +39,15 @@
 	reading bool
 	// released is set once the room has been given back.
 	released bool
+	// admittedAt is when the request was counted against the limit of the first endpoint.
+	admittedAt time.Time
+}
+
+// cancel releases a reservation along which nothing was sent, and gives back its place in the limit
+// of the first endpoint.
+func (s *reservation) cancel() {
+	s.release()
+	s.first.use.intake.GiveBack(s.admittedAt, time.Now())
 }
 
 // notePromptRead notes that the endpoints have read the prompt.
@@ -129,7 +138,7 @@
 		return nil, short
 	}
 	if q.everReached.Load() && !g.allowRetry(q, cause) {
-		taken.release()
+		taken.cancel()
 		return nil, shortageBudget
 	}
 	return taken, shortageNone
@@ -162,7 +171,9 @@
 			return nil, shortageLayers
 		}
 	}
-	return newReservation(found, need, func(p chain.Stage) *backend { return f.byID[p.ID] }), shortageNone
+	taken := newReservation(found, need, func(p chain.Stage) *backend { return f.byID[p.ID] })
+	taken.admittedAt = c.admittedAt
+	return taken, shortageNone
 }
 
 // peerFlow returns how the other gateways use the endpoints of a service.
@@ -192,6 +203,7 @@
 			first.use.intake.CountDemand(now)
 		}
 		if first.use.intake.Take(now) == throttle.NotHeld {
+			c.admittedAt = now
 			return found, true
 		}
 		c.skipLimited = true
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -117,10 +117,11 @@
 	return string(short) + ": " + last
 }
 
-// dropReserved releases a reservation that is not used.
+// dropReserved gives back a reservation that is not used, and its retry.
 func (s *relay) dropReserved() {
 	if s.reserved != nil {
-		s.reserved.release()
+		s.reserved.cancel()
+		s.g.retries.Refund(s.q.service.Name)
 		s.reserved = nil
 	}
 }
@@ -144,7 +145,7 @@
 	taken, short := s.g.reserveQueued(s.q, terms)
 	if short == shortageNone {
 		if short = s.g.withheld(s.q); short != shortageNone { // quarantined while it waited in the queue
-			taken.release()
+			taken.cancel()
 		}
 	}
 	if short != shortageNone && retry {
--- a/role/gateway/watchdog.go
+++ b/role/gateway/watchdog.go
@@ -234,7 +234,7 @@
 		return false
 	}
 	if !failover.ShouldRestart(wait, next.promptReadTime(q, nil, 1), slack) || !w.abandonFor(next) {
-		next.release()
+		next.cancel()
 		w.relay.g.retries.Refund(q.service.Name)
 		return false
 	}
@@ -293,7 +293,8 @@
 		return false
 	}
 	if w.ended {
-		next.release()
+		next.cancel()
+		w.relay.g.retries.Refund(q.service.Name)
 		return true
 	}
 	w.abandoned, w.reserved = true, next
--- a/state/intake/intake.go
+++ b/state/intake/intake.go
@@ -95,6 +95,13 @@
 	}
 }
 
+// GiveBack undoes a Take at taken whose request is given up at now without being sent.
+func (i *Intake) GiveBack(taken, now time.Time) {
+	if i.current.Load() != nil {
+		i.update(func(t throttle.Throttle) throttle.Throttle { return t.WithoutRequest(taken, now) })
+	}
+}
+
 // Held returns why no request may pass at now, NotHeld if one may.
 func (i *Intake) Held(now time.Time) throttle.HoldReason {
 	if t := i.current.Load(); t != nil {
