Report a call whose claim is in doubt as unknown

A call with an idempotency key whose claim got no answer from the store was refused as not_run. Nothing ran under that claim, but an earlier request with the same key may have run, and its caller would take the renewal for one that has not. The outcome is unknown now.

TestClaimInDoubtLeavesTheOutcomeUnknown fails on the code before with not_run.

--- a/state/runonce/runner.go
+++ b/state/runonce/runner.go
@@ -182,8 +182,10 @@
 	case errors.As(err, &full):
 		return nil, "", outcome.Refuse(outcome.Overloaded, full.Error(), full.RetryAfter)
 	case errors.As(err, &uncertain):
-		// The claim may be in force, but no call was sent under it, so nothing has run.
-		return nil, "", outcome.Refuse(outcome.Platform, uncertain.Error(), retryAfter)
+		// No call was sent under this claim, but another one with the same key may hold it.
+		return nil, "", &outcome.Report{
+			Kind: outcome.Unknown, Code: outcome.Uncertain, Detail: uncertain.Error(), RetryAfter: retryAfter,
+		}
 	}
 	return nil, "", outcome.Refuse(outcome.Platform, trace.UserMessage(err), retryAfter)
 }
--- a/state/runonce/runner_test.go
+++ b/state/runonce/runner_test.go
@@ -7,12 +7,15 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/stretchr/testify/require"
 
 	"github.com/grademill/grademill/decide/claim"
 	"github.com/grademill/grademill/decide/fleet"
 	"github.com/grademill/grademill/decide/outcome"
+	"github.com/grademill/grademill/port/kv"
 	"github.com/grademill/grademill/state/claimlog"
+	"github.com/grademill/grademill/state/headlog"
 	"github.com/grademill/grademill/state/runonce"
 	"github.com/grademill/grademill/wire"
 )
@@ -88,3 +91,26 @@
 	_, err := r.rival.Send(ctx, at, c, why)
 	return &wire.CallReply{Outcome: wire.CallReply_NOT_RUN}, errors.Join(err)
 }
+
+// inDoubt is a rival whose store leaves the write of each claim in doubt.
+type inDoubt struct{ *rival }
+
+func (r *inDoubt) Claim(c claim.Claim) error {
+	return trace.Wrap(&headlog.UncertainError{ID: c.ID, Err: &kv.UnavailableError{Err: context.DeadlineExceeded}})
+}
+
+// An entry that does not learn whether its claim was written does not learn either whether another
+// claim holds the key. An earlier request with the same key may have run under that one, so "not run"
+// would tell the caller that a renewal has not run although it has.
+func TestClaimInDoubtLeavesTheOutcomeUnknown(t *testing.T) {
+	r := &inDoubt{&rival{}}
+	runner := runonce.Runner{
+		Claims: r, Agents: r, Reservations: r, MayRetry: func() bool { return true }, Key: "k", Shared: true,
+	}
+	reply, report := runner.Run(context.Background())
+	require.Nil(t, reply)
+	require.Equal(t, outcome.Unknown, report.Kind)
+	require.Equal(t, outcome.Uncertain, report.Code)
+	require.NotZero(t, report.RetryAfter)
+	require.Zero(t, r.sends)
+}
