--- a/cmd/grademill-gateway/daemon.go
+++ b/cmd/grademill-gateway/daemon.go
@@ -54,7 +54,8 @@
 	gateway *gateway.Gateway
 	metrics *meter.Gateway
 	log     zerolog.Logger
-	flush   func()
+	// flush writes the buffered log lines and closes the log, which drops all further lines.
+	flush func()
 }
 
 // newDaemon returns a daemon configured by file, which was read from path.
@@ -73,7 +74,7 @@
 		},
 		Dialect: platform.Dialect{}, Runners: platform.NewControl(d.metrics.PlatformCall),
 		Revocation: time.Duration(s.Revocation),
-		RetryShare: s.RetryShare, RetryReserve: s.RetryReserve, RetryWindow: s.RetryWindow.Or(defaultRetryWindow),
+		RetryShare: s.RetryShare, RetryReserve: int(s.RetryReserve), RetryWindow: s.RetryWindow.Or(defaultRetryWindow),
 		LinkRate: s.LinkMegabits * bytesPerMegabit, FlatFleet: s.FlatFleet,
 		Log: d.log, Meter: d.metrics,
 	}
@@ -104,7 +105,6 @@
 // run serves until SIGTERM or SIGINT, or until a server fails. SIGHUP checks the
 // settings again.
 func (d *daemon) run(ctx context.Context) error {
-	defer d.flush()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	signals := make(chan os.Signal, 4)
@@ -149,7 +149,7 @@
 // reload validates the settings file again. Changes take effect at the next
 // start: no setting may change while the gateway serves requests.
 func (d *daemon) reload() {
-	file, err := settings.Load(d.path)
+	file, err := load(d.path)
 	if err != nil {
 		d.log.Error().Err(err).Msg("settings are invalid; the previous ones remain in force")
 		return
