--- a/role/gateway/overload.go
+++ b/role/gateway/overload.go
@@ -28,7 +28,7 @@
 func (g *Gateway) initOverload() {
 	g.overload = overload.Control{
 		Hall: g.Hall, Admission: g.Overload.FleetAdmission, Policy: g.Overload.Policy, Seed: xxhash.Sum64String(g.Name),
-		Reports: &g.peers, Objective: g.shortestObjective, Position: g.position, Waiting: g.queue.WaitingFor, Meter: g.Meter, Log: g.Log,
+		Reports: &g.peers, Objective: g.shortestObjective, Position: g.position, RequestDuration: g.queue.Times.RequestDuration, Waiting: g.queue.WaitingFor, Meter: g.Meter, Log: g.Log,
 	}
 	if g.Overload.FleetAdmission {
 		g.queue.FleetLoad, g.queue.ReturnShare = g.overload.RetryLoad, g.Overload.Policy.ReturnShare
--- a/role/overload/control.go
+++ b/role/overload/control.go
@@ -18,13 +18,10 @@
 )
 
 const (
-	// staleReports is the age of the newest report of another gateway from which the sums no longer
-	// describe the fleet: several digests have been missed by then.
-	staleReports = 2 * time.Second
 	// forgetAfter is how long a service may be without demand before its estimate is dropped.
 	forgetAfter = 10 * time.Second
-	// defaultRemoteWeight is how much the demand of a gateway counts at the endpoints of another hall:
-	// most requests stay in the hall of their gateway.
+	// defaultRemoteWeight is how much the demand of a gateway counts at the endpoints of all other
+	// halls together: most requests stay in the hall of their gateway.
 	defaultRemoteWeight = 0.2
 )
 
@@ -35,8 +32,10 @@
 	FleetDemand(service string) demand.Demand
 	HallDemands(service string) map[string]demand.Demand
 	FleetDemandAge(service string, now time.Time) time.Duration
-	// Size returns the number of gateways, this one included.
+	// Size returns the number of gateways, Heard the number of those that the reports cover, this one
+	// included in both.
 	Size() int
+	Heard() int
 }
 
 // Meter records the state of the admission.
@@ -65,6 +64,8 @@
 	Objective func(service string) time.Duration
 	// Position returns the position of this gateway among all, see retryafter.Load.
 	Position func() float64
+	// RequestDuration returns the typical duration of a request, 0 if unknown.
+	RequestDuration func(service string) time.Duration
 	// Waiting returns the number of queued requests of a service.
 	Waiting func(service string) int
 	Meter   Meter
@@ -170,19 +171,25 @@
 	position := c.Position()
 	age := c.Reports.FleetDemandAge(name, now)
 	halls := c.Reports.HallDemands(name)
-	size := c.Reports.Size()
+	size, heard := c.Reports.Size(), c.Reports.Heard()
+	target := capacity.Target(c.Objective(name), false)
 	s.mu.Lock()
 	fleet := own.Plus(others)
-	alone := size > 1 && age > staleReports
-	if alone {
-		// The others may still run: this gateway keeps within its part of what the fleet could do.
-		s.level = c.Policy.Level(own, s.estimate.Value()*s.part)
-	} else {
+	alone := heard < 2 && size > 1
+	s.estimate.Span = c.RequestDuration(name)
+	switch {
+	case alone && !s.alone: // the others may still run, and use their parts of the capacity
+		s.estimate = s.estimate.WithPart(s.part)
+	case !alone && s.alone && s.part > 0:
+		s.estimate = s.estimate.WithPart(1 / s.part)
+	}
+	s.estimate = s.estimate.Next(fleet, target, now)
+	s.level = c.Policy.Level(fleet, s.estimate.Value())
+	if !alone {
 		s.part = part(own.Offered(), fleet.Offered(), size)
-		s.estimate = s.estimate.Next(fleet, capacity.Target(c.Objective(name), false), now)
-		s.level = c.Policy.Level(fleet, s.estimate.Value())
 		s.refusedPart = s.reported.Refused / (s.reported.Refused + others.Refused)
-		s.shares = shares(s.level, own, halls, c.Hall, size)
+		// What gateways that are not heard may take is set aside.
+		s.shares = shares(s.level, own, halls, c.Hall, size, float64(heard)/float64(size))
 	}
 	if fleet.Offered() > 0 {
 		s.wantedAt = now
@@ -228,8 +235,8 @@
 }
 
 // shares returns this gateway's share of the free room at the endpoints of each hall, by the demand
-// that the level admits.
-func shares(level shedding.Level, own demand.Demand, halls map[string]demand.Demand, hall string, size int) map[string]float64 {
+// that the level admits. heard is the part of the gateways that the reports cover.
+func shares(level shedding.Level, own demand.Demand, halls map[string]demand.Demand, hall string, size int, heard float64) map[string]float64 {
 	ownRate := admissible(level, own)
 	rates, sum := make(map[string]float64, len(halls)+1), 0.0
 	for name, d := range halls {
@@ -238,12 +245,13 @@
 	}
 	list := make(map[string]float64, len(rates)+1)
 	rates[hall] += 0
+	remote := defaultRemoteWeight / float64(max(len(rates)-1, 1))
 	for name, near := range rates {
 		rate := ownRate
 		if name != hall {
-			rate *= defaultRemoteWeight
+			rate *= remote
 		}
-		list[name] = roomshare.Share(rate, near, sum-near, defaultRemoteWeight, size)
+		list[name] = heard * roomshare.Share(rate, near, sum-near, remote, size)
 	}
 	return list
 }
--- a/state/peers/table.go
+++ b/state/peers/table.go
@@ -399,10 +399,15 @@
 // users' fleets.
 const assumedSize = 5
 
-// Size returns the number of gateways, including this one.
-func (t *Table) Size() int {
+// Heard returns the number of gateways that the reports in force cover, including this one.
+func (t *Table) Heard() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.heard()
+}
+
+// heard returns the result of Heard; t.mu is held.
+func (t *Table) heard() int {
 	heard := 1
 	for key, e := range t.reports {
 		if key.Name != "" {
@@ -411,7 +416,14 @@
 			heard += e.Members
 		}
 	}
-	n := max(len(t.announced), heard)
+	return heard
+}
+
+// Size returns the number of gateways, including this one.
+func (t *Table) Size() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := max(len(t.announced), t.heard())
 	if n == 1 {
 		return assumedSize
 	}
