--- a/role/gateway/digest.go
+++ b/role/gateway/digest.go
@@ -228,7 +228,6 @@
 	}
 	g.overload.Tick(now)
 	g.shareRoom(now)
-	g.debugRoom(now)
 	g.partition.Tick(now)
 	g.quarantine.Tick(now)
 }
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -151,7 +151,6 @@
 
 	// overload decides which requests are admitted while the fleet is short of room.
 	overload overload.Control
-	debugAt time.Time
 	// retries is this gateway's share of the retry budget.
 	retries retrybudgets.Budgets
 	// membership tracks the endpoints, members their usages.
--- a/role/settings/file.go
+++ b/role/settings/file.go
@@ -169,7 +169,7 @@
 	// HallSplit divides the demand of a hall among halls.
 	HallSplit bool `toml:"hall_split"`
 	// ReturnShare is the share of the capacity that is reserved for returning callers, nil for the
-	// default of 0.1.
+	// default of 0.05.
 	ReturnShare *float64 `toml:"return_share" validate:"omitempty,min=0,max=0.5"`
 	// MinShare is the share of the overall served share that every class gets, nil for the default of
 	// 0.4.
@@ -181,7 +181,7 @@
 
 // Defaults of the shares of Overload.
 const (
-	defaultReturnShare = 0.1
+	defaultReturnShare = 0.05
 	defaultMinShare    = 0.4
 )
 
