Count nothing in a budget of room before its first round

With shares of room switched off, each request allocated twice for every endpoint of its chain, and the credit fell without bound. A request placed before the first round was charged to it, although the free memory of that round already excludes it.

--- a/state/budget/budget.go
+++ b/state/budget/budget.go
@@ -19,19 +19,26 @@
 	return current == nil || current.Allows(need)
 }
 
-// Take counts a request that has been placed.
+// Take counts a request that has been placed. Before the first round it does nothing, as do Release
+// and Reject: gateways without shares of room would otherwise allocate for each endpoint of a chain.
 func (b *Budget) Take(need float64) {
-	b.update(func(c roomshare.Budget) roomshare.Budget { return c.WithRequest(need) })
+	if b.current.Load() != nil {
+		b.update(func(c roomshare.Budget) roomshare.Budget { return c.WithRequest(need) })
+	}
 }
 
 // Release counts a placed request that has ended.
 func (b *Budget) Release(freed float64) {
-	b.update(func(c roomshare.Budget) roomshare.Budget { return c.WithRelease(freed) })
+	if b.current.Load() != nil {
+		b.update(func(c roomshare.Budget) roomshare.Budget { return c.WithRelease(freed) })
+	}
 }
 
 // Reject counts a request that the endpoint rejected for lack of room.
 func (b *Budget) Reject() {
-	b.update(roomshare.Budget.WithRejection)
+	if b.current.Load() != nil {
+		b.update(roomshare.Budget.WithRejection)
+	}
 }
 
 // Begin begins a round.
