Give the only gateway of a fleet the whole room

Size assumes five gateways while no other is known, so a fleet of one counted as cut off for ever: it kept to a fifth of the room and had no appointments.

--- a/role/overload/control.go
+++ b/role/overload/control.go
@@ -36,6 +36,8 @@
 	// included in both.
 	Size() int
 	Heard() int
+	// Announced returns the number of gateways that the store names, 0 while it has not been read.
+	Announced() int
 }
 
 // Meter records the state of the admission.
@@ -172,6 +174,9 @@
 	age := c.Reports.FleetDemandAge(name, now)
 	halls := c.Reports.HallDemands(name)
 	size, heard := c.Reports.Size(), c.Reports.Heard()
+	if heard == 1 && c.Reports.Announced() == 1 {
+		size = 1 // the only gateway, for which Size assumes others
+	}
 	target := capacity.Target(c.Objective(name), false)
 	s.mu.Lock()
 	fleet := own.Plus(others)
--- /dev/null
+++ b/role/overload/control_test.go
@@ -0,0 +1,102 @@
+package overload_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/decide/demand"
+	"github.com/grademill/grademill/decide/shedding"
+	"github.com/grademill/grademill/role/overload"
+)
+
+// reports are the reports of the other gateways, set by a test.
+type reports struct {
+	halls                  map[string]demand.Demand
+	size, heard, announced int
+	sizeCalls              int
+}
+
+func (r *reports) FleetDemand(string) demand.Demand {
+	var all []demand.Demand
+	for _, d := range r.halls {
+		all = append(all, d)
+	}
+	return demand.Sum(all...)
+}
+
+func (r *reports) HallDemands(string) map[string]demand.Demand { return r.halls }
+
+func (r *reports) FleetDemandAge(string, time.Time) time.Duration {
+	if len(r.halls) == 0 {
+		return math.MaxInt64
+	}
+	return 0
+}
+
+func (r *reports) Size() int {
+	r.sizeCalls++
+	return r.size
+}
+
+func (r *reports) Heard() int     { return r.heard }
+func (r *reports) Announced() int { return r.announced }
+
+type noMeter struct{}
+
+func (noMeter) Level(string, float64, float64, float64, bool) {}
+func (noMeter) Shed(string, bool)                             {}
+
+// control returns the control of a gateway of the hall "north" with the given reports and queue.
+func control(r *reports, waiting *int) *overload.Control {
+	return &overload.Control{
+		Hall: "north", Admission: true, Reports: r, Meter: noMeter{},
+		Policy:          shedding.Policy{MinShare: shedding.DefaultMinShare, ReturnShare: shedding.DefaultReturnShare},
+		Objective:       func(string) time.Duration { return 500 * time.Millisecond },
+		Position:        func() float64 { return 0.5 },
+		RequestDuration: func(string) time.Duration { return 3 * time.Second },
+		Waiting:         func(string) int { return *waiting },
+	}
+}
+
+// run lets requests arrive, and a part of them be admitted, at rates per second for a time.
+func run(c *overload.Control, now time.Time, offered, admitted int, d time.Duration) time.Time {
+	const step = 150 * time.Millisecond
+	due, got := 0.0, 0.0
+	for end := now.Add(d); now.Before(end); now = now.Add(step) {
+		for due += float64(offered) * step.Seconds(); due >= 1; due-- {
+			c.Arrive(overload.Arrival{Service: "chat", Class: demand.Class{Priority: 1}}, now)
+		}
+		for got += float64(admitted) * step.Seconds(); got >= 1; got-- {
+			c.CountAdmitted("chat", now)
+		}
+		c.Tick(now)
+	}
+	return now
+}
+
+// Guards against a fleet of one gateway that leaves most of the room to gateways that do not exist:
+// the size that is assumed while no other gateway is known is 5.
+func TestTheOnlyGatewayHasTheWholeRoom(t *testing.T) {
+	waiting := 0
+	c := control(&reports{size: 5, heard: 1, announced: 1}, &waiting)
+	run(c, time.Unix(1000, 0), 20, 20, 3*time.Second)
+	share, whole := c.RoomShare("chat", "north")
+	require.InDelta(t, 1, share, 1e-9)
+	require.False(t, whole, "its own use is all use, so the free room is known")
+}
+
+// Guards against a gateway that takes the whole room because it hears no other one, or has not read
+// the store yet.
+func TestAnIsolatedGatewayKeepsToItsShare(t *testing.T) {
+	waiting := 0
+	for _, announced := range []int{0, 5} {
+		c := control(&reports{size: 5, heard: 1, announced: announced}, &waiting)
+		run(c, time.Unix(1000, 0), 20, 20, 3*time.Second)
+		share, whole := c.RoomShare("chat", "north")
+		require.InDelta(t, 0.2, share, 1e-9)
+		require.True(t, whole)
+	}
+}
--- a/state/peers/table.go
+++ b/state/peers/table.go
@@ -419,6 +419,14 @@
 	return heard
 }
 
+// Announced returns the number of gateways that the store names, including this one, 0 while it has
+// not been read.
+func (t *Table) Announced() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.announced)
+}
+
 // Size returns the number of gateways, including this one.
 func (t *Table) Size() int {
 	t.mu.Lock()
