Forget the estimate of a gateway that has never heard the others

It comes from this gateway's admissions alone. Applied to the demand of the fleet it made the gateway shed most requests for seconds after its start: 335 instead of 1,000 requests a second, a second after it heard nine others. The duration of a request is no longer asked for under the lock of a service.

--- a/role/overload/control.go
+++ b/role/overload/control.go
@@ -177,16 +177,18 @@
 	if heard == 1 && c.Reports.Announced() == 1 {
 		size = 1 // the only gateway, for which Size assumes others
 	}
-	target := capacity.Target(c.Objective(name), false)
+	target, span := capacity.Target(c.Objective(name), false), c.RequestDuration(name)
 	s.mu.Lock()
 	fleet := own.Plus(others)
 	alone := heard < 2 && size > 1
-	s.estimate.Span = c.RequestDuration(name)
+	s.estimate.Span = span
 	switch {
 	case alone && !s.alone: // the others may still run, and use their parts of the capacity
 		s.estimate = s.estimate.WithPart(s.part)
 	case !alone && s.alone && s.part > 0:
 		s.estimate = s.estimate.WithPart(1 / s.part)
+	case !alone && s.alone: // its part has never been known: it starts with the estimate of the others
+		s.estimate = capacity.Estimate{Span: s.estimate.Span}
 	}
 	s.estimate = s.estimate.Next(fleet, target, now)
 	s.level = c.Policy.Level(fleet, s.estimate.Value())
--- a/role/overload/control_test.go
+++ b/role/overload/control_test.go
@@ -100,3 +100,21 @@
 		require.True(t, whole)
 	}
 }
+
+// Guards against a gateway that sheds most requests after it has started: the estimate that it made
+// of its own admissions alone, before it heard the others, is not the capacity of the fleet.
+func TestAStartingGatewayTakesTheEstimateOfTheOthers(t *testing.T) {
+	waiting := 40
+	r := &reports{size: 10, heard: 1, announced: 10}
+	c := control(r, &waiting)
+	now := run(c, time.Unix(1000, 0), 30, 10, 3*time.Second)
+	class := demand.Class{Priority: 1}
+	r.heard = 10
+	r.halls = map[string]demand.Demand{"north": {
+		Admitted: 900, Waiting: 100, CapacitySum: 9 * 1000, Estimates: 9, Classes: map[demand.Class]demand.Load{class: {Offered: 900}},
+	}}
+	waiting = 0
+	run(c, now, 30, 30, time.Second)
+	require.True(t, c.Arrive(overload.Arrival{Service: "chat", Class: class}, now).Admit)
+	require.Greater(t, c.Demands(now)["chat"].Capacity(), 800.0)
+}
