Ask for the number of gateways once per round, not once per endpoint

Counting them takes time in proportion to the reports, under their lock: with 430 gateways before 3,800 endpoints each round went over all reports 3,800 times.

--- a/role/overload/control.go
+++ b/role/overload/control.go
@@ -203,7 +203,7 @@
 	} else if now.Sub(s.wantedAt) > forgetAfter {
 		s.estimate, s.level = capacity.Estimate{}, shedding.Level{}
 	}
-	s.fleet, s.age, s.alone, s.position = fleet, age, alone, position
+	s.fleet, s.age, s.alone, s.position, s.size = fleet, age, alone, position, size
 	s.reported, s.latest = s.latest, own
 	level, perSecond, changed := s.level, s.estimate.Value(), s.level.Open() != s.wasOpen || s.level.Marginal() != s.wasMarginal
 	s.wasOpen, s.wasMarginal = level.Open(), level.Marginal()
@@ -276,16 +276,25 @@
 // is a share of the whole room, because this gateway does not hear the others.
 func (c *Control) RoomShare(service, hall string) (share float64, whole bool) {
 	s := c.of(service)
-	size := c.Reports.Size()
+	s.mu.Lock()
+	updated := s.size > 0
+	s.mu.Unlock()
+	size := 0
+	if !updated {
+		size = c.Reports.Size() // without the lock, since it takes that of the reports
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.size == 0 {
+		s.size = size
+	}
 	if share, known := s.shares[hall]; known {
 		return share, s.alone
 	}
 	if len(s.shares) == 0 || hall == c.Hall {
-		return 1 / float64(max(size, 1)), s.alone
+		return 1 / float64(max(s.size, 1)), s.alone
 	}
-	return defaultRemoteWeight / float64(max(size, 1)), s.alone
+	return defaultRemoteWeight / float64(max(s.size, 1)), s.alone
 }
 
 // RetryLoad completes the load from which the Retry-After delay of a refused caller is computed.
--- a/role/overload/control_test.go
+++ b/role/overload/control_test.go
@@ -118,3 +118,18 @@
 	require.True(t, c.Arrive(overload.Arrival{Service: "chat", Class: class}, now).Admit)
 	require.Greater(t, c.Demands(now)["chat"].Capacity(), 800.0)
 }
+
+// Guards against work that grows with gateways times endpoints: the share is asked for once per
+// endpoint and round, and the number of gateways takes time in proportion to the reports.
+func TestASharePerEndpointDoesNotCountTheGateways(t *testing.T) {
+	waiting := 0
+	r := &reports{size: 430, heard: 1, announced: 430}
+	c := control(r, &waiting)
+	c.RoomShare("chat", "south") // before the first update
+	c.Tick(time.Unix(1000, 0))
+	before := r.sizeCalls
+	for range 3800 {
+		c.RoomShare("chat", "north")
+	}
+	require.Equal(t, before, r.sizeCalls)
+}
--- a/role/overload/service.go
+++ b/role/overload/service.go
@@ -38,8 +38,10 @@
 	// latest is this gateway's demand as of the last update, and reported as of the one before: the
 	// reports of the others are about as old.
 	latest, reported demand.Demand
-	// position is the position of this gateway among all.
+	// position is the position of this gateway among all, size their number; 0 before the first
+	// update.
 	position float64
+	size     int
 	// wantedAt is when the service last had demand.
 	wantedAt time.Time
 	// wasOpen and wasMarginal describe the level that was last logged.
