Count callers that retry at once as new ones without fleet admission

They counted as returning, so they went before new requests of their priority although nothing bounds their part of the room while the admission by the fleet's load is switched off.

--- a/role/admission/queue.go
+++ b/role/admission/queue.go
@@ -90,10 +90,11 @@
 
 // Arrive records a new request and reports whether it is probably a retry of a refused one: its
 // caller's timeout is a smaller share of the route's than is usual on a first attempt. early is set
-// if it comes sooner than any Retry-After delay that is given.
+// if it comes sooner than any Retry-After delay that is given; without FleetLoad such callers count
+// as new ones, since nothing keeps their part of the room small.
 func (l *Queue[G]) Arrive(r Request) (returned, early bool) {
 	share, usual := r.share(), l.firstShares.Get(r.Service)
-	early = usual.IsEarly(share, r.RouteTimeout, retryafter.MinDelay)
+	early = l.FleetLoad != nil && usual.IsEarly(share, r.RouteTimeout, retryafter.MinDelay)
 	returned = early || usual.IsReturning(share)
 	if returned {
 		l.retryRates.Update(r.Service, func(m rate.Meter) rate.Meter { return m.WithCount(r.Start, 1) })
