Count and report no load while the overload control is off

Without a table [gateway.overload], each request took a lock, each tick summed the reports of the fleet and set gauges. With shares of room alone the gauge told of shedding and the room was divided by a level that was not applied.

--- a/role/gateway/overload.go
+++ b/role/gateway/overload.go
@@ -27,7 +27,7 @@
 // initOverload sets up the overload control.
 func (g *Gateway) initOverload() {
 	g.overload = overload.Control{
-		Hall: g.Hall, Admission: g.Overload.FleetAdmission, Policy: g.Overload.Policy, Seed: xxhash.Sum64String(g.Name),
+		Hall: g.Hall, Enabled: g.Overload.RoomShares || g.Overload.FleetAdmission, Admission: g.Overload.FleetAdmission, Policy: g.Overload.Policy, Seed: xxhash.Sum64String(g.Name),
 		Reports: &g.peers, Objective: g.shortestObjective, Position: g.position, RequestDuration: g.queue.Times.RequestDuration, Waiting: g.queue.WaitingFor, Meter: g.Meter, Log: g.Log,
 	}
 	if g.Overload.FleetAdmission {
@@ -67,7 +67,7 @@
 
 // addLoads adds the load reports to a digest: this gateway's own plus those of others.
 func (g *Gateway) addLoads(d *wire.Digest, others map[string]demand.Demand, now time.Time) {
-	if !g.Overload.RoomShares && !g.Overload.FleetAdmission {
+	if !g.overload.Enabled {
 		return
 	}
 	demands := g.overload.Demands(now)
--- a/role/overload/control.go
+++ b/role/overload/control.go
@@ -54,6 +54,9 @@
 type Control struct {
 	// Hall is the data hall of the gateway.
 	Hall string
+	// Enabled switches the counting of requests and the load reports on. Without it, nothing is
+	// counted, recorded or reported.
+	Enabled bool
 	// Admission switches the shedding of requests on. Without it every request is admitted.
 	Admission bool
 	// Policy divides the capacity among the classes of requests.
@@ -125,6 +128,9 @@
 
 // Arrive counts a request and decides whether the fleet has room for it.
 func (c *Control) Arrive(a Arrival, now time.Time) Decision {
+	if !c.Enabled {
+		return Decision{Admit: true, Share: 1}
+	}
 	s := c.of(a.Service)
 	d := s.arrive(a, now, c.Admission)
 	if !d.Admit {
@@ -135,12 +141,16 @@
 
 // CountAdmitted counts a request that has got its first reservation.
 func (c *Control) CountAdmitted(service string, now time.Time) {
-	c.of(service).count(now, true)
+	if c.Enabled {
+		c.of(service).count(now, true)
+	}
 }
 
 // CountRefused counts a request that is refused for lack of room.
 func (c *Control) CountRefused(service string, now time.Time) {
-	c.of(service).count(now, false)
+	if c.Enabled {
+		c.of(service).count(now, false)
+	}
 }
 
 // Demands returns this gateway's own load report, by service. It names teams only while the fleet is
@@ -191,7 +201,9 @@
 		s.estimate = capacity.Estimate{Span: s.estimate.Span}
 	}
 	s.estimate = s.estimate.Next(fleet, target, now)
-	s.level = c.Policy.Level(fleet, s.estimate.Value())
+	if c.Admission { // otherwise the level is open, since no request is shed
+		s.level = c.Policy.Level(fleet, s.estimate.Value())
+	}
 	if !alone {
 		s.part = part(own.Offered(), fleet.Offered(), size)
 		s.refusedPart = s.reported.Refused / (s.reported.Refused + others.Refused)
--- a/role/overload/control_test.go
+++ b/role/overload/control_test.go
@@ -44,15 +44,23 @@
 func (r *reports) Heard() int     { return r.heard }
 func (r *reports) Announced() int { return r.announced }
 
-type noMeter struct{}
+// meter remembers the latest state of the admission.
+type meter struct {
+	levels   int
+	shedding bool
+}
+
+func (m *meter) Level(_ string, _, _, _ float64, shedding bool) {
+	m.levels++
+	m.shedding = shedding
+}
 
-func (noMeter) Level(string, float64, float64, float64, bool) {}
-func (noMeter) Shed(string, bool)                             {}
+func (*meter) Shed(string, bool) {}
 
 // control returns the control of a gateway of the hall "north" with the given reports and queue.
 func control(r *reports, waiting *int) *overload.Control {
 	return &overload.Control{
-		Hall: "north", Admission: true, Reports: r, Meter: noMeter{},
+		Hall: "north", Enabled: true, Admission: true, Reports: r, Meter: new(meter),
 		Policy:          shedding.Policy{MinShare: shedding.DefaultMinShare, ReturnShare: shedding.DefaultReturnShare},
 		Objective:       func(string) time.Duration { return 500 * time.Millisecond },
 		Position:        func() float64 { return 0.5 },
@@ -133,3 +141,28 @@
 	}
 	require.Equal(t, before, r.sizeCalls)
 }
+
+// Guards against a gateway that counts, records or reports anything while all parts of the overload
+// control are switched off.
+func TestNothingIsCountedWhileSwitchedOff(t *testing.T) {
+	waiting := 100
+	c, m := control(&reports{size: 1, heard: 1, announced: 1}, &waiting), new(meter)
+	c.Enabled, c.Admission, c.Meter = false, false, m
+	now := run(c, time.Unix(1000, 0), 100, 10, 5*time.Second)
+	require.Zero(t, m.levels)
+	require.Empty(t, c.Demands(now))
+	require.Equal(t, overload.Decision{Admit: true, Share: 1}, c.Arrive(overload.Arrival{Service: "chat"}, now))
+}
+
+// Guards against a gateway with shares of room alone that reports shedding, and divides the room, by
+// a level that it does not apply.
+func TestTheLevelIsOpenWithoutAdmission(t *testing.T) {
+	for _, admission := range []bool{false, true} {
+		waiting := 100
+		c, m := control(&reports{size: 1, heard: 1, announced: 1}, &waiting), new(meter)
+		c.Admission, c.Meter = admission, m
+		run(c, time.Unix(1000, 0), 100, 10, 5*time.Second)
+		require.Positive(t, m.levels)
+		require.Equal(t, admission, m.shedding)
+	}
+}
