Keep a rate finite after a count that is older than the latest one

Arrivals are counted at the start of their request, before its body is read. A body that took minutes moved the sum back in time and made it infinite, then NaN. The load reports carry such a rate to the whole fleet.

--- a/decide/rate/meter.go
+++ b/decide/rate/meter.go
@@ -19,11 +19,17 @@
 // DefaultSpan is the default time constant of the decay.
 const DefaultSpan = 5 * time.Second
 
-// WithCount returns the meter after counting amount at now.
+// WithCount returns the meter after counting amount at now, which may be before the latest count: a
+// request whose body arrives slowly is counted after later ones. The sum is then not moved back in
+// time, where it would grow exponentially and, after some minutes, become infinite for good.
 func (m Meter) WithCount(now time.Time, amount float64) Meter {
 	if m.start.IsZero() {
 		m.start, m.at = now, now
 	}
+	if now.Before(m.at) {
+		m.sum += amount * math.Exp(-m.at.Sub(now).Seconds()/m.span().Seconds())
+		return m
+	}
 	m.sum = m.decayed(now) + amount
 	m.at = now
 	return m
