Give back the share of room of a request that is not sent

A reservation that is cancelled or dropped before its request is sent stayed charged to the budgets of its endpoints, as that of a rejected request does.

--- a/decide/roomshare/budget.go
+++ b/decide/roomshare/budget.go
@@ -104,6 +104,13 @@
 	return b
 }
 
+// WithoutRequest returns the budget after a request that was counted by WithRequest is given up without
+// being sent.
+func (b Budget) WithoutRequest(need float64) Budget {
+	b.credit += need
+	return b
+}
+
 // WithRelease returns the budget after a request of this gateway that the endpoint had accepted
 // freed this much memory.
 func (b Budget) WithRelease(freed float64) Budget {
--- a/role/gateway/reservation.go
+++ b/role/gateway/reservation.go
@@ -46,10 +46,22 @@
 // cancel releases a reservation along which nothing was sent, and gives back its place in the limit
 // of the first endpoint.
 func (s *reservation) cancel() {
-	s.release()
+	s.releaseUnsent()
 	s.first.use.intake.GiveBack(s.admittedAt, time.Now())
 }
 
+// releaseUnsent releases a reservation along which nothing was sent, and gives back its part of this
+// gateway's shares of room.
+func (s *reservation) releaseUnsent() {
+	if !s.released {
+		s.first.use.slotBudget.GiveBack(1)
+		for i, b := range s.parts {
+			b.use.budget.GiveBack(float64(s.memory[i]))
+		}
+	}
+	s.release()
+}
+
 // notePromptRead notes that the endpoints have read the prompt.
 func (s *reservation) notePromptRead() {
 	if !s.reading {
--- a/role/gateway/watchdog.go
+++ b/role/gateway/watchdog.go
@@ -334,7 +334,7 @@
 	for range maxMoves {
 		next, short := g.reserveMove(q, reservation, lost)
 		if short == shortageNone && w.switchIfFaster(reservation, next, lost) {
-			next.release() // the attempt ends
+			next.releaseUnsent() // the attempt ends
 			return true
 		}
 		if short != shortageNone {
--- a/state/budget/budget.go
+++ b/state/budget/budget.go
@@ -19,14 +19,21 @@
 	return current == nil || current.Allows(need)
 }
 
-// Take counts a request that has been placed. Before the first round it does nothing, as do Release
-// and Reject: gateways without shares of room would otherwise allocate for each endpoint of a chain.
+// Take counts a request that has been placed. Before the first round it does nothing, as do GiveBack,
+// Release and Reject: gateways without shares of room would otherwise allocate for each endpoint of a chain.
 func (b *Budget) Take(need float64) {
 	if b.current.Load() != nil {
 		b.update(func(c roomshare.Budget) roomshare.Budget { return c.WithRequest(need) })
 	}
 }
 
+// GiveBack undoes a Take whose request is given up without being sent.
+func (b *Budget) GiveBack(need float64) {
+	if b.current.Load() != nil {
+		b.update(func(c roomshare.Budget) roomshare.Budget { return c.WithoutRequest(need) })
+	}
+}
+
 // Release counts a placed request that has ended.
 func (b *Budget) Release(freed float64) {
 	if b.current.Load() != nil {
--- a/state/budget/budget_test.go
+++ b/state/budget/budget_test.go
@@ -25,3 +25,16 @@
 	b.Take(50)
 	require.False(t, b.Allows(10), "the credit is half of the free memory")
 }
+
+// Guards against credit that is lost to requests that were never sent: a gateway whose share is less
+// than a request would wait several rounds for each of them.
+func TestARequestThatIsNotSentCostsNothing(t *testing.T) {
+	var b budget.Budget
+	b.Begin(roomshare.Round{Free: 100, Share: 1, Typical: 10})
+	b.Take(50)
+	require.False(t, b.Allows(10))
+	b.GiveBack(50)
+	require.True(t, b.Allows(10))
+	b.Take(50)
+	require.False(t, b.Allows(10), "no more than was taken is given back")
+}
