--- a/state/peers/table.go
+++ b/state/peers/table.go
@@ -260,13 +260,13 @@
 // force, in which each gateway is counted once.
 func (t *Table) FleetDemand(service string) demand.Demand {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	var all []demand.Demand
 	for _, e := range t.reports {
 		if d, ok := e.Demands[service]; ok {
 			all = append(all, d)
 		}
 	}
+	t.mu.Unlock() // the sum is long in a large fleet, and requests take the lock too
 	return demand.Sum(all...)
 }
 
@@ -274,13 +274,13 @@
 // which no demand for it is reported.
 func (t *Table) HallDemands(service string) map[string]demand.Demand {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	parts := make(map[string][]demand.Demand)
 	for _, e := range t.reports {
 		if d, ok := e.Demands[service]; ok {
 			parts[e.From.Hall] = append(parts[e.From.Hall], d)
 		}
 	}
+	t.mu.Unlock()
 	return sums(parts)
 }
 
--- a/state/peers/table_test.go
+++ b/state/peers/table_test.go
@@ -1,6 +1,7 @@
 package peers_test
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -176,6 +177,24 @@
 	require.Empty(t, table.HallDemands("other"))
 }
 
+// Guards against a data race between sums, which are computed without the lock, and new reports.
+func TestDemandsAreSummedWhileReportsArrive(t *testing.T) {
+	table, _ := table()
+	now := time.Now()
+	var reports sync.WaitGroup
+	reports.Go(func() {
+		for n := range uint64(200) {
+			table.AddReport(asking("near", "north", n+1, 0, 1), self, now)
+		}
+	})
+	for range 200 {
+		require.LessOrEqual(t, table.FleetDemand("chat").Offered(), 1.0)
+		require.LessOrEqual(t, len(table.HallDemands("chat")), 1)
+	}
+	reports.Wait()
+	require.InDelta(t, 1, table.FleetDemand("chat").Offered(), 0)
+}
+
 // Guards against demand that outlives its gateway: it would keep the others' shares too small.
 func TestExpiredDemandDoesNotCount(t *testing.T) {
 	table, _ := table()
