--- a/role/overload/control.go
+++ b/role/overload/control.go
@@ -279,7 +279,12 @@
 func admissible(level shedding.Level, d demand.Demand) float64 {
 	rate := 0.0
 	for class, load := range d.Classes {
-		rate += load.Offered * level.Admit(class, "")
+		unnamed := load.Offered
+		for team, offered := range load.Teams {
+			rate += offered * level.Admit(class, team)
+			unnamed -= offered
+		}
+		rate += max(unnamed, 0) * level.Admit(class, "")
 	}
 	return rate
 }
--- a/role/overload/control_test.go
+++ b/role/overload/control_test.go
@@ -166,3 +166,28 @@
 		require.Equal(t, admission, m.shedding)
 	}
 }
+
+// Guards against a gateway that gets room for the requests of a team that is mostly refused: the
+// room is divided by the demand that the level admits, and this gateway has only the flooding team.
+func TestAFloodGetsNoRoomThatTheLevelRefuses(t *testing.T) {
+	class := demand.Class{Priority: 1}
+	waiting := 400
+	others := demand.Demand{
+		Admitted: 50, Waiting: 100,
+		Classes: map[demand.Class]demand.Load{class: {Offered: 60, Teams: map[string]float64{"quiet-1": 30, "quiet-2": 30}}},
+	}
+	c := control(&reports{halls: map[string]demand.Demand{"north": others}, size: 2, heard: 2, announced: 2}, &waiting)
+	now := time.Unix(1000, 0)
+	for range 40 {
+		for range 45 { // 300 a second
+			c.Arrive(overload.Arrival{Service: "chat", Class: class, Team: "flood"}, now)
+		}
+		for range 6 { // 40 a second
+			c.CountAdmitted("chat", now)
+		}
+		c.Tick(now)
+		now = now.Add(150 * time.Millisecond)
+	}
+	share, _ := c.RoomShare("chat", "north")
+	require.Less(t, share, 0.6, "the flood is five sixths of the demand, but not of what is admitted")
+}
