Share the room of halls without demand by the demand of the others

Each gateway took a fifth of the even share there, so a hall without gateways, or whose gateways have no demand, gave out a fifth of its free room.

--- a/role/overload/control.go
+++ b/role/overload/control.go
@@ -208,7 +208,7 @@
 		s.part = part(own.Offered(), fleet.Offered(), size)
 		s.refusedPart = s.reported.Refused / (s.reported.Refused + others.Refused)
 		// What gateways that are not heard may take is set aside.
-		s.shares = shares(s.level, own, halls, c.Hall, size, float64(heard)/float64(size))
+		s.shares, s.elsewhere = shares(s.level, own, halls, c.Hall, size, float64(heard)/float64(size))
 	}
 	if fleet.Offered() > 0 {
 		s.wantedAt = now
@@ -254,15 +254,18 @@
 }
 
 // shares returns this gateway's share of the free room at the endpoints of each hall, by the demand
-// that the level admits. heard is the part of the gateways that the reports cover.
-func shares(level shedding.Level, own demand.Demand, halls map[string]demand.Demand, hall string, size int, heard float64) map[string]float64 {
+// that the level admits, and that at those of halls whose gateways report no demand. heard is the
+// part of the gateways that the reports cover.
+func shares(
+	level shedding.Level, own demand.Demand, halls map[string]demand.Demand, hall string, size int, heard float64,
+) (byHall map[string]float64, elsewhere float64) {
 	ownRate := admissible(level, own)
 	rates, sum := make(map[string]float64, len(halls)+1), 0.0
 	for name, d := range halls {
 		rates[name] = admissible(level, d)
 		sum += rates[name]
 	}
-	list := make(map[string]float64, len(rates)+1)
+	byHall = make(map[string]float64, len(rates)+1)
 	rates[hall] += 0
 	remote := defaultRemoteWeight / float64(max(len(rates)-1, 1))
 	for name, near := range rates {
@@ -270,9 +273,9 @@
 		if name != hall {
 			rate *= remote
 		}
-		list[name] = heard * roomshare.Share(rate, near, sum-near, remote, size)
+		byHall[name] = heard * roomshare.Share(rate, near, sum-near, remote, size)
 	}
-	return list
+	return byHall, heard * roomshare.Share(ownRate, 0, sum, 1, size) // the same weight for all
 }
 
 // admissible returns the rate of requests that the level admits of a demand.
@@ -308,10 +311,10 @@
 	if share, known := s.shares[hall]; known {
 		return share, s.alone
 	}
-	if len(s.shares) == 0 || hall == c.Hall {
+	if len(s.shares) == 0 { // no round has heard another gateway
 		return 1 / float64(max(s.size, 1)), s.alone
 	}
-	return defaultRemoteWeight / float64(max(s.size, 1)), s.alone
+	return s.elsewhere, s.alone
 }
 
 // RetryLoad completes the load from which the Retry-After delay of a refused caller is computed.
--- a/role/overload/control_test.go
+++ b/role/overload/control_test.go
@@ -191,3 +191,16 @@
 	share, _ := c.RoomShare("chat", "north")
 	require.Less(t, share, 0.6, "the flood is five sixths of the demand, but not of what is admitted")
 }
+
+// Guards against a hall whose gateways have no demand, or that has no gateways: with a fifth of the
+// even share for each gateway of the other halls, most of its free room would stay idle.
+func TestAHallWithoutDemandIsShared(t *testing.T) {
+	waiting := 0
+	class := demand.Class{Priority: 1}
+	others := demand.Demand{Admitted: 60, Classes: map[demand.Class]demand.Load{class: {Offered: 60}}}
+	c := control(&reports{halls: map[string]demand.Demand{"south": others}, size: 4, heard: 4, announced: 4}, &waiting)
+	run(c, time.Unix(1000, 0), 20, 20, 10*time.Second)
+	share, whole := c.RoomShare("chat", "east")
+	require.InDelta(t, 0.25, share, 0.02, "its part of the demand of the fleet")
+	require.False(t, whole)
+}
--- a/role/overload/service.go
+++ b/role/overload/service.go
@@ -32,9 +32,10 @@
 	age   time.Duration
 	alone bool
 	// part and refusedPart are this gateway's parts of the fleet's arrivals and refusals, and shares
-	// its shares of free room by hall.
+	// its shares of free room by hall; elsewhere is that in halls without demand.
 	part, refusedPart float64
 	shares            map[string]float64
+	elsewhere         float64
 	// latest is this gateway's demand as of the last update, and reported as of the one before: the
 	// reports of the others are about as old.
 	latest, reported demand.Demand
