--- a/role/overload/control.go
+++ b/role/overload/control.go
@@ -36,6 +36,8 @@
 	// included in both.
 	Size() int
 	Heard() int
+	// Announced returns the number of gateways that the store names, 0 while it has not been read.
+	Announced() int
 }
 
 // Meter records the state of the admission.
@@ -52,6 +54,9 @@
 type Control struct {
 	// Hall is the data hall of the gateway.
 	Hall string
+	// Enabled switches the counting of requests and the load reports on. Without it, nothing is
+	// counted, recorded or reported.
+	Enabled bool
 	// Admission switches the shedding of requests on. Without it every request is admitted.
 	Admission bool
 	// Policy divides the capacity among the classes of requests.
@@ -123,6 +128,9 @@
 
 // Arrive counts a request and decides whether the fleet has room for it.
 func (c *Control) Arrive(a Arrival, now time.Time) Decision {
+	if !c.Enabled {
+		return Decision{Admit: true, Share: 1}
+	}
 	s := c.of(a.Service)
 	d := s.arrive(a, now, c.Admission)
 	if !d.Admit {
@@ -133,12 +141,16 @@
 
 // CountAdmitted counts a request that has got its first reservation.
 func (c *Control) CountAdmitted(service string, now time.Time) {
-	c.of(service).count(now, true)
+	if c.Enabled {
+		c.of(service).count(now, true)
+	}
 }
 
 // CountRefused counts a request that is refused for lack of room.
 func (c *Control) CountRefused(service string, now time.Time) {
-	c.of(service).count(now, false)
+	if c.Enabled {
+		c.of(service).count(now, false)
+	}
 }
 
 // Demands returns this gateway's own load report, by service. It names teams only while the fleet is
@@ -172,31 +184,38 @@
 	age := c.Reports.FleetDemandAge(name, now)
 	halls := c.Reports.HallDemands(name)
 	size, heard := c.Reports.Size(), c.Reports.Heard()
-	target := capacity.Target(c.Objective(name), false)
+	if heard == 1 && c.Reports.Announced() == 1 {
+		size = 1 // the only gateway, for which Size assumes others
+	}
+	target, span := capacity.Target(c.Objective(name), false), c.RequestDuration(name)
 	s.mu.Lock()
 	fleet := own.Plus(others)
 	alone := heard < 2 && size > 1
-	s.estimate.Span = c.RequestDuration(name)
+	s.estimate.Span = span
 	switch {
 	case alone && !s.alone: // the others may still run, and use their parts of the capacity
 		s.estimate = s.estimate.WithPart(s.part)
 	case !alone && s.alone && s.part > 0:
 		s.estimate = s.estimate.WithPart(1 / s.part)
+	case !alone && s.alone: // its part has never been known: it starts with the estimate of the others
+		s.estimate = capacity.Estimate{Span: s.estimate.Span}
 	}
 	s.estimate = s.estimate.Next(fleet, target, now)
-	s.level = c.Policy.Level(fleet, s.estimate.Value())
+	if c.Admission { // otherwise the level is open, since no request is shed
+		s.level = c.Policy.Level(fleet, s.estimate.Value())
+	}
 	if !alone {
 		s.part = part(own.Offered(), fleet.Offered(), size)
 		s.refusedPart = s.reported.Refused / (s.reported.Refused + others.Refused)
 		// What gateways that are not heard may take is set aside.
-		s.shares = shares(s.level, own, halls, c.Hall, size, float64(heard)/float64(size))
+		s.shares, s.elsewhere = shares(s.level, own, halls, c.Hall, size, float64(heard)/float64(size))
 	}
 	if fleet.Offered() > 0 {
 		s.wantedAt = now
 	} else if now.Sub(s.wantedAt) > forgetAfter {
 		s.estimate, s.level = capacity.Estimate{}, shedding.Level{}
 	}
-	s.fleet, s.age, s.alone, s.position = fleet, age, alone, position
+	s.fleet, s.age, s.alone, s.position, s.size = fleet, age, alone, position, size
 	s.reported, s.latest = s.latest, own
 	level, perSecond, changed := s.level, s.estimate.Value(), s.level.Open() != s.wasOpen || s.level.Marginal() != s.wasMarginal
 	s.wasOpen, s.wasMarginal = level.Open(), level.Marginal()
@@ -235,15 +254,18 @@
 }
 
 // shares returns this gateway's share of the free room at the endpoints of each hall, by the demand
-// that the level admits. heard is the part of the gateways that the reports cover.
-func shares(level shedding.Level, own demand.Demand, halls map[string]demand.Demand, hall string, size int, heard float64) map[string]float64 {
+// that the level admits, and that at those of halls whose gateways report no demand. heard is the
+// part of the gateways that the reports cover.
+func shares(
+	level shedding.Level, own demand.Demand, halls map[string]demand.Demand, hall string, size int, heard float64,
+) (byHall map[string]float64, elsewhere float64) {
 	ownRate := admissible(level, own)
 	rates, sum := make(map[string]float64, len(halls)+1), 0.0
 	for name, d := range halls {
 		rates[name] = admissible(level, d)
 		sum += rates[name]
 	}
-	list := make(map[string]float64, len(rates)+1)
+	byHall = make(map[string]float64, len(rates)+1)
 	rates[hall] += 0
 	remote := defaultRemoteWeight / float64(max(len(rates)-1, 1))
 	for name, near := range rates {
@@ -251,16 +273,21 @@
 		if name != hall {
 			rate *= remote
 		}
-		list[name] = heard * roomshare.Share(rate, near, sum-near, remote, size)
+		byHall[name] = heard * roomshare.Share(rate, near, sum-near, remote, size)
 	}
-	return list
+	return byHall, heard * roomshare.Share(ownRate, 0, sum, 1, size) // the same weight for all
 }
 
 // admissible returns the rate of requests that the level admits of a demand.
 func admissible(level shedding.Level, d demand.Demand) float64 {
 	rate := 0.0
 	for class, load := range d.Classes {
-		rate += load.Offered * level.Admit(class, "")
+		unnamed := load.Offered
+		for team, offered := range load.Teams {
+			rate += offered * level.Admit(class, team)
+			unnamed -= offered
+		}
+		rate += max(unnamed, 0) * level.Admit(class, "")
 	}
 	return rate
 }
@@ -269,16 +296,25 @@
 // is a share of the whole room, because this gateway does not hear the others.
 func (c *Control) RoomShare(service, hall string) (share float64, whole bool) {
 	s := c.of(service)
-	size := c.Reports.Size()
+	s.mu.Lock()
+	updated := s.size > 0
+	s.mu.Unlock()
+	size := 0
+	if !updated {
+		size = c.Reports.Size() // without the lock, since it takes that of the reports
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.size == 0 {
+		s.size = size
+	}
 	if share, known := s.shares[hall]; known {
 		return share, s.alone
 	}
-	if len(s.shares) == 0 || hall == c.Hall {
-		return 1 / float64(max(size, 1)), s.alone
+	if len(s.shares) == 0 { // no round has heard another gateway
+		return 1 / float64(max(s.size, 1)), s.alone
 	}
-	return defaultRemoteWeight / float64(max(size, 1)), s.alone
+	return s.elsewhere, s.alone
 }
 
 // RetryLoad completes the load from which the Retry-After delay of a refused caller is computed.
--- a/role/overload/service.go
+++ b/role/overload/service.go
@@ -32,14 +32,17 @@
 	age   time.Duration
 	alone bool
 	// part and refusedPart are this gateway's parts of the fleet's arrivals and refusals, and shares
-	// its shares of free room by hall.
+	// its shares of free room by hall; elsewhere is that in halls without demand.
 	part, refusedPart float64
 	shares            map[string]float64
+	elsewhere         float64
 	// latest is this gateway's demand as of the last update, and reported as of the one before: the
 	// reports of the others are about as old.
 	latest, reported demand.Demand
-	// position is the position of this gateway among all.
+	// position is the position of this gateway among all, size their number; 0 before the first
+	// update.
 	position float64
+	size     int
 	// wantedAt is when the service last had demand.
 	wantedAt time.Time
 	// wasOpen and wasMarginal describe the level that was last logged.
