Divide the demand of a model service between data halls

decide/hallsplit computes the parts of each hall's demand that are served in other halls, smooths them, and directs single requests by them. decide/hallcapacity computes the capacities of halls from the memory and the slots of the holders of each layer. With hall_split, role/overload weights the shares of room by the parts, and the search for a chain enters the directed hall at no cost.

shareRoom loses a parameter that it did not use, which the linter reported.

--- a/adapter/meter/gateway.go
+++ b/adapter/meter/gateway.go
@@ -27,6 +27,7 @@
 	endpoints   *prometheus.GaugeVec
 	revision    prometheus.Gauge
 	load        *prometheus.GaugeVec
+	hallParts   *prometheus.GaugeVec
 	shed        *prometheus.CounterVec
 	connections prometheus.Counter
 	dropped     prometheus.Counter
@@ -93,6 +94,10 @@
 			Namespace: namespace, Name: "gateway_fleet_load",
 			Help: "Load of a model service in the whole fleet: capacity (estimated), offered and admitted in requests per second, and shedding (1 or 0).",
 		}, []string{"service", "value"}),
+		hallParts: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "gateway_hall_part",
+			Help: "Part of the demand of this gateway's hall for a model service that is directed to a hall.",
+		}, []string{"service", "hall"}),
 		shed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "gateway_shed_total",
 			Help: "Requests refused because the fleet has no room for their class, by service and caller: new or returning.",
@@ -105,7 +110,7 @@
 		}),
 	}
 	m.Registry.MustRegister(
-		m.ended, m.first, m.total, m.pause, m.retries, m.checks, m.orders, m.held, m.quarantine, m.platform, m.store, m.digests, m.endpoints, m.revision, m.load, m.shed,
+		m.ended, m.first, m.total, m.pause, m.retries, m.checks, m.orders, m.held, m.quarantine, m.platform, m.store, m.digests, m.endpoints, m.revision, m.load, m.hallParts, m.shed,
 		m.connections, m.dropped)
 	return m
 }
@@ -171,6 +176,11 @@
 	m.load.WithLabelValues(service, "shedding").Set(level)
 }
 
+// HallPart records the part of the demand of this gateway's hall that is directed to a hall.
+func (m *Gateway) HallPart(service, hall string, part float64) {
+	m.hallParts.WithLabelValues(service, hall).Set(part)
+}
+
 // Shed counts a request that is refused because the fleet has no room for its class.
 func (m *Gateway) Shed(service string, returning bool) {
 	caller := "new"
--- a/cmd/grademill-gateway/daemon.go
+++ b/cmd/grademill-gateway/daemon.go
@@ -81,7 +81,7 @@
 	if o := s.Overload; o != nil {
 		returnShare, minShare := o.Shares()
 		d.gateway.Overload = gateway.Overload{
-			RoomShares: o.RoomShares, FleetAdmission: o.FleetAdmission,
+			RoomShares: o.RoomShares, FleetAdmission: o.FleetAdmission, HallSplit: o.HallSplit,
 			Policy: shedding.Policy{ReturnShare: returnShare, MinShare: minShare, Weights: o.TeamWeights},
 		}
 	}
--- a/layout_test.go
+++ b/layout_test.go
@@ -41,6 +41,8 @@
 	"decide/fleet",
 	"decide/flow",
 	"decide/freshness",
+	"decide/hallcapacity",
+	"decide/hallsplit",
 	"decide/health",
 	"decide/isolation",
 	"decide/layer",
--- a/role/gateway/overload.go
+++ b/role/gateway/overload.go
@@ -7,6 +7,8 @@
 
 	"github.com/grademill/grademill/decide/catalog"
 	"github.com/grademill/grademill/decide/demand"
+	"github.com/grademill/grademill/decide/hallcapacity"
+	"github.com/grademill/grademill/decide/hallsplit"
 	"github.com/grademill/grademill/decide/roomshare"
 	"github.com/grademill/grademill/decide/shedding"
 	"github.com/grademill/grademill/role/gossip"
@@ -22,6 +24,8 @@
 	// FleetAdmission sheds requests by the demand of the whole fleet, as Policy says.
 	FleetAdmission bool
 	Policy         shedding.Policy
+	// HallSplit divides the demand of a hall among halls by their capacities.
+	HallSplit bool
 }
 
 // initOverload sets up the overload control.
@@ -30,6 +34,9 @@
 		Hall: g.Hall, Admission: g.Overload.FleetAdmission, Policy: g.Overload.Policy, Seed: xxhash.Sum64String(g.Name),
 		Reports: &g.peers, Objective: g.shortestObjective, Position: g.position, RequestDuration: g.queue.Times.RequestDuration, Waiting: g.queue.WaitingFor, Meter: g.Meter, Log: g.Log,
 	}
+	if g.Overload.HallSplit {
+		g.overload.Halls = g.halls
+	}
 	if g.Overload.FleetAdmission {
 		g.queue.FleetLoad, g.queue.ReturnShare = g.overload.RetryLoad, g.Overload.Policy.ReturnShare
 	}
@@ -67,7 +74,7 @@
 
 // addLoads adds the load reports to a digest: this gateway's own plus those of others.
 func (g *Gateway) addLoads(d *wire.Digest, others map[string]demand.Demand, now time.Time) {
-	if !g.Overload.RoomShares && !g.Overload.FleetAdmission {
+	if !g.Overload.RoomShares && !g.Overload.FleetAdmission && !g.Overload.HallSplit {
 		return
 	}
 	demands := g.overload.Demands(now)
@@ -77,8 +84,29 @@
 	d.Loads = gossip.EncodeLoads(demands)
 }
 
+// halls returns the capacities of the halls that have endpoints of a service.
+func (g *Gateway) halls(service string) []hallsplit.Hall {
+	c, f, now := g.catalog.Load(), g.fleet.Load(), time.Now()
+	if c == nil || c.Services[service] == nil || c.Services[service].Model == nil {
+		return nil
+	}
+	m := c.Services[service].Model
+	holders := make([]hallcapacity.Holder, 0, len(f.open[service]))
+	for _, b := range f.open[service] {
+		if card, known := m.Cards[b.Card]; known && !b.use.presumedDead(now) {
+			holders = append(holders, hallcapacity.Holder{Hall: b.Hall, Layers: b.usable(now), Room: m.Room(card, b.Layers.Len()), Slots: b.Slots})
+		}
+	}
+	return hallcapacity.Halls(m, holders, hallcapacity.Request{Tokens: typicalTokens(m), Duration: g.queue.Times.RequestDuration(service)})
+}
+
+// typicalTokens returns the number of tokens for which a typical request holds memory.
+func typicalTokens(m *catalog.Model) float64 {
+	return float64(m.Prompt) + heldAnswerShare*float64(m.Answer)
+}
+
 // shareRoom begins a new round of this gateway's budgets of room.
-func (g *Gateway) shareRoom(now time.Time) {
+func (g *Gateway) shareRoom() {
 	c := g.catalog.Load()
 	if c == nil || !g.Overload.RoomShares {
 		return
@@ -99,7 +127,7 @@
 	if d := g.queue.Times.RequestDuration(b.Service); d > 0 {
 		turnover = g.gossip.DigestInterval().Seconds() / d.Seconds()
 	}
-	typical := (float64(m.Prompt) + heldAnswerShare*float64(m.Answer)) * float64(b.Layers.Len())
+	typical := typicalTokens(m) * float64(b.Layers.Len())
 	room, free := b.room(m, 0)
 	slots, entered := float64(b.Slots), float64(b.use.entered.Load())
 	if isolated {
--- a/role/gateway/reservation.go
+++ b/role/gateway/reservation.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -17,10 +18,10 @@
 	// hall; the latter is high because all halls share one link.
 	hopCostInHall      = 0.0003
 	hopCostAcrossHalls = 0.006
-	// remoteEntryCost is the cost of entering a chain in a hall other than the gateway's. It keeps
-	// gateways of different halls from choosing the same chains. Under high load, 0.74 of the
-	// possible value of all requests is reached, a late answer counting less, and 0.72 with a cost
-	// of 0.002.
+	// remoteEntryCost is the cost of entering a chain in a hall other than the one to which the
+	// request is directed. It keeps gateways of different halls from choosing the same chains. Under
+	// high load, 0.74 of the possible value of all requests is reached, a late answer counting less,
+	// and 0.72 with a cost of 0.002.
 	remoteEntryCost = 0.004
 	// maxMemoryFactor bounds the cost factor of a nearly full endpoint.
 	maxMemoryFactor = 12
@@ -159,7 +160,7 @@
 	c := choosers.Get().(*chooser)
 	defer choosers.Put(c)
 	need := q.tokens()
-	c.prepare(q.service.Model, f, g.Hall, g.peerFlow(q.service.Name))
+	c.prepare(q.service.Model, f, cmp.Or(q.decision.Hall, g.Hall), g.peerFlow(q.service.Name))
 	c.fleetFactor = q.requestFactor()
 	c.shared = g.Overload.RoomShares && !q.everReached.Load() // a request that may have run is not held up
 	c.isolationPlan = g.isolationPlan(q.service.Name, time.Now())
--- a/role/overload/control.go
+++ b/role/overload/control.go
@@ -12,6 +12,7 @@
 
 	"github.com/grademill/grademill/decide/capacity"
 	"github.com/grademill/grademill/decide/demand"
+	"github.com/grademill/grademill/decide/hallsplit"
 	"github.com/grademill/grademill/decide/retryafter"
 	"github.com/grademill/grademill/decide/roomshare"
 	"github.com/grademill/grademill/decide/shedding"
@@ -45,6 +46,8 @@
 	Level(service string, capacity, offered, admitted float64, shedding bool)
 	// Shed counts a request that is refused because the fleet has no room for its class.
 	Shed(service string, returning bool)
+	// HallPart records the part of the demand of this gateway's hall that is served in a hall.
+	HallPart(service, hall string, part float64)
 }
 
 // Control is the overload control of one gateway. Set the exported fields before the first use. It
@@ -68,8 +71,11 @@
 	RequestDuration func(service string) time.Duration
 	// Waiting returns the number of queued requests of a service.
 	Waiting func(service string) int
-	Meter   Meter
-	Log     zerolog.Logger
+	// Halls returns the halls that have endpoints of a service, with their capacities and without
+	// their demands. It is nil while the demand is not divided among halls.
+	Halls func(service string) []hallsplit.Hall
+	Meter Meter
+	Log   zerolog.Logger
 
 	mu       sync.Mutex // guards services
 	services map[string]*service
@@ -119,12 +125,14 @@
 	Reserved bool
 	// Share is the share of such requests that is admitted, 1 for all.
 	Share float64
+	// Hall is where an admitted request is to be served if there is room.
+	Hall string
 }
 
 // Arrive counts a request and decides whether the fleet has room for it.
 func (c *Control) Arrive(a Arrival, now time.Time) Decision {
 	s := c.of(a.Service)
-	d := s.arrive(a, now, c.Admission)
+	d := s.arrive(a, now, c.Admission, c.Hall)
 	if !d.Admit {
 		c.Meter.Shed(a.Service, a.Class.Returning)
 	}
@@ -171,6 +179,10 @@
 	position := c.Position()
 	age := c.Reports.FleetDemandAge(name, now)
 	halls := c.Reports.HallDemands(name)
+	var sites []hallsplit.Hall
+	if c.Halls != nil {
+		sites = c.Halls(name)
+	}
 	size, heard := c.Reports.Size(), c.Reports.Heard()
 	target := capacity.Target(c.Objective(name), false)
 	s.mu.Lock()
@@ -189,7 +201,13 @@
 		s.part = part(own.Offered(), fleet.Offered(), size)
 		s.refusedPart = s.reported.Refused / (s.reported.Refused + others.Refused)
 		// What gateways that are not heard may take is set aside.
-		s.shares = shares(s.level, own, halls, c.Hall, size, float64(heard)/float64(size))
+		covered := float64(heard) / float64(size)
+		if c.Halls == nil {
+			s.shares = shares(s.level, own, halls, c.Hall, size, covered)
+		} else {
+			s.halls.update(sites, c.placed(s, own, halls), s.estimate.Value(), heard < size, now)
+			s.shares = s.halls.shares(c.placedRate(s, own), c.Hall, size, covered)
+		}
 	}
 	if fleet.Offered() > 0 {
 		s.wantedAt = now
@@ -198,6 +216,7 @@
 	}
 	s.fleet, s.age, s.alone, s.position = fleet, age, alone, position
 	s.reported, s.latest = s.latest, own
+	division := s.halls.changes(c.Hall)
 	level, perSecond, changed := s.level, s.estimate.Value(), s.level.Open() != s.wasOpen || s.level.Marginal() != s.wasMarginal
 	s.wasOpen, s.wasMarginal = level.Open(), level.Marginal()
 	s.mu.Unlock()
@@ -205,6 +224,7 @@
 	if c.Admission && changed {
 		c.logLevel(name, level, perSecond, fleet, age, alone)
 	}
+	c.recordDivision(name, division)
 }
 
 func (c *Control) logLevel(name string, level shedding.Level, perSecond float64, fleet demand.Demand, age time.Duration, alone bool) {
--- a/role/overload/service.go
+++ b/role/overload/service.go
@@ -7,6 +7,7 @@
 
 	"github.com/grademill/grademill/decide/capacity"
 	"github.com/grademill/grademill/decide/demand"
+	"github.com/grademill/grademill/decide/hallsplit"
 	"github.com/grademill/grademill/decide/rate"
 	"github.com/grademill/grademill/decide/shedding"
 	"github.com/grademill/grademill/decide/thinning"
@@ -35,6 +36,9 @@
 	// its shares of free room by hall.
 	part, refusedPart float64
 	shares            map[string]float64
+	// halls is the division of the demand among halls, and sequence directs single requests by it.
+	halls    division
+	sequence hallsplit.Sequence
 	// latest is this gateway's demand as of the last update, and reported as of the one before: the
 	// reports of the others are about as old.
 	latest, reported demand.Demand
@@ -57,11 +61,13 @@
 	return &service{
 		admitted: rate.Meter{Span: rateSpan}, refused: rate.Meter{Span: rateSpan}, wasOpen: true,
 		offered: make(map[demand.Class]*classRates), thinner: thinning.Thinner{Seed: seed},
+		sequence: hallsplit.Sequence{Position: float64(seed>>11) / (1 << 53)},
 	}
 }
 
-// arrive counts a request and decides whether to admit it.
-func (s *service) arrive(a Arrival, now time.Time, admission bool) Decision {
+// arrive counts a request of a gateway of a hall, decides whether to admit it, and directs it to a
+// hall.
+func (s *service) arrive(a Arrival, now time.Time, admission bool, hall string) Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	rates := s.offered[a.Class]
@@ -78,7 +84,7 @@
 		rates.teams[a.Team] = team.WithCount(now, 1)
 	}
 	if !admission || a.Exempt || s.level.Open() {
-		return Decision{Admit: true, Share: 1}
+		return Decision{Admit: true, Share: 1, Hall: s.direct(hall)}
 	}
 	share := s.level.Admit(a.Class, a.Team)
 	key := strconv.Itoa(a.Class.Priority) + "/" + a.Team
@@ -88,8 +94,16 @@
 	if a.Early {
 		share, key = s.level.AdmitEarly(a.Class), key+" early"
 	}
-	admit := s.thinner.Keep(key, share)
-	return Decision{Admit: admit, Reserved: admit, Share: share}
+	if !s.thinner.Keep(key, share) {
+		return Decision{Share: share}
+	}
+	return Decision{Admit: true, Reserved: true, Share: share, Hall: s.direct(hall)}
+}
+
+// direct returns the hall that is to serve the next request of a gateway of a hall.
+func (s *service) direct(hall string) string {
+	hall, s.sequence = s.sequence.Next(s.halls.split, hall)
+	return hall
 }
 
 // count counts a request that was admitted or refused for lack of room.
