--- a/role/overload/control_test.go
+++ b/role/overload/control_test.go
@@ -44,23 +44,24 @@
 func (r *reports) Heard() int     { return r.heard }
 func (r *reports) Announced() int { return r.announced }
 
-// meter remembers the latest state of the admission.
-type meter struct {
+// meterFake remembers the latest state of the admission.
+type meterFake struct {
 	levels   int
 	shedding bool
 }
 
-func (m *meter) Level(_ string, _, _, _ float64, shedding bool) {
+func (m *meterFake) Level(_ string, _, _, _ float64, shedding bool) {
 	m.levels++
 	m.shedding = shedding
 }
 
-func (*meter) Shed(string, bool) {}
+func (*meterFake) Shed(string, bool)                {}
+func (*meterFake) HallPart(string, string, float64) {}
 
 // control returns the control of a gateway of the hall "north" with the given reports and queue.
 func control(r *reports, waiting *int) *overload.Control {
 	return &overload.Control{
-		Hall: "north", Enabled: true, Admission: true, Reports: r, Meter: new(meter),
+		Hall: "north", Enabled: true, Admission: true, Reports: r, Meter: new(meterFake),
 		Policy:          shedding.Policy{MinShare: shedding.DefaultMinShare, ReturnShare: shedding.DefaultReturnShare},
 		Objective:       func(string) time.Duration { return 500 * time.Millisecond },
 		Position:        func() float64 { return 0.5 },
@@ -146,7 +147,7 @@
 // control are switched off.
 func TestNothingIsCountedWhileSwitchedOff(t *testing.T) {
 	waiting := 100
-	c, m := control(&reports{size: 1, heard: 1, announced: 1}, &waiting), new(meter)
+	c, m := control(&reports{size: 1, heard: 1, announced: 1}, &waiting), new(meterFake)
 	c.Enabled, c.Admission, c.Meter = false, false, m
 	now := run(c, time.Unix(1000, 0), 100, 10, 5*time.Second)
 	require.Zero(t, m.levels)
@@ -159,7 +160,7 @@
 func TestTheLevelIsOpenWithoutAdmission(t *testing.T) {
 	for _, admission := range []bool{false, true} {
 		waiting := 100
-		c, m := control(&reports{size: 1, heard: 1, announced: 1}, &waiting), new(meter)
+		c, m := control(&reports{size: 1, heard: 1, announced: 1}, &waiting), new(meterFake)
 		c.Admission, c.Meter = admission, m
 		run(c, time.Unix(1000, 0), 100, 10, 5*time.Second)
 		require.Positive(t, m.levels)
