--- a/cmd/grademill-gateway/daemon.go
+++ b/cmd/grademill-gateway/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	stdlog "log"
 	"net/http"
 	"os"
@@ -200,9 +201,13 @@
 	return len(line), nil
 }
 
-// admin returns a handler that serves the metrics.
+// admin returns a handler that serves the metrics and the state of the overload control.
 func (d *daemon) admin() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(d.metrics.Registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /v1/load", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(d.gateway.Load()) // fails only if the client is gone
+	})
 	return mux
 }
--- a/decide/requestlog/log.go
+++ b/decide/requestlog/log.go
@@ -32,6 +32,8 @@
 	// requestLines are the lines that name the request. stateLines are those that change a
 	// gateway's view of an endpoint, the configuration or the store.
 	requestLines, stateLines []Line
+	// levelLines are those about the level of a service.
+	levelLines []Line
 }
 
 // stateMessages are the beginnings of messages that change a gateway's view.
@@ -113,6 +115,10 @@
 		s.requestLines = append(s.requestLines, l)
 		return
 	}
+	if strings.HasPrefix(l.Message, messageLevel) {
+		s.levelLines = append(s.levelLines, l)
+		return
+	}
 	for _, prefix := range stateMessages {
 		if strings.HasPrefix(l.Message, prefix) {
 			s.stateLines = append(s.stateLines, l)
@@ -123,8 +129,8 @@
 
 // Lines returns the relevant lines in ascending order of time: the decisions about the request, the
 // changes in its gateways' view of the endpoints that it names, all gateways' lines about these
-// endpoints' departure, however long before, and all gateways' lines about endpoints that crashed
-// under the same request, including earlier attempts.
+// endpoints' departure, however long before, all gateways' lines about endpoints that crashed under
+// the same request, including earlier attempts, and the level by which the request was refused.
 func (s *Log) Lines() []Line {
 	if len(s.requestLines) == 0 {
 		return nil
@@ -144,7 +150,7 @@
 			mentioned.Write(value)
 		}
 	}
-	lines := slices.Clone(s.requestLines)
+	lines := s.withLevels(slices.Clone(s.requestLines))
 	for _, l := range s.stateLines {
 		if l.concerns(fingerprint) || l.departs() && endpoints[l.text("endpoint")] {
 			if !l.At.After(to) {
--- a/decide/requestlog/times.go
+++ b/decide/requestlog/times.go
@@ -33,7 +33,7 @@
 	}
 	queued := l.millis("waited_ms")
 	t := Times{Line: queued, Chain: max(first-queued, 0), MaxPause: l.millis("pause_ms")}
-	if string(l.Fields["returned"]) == "true" {
+	if l.isTrue("returned") {
 		t.Before = l.millis("under_route_ms")
 	}
 	return t
--- a/decide/requestlog/verdict.go
+++ b/decide/requestlog/verdict.go
@@ -37,6 +37,11 @@
 	Status int
 	// Times is the breakdown of its time, zero for a request without a first event.
 	Times Times
+	// Refusal explains a refusal by the level in force, nil for every other request.
+	Refusal *Refusal
+	// Returned is set for an answer to a caller that had come back after a refusal. Its time counts from
+	// the first attempt, so the answer is late.
+	Returned bool
 }
 
 // String returns the verdict as one line.
@@ -51,6 +56,12 @@
 	if v.Process != "" {
 		text += ", by gateway " + v.Process
 	}
+	if v.Refusal != nil {
+		text += "; " + v.Refusal.String()
+	}
+	if v.Returned {
+		text += "; late because its caller had come back after a refusal"
+	}
 	if times := v.Times.String(); times != "" {
 		text += "; " + times
 	}
@@ -73,6 +84,7 @@
 			v = Verdict{Result: FateUnknown, Process: l.Process, Endpoint: l.text("address")}
 		case messageEnded:
 			v = verdictOf(l)
+			v.Refusal = s.refusalIn(l)
 		}
 	}
 	return v
@@ -86,7 +98,7 @@
 	}
 	switch {
 	case l.text("outcome") == "served":
-		v.Result = FateAnswered
+		v.Result, v.Returned = FateAnswered, l.isTrue("returned")
 	case l.number("runs") == 0:
 		v.Result, v.Endpoint = FateNotRun, ""
 	default:
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -273,7 +273,7 @@
 	}
 	if q.service != nil && q.service.Model != nil {
 		line = line.Dur("waited_ms", q.waited).Int("ahead", q.ahead).Bool("returned", q.returned).
-			Float64("admit_share", q.decision.Share).Int("priority", q.priority)
+			Float64("admit_share", q.decision.Share).Int("priority", q.priority).Str("service", q.service.Name)
 	}
 	if q.retryAfter > 0 {
 		line = line.Dur("come_back_ms", q.retryAfter).Float64("admitted_per_s", q.admitted)
--- a/role/gateway/overload.go
+++ b/role/gateway/overload.go
@@ -35,6 +35,14 @@
 	}
 }
 
+// Load returns the state of the overload control, empty until the store has been read.
+func (g *Gateway) Load() overload.Snapshot {
+	if !g.read.Load() {
+		return overload.Snapshot{}
+	}
+	return g.overload.Snapshot()
+}
+
 // shortestObjective returns the shortest objective among the routes of a service.
 func (g *Gateway) shortestObjective(service string) time.Duration {
 	if c := g.catalog.Load(); c != nil && c.Objective(service) > 0 {
--- a/role/overload/control.go
+++ b/role/overload/control.go
@@ -198,11 +198,11 @@
 	}
 	s.fleet, s.age, s.alone, s.position = fleet, age, alone, position
 	s.reported, s.latest = s.latest, own
-	level, perSecond, changed := s.level, s.estimate.Value(), s.level.Open() != s.wasOpen || s.level.Marginal() != s.wasMarginal
-	s.wasOpen, s.wasMarginal = level.Open(), level.Marginal()
+	level, perSecond := s.level, s.estimate.Value()
+	logs := c.Admission && s.mustLog(now)
 	s.mu.Unlock()
 	c.Meter.Level(name, perSecond, fleet.Offered(), fleet.Admitted, !level.Open())
-	if c.Admission && changed {
+	if logs {
 		c.logLevel(name, level, perSecond, fleet, age, alone)
 	}
 }
@@ -211,12 +211,13 @@
 	line := c.Log.Info().Str("service", name).Bool("open", level.Open()).Float64("capacity_per_s", round(perSecond)).
 		Float64("offered_per_s", round(fleet.Offered())).Float64("admitted_per_s", round(fleet.Admitted)).
 		Float64("waiting", fleet.Waiting).Bool("alone", alone)
-	if age < time.Hour {
+	if age < unknownAge {
 		line = line.Dur("report_age_ms", age)
 	}
 	if !level.Open() {
 		m := level.Marginal()
-		line = line.Int("marginal_priority", m.Priority).Bool("marginal_returning", m.Returning)
+		line = line.Int("marginal_priority", m.Priority).Bool("marginal_returning", m.Returning).
+			Float64("marginal_share", roundShare(classShare(level, m, fleet.Classes[m])))
 	}
 	line.Msg("shedding level")
 }
--- a/role/overload/service.go
+++ b/role/overload/service.go
@@ -1,6 +1,7 @@
 package overload
 
 import (
+	"math"
 	"strconv"
 	"sync"
 	"time"
@@ -42,9 +43,16 @@
 	position float64
 	// wantedAt is when the service last had demand.
 	wantedAt time.Time
-	// wasOpen and wasMarginal describe the level that was last logged.
-	wasOpen     bool
-	wasMarginal demand.Class
+	// logged describes the level that was last logged.
+	logged loggedLevel
+}
+
+// loggedLevel is what decides whether a level differs enough from one that was logged.
+type loggedLevel struct {
+	at       time.Time
+	open     bool
+	marginal demand.Class
+	capacity float64
 }
 
 // classRates holds the rates of the requests of one class.
@@ -55,7 +63,7 @@
 
 func newService(seed uint64) *service {
 	return &service{
-		admitted: rate.Meter{Span: rateSpan}, refused: rate.Meter{Span: rateSpan}, wasOpen: true,
+		admitted: rate.Meter{Span: rateSpan}, refused: rate.Meter{Span: rateSpan}, logged: loggedLevel{open: true}, age: unknownAge,
 		offered: make(map[demand.Class]*classRates), thinner: thinning.Thinner{Seed: seed},
 	}
 }
@@ -148,5 +156,30 @@
 	return d, s.fleet.Waiting > 0 || !s.level.Open()
 }
 
+const (
+	// logInterval is the least time between two log lines of a service. The estimate moves by a tenth
+	// within a second, and near the capacity the level may open and close at each update.
+	logInterval = time.Second
+	// loggedChange is the relative change of the capacity that is logged.
+	loggedChange = 0.1
+)
+
+// mustLog reports whether the level has to be logged at now, and then takes it for logged. The
+// start of shedding is logged at once, because the lines explain refusals; other changes wait until
+// logInterval has passed. Two starts have an end between them, which waits, so there are never more
+// than two lines in logInterval. The caller holds the lock.
+func (s *service) mustLog(now time.Time) bool {
+	next := loggedLevel{at: now, open: s.level.Open(), marginal: s.level.Marginal(), capacity: s.estimate.Value()}
+	last := s.logged
+	starts := last.open && !next.open
+	changed := next.open != last.open || next.marginal != last.marginal ||
+		math.Abs(next.capacity-last.capacity) > loggedChange*last.capacity
+	if !changed || !starts && now.Sub(last.at) < logInterval {
+		return false
+	}
+	s.logged = next
+	return true
+}
+
 // minRate is the rate, in requests per second, below which a class or team is forgotten.
 const minRate = 0.02
