--- a/cmd/grademill-gateway/main_test.go
+++ b/cmd/grademill-gateway/main_test.go
@@ -4,7 +4,9 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -27,8 +29,8 @@
 // process is a gateway process.
 type process struct {
 	*exec.Cmd
-	// settings is the path of its settings file.
-	settings string
+	// settings is the path of its settings file, admin its admin address.
+	settings, admin string
 	// ended is closed once the process has ended.
 	ended chan struct{}
 
@@ -56,8 +58,8 @@
 	program := filepath.Join(dir, "grademill-gateway")
 	out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
 	require.NoError(t, err, string(out))
-	p := &process{settings: filepath.Join(dir, "gateway.toml"), ended: make(chan struct{})}
-	p.write(t, gatewaySettings(caller, freeAddress(t), freeAddress(t)))
+	p := &process{settings: filepath.Join(dir, "gateway.toml"), admin: freeAddress(t), ended: make(chan struct{})}
+	p.write(t, gatewaySettings(caller, freeAddress(t), freeAddress(t), p.admin))
 	p.Cmd = exec.Command(program, "-settings", p.settings)
 	p.Stdout, p.Stderr = p, p
 	require.NoError(t, p.Start())
@@ -98,19 +100,22 @@
 	return l.Addr().String()
 }
 
-// gatewaySettings returns settings of a gateway that serves callers, health checks and other
-// gateways at the given addresses. Nothing listens at the store's address.
-func gatewaySettings(caller, ready, peers string) string {
+// gatewaySettings returns settings of a gateway that serves callers, health checks, other gateways and
+// operators at the given addresses. Nothing listens at the store's address.
+func gatewaySettings(caller, ready, peers, admin string) string {
 	return fmt.Sprintf(`role = "gateway"
 name = "gateway-1"
 hall = "north"
 address = %q
+admin = %q
 [gateway]
 caller = %q
 ready = %q
 store = "127.0.0.1:1"
 retry_reserve = 244.5
-`, peers, caller, ready)
+[gateway.overload]
+fleet_admission = true
+`, peers, admin, caller, ready)
 }
 
 // A gateway that cannot start must say why: the log drops lines that are written after it is closed.
@@ -129,6 +134,20 @@
 	require.Contains(t, p.output(), "address already in use")
 }
 
+// Operators ask a gateway in trouble for its load: it must answer also before it has read the store.
+func TestLoadBeforeStoreIsRead(t *testing.T) {
+	p := start(t, freeAddress(t))
+	p.waitForLog(t, "gateway serves")
+	answer, err := http.Get("http://" + p.admin + "/v1/load")
+	require.NoError(t, err)
+	defer answer.Body.Close() //nolint:errcheck // nothing to save
+	text, err := io.ReadAll(answer.Body)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, answer.StatusCode)
+	require.Equal(t, "application/json", answer.Header.Get("Content-Type"))
+	require.JSONEq(t, `{"fleet_admission":true,"services":[]}`, string(text))
+}
+
 // SIGHUP with settings that the gateway cannot use, here those of another role, must not end it.
 func TestReloadRefusesSettingsOfAnotherRole(t *testing.T) {
 	caller, ready, peers := freeAddress(t), freeAddress(t), freeAddress(t)
@@ -140,7 +159,7 @@
 	require.NoError(t, p.Process.Signal(syscall.SIGHUP))
 	p.waitForLog(t, "settings are invalid")
 	require.Contains(t, p.output(), "not gateway")
-	p.write(t, gatewaySettings(caller, ready, peers))
+	p.write(t, gatewaySettings(caller, ready, peers, p.admin))
 	require.NoError(t, p.Process.Signal(syscall.SIGHUP))
 	p.waitForLog(t, "settings read again")
 }
--- a/cmd/grademill/main.go
+++ b/cmd/grademill/main.go
@@ -28,6 +28,7 @@
 	subcommands.Register(&checkCommand{}, "operators")
 	subcommands.Register(&ctlCommand{}, "operators")
 	subcommands.Register(&explainCommand{}, "operators")
+	subcommands.Register(&loadCommand{}, "operators")
 	flag.Parse()
 	return subcommands.Execute(context.Background())
 }
--- a/decide/requestlog/refusal_test.go
+++ b/decide/requestlog/refusal_test.go
@@ -58,6 +58,6 @@
 	const ended = `{"time":"2026-12-02T10:00:08Z","process":"g-1","message":"request ended","request":"r","outcome":"served","status":200,"runs":1,"used":["10.0.0.1:80"],"first_ms":200,"waited_ms":50,"under_route_ms":3100`
 	v := read(t, ended+`,"returned":true,"admit_share":0.3,"priority":1}`).Verdict()
 	require.True(t, v.Returned)
-	require.Contains(t, v.String(), "late because its caller had come back after a refusal; 3.1s with earlier tries")
+	require.Contains(t, v.String(), "its caller had come back after a refusal, and its time counts from the first attempt; 3.1s with earlier tries")
 	require.NotContains(t, read(t, ended+`,"returned":false}`).Verdict().String(), "come back")
 }
--- a/decide/requestlog/verdict.go
+++ b/decide/requestlog/verdict.go
@@ -40,7 +40,7 @@
 	// Refusal explains a refusal by the level in force, nil for every other request.
 	Refusal *Refusal
 	// Returned is set for an answer to a caller that had come back after a refusal. Its time counts from
-	// the first attempt, so the answer is late.
+	// the first attempt, which makes most such answers late.
 	Returned bool
 }
 
@@ -60,7 +60,7 @@
 		text += "; " + v.Refusal.String()
 	}
 	if v.Returned {
-		text += "; late because its caller had come back after a refusal"
+		text += "; its caller had come back after a refusal, and its time counts from the first attempt"
 	}
 	if times := v.Times.String(); times != "" {
 		text += "; " + times
--- a/role/gateway/overload.go
+++ b/role/gateway/overload.go
@@ -38,7 +38,7 @@
 // Load returns the state of the overload control, empty until the store has been read.
 func (g *Gateway) Load() overload.Snapshot {
 	if !g.read.Load() {
-		return overload.Snapshot{}
+		return overload.Snapshot{Admission: g.Overload.FleetAdmission, Services: []overload.ServiceSnapshot{}}
 	}
 	return g.overload.Snapshot()
 }
