--- a/role/gateway/reservation.go
+++ b/role/gateway/reservation.go
@@ -40,6 +40,8 @@
 	reading bool
 	// released is set once the room has been given back.
 	released bool
+	// charged is set if the room is charged to this gateway's shares of free room.
+	charged bool
 	// admittedAt is when the request was counted against the limit of the first endpoint.
 	admittedAt time.Time
 }
@@ -51,10 +53,27 @@
 	s.first.use.intake.GiveBack(s.admittedAt, time.Now())
 }
 
+// charge charges the room to this gateway's shares of free room. The room of requests that these do
+// not hold up is not charged: the requests moved after a loss would use up the shares of the few
+// endpoints that hold the lost layers, and new requests would find no room there for seconds.
+func (s *reservation) charge() {
+	s.charged = true
+	s.first.use.slotBudget.Take(1)
+	for i, b := range s.parts {
+		b.use.budget.Take(float64(s.memory[i]))
+	}
+}
+
+// releaseMoved releases the reservation of a request that has been moved. It keeps most of the room.
+func (s *reservation) releaseMoved() {
+	s.charged = false
+	s.release()
+}
+
 // releaseUnsent releases a reservation along which nothing was sent, and gives back its part of this
 // gateway's shares of room.
 func (s *reservation) releaseUnsent() {
-	if !s.released {
+	if !s.released && s.charged {
 		s.first.use.slotBudget.GiveBack(1)
 		for i, b := range s.parts {
 			b.use.budget.GiveBack(float64(s.memory[i]))
@@ -80,15 +99,15 @@
 		return
 	}
 	s.released = true
-	accepted := !s.reading // a rejected request frees nothing
+	reusable := s.charged && !s.reading // a rejected request frees nothing
 	s.notePromptRead()
 	s.first.use.entered.Add(-1)
-	if accepted {
+	if reusable {
 		s.first.use.slotBudget.Release(1)
 	}
 	for i, b := range s.parts {
 		b.use.release(s.memory[i])
-		if accepted {
+		if reusable {
 			b.use.budget.Release(float64(s.memory[i]))
 		}
 	}
@@ -174,7 +193,7 @@
 	need := q.tokens()
 	c.prepare(q.service.Model, f, cmp.Or(q.decision.Hall, g.Hall), g.peerFlow(q.service.Name))
 	c.fleetFactor = q.requestFactor()
-	c.shared = g.Overload.RoomShares && !q.everReached.Load() // a request that may have run is not held up
+	c.shared = g.Overload.RoomShares && !q.everReached.Load() // a request that was sent is not held up
 	c.isolationPlan = g.isolationPlan(q.service.Name, time.Now())
 	found, ok := g.findAdmitted(c, q, f, need, skipAvoidedAndFull)
 	if !ok && q.isolatedAt() == "" && !c.isolationPlan.Empty() { // an endpoint at which a suspect is tried is better than none
@@ -195,6 +214,9 @@
 		}
 	}
 	taken := newReservation(found, need, func(p chain.Stage) *backend { return f.byID[p.ID] })
+	if c.shared {
+		taken.charge()
+	}
 	taken.admittedAt = c.admittedAt
 	return taken, shortageNone
 }
@@ -307,12 +329,10 @@
 		b := backendOf(p)
 		memory := int64(need * p.Layers.Len())
 		b.use.take(memory)
-		b.use.budget.Take(float64(memory))
 		b.use.reading.Add(1)
 		s.parts, s.memory = append(s.parts, b), append(s.memory, memory)
 	}
 	s.first = s.parts[0]
 	s.first.use.entered.Add(1)
-	s.first.use.slotBudget.Take(1)
 	return s
 }
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -233,8 +233,8 @@
 	s.q.avoid(address)
 	if b := s.g.fleet.Load().byAddress[address]; b != nil {
 		b.use.noRoomUntil.Store(time.Now().Add(noRoomWait).UnixNano())
-		if t.answer != nil && t.answer.Status == http.StatusServiceUnavailable {
-			b.use.budget.Reject()
+		if room, free := b.room(s.q.service.Model, 0); t.answer != nil && t.answer.Status == http.StatusServiceUnavailable && free < room/2 {
+			b.use.budget.Reject() // at an endpoint with much room the refusal has another reason
 		}
 		if address != reservation.first.Address {
 			s.g.checkRefused(b, t.answer != nil && t.answer.Status == http.StatusMisdirectedRequest, s.sentAt)
--- a/role/gateway/watchdog.go
+++ b/role/gateway/watchdog.go
@@ -143,7 +143,7 @@
 	w.ended = true
 	w.timer.Stop()
 	w.reservation.removeWatchdog(w)
-	w.reservation.release()
+	w.reservation.releaseMoved()
 	return w.reserved
 }
 
@@ -373,7 +373,7 @@
 		return
 	}
 	w.reservation.removeWatchdog(w)
-	w.reservation.release()
+	w.reservation.releaseMoved()
 	w.reservation, w.first = next, time.Time{}
 	w.movedWhileSuspect = w.relay.g.suspected(w.relay.q)
 	next.addWatchdog(w)
