Keep the part of an isolated gateway while reports lapse one by one

The part was computed from the reports that were left in the last round before the gateway heard nobody, so that one of eight gateways admitted 1.4 times its part.

--- a/role/overload/control.go
+++ b/role/overload/control.go
@@ -186,7 +186,8 @@
 	s.estimate = s.estimate.Next(fleet, target, now)
 	s.level = c.Policy.Level(fleet, s.estimate.Value())
 	if !alone {
-		s.part = part(own.Offered(), fleet.Offered(), size)
+		// Reports lapse one by one, so those that are missing may be of gateways that still run.
+		s.part = part(own.Offered(), fleet.Offered(), size) * float64(heard) / float64(size)
 		s.refusedPart = s.reported.Refused / (s.reported.Refused + others.Refused)
 		// What gateways that are not heard may take is set aside.
 		s.shares = shares(s.level, own, halls, c.Hall, size, float64(heard)/float64(size))
