--- a/role/overload/control.go
+++ b/role/overload/control.go
@@ -36,6 +36,8 @@
 	// included in both.
 	Size() int
 	Heard() int
+	// Unreported reports whether some gateways use endpoints of models but report no load.
+	Unreported() bool
 }
 
 // Meter records the state of the admission.
@@ -172,7 +174,7 @@
 	age := c.Reports.FleetDemandAge(name, now)
 	halls := c.Reports.HallDemands(name)
 	size, heard := c.Reports.Size(), c.Reports.Heard()
-	target := capacity.Target(c.Objective(name), false)
+	target := capacity.Target(c.Objective(name), c.Reports.Unreported())
 	s.mu.Lock()
 	fleet := own.Plus(others)
 	alone := heard < 2 && size > 1
--- a/state/peers/table.go
+++ b/state/peers/table.go
@@ -298,6 +298,24 @@
 	return age
 }
 
+// Unreported reports whether some gateway holds memory of endpoints for requests of models, but reports
+// no demand for any service, as gateways of former builds do.
+func (t *Table) Unreported() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.reports {
+		if len(e.Demands) > 0 {
+			continue
+		}
+		for _, s := range e.Shares {
+			if s.Held > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Demands returns the demand of the others for the limit of an endpoint: near are gateways with
 // reports of their own, far are other halls.
 func (t *Table) Demands(endpoint string) (near, far []apportion.Claim) {
--- a/state/peers/table_test.go
+++ b/state/peers/table_test.go
@@ -197,3 +197,20 @@
 	require.Empty(t, table.HallDemands("chat"))
 	require.Greater(t, table.FleetDemandAge("chat", now), 1000*time.Hour)
 }
+
+// Guards against gateways of the former build that are not noticed, and against a gateway that is taken
+// for one because it serves no model.
+func TestGatewaysWithoutLoadReports(t *testing.T) {
+	table, _ := table()
+	now := time.Now()
+	table.AddReport(asking("updated", "north", 1, 0, 1), self, now)
+	table.AddReport(report("plain-only", "north", 1, 0, 3), self, now)
+	require.False(t, table.Unreported())
+	former := report("former", "north", 1, 0, 3)
+	former.Shares["card"] = peers.Usage{Held: 100}
+	table.AddReport(former, self, now)
+	require.True(t, table.Unreported())
+	former.Number, former.Demands = 2, asking("former", "north", 2, 0, 1).Demands
+	table.AddReport(former, self, now)
+	require.False(t, table.Unreported())
+}
