--- a/role/overload/control_test.go
+++ b/role/overload/control_test.go
@@ -141,7 +141,13 @@
 	f := overloaded(size)
 	deaf := f.gateways[3]
 	deaf.deaf = true
-	f.run(missedDigests*digestInterval+2*digestInterval, nil)
+	open := time.Duration(0)
+	f.run(missedDigests*digestInterval+2*digestInterval, func() {
+		if !deaf.shedding {
+			open += tick
+		}
+	})
+	require.LessOrEqual(t, open, 2*digestInterval, "while the reports lapse one by one")
 	rates := f.admittedDuring(7 * time.Second)
 	t.Logf("admitted per second: %.1f", rates)
 	require.InDelta(t, capacity/size, rates[3], 0.25*capacity/size)
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -62,8 +62,9 @@
 }
 
 // newNode starts a gateway in a hall. flat is the value of its setting flat_fleet: the fleet size up to
-// which every gateway exchanges everything with every other one and reads the store itself.
-func newNode(t *testing.T, dir, name, hall, store string, flat int) *node {
+// which every gateway exchanges everything with every other one and reads the store itself. overload
+// switches the overload control on.
+func newNode(t *testing.T, dir, name, hall, store string, flat int, overload bool) *node {
 	link, err := newProxy(store)
 	require.NoError(t, err)
 	n := &node{
@@ -72,6 +73,9 @@
 	text := fmt.Sprintf("role = \"gateway\"\nname = %q\nhall = %q\naddress = %q\n[gateway]\ncaller = %q\nready = %q\n"+
 		"store = %q\nrevocation = \"5s\"\nstop_timeout = %q\nretry_share = 0.2\nretry_reserve = 200\nretry_window = \"10s\"\nflat_fleet = %d\n",
 		name, hall, port(), n.caller, n.ready, link.address, graceTime.String(), flat)
+	if overload {
+		text += "[gateway.overload]\nroom_shares = true\nfleet_admission = true\n"
+	}
 	require.NoError(t, os.WriteFile(n.settings, []byte(text), 0o600))
 	n.out, err = os.Create(filepath.Join(dir, name+".log"))
 	require.NoError(t, err)
--- a/test/soak/site_test.go
+++ b/test/soak/site_test.go
@@ -108,6 +108,19 @@
 	return e, b.live[e]
 }
 
+// engines returns the live endpoints of the model.
+func (b *backends) engines() []*site.Endpoint {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []*site.Endpoint
+	for _, e := range b.all {
+		if b.live[e] != nil && e.Service == model {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
 // crash kills an endpoint without notice; its record expires later, and a new
 // endpoint replaces it.
 func (b *backends) crash(e *site.Endpoint) {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -114,6 +114,9 @@
 	poisonRequest bool
 	// overloadReports is set to make endpoints ask for limits and backoff periods.
 	overloadReports bool
+	// killed is set to add, after the faults, a phase of a load past the capacity in which gateways are
+	// killed.
+	killed bool
 }
 
 // pastCapacity is a load larger than the slots of the endpoints can hold.
@@ -125,6 +128,14 @@
 	soak(t, *from, pastCapacity)
 }
 
+// TestSoakPastCapacityWithKills runs seeds with a phase of a load past the capacity in which gateways are
+// killed: what they knew of the others' use of endpoints is lost, and so is what the others knew of theirs.
+func TestSoakPastCapacityWithKills(t *testing.T) {
+	for i := range uint64(*seeds) {
+		t.Run(fmt.Sprint("seed ", *from+i), func(t *testing.T) { soak(t, *from+i, load{slots: 3, killed: true}) })
+	}
+}
+
 // TestSoakWithPoisonRequest runs seeds with a request, sent repeatedly, that crashes each
 // endpoint that starts to run it.
 func TestSoakWithPoisonRequest(t *testing.T) {
@@ -145,6 +156,8 @@
 		t: t, backends: newBackends(t, l.slots), r: rand.New(rand.NewPCG(seed, 1)), linkFaults: make(map[*site.Endpoint][]time.Time),
 		gatewayFaults: make(map[*node][]span),
 	}
+	overload := seed/2%2 == 1 // half of the seeds of one hall and half of those of two; draws nothing, so that seeds keep their faults
+	t.Logf("overload control: %t", overload)
 	n, flat := gateways, 0
 	if seed%2 == 1 {
 		n, flat = gatewaysInTwoHalls, flatFleet
@@ -154,7 +167,7 @@
 		if i == gateways {
 			hall = otherHall
 		}
-		w.nodes = append(w.nodes, newNode(t, dir, fmt.Sprint("gateway-", i), hall, w.backends.site.StoreAddress, flat))
+		w.nodes = append(w.nodes, newNode(t, dir, fmt.Sprint("gateway-", i), hall, w.backends.site.StoreAddress, flat, overload))
 	}
 	c := &callers{backends: w.backends, nodes: w.nodes, ready: make(map[*node]bool)}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -182,6 +195,10 @@
 	}
 	w.inject(faults)
 	reporters.Wait()
+	if l.killed {
+		time.Sleep(reconnectBound)
+		w.loadPastCapacity(ctx, c, seed)
+	}
 	time.Sleep(4 * time.Second) // all faults have ended; time to recover
 	recovered := time.Now()
 	time.Sleep(2 * time.Second)
