--- a/role/gateway/digest.go
+++ b/role/gateway/digest.go
@@ -227,7 +227,7 @@
 		g.throttling.UpdateShare(id, &b.use.intake, now)
 	}
 	g.overload.Tick(now)
-	g.shareRoom(now)
+	g.shareRoom()
 	g.partition.Tick(now)
 	g.quarantine.Tick(now)
 }
--- a/role/gateway/overload.go
+++ b/role/gateway/overload.go
@@ -78,7 +78,7 @@
 }
 
 // shareRoom begins a new round of this gateway's budgets of room.
-func (g *Gateway) shareRoom(now time.Time) {
+func (g *Gateway) shareRoom() {
 	c := g.catalog.Load()
 	if c == nil || !g.Overload.RoomShares {
 		return
