--- a/role/overload/control.go
+++ b/role/overload/control.go
@@ -39,6 +39,8 @@
 	Heard() int
 	// Announced returns the number of gateways that the store names, 0 while it has not been read.
 	Announced() int
+	// Unreported reports whether some gateways use endpoints of models but report no load.
+	Unreported() bool
 }
 
 // Meter records the state of the admission.
@@ -199,7 +201,7 @@
 	if heard == 1 && c.Reports.Announced() == 1 {
 		size = 1 // the only gateway, for which Size assumes others
 	}
-	target, span := capacity.Target(c.Objective(name), false), c.RequestDuration(name)
+	target, span := capacity.Target(c.Objective(name), c.Reports.Unreported()), c.RequestDuration(name)
 	s.mu.Lock()
 	fleet := own.Plus(others)
 	alone := heard < 2 && size > 1
@@ -217,7 +219,8 @@
 		s.level = c.Policy.Level(fleet, s.estimate.Value())
 	}
 	if !alone {
-		s.part = part(own.Offered(), fleet.Offered(), size)
+		// Reports lapse one by one, so those that are missing may be of gateways that still run.
+		s.part = part(own.Offered(), fleet.Offered(), size) * float64(heard) / float64(size)
 		s.refusedPart = s.reported.Refused / (s.reported.Refused + others.Refused)
 		// What gateways that are not heard may take is set aside.
 		covered := float64(heard) / float64(size)
--- a/role/overload/control_test.go
+++ b/role/overload/control_test.go
@@ -41,8 +41,9 @@
 	return r.size
 }
 
-func (r *reports) Heard() int     { return r.heard }
-func (r *reports) Announced() int { return r.announced }
+func (r *reports) Heard() int       { return r.heard }
+func (r *reports) Announced() int   { return r.announced }
+func (r *reports) Unreported() bool { return false }
 
 // meterFake remembers the latest state of the admission.
 type meterFake struct {
--- a/role/overload/division_test.go
+++ b/role/overload/division_test.go
@@ -43,10 +43,11 @@
 func (r *hallReports) Size() int                                      { return 3 }
 func (r *hallReports) Heard() int                                     { return r.heard }
 func (r *hallReports) Announced() int                                 { return 3 }
+func (r *hallReports) Unreported() bool                               { return false }
 
-// replay runs the control of the gateway of hall a for 5 s, and returns where its last 100 requests
+// replayHalls runs the control of the gateway of hall a for 5 s, and returns where its last 100 requests
 // are directed.
-func replay(t *testing.T, c *overload.Control, start time.Time, rate int) map[string]int {
+func replayHalls(t *testing.T, c *overload.Control, start time.Time, rate int) map[string]int {
 	directed := make(map[string]int)
 	for n := range 5 * rate {
 		now := start.Add(time.Duration(n) * time.Second / time.Duration(rate))
@@ -82,7 +83,7 @@
 		return []hallsplit.Hall{{Name: "a", Capacity: 100}, {Name: "b", Capacity: 100}, {Name: "c", Capacity: 100}}
 	}
 	start := time.Unix(1000, 0)
-	directed := replay(t, c, start, 200)
+	directed := replayHalls(t, c, start, 200)
 	require.InDelta(t, 50, directed["a"], 3)
 	require.InDelta(t, 25, directed["b"], 3)
 	share := func(hall string) float64 {
@@ -98,10 +99,10 @@
 
 	delete(r.halls, "b")
 	r.heard = 2
-	directed = replay(t, c, start.Add(5*time.Second), 200)
+	directed = replayHalls(t, c, start.Add(5*time.Second), 200)
 	require.InDelta(t, 25, directed["b"], 3, "the demand of a hall without reports counts as it was")
 	r.heard = 3
-	directed = replay(t, c, start.Add(10*time.Second), 200)
+	directed = replayHalls(t, c, start.Add(10*time.Second), 200)
 	require.InDelta(t, (250.0/3)/2, directed["b"], 3, "a hall of which all gateways are heard has no demand")
 }
 
@@ -114,9 +115,9 @@
 	c.Halls = func(string) []hallsplit.Hall {
 		return []hallsplit.Hall{{Name: "a", Capacity: 200}, {Name: "b", Capacity: 200}, {Name: "c", Capacity: 200}}
 	}
-	require.Equal(t, map[string]int{"a": 100}, replay(t, c, time.Unix(1000, 0), 100))
+	require.Equal(t, map[string]int{"a": 100}, replayHalls(t, c, time.Unix(1000, 0), 100))
 	c.Waiting = func(string) int { return 200 }
-	require.InDelta(t, 67, replay(t, c, time.Unix(1005, 0), 100)["a"], 4)
+	require.InDelta(t, 67, replayHalls(t, c, time.Unix(1005, 0), 100)["a"], 4)
 }
 
 // Guards against a change for fleets that do not divide their demand: requests stay in their hall, and
@@ -124,7 +125,7 @@
 func TestWithoutHallSplit(t *testing.T) {
 	var log bytes.Buffer
 	c := newControl(&hallReports{halls: map[string]float64{"b": 50, "c": 50}, heard: 3}, &log)
-	require.Equal(t, map[string]int{"a": 100}, replay(t, c, time.Unix(1000, 0), 200))
+	require.Equal(t, map[string]int{"a": 100}, replayHalls(t, c, time.Unix(1000, 0), 200))
 	share, _ := c.RoomShare("chat", "a")
 	require.InDelta(t, 200/(200+0.1*100), share, 0.01)
 	require.NotContains(t, log.String(), "hall split")
--- a/role/overload/snapshot_test.go
+++ b/role/overload/snapshot_test.go
@@ -38,9 +38,10 @@
 	}
 	return 140 * time.Millisecond
 }
-func (o *others) Size() int      { return 2 }
-func (o *others) Heard() int     { return o.heard }
-func (o *others) Announced() int { return 2 }
+func (o *others) Size() int        { return 2 }
+func (o *others) Heard() int       { return o.heard }
+func (o *others) Announced() int   { return 2 }
+func (o *others) Unreported() bool { return false }
 
 type noMeter struct{}
 
