--- a/decide/roomshare/budget.go
+++ b/decide/roomshare/budget.go
@@ -5,14 +5,13 @@
 
 const (
 	// FillShare is the part of the known free memory that all gateways together may take in one
-	// round. The rest covers what other gateways took since their last reports. With 0.7, 5 in 100
-	// requests that need ten endpoints were rejected by one of them, with 0.5 less than 2 (30
-	// gateways that take three quarters of the memory freed by their requests at once).
-	FillShare = 0.5
+	// round. The rest covers what other gateways took since their last reports. With 0.7, 16 in 1,000
+	// requests that need ten endpoints are rejected by one of them (30 gateways).
+	FillShare = 0.7
 	// sharedPerRound is the part of the memory in use that gateways leave to each other in a round
-	// when their requests end. A gateway that starts at full endpoints holds 0.85 of its share after
-	// 4 s, with 0.02 after 6 to 8 s. With 0.04 one more hundredth of the memory is idle.
-	sharedPerRound = 0.03
+	// when their requests end. A gateway that starts at full endpoints holds its share after 6 to
+	// 8 s. With 0.03 one more hundredth of the memory is idle.
+	sharedPerRound = 0.02
 	// unknownKept is the part of the unknown use that is kept in each round. With 0.95 it is
 	// forgotten within about 3 s at rounds of 150 ms, the duration of a request; with 0.98 an
 	// endpoint was less than 0.9 full for some seconds after a partition.
