--- /dev/null
+++ b/cmd/measure/bound.go
@@ -0,0 +1,202 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/grademill/grademill/decide/catalog"
+	"github.com/grademill/grademill/decide/placement"
+)
+
+// boundCommand compares the planner's ways of placing layers in the halls of two deployments,
+// and names what binds in each.
+type boundCommand struct {
+	request int
+}
+
+func (*boundCommand) Name() string { return "bound" }
+func (*boundCommand) Synopsis() string {
+	return "compare placements in the halls of two deployments with upper bounds"
+}
+
+func (*boundCommand) Usage() string {
+	return "measure bound [-request TOKENS]\n  Prints, for each hall and way, the room for requests, its upper bound, and what binds.\n"
+}
+
+// SetFlags registers the flags.
+func (c *boundCommand) SetFlags(f *flag.FlagSet) {
+	f.IntVar(&c.request, "request", 1000, "size of a request in tokens")
+}
+
+// boundModel is the model of the two deployments of docs/design/hard-load.md.
+var boundModel = &catalog.Model{
+	Layers: 80, LayerSize: 1750, TokenSize: 0.328, Slots: 192,
+	Cards: map[string]catalog.Card{
+		"h100":  {Memory: 72000, TokenTimeFactor: 1.4, PromptTimeFactor: 1},
+		"a100":  {Memory: 72000, TokenTimeFactor: 2.4, PromptTimeFactor: 3.2},
+		"a100s": {Memory: 36000, TokenTimeFactor: 3.1, PromptTimeFactor: 3.2},
+		"l40s":  {Memory: 43200, TokenTimeFactor: 5.6, PromptTimeFactor: 2.7},
+		"l4":    {Memory: 21600, TokenTimeFactor: 16, PromptTimeFactor: 8.2},
+		"t4":    {Memory: 14400, TokenTimeFactor: 15, PromptTimeFactor: 15},
+	},
+}
+
+// boundHall is a number of cards of each kind.
+type boundHall struct {
+	name  string
+	kinds []string
+	count []int
+}
+
+// boundHalls lists the halls of the two deployments.
+var boundHalls = []boundHall{
+	{"3 a100, 4 l40s, 9 l4", []string{"a100", "l40s", "l4"}, []int{3, 4, 9}},
+	{"1 a100, 5 l40s, 13 l4", []string{"a100", "l40s", "l4"}, []int{1, 5, 13}},
+	{"1 a100, 9 l40s, 7 l4", []string{"a100", "l40s", "l4"}, []int{1, 9, 7}},
+	{"2 a100s, 12 l4, 5 t4", []string{"a100s", "l4", "t4"}, []int{2, 12, 5}},
+	{"2 a100s, 6 l4, 11 t4", []string{"a100s", "l4", "t4"}, []int{2, 6, 11}},
+	{"1 h100, 1 a100s, 8 l4, 10 t4", []string{"h100", "a100s", "l4", "t4"}, []int{1, 1, 8, 10}},
+}
+
+// cards returns the empty cards of a hall, the fastest first.
+func (h boundHall) cards() []placement.Card {
+	var cards []placement.Card
+	for k, kind := range h.kinds {
+		for range h.count[k] {
+			cards = append(cards, placement.Card{ID: fmt.Sprintf("card-%02d", len(cards)), Hall: "h", Kind: kind})
+		}
+	}
+	return cards
+}
+
+// Execute prints the comparison as a table.
+func (c *boundCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	fmt.Println("| hall | way | tightest layer, tokens | mean layer | tightest of bound | best card lost | critical cards | layers held twice | time per token | binds | plan, ms |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|")
+	for _, h := range boundHalls {
+		for _, way := range []placement.Planner{{}, {EvenRoom: true}} {
+			name := "value"
+			if way.EvenRoom {
+				name = "even room"
+			}
+			begin := time.Now()
+			cards := applyMoves(h.cards(), way.Plan(boundModel, h.cards()))
+			took := time.Since(begin)
+			p := placed{boundModel, cards}
+			least, mean := p.room()
+			twice := p.heldTwice()
+			fmt.Printf("| %s | %s | %.0f | %.0f | %.2f | %.0f | %d of %d | %d | %.2f | %s | %.0f |\n",
+				h.name, name, least, mean, least/p.memoryBound(twice), p.withoutBest(), p.critical(), len(cards), twice, p.time(), p.binds(c.request), float64(took.Microseconds())/1000)
+		}
+	}
+	return subcommands.ExitSuccess
+}
+
+// placed is a model on the cards of a hall.
+type placed struct {
+	model *catalog.Model
+	cards []placement.Card
+}
+
+// rooms returns the room of each layer in tokens, and its number of holders.
+func (p placed) rooms() ([]float64, []int) {
+	at, copies := make([]float64, p.model.Layers), make([]int, p.model.Layers)
+	for _, c := range p.cards {
+		for l := c.AssignedLayers.First; l < c.AssignedLayers.End; l++ {
+			at[l] += float64(max(p.model.Room(p.model.Cards[c.Kind], c.AssignedLayers.Len()), 0))
+			copies[l]++
+		}
+	}
+	return at, copies
+}
+
+// room returns the room of the tightest layer and the mean over the layers.
+func (p placed) room() (least, mean float64) {
+	at, _ := p.rooms()
+	for _, tokens := range at {
+		mean += tokens / float64(len(at))
+	}
+	return slices.Min(at), mean
+}
+
+// heldTwice returns the number of layers with several holders.
+func (p placed) heldTwice() int {
+	_, copies := p.rooms()
+	twice := 0
+	for _, n := range copies {
+		if n > 1 {
+			twice++
+		}
+	}
+	return twice
+}
+
+// without returns p without one card.
+func (p placed) without(i int) placed {
+	p.cards = slices.Delete(slices.Clone(p.cards), i, i+1)
+	return p
+}
+
+// withoutBest returns the least room of the tightest layer without one of the fastest cards.
+func (p placed) withoutBest() float64 {
+	least := math.Inf(1)
+	for i, c := range p.cards {
+		if c.Kind == p.cards[0].Kind {
+			room, _ := p.without(i).room()
+			least = min(least, room)
+		}
+	}
+	return least
+}
+
+// critical returns the number of cards whose loss leaves no chain.
+func (p placed) critical() int {
+	n := 0
+	for i := range p.cards {
+		if _, copies := p.without(i).rooms(); slices.Contains(copies, 0) {
+			n++
+		}
+	}
+	return n
+}
+
+// time returns the time per token, as a factor, if the fastest holder of each layer runs it.
+func (p placed) time() float64 {
+	sum := 0.0
+	for l := range p.model.Layers {
+		least := math.Inf(1)
+		for _, c := range p.cards {
+			if c.AssignedLayers.First <= l && l < c.AssignedLayers.End {
+				least = min(least, p.model.Cards[c.Kind].TokenTimeFactor)
+			}
+		}
+		sum += least / float64(p.model.Layers)
+	}
+	return sum
+}
+
+// memoryBound returns an upper bound on the room of the tightest layer, if all layers have a
+// holder and some have two: the memory beside these layers, spread evenly over all layers.
+func (p placed) memoryBound(twice int) float64 {
+	memory := 0.0
+	for _, c := range p.cards {
+		memory += p.model.Cards[c.Kind].Memory
+	}
+	return (memory - float64(p.model.Layers+twice)*p.model.LayerSize) / p.model.TokenSize
+}
+
+// binds names what bounds the number of requests of the given size that run at once.
+func (p placed) binds(request int) string {
+	least, _ := p.room()
+	_, copies := p.rooms()
+	if slots := copies[0] * p.model.Slots; float64(slots*request) < least {
+		return fmt.Sprintf("%d slots (memory: %.0f requests)", slots, least/float64(request))
+	}
+	return fmt.Sprintf("memory: %.0f requests (%d slots)", least/float64(request), copies[0]*p.model.Slots)
+}
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -21,6 +21,7 @@
 	subcommands.Register(&daysCommand{}, "")
 	subcommands.Register(&accountCommand{}, "")
 	subcommands.Register(&placementsCommand{}, "")
+	subcommands.Register(&boundCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/decide/placement/cover.go
+++ b/decide/placement/cover.go
@@ -25,9 +25,16 @@
 		cov.assign(i, r)
 		moves[i] = r
 	}
+	var empty []int
 	for i, c := range cov.cards {
 		if c.AssignedLayers.Empty() && !c.Fixed && p.targetLayers(m, c) > 0 {
 			assign(i, cov.rangeFor(c))
+			empty = append(empty, i)
+		}
+	}
+	if p.EvenRoom && len(empty) > 0 {
+		for i, r := range cov.evenRoom(empty) {
+			assign(i, r)
 		}
 	}
 	if !cov.uncovered().Empty() {
--- /dev/null
+++ b/decide/placement/evenroom.go
@@ -0,0 +1,279 @@
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/grademill/grademill/decide/catalog"
+	"github.com/grademill/grademill/decide/layer"
+)
+
+const (
+	// maxTimeIncrease bounds the time per token of an arrangement with even room, as a multiple
+	// of that of the plan it starts from.
+	maxTimeIncrease = 1.1
+	// searchSteps bounds the number of arrangements that a search tries, and searchWork the
+	// number of layers that it counts for them, so that a hall of several hundred cards takes no
+	// more time than one of two dozen.
+	searchSteps = 40_000
+	searchWork  = 12_000_000
+	// startTemperature and endTemperature are relative differences in room. A search accepts
+	// losses of about the temperature, which falls geometrically.
+	startTemperature, endTemperature = 0.03, 0.0003
+	// searchSeed is fixed, because all gateways must come to the same plan.
+	searchSeed = 1
+)
+
+// arrangement is a group of cards with a range for each, of which some may be changed.
+type arrangement struct {
+	model  *catalog.Model
+	cards  []Card // the fastest first
+	ranges []layer.Range
+	// movable lists the cards that may get another range of at most maxLen layers.
+	movable []int
+	maxLen  []int
+	// tokens[i][n] is the number of tokens for which card i has room beside n layers.
+	tokens [][]float64
+
+	// The following are derived from the ranges.
+	copies   []int
+	room     []float64
+	slowness []float64 // TokenTimeFactor of the fastest holder, 0 without holders
+}
+
+// figures describe an arrangement.
+type figures struct {
+	// room is that of the layer with the least room, in tokens.
+	room float64
+	// withoutBest is the least such room without one of the cards of the fastest kind, and
+	// withoutOne the sum of these rooms over all cards.
+	withoutBest, withoutOne float64
+	// uncovered is the number of layers without a holder, twice that of layers with several.
+	uncovered, twice int
+	// critical is the number of cards that are the only holder of a layer, and exposed the
+	// largest number of layers that one card alone holds.
+	critical, exposed int
+	// time is the sum over the layers of the TokenTimeFactor of the fastest holder.
+	time float64
+	// firstHolders is the number of holders of the first layer.
+	firstHolders int
+}
+
+// keeps reports whether f has all that base has except room, so that an arrangement with these
+// figures may replace one with those of base.
+func (f figures) keeps(base figures) bool {
+	return f.uncovered <= base.uncovered && f.twice >= base.twice &&
+		f.critical <= base.critical && f.exposed <= base.exposed &&
+		f.withoutBest >= base.withoutBest && f.withoutOne >= base.withoutOne &&
+		f.firstHolders >= base.firstHolders &&
+		(f.time <= maxTimeIncrease*base.time || f.uncovered < base.uncovered)
+}
+
+// better reports whether f is preferred to other: it leaves fewer layers uncovered, or as many
+// and has more room.
+func (f figures) better(other figures) bool {
+	if f.uncovered != other.uncovered {
+		return f.uncovered < other.uncovered
+	}
+	return f.room > other.room
+}
+
+// evenRoom returns the ranges for the movable cards with which the layer with the least room has
+// more of it than now, by simulated annealing from the ranges in cov. All that figures.keeps
+// lists stays.
+func (cov *coverage) evenRoom(movable []int) map[int]layer.Range {
+	a := newArrangement(cov, movable)
+	a.recompute()
+	base := a.figures()
+	if base.uncovered > 0 {
+		for _, i := range movable {
+			a.maxLen[i] = max(a.maxLen[i], Planner{Fill: maxCoverFill}.targetLayers(cov.model, cov.cards[i]))
+		}
+	}
+	best, bestRanges := base, slices.Clone(a.ranges)
+	random := rand.New(rand.NewPCG(searchSeed, 0))
+	steps := a.steps()
+	cooling := math.Pow(endTemperature/startTemperature, 1/float64(steps))
+	temperature, tightness := startTemperature, a.tightness()
+	before := slices.Clone(a.ranges)
+	for range steps {
+		temperature *= cooling
+		copy(before, a.ranges)
+		if !a.change(random) {
+			copy(a.ranges, before)
+			continue
+		}
+		a.recompute()
+		next := a.tightness()
+		if next > tightness && random.Float64() >= math.Exp((tightness-next)/temperature) {
+			copy(a.ranges, before)
+			continue
+		}
+		f := a.figures()
+		if !f.keeps(base) {
+			copy(a.ranges, before)
+			continue
+		}
+		tightness = next
+		if f.better(best) {
+			best = f
+			copy(bestRanges, a.ranges)
+		}
+	}
+	result := make(map[int]layer.Range, len(movable))
+	for _, i := range movable {
+		result[i] = bestRanges[i]
+	}
+	return result
+}
+
+func newArrangement(cov *coverage, movable []int) *arrangement {
+	n := cov.model.Layers
+	a := &arrangement{
+		model: cov.model, cards: cov.cards, movable: movable,
+		copies: make([]int, n), room: make([]float64, n), slowness: make([]float64, n),
+	}
+	for _, c := range cov.cards {
+		a.ranges = append(a.ranges, c.AssignedLayers)
+		longest := max(cov.planner.targetLayers(cov.model, c), c.AssignedLayers.Len())
+		a.maxLen = append(a.maxLen, longest)
+		tokens := make([]float64, n+1)
+		for k := range tokens {
+			tokens[k] = float64(max(cov.model.Room(cov.model.Cards[c.Kind], k), 0))
+		}
+		a.tokens = append(a.tokens, tokens)
+	}
+	return a
+}
+
+// steps returns the number of arrangements to try.
+func (a *arrangement) steps() int {
+	work := a.model.Layers
+	for _, r := range a.ranges {
+		work += r.Len()
+	}
+	return min(searchSteps, searchWork/work)
+}
+
+// recompute derives the figures of the layers from the ranges.
+func (a *arrangement) recompute() {
+	clear(a.copies)
+	clear(a.room)
+	clear(a.slowness)
+	for i, r := range a.ranges {
+		tokens, slowness := a.tokens[i][r.Len()], a.model.Cards[a.cards[i].Kind].TokenTimeFactor
+		for l := r.First; l < r.End; l++ {
+			a.copies[l]++
+			a.room[l] += tokens
+			if a.copies[l] == 1 { // the cards are sorted by their speed
+				a.slowness[l] = slowness
+			}
+		}
+	}
+}
+
+// tightness is a smooth measure of how little room the layers with the least room have: about the
+// logarithm of the reciprocal of the least room. Unlike the least room itself, it also falls
+// when one of several such layers gets more.
+func (a *arrangement) tightness() float64 {
+	const unit = 1e6 // tokens; keeps the powers within the range of a float64
+	sum := 0.0
+	for _, room := range a.room {
+		x := unit / max(room, 1)
+		x *= x
+		x *= x
+		x *= x
+		sum += x * x
+	}
+	return math.Log(sum/float64(len(a.room))) / 16
+}
+
+func (a *arrangement) figures() figures {
+	f := figures{room: slices.Min(a.room), firstHolders: a.copies[0], withoutBest: math.Inf(1)}
+	for l, n := range a.copies {
+		f.time += a.slowness[l]
+		if n == 0 {
+			f.uncovered++
+		} else if n > 1 {
+			f.twice++
+		}
+	}
+	n := len(a.room)
+	before, after := make([]float64, n+1), make([]float64, n+1) // least room before and from a layer on
+	before[0], after[n] = math.Inf(1), math.Inf(1)
+	for l := range n {
+		before[l+1] = min(before[l], a.room[l])
+		after[n-1-l] = min(after[n-l], a.room[n-1-l])
+	}
+	fastest := a.model.Cards[a.cards[0].Kind].TokenTimeFactor
+	for i, r := range a.ranges {
+		left, alone := min(before[r.First], after[r.End]), 0
+		tokens := a.tokens[i][r.Len()]
+		for l := r.First; l < r.End; l++ {
+			if a.copies[l] == 1 {
+				alone++
+				left = 0
+			}
+			left = min(left, a.room[l]-tokens)
+		}
+		if alone > 0 {
+			f.critical++
+		}
+		f.exposed = max(f.exposed, alone)
+		f.withoutOne += left
+		if a.model.Cards[a.cards[i].Kind].TokenTimeFactor <= fastest {
+			f.withoutBest = min(f.withoutBest, left)
+		}
+	}
+	return f
+}
+
+// change makes a random change to the ranges of one or two movable cards. It returns false when
+// the result is not valid.
+func (a *arrangement) change(random *rand.Rand) bool {
+	const maxShift = 3
+	i := a.movable[random.IntN(len(a.movable))]
+	shift := 1 + random.IntN(maxShift)
+	if random.IntN(2) == 0 {
+		shift = -shift
+	}
+	r := a.ranges[i]
+	switch random.IntN(6) {
+	case 0:
+		return a.set(i, layer.Range{First: r.First + shift, End: r.End + shift})
+	case 1:
+		return a.set(i, layer.Range{First: r.First + shift, End: r.End})
+	case 2:
+		return a.set(i, layer.Range{First: r.First, End: r.End + shift})
+	case 3: // moves the boundary between two cards
+		j := a.movable[random.IntN(len(a.movable))]
+		if a.ranges[j].First != r.End {
+			return false
+		}
+		return a.set(i, layer.Range{First: r.First, End: r.End + shift}) &&
+			a.set(j, layer.Range{First: r.End + shift, End: a.ranges[j].End})
+	case 4: // swaps two cards, with their lengths
+		j := a.movable[random.IntN(len(a.movable))]
+		first, second := i, j
+		if a.ranges[first].First > a.ranges[second].First {
+			first, second = second, first
+		}
+		f, s := a.ranges[first], a.ranges[second]
+		return first != second &&
+			a.set(second, layer.Range{First: f.First, End: f.First + s.Len()}) &&
+			a.set(first, layer.Range{First: s.End - f.Len(), End: s.End})
+	default:
+		first := random.IntN(a.model.Layers)
+		return a.set(i, layer.Range{First: first, End: first + 1 + random.IntN(max(a.maxLen[i], 1))})
+	}
+}
+
+// set gives a card a range, and returns false when it cannot hold it.
+func (a *arrangement) set(i int, r layer.Range) bool {
+	if r.First < 0 || r.End > a.model.Layers || r.Empty() || r.Len() > a.maxLen[i] {
+		return false
+	}
+	a.ranges[i] = r
+	return true
+}
--- a/decide/placement/placement.go
+++ b/decide/placement/placement.go
@@ -36,6 +36,11 @@
 	// Fill is the fraction of a card's memory that layers take, 0 for DefaultFill. The rest
 	// holds requests.
 	Fill float64
+	// EvenRoom gives empty cards the ranges with which the layer with the least room for requests
+	// has most of it, as far as the loss of any card leaves as much as without EvenRoom and the
+	// time per token is at most a tenth longer. A group that covers all layers then moves no
+	// card to where its value is higher.
+	EvenRoom bool
 }
 
 // DefaultFill gives each hall one copy of a model and a third of a second one. A lower fill
