--- a/cmd/measure/bound.go
+++ b/cmd/measure/bound.go
@@ -77,8 +77,10 @@
 
 // Execute prints the comparison as a table.
 func (c *boundCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	fmt.Println("| hall | way | tightest layer, tokens | mean layer | tightest of bound | best card lost | critical cards | layers held twice | time per token | binds | plan, ms |")
-	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|")
+	fmt.Println("| hall | way | tightest layer, tokens | mean layer | tightest of bound | best card lost | critical cards | layers held twice | time per token | stages | binds | plan, ms |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|---|")
+	model := *boundModel
+	model.Prompt = c.request
 	for _, h := range boundHalls {
 		for _, way := range []placement.Planner{{}, {EvenRoom: true}} {
 			name := "value"
@@ -86,13 +88,13 @@
 				name = "even room"
 			}
 			begin := time.Now()
-			cards := applyMoves(h.cards(), way.Plan(boundModel, h.cards()))
+			cards := applyMoves(h.cards(), way.Plan(&model, h.cards()))
 			took := time.Since(begin)
-			p := placed{boundModel, cards}
+			p := placed{&model, cards}
 			least, mean := p.room()
 			twice := p.heldTwice()
-			fmt.Printf("| %s | %s | %.0f | %.0f | %.2f | %.0f | %d of %d | %d | %.2f | %s | %.0f |\n",
-				h.name, name, least, mean, least/p.memoryBound(twice), p.withoutBest(), p.critical(), len(cards), twice, p.time(), p.binds(c.request), float64(took.Microseconds())/1000)
+			fmt.Printf("| %s | %s | %.0f | %.0f | %.2f | %.0f | %d of %d | %d | %.2f | %d | %s | %.0f |\n",
+				h.name, name, least, mean, least/p.memoryBound(twice), p.withoutBest(), p.critical(), len(cards), twice, p.time(), p.stages(), p.binds(), float64(took.Microseconds())/1000)
 		}
 	}
 	return subcommands.ExitSuccess
@@ -191,8 +193,9 @@
 	return (memory - float64(p.model.Layers+twice)*p.model.LayerSize) / p.model.TokenSize
 }
 
-// binds names what bounds the number of requests of the given size that run at once.
-func (p placed) binds(request int) string {
+// binds names what bounds the number of requests that run at once.
+func (p placed) binds() string {
+	request := p.model.Prompt + p.model.Answer
 	least, _ := p.room()
 	_, copies := p.rooms()
 	if slots := copies[0] * p.model.Slots; float64(slots*request) < least {
@@ -200,3 +203,22 @@
 	}
 	return fmt.Sprintf("memory: %.0f requests (%d slots)", least/float64(request), copies[0]*p.model.Slots)
 }
+
+// stages returns the number of stages of the chain in which the fastest holder runs each layer.
+func (p placed) stages() int {
+	stages, last := 0, -1
+	for l := range p.model.Layers {
+		best := -1
+		for i, c := range p.cards { // on a tie, the holder of the layer before
+			if c.AssignedLayers.First <= l && l < c.AssignedLayers.End && (best < 0 || i == last &&
+				p.model.Cards[c.Kind].TokenTimeFactor <= p.model.Cards[p.cards[best].Kind].TokenTimeFactor) {
+				best = i
+			}
+		}
+		if best != last {
+			stages++
+		}
+		last = best
+	}
+	return stages
+}
--- a/decide/placement/cover.go
+++ b/decide/placement/cover.go
@@ -33,6 +33,14 @@
 		}
 	}
 	if p.EvenRoom && len(empty) > 0 {
+		if !cov.uncovered().Empty() { // the cards filled above have not begun to load and may change again
+			for _, i := range empty {
+				cov.cards[i].Fixed = false
+			}
+			for i, r := range cov.close() {
+				assign(i, r)
+			}
+		}
 		for i, r := range cov.evenRoom(empty) {
 			assign(i, r)
 		}
--- a/decide/placement/evenroom.go
+++ b/decide/placement/evenroom.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -13,14 +14,16 @@
 	// maxTimeIncrease bounds the time per token of an arrangement with even room, as a multiple
 	// of that of the plan it starts from.
 	maxTimeIncrease = 1.1
-	// searchSteps bounds the number of arrangements that a search tries, and searchWork the
-	// number of layers that it counts for them, so that a hall of several hundred cards takes no
-	// more time than one of two dozen.
-	searchSteps = 40_000
-	searchWork  = 12_000_000
+	// evenRoomFill is the fraction of a card's memory that layers may take with EvenRoom.
+	evenRoomFill = 0.73
+	// searchSteps is the number of arrangements that a search tries for each movable card, and
+	// searchWork bounds the number of layers that it counts for them, so that a hall of several
+	// hundred cards takes about as long as one of two dozen (0.2 s).
+	searchSteps = 5_000
+	searchWork  = 30_000_000
 	// startTemperature and endTemperature are relative differences in room. A search accepts
 	// losses of about the temperature, which falls geometrically.
-	startTemperature, endTemperature = 0.03, 0.0003
+	startTemperature, endTemperature = 0.1, 0.001
 	// searchSeed is fixed, because all gateways must come to the same plan.
 	searchSeed = 1
 )
@@ -40,12 +43,15 @@
 	copies   []int
 	room     []float64
 	slowness []float64 // TokenTimeFactor of the fastest holder, 0 without holders
+	// before and after hold the least room of the layers before each layer, and from it on.
+	before, after []float64
 }
 
 // figures describe an arrangement.
 type figures struct {
-	// room is that of the layer with the least room, in tokens.
-	room float64
+	// room is that of the layer with the least room, in tokens, and admitted the number of tokens
+	// that the request slots of the first layer's holders admit, infinite where these are unknown.
+	room, admitted float64
 	// withoutBest is the least such room without one of the cards of the fastest kind, and
 	// withoutOne the sum of these rooms over all cards.
 	withoutBest, withoutOne float64
@@ -56,27 +62,22 @@
 	critical, exposed int
 	// time is the sum over the layers of the TokenTimeFactor of the fastest holder.
 	time float64
-	// firstHolders is the number of holders of the first layer.
-	firstHolders int
 }
 
-// keeps reports whether f has all that base has except room, so that an arrangement with these
-// figures may replace one with those of base.
+// keeps reports whether f has all that base has, so that an arrangement with these figures may
+// replace one with those of base.
 func (f figures) keeps(base figures) bool {
-	return f.uncovered <= base.uncovered && f.twice >= base.twice &&
+	return f.room >= base.room && f.admitted >= base.admitted &&
+		f.uncovered <= base.uncovered && f.twice >= base.twice &&
 		f.critical <= base.critical && f.exposed <= base.exposed &&
 		f.withoutBest >= base.withoutBest && f.withoutOne >= base.withoutOne &&
-		f.firstHolders >= base.firstHolders &&
-		(f.time <= maxTimeIncrease*base.time || f.uncovered < base.uncovered)
+		f.time <= maxTimeIncrease*base.time
 }
 
-// better reports whether f is preferred to other: it leaves fewer layers uncovered, or as many
-// and has more room.
+// better reports whether f is preferred to other: more requests fit, or as many and the layer
+// with the least room has more of it.
 func (f figures) better(other figures) bool {
-	if f.uncovered != other.uncovered {
-		return f.uncovered < other.uncovered
-	}
-	return f.room > other.room
+	return cmp.Or(cmp.Compare(min(f.room, f.admitted), min(other.room, other.admitted)), cmp.Compare(f.room, other.room)) > 0
 }
 
 // evenRoom returns the ranges for the movable cards with which the layer with the least room has
@@ -86,11 +87,6 @@
 	a := newArrangement(cov, movable)
 	a.recompute()
 	base := a.figures()
-	if base.uncovered > 0 {
-		for _, i := range movable {
-			a.maxLen[i] = max(a.maxLen[i], Planner{Fill: maxCoverFill}.targetLayers(cov.model, cov.cards[i]))
-		}
-	}
 	best, bestRanges := base, slices.Clone(a.ranges)
 	random := rand.New(rand.NewPCG(searchSeed, 0))
 	steps := a.steps()
@@ -133,11 +129,11 @@
 	a := &arrangement{
 		model: cov.model, cards: cov.cards, movable: movable,
 		copies: make([]int, n), room: make([]float64, n), slowness: make([]float64, n),
+		before: make([]float64, n+1), after: make([]float64, n+1),
 	}
 	for _, c := range cov.cards {
 		a.ranges = append(a.ranges, c.AssignedLayers)
-		longest := max(cov.planner.targetLayers(cov.model, c), c.AssignedLayers.Len())
-		a.maxLen = append(a.maxLen, longest)
+		a.maxLen = append(a.maxLen, max(cov.planner.mostLayers(cov.model, c), c.AssignedLayers.Len()))
 		tokens := make([]float64, n+1)
 		for k := range tokens {
 			tokens[k] = float64(max(cov.model.Room(cov.model.Cards[c.Kind], k), 0))
@@ -153,7 +149,7 @@
 	for _, r := range a.ranges {
 		work += r.Len()
 	}
-	return min(searchSteps, searchWork/work)
+	return min(searchSteps*len(a.movable), searchWork/work)
 }
 
 // recompute derives the figures of the layers from the ranges.
@@ -178,19 +174,32 @@
 // when one of several such layers gets more.
 func (a *arrangement) tightness() float64 {
 	const unit = 1e6 // tokens; keeps the powers within the range of a float64
-	sum := 0.0
+	sum := power16(unit / a.admitted())
 	for _, room := range a.room {
-		x := unit / max(room, 1)
-		x *= x
-		x *= x
-		x *= x
-		sum += x * x
+		sum += power16(unit / max(room, 1))
 	}
 	return math.Log(sum/float64(len(a.room))) / 16
 }
 
+func power16(x float64) float64 {
+	x *= x
+	x *= x
+	x *= x
+	return x * x
+}
+
+// admitted returns the number of tokens that the request slots of the first layer's holders
+// admit, infinite where the slots or the size of requests are unknown.
+func (a *arrangement) admitted() float64 {
+	tokens := a.model.Slots * (a.model.Prompt + a.model.Answer)
+	if tokens <= 0 {
+		return math.Inf(1)
+	}
+	return float64(max(a.copies[0]*tokens, 1))
+}
+
 func (a *arrangement) figures() figures {
-	f := figures{room: slices.Min(a.room), firstHolders: a.copies[0], withoutBest: math.Inf(1)}
+	f := figures{room: slices.Min(a.room), admitted: a.admitted(), withoutBest: math.Inf(1)}
 	for l, n := range a.copies {
 		f.time += a.slowness[l]
 		if n == 0 {
@@ -200,7 +209,7 @@
 		}
 	}
 	n := len(a.room)
-	before, after := make([]float64, n+1), make([]float64, n+1) // least room before and from a layer on
+	before, after := a.before, a.after
 	before[0], after[n] = math.Inf(1), math.Inf(1)
 	for l := range n {
 		before[l+1] = min(before[l], a.room[l])
@@ -239,7 +248,7 @@
 		shift = -shift
 	}
 	r := a.ranges[i]
-	switch random.IntN(6) {
+	switch random.IntN(7) {
 	case 0:
 		return a.set(i, layer.Range{First: r.First + shift, End: r.End + shift})
 	case 1:
@@ -253,7 +262,14 @@
 		}
 		return a.set(i, layer.Range{First: r.First, End: r.End + shift}) &&
 			a.set(j, layer.Range{First: r.End + shift, End: a.ranges[j].End})
-	case 4: // swaps two cards, with their lengths
+	case 4: // moves layers from one card to another
+		j := a.movable[random.IntN(len(a.movable))]
+		if i == j {
+			return false
+		}
+		size := max(shift, -shift)
+		return a.set(i, resized(r, -size, random.IntN(2) == 0)) && a.set(j, resized(a.ranges[j], size, random.IntN(2) == 0))
+	case 5: // swaps two cards, with their lengths
 		j := a.movable[random.IntN(len(a.movable))]
 		first, second := i, j
 		if a.ranges[first].First > a.ranges[second].First {
@@ -269,6 +285,14 @@
 	}
 }
 
+// resized returns a range with more layers at one of its ends, or fewer if the number is negative.
+func resized(r layer.Range, layers int, atEnd bool) layer.Range {
+	if atEnd {
+		return layer.Range{First: r.First, End: r.End + layers}
+	}
+	return layer.Range{First: r.First - layers, End: r.End}
+}
+
 // set gives a card a range, and returns false when it cannot hold it.
 func (a *arrangement) set(i int, r layer.Range) bool {
 	if r.First < 0 || r.End > a.model.Layers || r.Empty() || r.Len() > a.maxLen[i] {
@@ -277,3 +301,12 @@
 	a.ranges[i] = r
 	return true
 }
+
+// mostLayers returns the largest number of layers that a card may get while all layers are
+// covered.
+func (p Planner) mostLayers(m *catalog.Model, c Card) int {
+	if p.EvenRoom {
+		p.Fill = max(p.Fill, evenRoomFill)
+	}
+	return p.targetLayers(m, c)
+}
--- a/decide/placement/rebalance.go
+++ b/decide/placement/rebalance.go
@@ -27,6 +27,9 @@
 			return i, r, true
 		}
 	}
+	if cov.planner.EvenRoom { // value does not weigh room as evenRoom does, and would undo its arrangement
+		return 0, layer.Range{}, false
+	}
 	for _, i := range cov.redundant() {
 		if r, ok := cov.betterRange(i); ok && !cov.cards[i].InUse {
 			return i, r, true
@@ -38,7 +41,7 @@
 // trim returns the range of a card without layers at its ends that others hold, as far as the
 // range exceeds the planned fill.
 func (cov *coverage) trim(c Card) layer.Range {
-	r, targetLayers := c.AssignedLayers, cov.planner.targetLayers(cov.model, c)
+	r, targetLayers := c.AssignedLayers, cov.planner.mostLayers(cov.model, c)
 	for r.Len() > targetLayers {
 		switch {
 		case cov.copies[r.First] > 1:
