--- a/cmd/measure/bound.go
+++ b/cmd/measure/bound.go
@@ -11,6 +11,7 @@
 	"github.com/google/subcommands"
 
 	"github.com/grademill/grademill/decide/catalog"
+	"github.com/grademill/grademill/decide/chain"
 	"github.com/grademill/grademill/decide/placement"
 )
 
@@ -36,7 +37,7 @@
 
 // boundModel is the model of the two deployments of docs/design/hard-load.md.
 var boundModel = &catalog.Model{
-	Layers: 80, LayerSize: 1750, TokenSize: 0.328, Slots: 192,
+	Layers: 80, LayerSize: 1750, TokenSize: 0.328, Slots: 192, Step: 1020 * time.Microsecond,
 	Cards: map[string]catalog.Card{
 		"h100":  {Memory: 72000, TokenTimeFactor: 1.4, PromptTimeFactor: 1},
 		"a100":  {Memory: 72000, TokenTimeFactor: 2.4, PromptTimeFactor: 3.2},
@@ -77,7 +78,7 @@
 
 // Execute prints the comparison as a table.
 func (c *boundCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	fmt.Println("| hall | way | tightest layer, tokens | mean layer | tightest of bound | best card lost | critical cards | layers held twice | time per token | stages | binds | plan, ms |")
+	fmt.Println("| hall | way | tightest layer, tokens | mean layer | tightest of bound | best card lost | critical cards | layers held twice | time per token, ms | stages | binds | plan, ms |")
 	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|---|")
 	model := *boundModel
 	model.Prompt = c.request
@@ -93,8 +94,9 @@
 			p := placed{&model, cards}
 			least, mean := p.room()
 			twice := p.heldTwice()
+			milliseconds, stages := p.fastestChain()
 			fmt.Printf("| %s | %s | %.0f | %.0f | %.2f | %.0f | %d of %d | %d | %.2f | %d | %s | %.0f |\n",
-				h.name, name, least, mean, least/p.memoryBound(twice), p.withoutBest(), p.critical(), len(cards), twice, p.time(), p.stages(), p.binds(), float64(took.Microseconds())/1000)
+				h.name, name, least, mean, least/p.memoryBound(twice), p.withoutBest(), p.critical(), len(cards), twice, milliseconds, stages, p.binds(), float64(took.Microseconds())/1000)
 		}
 	}
 	return subcommands.ExitSuccess
@@ -168,19 +170,25 @@
 	return n
 }
 
-// time returns the time per token, as a factor, if the fastest holder of each layer runs it.
-func (p placed) time() float64 {
-	sum := 0.0
-	for l := range p.model.Layers {
-		least := math.Inf(1)
-		for _, c := range p.cards {
-			if c.AssignedLayers.First <= l && l < c.AssignedLayers.End {
-				least = min(least, p.model.Cards[c.Kind].TokenTimeFactor)
-			}
-		}
-		sum += least / float64(p.model.Layers)
+// hop is the time in seconds to pass a token on within a hall.
+const hop = 0.0003
+
+// fastestChain returns the time per token in milliseconds on the fastest chain without load, and
+// its number of stages.
+func (p placed) fastestChain() (milliseconds float64, stages int) {
+	f := chain.Finder{Layers: p.model.Layers, HopCost: [][]float64{{hop}}, EntryCost: []float64{0}}
+	var holders []chain.Holder
+	cost := make(map[string]float64)
+	for _, c := range p.cards {
+		cost[c.ID] = p.model.Cards[c.Kind].TokenTimeFactor * p.model.Step.Seconds() / float64(p.model.Layers)
+		holders = append(holders, chain.Holder{ID: c.ID, Address: c.ID, Layers: c.AssignedLayers, CostPerLayer: cost[c.ID]})
+	}
+	found, _ := f.Find(holders)
+	seconds := float64(len(found)) * hop
+	for _, stage := range found {
+		seconds += float64(stage.Layers.Len()) * cost[stage.ID]
 	}
-	return sum
+	return 1000 * seconds, len(found)
 }
 
 // memoryBound returns an upper bound on the room of the tightest layer, if all layers have a
@@ -203,22 +211,3 @@
 	}
 	return fmt.Sprintf("memory: %.0f requests (%d slots)", least/float64(request), copies[0]*p.model.Slots)
 }
-
-// stages returns the number of stages of the chain in which the fastest holder runs each layer.
-func (p placed) stages() int {
-	stages, last := 0, -1
-	for l := range p.model.Layers {
-		best := -1
-		for i, c := range p.cards { // on a tie, the holder of the layer before
-			if c.AssignedLayers.First <= l && l < c.AssignedLayers.End && (best < 0 || i == last &&
-				p.model.Cards[c.Kind].TokenTimeFactor <= p.model.Cards[p.cards[best].Kind].TokenTimeFactor) {
-				best = i
-			}
-		}
-		if best != last {
-			stages++
-		}
-		last = best
-	}
-	return stages
-}
--- a/cmd/measure/placements.go
+++ b/cmd/measure/placements.go
@@ -51,15 +51,18 @@
 type placementStrategy struct {
 	name  string
 	place func([]placement.Card) []placement.Card
+	// planner plans again after the loss of a card; nil leaves the cards as they are.
+	planner *placement.Planner
 }
 
 // placements lists the strategies that are compared.
 var placements = []placementStrategy{
-	{"planner", byPlanner},
-	{"further copies from the first layer on", consecutive(func(c placement.Card) float64 { return 0.6 * cardKinds[c.Kind].Memory / drawnModel.LayerSize })},
-	{"equal shares", consecutive(func(placement.Card) float64 { return 10 })},
-	{"layers by speed", consecutive(func(c placement.Card) float64 { return 56 / cardKinds[c.Kind].TokenTimeFactor })},
-	{"whole copies by memory", byMemory},
+	byPlanner("planner", placement.Planner{}),
+	byPlanner("planner, even room", placement.Planner{EvenRoom: true}),
+	{name: "further copies from the first layer on", place: consecutive(func(c placement.Card) float64 { return 0.6 * cardKinds[c.Kind].Memory / drawnModel.LayerSize })},
+	{name: "equal shares", place: consecutive(func(placement.Card) float64 { return 10 })},
+	{name: "layers by speed", place: consecutive(func(c placement.Card) float64 { return 56 / cardKinds[c.Kind].TokenTimeFactor })},
+	{name: "whole copies by memory", place: byMemory},
 }
 
 // Execute prints the comparison as a table.
@@ -78,8 +81,8 @@
 			pace = append(pace, tokenTime(cards))
 			gone := random.IntN(len(cards))
 			left := slices.Delete(slices.Clone(cards), gone, gone+1)
-			if way.name == "planner" {
-				left = applyMoves(left, placement.Planner{}.Plan(drawnModel, left))
+			if way.planner != nil {
+				left = applyMoves(left, way.planner.Plan(drawnModel, left))
 			}
 			after := room(left) / bound
 			lost = append(lost, after)
@@ -165,9 +168,11 @@
 	return sum
 }
 
-// byPlanner places the layers according to the router's own planner.
-func byPlanner(cards []placement.Card) []placement.Card {
-	return applyMoves(cards, placement.Planner{}.Plan(drawnModel, cards))
+// byPlanner returns the strategy of the router's own planner.
+func byPlanner(name string, p placement.Planner) placementStrategy {
+	return placementStrategy{name: name, planner: &p, place: func(cards []placement.Card) []placement.Card {
+		return applyMoves(cards, p.Plan(drawnModel, cards))
+	}}
 }
 
 // applyMoves returns the cards after the moves.
--- a/decide/placement/evenroom.go
+++ b/decide/placement/evenroom.go
@@ -5,8 +5,10 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 
 	"github.com/grademill/grademill/decide/catalog"
+	"github.com/grademill/grademill/decide/chain"
 	"github.com/grademill/grademill/decide/layer"
 )
 
@@ -14,6 +16,10 @@
 	// maxTimeIncrease bounds the time per token of an arrangement with even room, as a multiple
 	// of that of the plan it starts from.
 	maxTimeIncrease = 1.1
+	// stageTime is the time in seconds to pass a token on to another card of the hall. Without it,
+	// short ranges on fast cards would seem to cost no time, although each stage of a chain takes
+	// as long as a fast card takes for ten layers.
+	stageTime = 0.0003
 	// evenRoomFill is the fraction of a card's memory that layers may take with EvenRoom.
 	evenRoomFill = 0.73
 	// searchSteps is the number of arrangements that a search tries for each movable card, and
@@ -43,6 +49,8 @@
 	copies   []int
 	room     []float64
 	slowness []float64 // TokenTimeFactor of the fastest holder, 0 without holders
+	// fastest is the holder of each layer that is as fast as any and goes on furthest.
+	fastest []int
 	// before and after hold the least room of the layers before each layer, and from it on.
 	before, after []float64
 }
@@ -60,7 +68,8 @@
 	// critical is the number of cards that are the only holder of a layer, and exposed the
 	// largest number of layers that one card alone holds.
 	critical, exposed int
-	// time is the sum over the layers of the TokenTimeFactor of the fastest holder.
+	// time is the time per token in seconds when the fastest holders run all layers. It is at
+	// least that of the fastest chain, which takes longer to find.
 	time float64
 }
 
@@ -87,6 +96,7 @@
 	a := newArrangement(cov, movable)
 	a.recompute()
 	base := a.figures()
+	maxChainTime := maxTimeIncrease * a.chainTime()
 	best, bestRanges := base, slices.Clone(a.ranges)
 	random := rand.New(rand.NewPCG(searchSeed, 0))
 	steps := a.steps()
@@ -112,7 +122,7 @@
 			continue
 		}
 		tightness = next
-		if f.better(best) {
+		if f.better(best) && a.chainTime() <= maxChainTime {
 			best = f
 			copy(bestRanges, a.ranges)
 		}
@@ -129,7 +139,7 @@
 	a := &arrangement{
 		model: cov.model, cards: cov.cards, movable: movable,
 		copies: make([]int, n), room: make([]float64, n), slowness: make([]float64, n),
-		before: make([]float64, n+1), after: make([]float64, n+1),
+		fastest: make([]int, n), before: make([]float64, n+1), after: make([]float64, n+1),
 	}
 	for _, c := range cov.cards {
 		a.ranges = append(a.ranges, c.AssignedLayers)
@@ -163,7 +173,9 @@
 			a.copies[l]++
 			a.room[l] += tokens
 			if a.copies[l] == 1 { // the cards are sorted by their speed
-				a.slowness[l] = slowness
+				a.slowness[l], a.fastest[l] = slowness, i
+			} else if slowness <= a.slowness[l] && r.End > a.ranges[a.fastest[l]].End {
+				a.fastest[l] = i
 			}
 		}
 	}
@@ -198,10 +210,61 @@
 	return float64(max(a.copies[0]*tokens, 1))
 }
 
+// layerTime returns the time in seconds of a token on one layer of a card, or the card's
+// TokenTimeFactor where the time of a step is unknown. hopTime returns the same for passing a
+// token on.
+func (a *arrangement) layerTime(factor float64) float64 {
+	if a.model.Step <= 0 {
+		return factor
+	}
+	return factor * a.model.Step.Seconds() / float64(a.model.Layers)
+}
+
+func (a *arrangement) hopTime() float64 {
+	if a.model.Step <= 0 {
+		return 0
+	}
+	return stageTime
+}
+
+// time returns figures.time.
+func (a *arrangement) time() float64 {
+	sum, stages, at := 0.0, 0, -1
+	for l, slowness := range a.slowness {
+		sum += slowness
+		if at < 0 || a.ranges[at].End <= l || a.model.Cards[a.cards[at].Kind].TokenTimeFactor > slowness {
+			at = a.fastest[l]
+			stages++
+		}
+	}
+	return a.layerTime(sum) + float64(stages)*a.hopTime()
+}
+
+// chainTime returns the time per token of the fastest chain, infinite if there is none.
+func (a *arrangement) chainTime() float64 {
+	f := chain.Finder{Layers: a.model.Layers, HopCost: [][]float64{{a.hopTime()}}, EntryCost: []float64{a.hopTime()}}
+	holders := make([]chain.Holder, len(a.cards))
+	for i, c := range a.cards {
+		holders[i] = chain.Holder{
+			ID: strconv.Itoa(i), Address: c.ID, Layers: a.ranges[i],
+			CostPerLayer: a.layerTime(a.model.Cards[c.Kind].TokenTimeFactor),
+		}
+	}
+	found, ok := f.Find(holders)
+	if !ok {
+		return math.Inf(1)
+	}
+	seconds := float64(len(found)) * a.hopTime()
+	for _, stage := range found {
+		i, _ := strconv.Atoi(stage.ID)
+		seconds += float64(stage.Layers.Len()) * holders[i].CostPerLayer
+	}
+	return seconds
+}
+
 func (a *arrangement) figures() figures {
-	f := figures{room: slices.Min(a.room), admitted: a.admitted(), withoutBest: math.Inf(1)}
-	for l, n := range a.copies {
-		f.time += a.slowness[l]
+	f := figures{room: slices.Min(a.room), admitted: a.admitted(), withoutBest: math.Inf(1), time: a.time()}
+	for _, n := range a.copies {
 		if n == 0 {
 			f.uncovered++
 		} else if n > 1 {
