--- a/cmd/measure/bound.go
+++ b/cmd/measure/bound.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -18,7 +20,8 @@
 // boundCommand compares the planner's ways of placing layers in the halls of two deployments,
 // and names what binds in each.
 type boundCommand struct {
-	request int
+	prompt, answer int
+	duration       time.Duration
 }
 
 func (*boundCommand) Name() string { return "bound" }
@@ -27,17 +30,19 @@
 }
 
 func (*boundCommand) Usage() string {
-	return "measure bound [-request TOKENS]\n  Prints, for each hall and way, the room for requests, its upper bound, and what binds.\n"
+	return "measure bound [-prompt TOKENS] [-answer TOKENS] [-duration TIME]\n  Prints, for each hall and way, the room for requests, its upper bound, and what binds.\n"
 }
 
 // SetFlags registers the flags.
 func (c *boundCommand) SetFlags(f *flag.FlagSet) {
-	f.IntVar(&c.request, "request", 1000, "size of a request in tokens")
+	f.IntVar(&c.prompt, "prompt", 774, "size of a prompt in tokens")
+	f.IntVar(&c.answer, "answer", 200, "size of an answer in tokens")
+	f.DurationVar(&c.duration, "duration", 3*time.Second, "time that a request holds its memory")
 }
 
 // boundModel is the model of the two deployments of docs/design/hard-load.md.
 var boundModel = &catalog.Model{
-	Layers: 80, LayerSize: 1750, TokenSize: 0.328, Slots: 192, Step: 1020 * time.Microsecond,
+	Layers: 80, LayerSize: 1750, TokenSize: 0.328, Slots: 192, Step: 1020 * time.Microsecond, PerSequence: 7140 * time.Nanosecond, ReadRate: 105_000,
 	Cards: map[string]catalog.Card{
 		"h100":  {Memory: 72000, TokenTimeFactor: 1.4, PromptTimeFactor: 1},
 		"a100":  {Memory: 72000, TokenTimeFactor: 2.4, PromptTimeFactor: 3.2},
@@ -81,7 +86,7 @@
 	fmt.Println("| hall | way | tightest layer, tokens | mean layer | tightest of bound | best card lost | critical cards | layers held twice | time per token, ms | stages | binds | plan, ms |")
 	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|---|")
 	model := *boundModel
-	model.Prompt = c.request
+	model.Prompt, model.Answer = c.prompt, c.answer
 	for _, h := range boundHalls {
 		for _, way := range []placement.Planner{{}, {EvenRoom: true}} {
 			name := "value"
@@ -96,7 +101,7 @@
 			twice := p.heldTwice()
 			milliseconds, stages := p.fastestChain()
 			fmt.Printf("| %s | %s | %.0f | %.0f | %.2f | %.0f | %d of %d | %d | %.2f | %d | %s | %.0f |\n",
-				h.name, name, least, mean, least/p.memoryBound(twice), p.withoutBest(), p.critical(), len(cards), twice, milliseconds, stages, p.binds(), float64(took.Microseconds())/1000)
+				h.name, name, least, mean, least/p.memoryBound(twice), p.withoutBest(), p.critical(), len(cards), twice, milliseconds, stages, p.binds(c.duration), float64(took.Microseconds())/1000)
 		}
 	}
 	return subcommands.ExitSuccess
@@ -201,13 +206,32 @@
 	return (memory - float64(p.model.Layers+twice)*p.model.LayerSize) / p.model.TokenSize
 }
 
-// binds names what bounds the number of requests that run at once.
-func (p placed) binds() string {
-	request := p.model.Prompt + p.model.Answer
+// rates returns upper bounds on the requests per second, by the memory of the tightest layer, the
+// slots of the first layer's holders, and the pace of the layer whose holders are slowest together
+// in reading prompts and generating answers with full batches.
+func (p placed) rates(duration time.Duration) map[string]float64 {
 	least, _ := p.room()
-	_, copies := p.rooms()
-	if slots := copies[0] * p.model.Slots; float64(slots*request) < least {
-		return fmt.Sprintf("%d slots (memory: %.0f requests)", slots, least/float64(request))
+	copies, pace := 0, make([]float64, p.model.Layers)
+	for _, c := range p.cards {
+		kind := p.model.Cards[c.Kind]
+		whole := float64(p.model.Prompt)*kind.PromptTimeFactor/p.model.ReadRate + float64(p.model.Answer)*kind.TokenTimeFactor*p.model.PerSequence.Seconds()
+		for l := c.AssignedLayers.First; l < c.AssignedLayers.End; l++ {
+			pace[l] += float64(p.model.Layers) / float64(c.AssignedLayers.Len()) / whole
+		}
+		if c.AssignedLayers.First == 0 {
+			copies++
+		}
+	}
+	return map[string]float64{
+		"memory": least / float64(p.model.Prompt+p.model.Answer) / duration.Seconds(),
+		"slots":  float64(copies*p.model.Slots) / duration.Seconds(),
+		"pace":   slices.Min(pace),
 	}
-	return fmt.Sprintf("memory: %.0f requests (%d slots)", least/float64(request), copies[0]*p.model.Slots)
+}
+
+// binds names what bounds the requests per second, with all bounds.
+func (p placed) binds(duration time.Duration) string {
+	rates := p.rates(duration)
+	least := slices.MinFunc(slices.Sorted(maps.Keys(rates)), func(a, b string) int { return cmp.Compare(rates[a], rates[b]) })
+	return fmt.Sprintf("%s (memory %.0f/s, slots %.0f/s, pace %.0f/s)", least, rates["memory"], rates["slots"], rates["pace"])
 }
