--- a/cmd/grademill-gateway/daemon.go
+++ b/cmd/grademill-gateway/daemon.go
@@ -76,7 +76,7 @@
 		Dialect: platform.Dialect{}, Runners: platform.NewControl(d.metrics.PlatformCall),
 		Revocation: time.Duration(s.Revocation),
 		RetryShare: s.RetryShare, RetryReserve: int(s.RetryReserve), RetryWindow: s.RetryWindow.Or(defaultRetryWindow),
-		LinkRate: s.LinkMegabits * bytesPerMegabit, FlatFleet: s.FlatFleet,
+		LinkRate: s.LinkMegabits * bytesPerMegabit, FlatFleet: s.FlatFleet, EvenRoom: s.EvenRoom,
 		Log: d.log, Meter: d.metrics,
 	}
 	if o := s.Overload; o != nil {
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -91,6 +91,8 @@
 	RetryShare   float64
 	RetryReserve int
 	RetryWindow  time.Duration
+	// EvenRoom is that of placement.Planner.
+	EvenRoom bool
 	// Overload configures what the gateway does while a model service is short of room.
 	Overload Overload
 	Log      zerolog.Logger
--- a/role/gateway/leader.go
+++ b/role/gateway/leader.go
@@ -159,7 +159,7 @@
 		} else if now.Sub(o.changed) < stableTime {
 			continue
 		}
-		moves := (placement.Planner{}).Plan(service.Model, cards)
+		moves := placement.Planner{EvenRoom: o.g.EvenRoom}.Plan(service.Model, cards)
 		if !o.orders(ctx, f, moves, now) {
 			return false
 		}
--- a/role/settings/file.go
+++ b/role/settings/file.go
@@ -155,6 +155,8 @@
 	// gateways use a bounded share of it.
 	LinkMegabits float64  `toml:"link_megabits" validate:"min=0,max=10000000"`
 	RetryWindow  Duration `toml:"retry_window" validate:"min=0"`
+	// EvenRoom places layers so that the layer with the least room for requests has most of it.
+	EvenRoom bool `toml:"even_room"`
 	// Overload is the overload control of the fleet; nil switches all of it off.
 	Overload *Overload `toml:"overload" validate:"omitempty"`
 }
