--- a/layout_test.go
+++ b/layout_test.go
@@ -28,6 +28,7 @@
 	"decide/capacity",
 	"decide/catalog",
 	"decide/chain",
+	"decide/chaincost",
 	"decide/claim",
 	"decide/config",
 	"decide/demand",
--- a/role/gateway/chooser.go
+++ b/role/gateway/chooser.go
@@ -2,12 +2,12 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/grademill/grademill/decide/catalog"
 	"github.com/grademill/grademill/decide/chain"
+	"github.com/grademill/grademill/decide/chaincost"
 	"github.com/grademill/grademill/decide/isolation"
 	"github.com/grademill/grademill/decide/layer"
 	"github.com/grademill/grademill/decide/throttle"
@@ -49,10 +49,6 @@
 // choosers recycles the working memory of choosers.
 var choosers = sync.Pool{New: func() any { return new(chooser) }}
 
-// keptLayerCost is the cost factor of a layer that has already processed the request: it need not
-// read the prompt again.
-const keptLayerCost = 0.05
-
 // keepChain prepares the holders for moving a request away from an old reservation: backends that
 // are not avoided stay as they are, and no other endpoint takes the layers of the first one.
 func (c *chooser) keepChain(old *reservation, q *query, now time.Time) {
@@ -72,56 +68,24 @@
 		if i > 0 && (q.avoids(p.Address) || b.use.presumedDead(now)) {
 			continue
 		}
-		card := q.service.Model.Cards[b.Card]
 		holders = append(holders, chain.Holder{
 			ID: p.ID, Address: p.Address, Hall: b.hall, Layers: p.Layers,
-			CostPerLayer: c.layerTime(q.service.Model, card, q, b.use) * keptLayerCost,
+			CostPerLayer: c.layerTime(q, b) * chaincost.KeptLayer,
 		})
 	}
 	c.holders = holders
 }
 
-// maxHallNoise and maxEndpointNoise bound the random extra cost of a hall and of an endpoint, drawn
-// anew for each request. What gateways know of each other's requests is 0.2 to 0.4 s old, and
-// without noise they would all take the same cheapest chain meanwhile. Under high load, 0.67 of the
-// possible value of all requests is reached, a late answer counting less, and 0.58 without noise.
-const (
-	maxHallNoise     = 0.7
-	maxEndpointNoise = 0.2
-)
-
 // prepare sets the model, the costs of entering a chain in each hall, the share of other gateways'
 // requests not yet reported, and the noise.
 func (c *chooser) prepare(m *catalog.Model, f *fleet, home string, others unreported.Usage) {
 	c.finder.Layers = m.Layers
 	c.fleetFactor, c.shared = 1, false
 	c.unreported = others.UnreportedShare()
-	c.finder.EntryCost = c.finder.EntryCost[:0]
+	c.finder.EntryCost = chaincost.Entries(c.finder.EntryCost[:0], f.halls, home)
 	c.noise = c.noise[:0]
-	for _, hall := range f.halls {
-		entry := remoteEntryCost
-		if hall == home {
-			entry = 0
-		}
-		c.finder.EntryCost = append(c.finder.EntryCost, entry)
-		c.noise = append(c.noise, 1+maxHallNoise*rand.Float64())
-	}
-}
-
-// hops sets the cost of passing a token on; between two halls it is crossHall.
-func (c *chooser) hops(crossHall float64) {
-	halls := len(c.finder.EntryCost)
-	for len(c.finder.HopCost) < halls {
-		c.finder.HopCost = append(c.finder.HopCost, nil)
-	}
-	c.finder.HopCost = c.finder.HopCost[:halls]
-	for i := range c.finder.HopCost {
-		row := slices.Grow(c.finder.HopCost[i][:0], halls)[:halls]
-		for j := range row {
-			row[j] = crossHall
-		}
-		row[i] = hopCostInHall
-		c.finder.HopCost[i] = row
+	for range f.halls {
+		c.noise = append(c.noise, chaincost.HallNoise(rand.Float64()))
 	}
 }
 
@@ -178,7 +142,7 @@
 		}
 		c.holders = append(c.holders, chain.Holder{
 			ID: b.ID, Address: b.Address, Hall: b.hall, Layers: usable,
-			CostPerLayer: c.perLayer(q, b, now) * memoryFactor(free, room),
+			CostPerLayer: c.perLayer(q, b, now) * chaincost.MemoryFactor(free, room),
 		})
 	}
 }
@@ -230,32 +194,16 @@
 // perLayer returns the cost of a layer of a backend for a request, in seconds per token, before the
 // memory factor.
 func (c *chooser) perLayer(q *query, b *backend, now time.Time) float64 {
-	noise := c.noise[b.hall] * (1 + maxEndpointNoise*rand.Float64())
+	noise := c.noise[b.hall] * chaincost.EndpointNoise(rand.Float64())
 	slow := float64(b.use.slowness(now)) / pace.Unit
-	return c.layerTime(q.service.Model, q.service.Model.Cards[b.Card], q, b.use) * slow * noise
+	return c.layerTime(q, b) * slow * noise
 }
 
-// readSpreadTokens is the number of tokens over which the cost of reading a prompt is spread. An
-// answer has about 200 tokens, but an answer whose first event is late counts only half: with the
-// cost spread over the whole answer, 60 prompts waiting at an endpoint would weigh less than the
-// use of another hall. Under high load, 0.67 of the possible value of all requests is reached, and
-// 0.66 with 10 tokens.
-const readSpreadTokens = 32
-
-// layerTime returns the seconds that one layer adds to a token, including a share of the time to
-// read the prompt after those that are being read there.
-func (c *chooser) layerTime(m *catalog.Model, card catalog.Card, q *query, u *usage) float64 {
-	active := u.active.Load() + u.othersActive.Load()
-	reading := float64(u.reading.Load())*c.fleetFactor + float64(u.othersReading.Load())
-	step := m.Step.Seconds() + float64(active)*m.PerSequence.Seconds()
-	read := (1 + reading) * float64(q.Prompt) / m.ReadRate / readSpreadTokens
-	return (step*card.TokenTimeFactor + read*card.PromptTimeFactor) / float64(m.Layers)
-}
-
-// memoryFactor returns the cost factor of an endpoint for its memory in use.
-func memoryFactor(free, room float64) float64 {
-	if free <= 0 || room <= 0 {
-		return maxMemoryFactor
-	}
-	return min(room/free, maxMemoryFactor)
+// layerTime returns the seconds that one layer of a backend adds to a token of a request.
+func (c *chooser) layerTime(q *query, b *backend) float64 {
+	m, u := q.service.Model, b.use
+	return chaincost.LayerTime(m, m.Cards[b.Card], q.Prompt, chaincost.Load{
+		Active:     u.active.Load() + u.othersActive.Load(),
+		OwnReading: u.reading.Load(), OthersReading: u.othersReading.Load(), FleetFactor: c.fleetFactor,
+	})
 }
--- a/role/gateway/reservation.go
+++ b/role/gateway/reservation.go
@@ -6,29 +6,16 @@
 	"time"
 
 	"github.com/grademill/grademill/decide/chain"
+	"github.com/grademill/grademill/decide/chaincost"
 	"github.com/grademill/grademill/decide/failover"
 	"github.com/grademill/grademill/decide/isolation"
 	"github.com/grademill/grademill/decide/throttle"
 	"github.com/grademill/grademill/decide/unreported"
 )
 
-// Costs of a chain in addition to the engines' own times, in seconds per token.
-const (
-	// hopCostInHall is the cost of passing a token on within a hall, hopCostAcrossHalls to another
-	// hall; the latter is high because all halls share one link.
-	hopCostInHall      = 0.0003
-	hopCostAcrossHalls = 0.006
-	// remoteEntryCost is the cost of entering a chain in a hall other than the one to which the
-	// request is directed. It keeps gateways of different halls from choosing the same chains. Under
-	// high load, 0.74 of the possible value of all requests is reached, a late answer counting less,
-	// and 0.72 with a cost of 0.002.
-	remoteEntryCost = 0.004
-	// maxMemoryFactor bounds the cost factor of a nearly full endpoint.
-	maxMemoryFactor = 12
-	// heldAnswerShare is the share of its answer for which a request holds memory on average, with
-	// a margin: it holds the whole answer only at the end.
-	heldAnswerShare = 0.6
-)
+// heldAnswerShare is the share of its answer for which a request holds memory on average, with a
+// margin: it holds the whole answer only at the end.
+const heldAnswerShare = 0.6
 
 // reservation is the room that a request holds along a chain.
 type reservation struct {
@@ -259,11 +246,11 @@
 // find returns the cheapest chain within one hall or, if there is none and the links between halls
 // have capacity left, the cheapest chain overall.
 func (g *Gateway) find(c *chooser, q *query, need int) (chain.Chain, bool) {
-	c.hops(math.Inf(1))
+	c.finder.HopCost = chaincost.Hops(c.finder.HopCost, len(c.finder.EntryCost), math.Inf(1))
 	if found, ok := c.finder.Find(c.holders); ok {
 		return found, true
 	}
-	c.hops(hopCostAcrossHalls)
+	c.finder.HopCost = chaincost.Hops(c.finder.HopCost, len(c.finder.EntryCost), chaincost.HopAcrossHalls)
 	found, ok := c.finder.Find(c.holders)
 	return found, ok && g.linklimit.Allow(q.service.Model, need, g.peers.Size())
 }
