--- a/layout_test.go
+++ b/layout_test.go
@@ -60,6 +60,7 @@
 	"decide/rate",
 	"decide/rendezvous",
 	"decide/requestlog",
+	"decide/requestmemory",
 	"decide/retry",
 	"decide/retryafter",
 	"decide/roomshare",
--- a/role/gateway/overload.go
+++ b/role/gateway/overload.go
@@ -9,6 +9,7 @@
 	"github.com/grademill/grademill/decide/demand"
 	"github.com/grademill/grademill/decide/hallcapacity"
 	"github.com/grademill/grademill/decide/hallsplit"
+	"github.com/grademill/grademill/decide/requestmemory"
 	"github.com/grademill/grademill/decide/roomshare"
 	"github.com/grademill/grademill/decide/shedding"
 	"github.com/grademill/grademill/role/gossip"
@@ -105,12 +106,7 @@
 			holders = append(holders, hallcapacity.Holder{Hall: b.Hall, Layers: b.usable(now), Room: m.Room(card, b.Layers.Len()), Slots: b.Slots})
 		}
 	}
-	return hallcapacity.Halls(m, holders, hallcapacity.Request{Tokens: typicalTokens(m), Duration: g.queue.Times.RequestDuration(service)})
-}
-
-// typicalTokens returns the number of tokens for which a typical request holds memory.
-func typicalTokens(m *catalog.Model) float64 {
-	return float64(m.Prompt) + heldAnswerShare*float64(m.Answer)
+	return hallcapacity.Halls(m, holders, hallcapacity.Request{Tokens: requestmemory.Typical(m), Duration: g.queue.Times.RequestDuration(service)})
 }
 
 // shareRoom begins a new round of this gateway's budgets of room.
@@ -135,7 +131,7 @@
 	if d := g.queue.Times.RequestDuration(b.Service); d > 0 {
 		turnover = g.gossip.DigestInterval().Seconds() / d.Seconds()
 	}
-	typical := typicalTokens(m) * float64(b.Layers.Len())
+	typical := requestmemory.Typical(m) * float64(b.Layers.Len())
 	room, free := b.room(m, 0)
 	slots, entered := float64(b.Slots), float64(b.use.entered.Load())
 	if isolated {
--- a/role/gateway/reservation.go
+++ b/role/gateway/reservation.go
@@ -9,14 +9,11 @@
 	"github.com/grademill/grademill/decide/chaincost"
 	"github.com/grademill/grademill/decide/failover"
 	"github.com/grademill/grademill/decide/isolation"
+	"github.com/grademill/grademill/decide/requestmemory"
 	"github.com/grademill/grademill/decide/throttle"
 	"github.com/grademill/grademill/decide/unreported"
 )
 
-// heldAnswerShare is the share of its answer for which a request holds memory on average, with a
-// margin: it holds the whole answer only at the end.
-const heldAnswerShare = 0.6
-
 // reservation is the room that a request holds along a chain.
 type reservation struct {
 	chain  chain.Chain
@@ -116,19 +113,7 @@
 
 // tokens returns the estimated number of tokens for which the request needs memory.
 func (q *query) tokens() int {
-	m := q.service.Model
-	prompt, likely := q.Prompt, q.ExpectedAnswer
-	if prompt == 0 {
-		prompt = m.Prompt
-	}
-	if likely == 0 {
-		likely = m.Answer
-	}
-	likely = int(float64(likely) * heldAnswerShare)
-	if q.MaxAnswer > 0 {
-		likely = min(likely, q.MaxAnswer)
-	}
-	return prompt + likely
+	return requestmemory.Tokens(q.service.Model, requestmemory.Sizes{Prompt: q.Prompt, ExpectedAnswer: q.ExpectedAnswer, MaxAnswer: q.MaxAnswer})
 }
 
 // candidateCounts describes a search that found no chain, for the log.
