--- a/layout_test.go
+++ b/layout_test.go
@@ -55,6 +55,7 @@
 	"decide/outcome",
 	"decide/overlay",
 	"decide/placement",
+	"decide/plainload",
 	"decide/policy",
 	"decide/progress",
 	"decide/rate",
--- a/role/gateway/plain.go
+++ b/role/gateway/plain.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/grademill/grademill/decide/health"
+	"github.com/grademill/grademill/decide/plainload"
 	"github.com/grademill/grademill/decide/throttle"
 )
 
@@ -20,13 +21,6 @@
 	// maxSends bounds how often one request is sent. A stream whose caller already has events may
 	// exceed it after refusals.
 	maxSends = 4
-	// loadFresh is how long the load that an endpoint reported counts.
-	loadFresh = 500 * time.Millisecond
-	// failingWeight is the weight of the failure rate relative to load.
-	failingWeight = 8
-	// otherHallWeight is the extra load, in requests, attributed to an endpoint in another data
-	// hall.
-	otherHallWeight = 0.3
 )
 
 // servePlain serves a request of a plain service.
@@ -137,14 +131,11 @@
 
 // load returns the load score of a backend of a plain service.
 func (g *Gateway) load(b *backend, now time.Time) float64 {
-	score := float64(b.use.active.Load() + b.use.othersActive.Load())
-	if now.UnixNano()-b.use.loadReportedAt.Load() < int64(loadFresh) {
-		score += float64(b.use.waiting.Load())
-	}
-	if b.Hall != g.Hall {
-		score += otherHallWeight
-	}
-	return (score + 1) * (1 + failingWeight*b.use.health.Load().FailureRate)
+	return plainload.Load{
+		Active: b.use.active.Load() + b.use.othersActive.Load(), Waiting: b.use.waiting.Load(),
+		ReportAge: time.Duration(now.UnixNano() - b.use.loadReportedAt.Load()),
+		OtherHall: b.Hall != g.Hall, FailureRate: b.use.health.Load().FailureRate,
+	}.Score()
 }
 
 // attemptPlain sends the request to a backend. It reports whether the request has ended; otherwise
