--- a/role/gateway/chooser.go
+++ b/role/gateway/chooser.go
@@ -133,10 +133,10 @@
 			}
 		}
 		room, free := b.room(q.service.Model, need)
-		if use != skipAvoided && usable.First == 0 && (b.slotsFull(c.unreported) || c.shared && !b.use.slotBudget.Allows(1)) {
+		if use != skipAvoided && usable.First == 0 && (b.slotsFull(c.unreported) || c.shared && !b.use.budget.AllowsSlot()) {
 			usable.First = 1 // layers behind the first need no slot
 		}
-		if use != skipAvoided && (free < 0 || usable.Empty() || c.shared && !b.use.budget.Allows(float64(need*b.Layers.Len()))) {
+		if use != skipAvoided && (free < 0 || usable.Empty() || c.shared && !b.use.budget.AllowsMemory(float64(need*b.Layers.Len()))) {
 			c.crowded++
 			continue
 		}
--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -121,9 +121,8 @@
 	// in nanoseconds of Unix time.
 	waiting, loadReportedAt atomic.Int64
 	health                  atomic.Pointer[health.Record]
-	// budget and slotBudget are this gateway's shares of its free memory, in tokens times layers, and
-	// of its free slots.
-	budget, slotBudget budget.Budget
+	// budget is this gateway's share of its free room.
+	budget budget.Room
 	// intake holds the limit and backoff period that it has asked for.
 	intake intake.Intake
 }
--- a/role/gateway/overload.go
+++ b/role/gateway/overload.go
@@ -10,10 +10,10 @@
 	"github.com/grademill/grademill/decide/hallcapacity"
 	"github.com/grademill/grademill/decide/hallsplit"
 	"github.com/grademill/grademill/decide/requestmemory"
-	"github.com/grademill/grademill/decide/roomshare"
 	"github.com/grademill/grademill/decide/shedding"
 	"github.com/grademill/grademill/role/gossip"
 	"github.com/grademill/grademill/role/overload"
+	"github.com/grademill/grademill/state/budget"
 	wire "github.com/grademill/grademill/wire/gossip"
 )
 
@@ -131,15 +131,11 @@
 	if d := g.queue.Times.RequestDuration(b.Service); d > 0 {
 		turnover = g.gossip.DigestInterval().Seconds() / d.Seconds()
 	}
-	typical := requestmemory.Typical(m) * float64(b.Layers.Len())
 	room, free := b.room(m, 0)
 	slots, entered := float64(b.Slots), float64(b.use.entered.Load())
-	if isolated {
-		b.use.budget.Begin(roomshare.IsolatedRound(room, float64(b.use.held.Load()), share, typical, turnover))
-		b.use.slotBudget.Begin(roomshare.IsolatedRound(slots, entered, share, 1, turnover))
-		return
-	}
-	freeSlots := slots - entered - float64(b.use.othersEntered.Load())
-	b.use.budget.Begin(roomshare.Round{Free: free, Share: share, Typical: typical, Turnover: turnover})
-	b.use.slotBudget.Begin(roomshare.Round{Free: freeSlots, Share: share, Typical: 1, Turnover: turnover})
+	b.use.budget.Begin(budget.Round{
+		Memory: budget.Part{Total: room, Own: float64(b.use.held.Load()), Free: free, Typical: requestmemory.Typical(m) * float64(b.Layers.Len())},
+		Slots:  budget.Part{Total: slots, Own: entered, Free: slots - entered - float64(b.use.othersEntered.Load()), Typical: 1},
+		Share:  share, Isolated: isolated, Turnover: turnover,
+	})
 }
--- a/role/gateway/reservation.go
+++ b/role/gateway/reservation.go
@@ -42,9 +42,8 @@
 // endpoints that hold the lost layers, and new requests would find no room there for seconds.
 func (s *reservation) charge() {
 	s.charged = true
-	s.first.use.slotBudget.Take(1)
 	for i, b := range s.parts {
-		b.use.budget.Take(float64(s.memory[i]))
+		b.use.budget.Take(float64(s.memory[i]), i == 0)
 	}
 }
 
@@ -58,9 +57,8 @@
 // gateway's shares of room.
 func (s *reservation) releaseUnsent() {
 	if !s.released && s.charged {
-		s.first.use.slotBudget.GiveBack(1)
 		for i, b := range s.parts {
-			b.use.budget.GiveBack(float64(s.memory[i]))
+			b.use.budget.GiveBack(float64(s.memory[i]), i == 0)
 		}
 	}
 	s.release()
@@ -86,13 +84,10 @@
 	reusable := s.charged && !s.reading // a rejected request frees nothing
 	s.notePromptRead()
 	s.first.use.entered.Add(-1)
-	if reusable {
-		s.first.use.slotBudget.Release(1)
-	}
 	for i, b := range s.parts {
 		b.use.release(s.memory[i])
 		if reusable {
-			b.use.budget.Release(float64(s.memory[i]))
+			b.use.budget.Release(float64(s.memory[i]), i == 0)
 		}
 	}
 }
