--- a/layout_test.go
+++ b/layout_test.go
@@ -53,6 +53,7 @@
 	"decide/once",
 	"decide/order",
 	"decide/outcome",
+	"decide/overdue",
 	"decide/overlay",
 	"decide/placement",
 	"decide/plainload",
--- a/role/gateway/admission.go
+++ b/role/gateway/admission.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/grademill/grademill/decide/outcome"
+	"github.com/grademill/grademill/decide/overdue"
 	"github.com/grademill/grademill/decide/urgency"
 	"github.com/grademill/grademill/role/admission"
 	"github.com/grademill/grademill/role/gate"
@@ -13,7 +14,7 @@
 func (q *query) waiting() admission.Request {
 	return admission.Request{
 		Service: q.service.Name, Team: q.team, Priority: maxPriority - q.priority,
-		RouteTimeout: q.route.Timeout, CallerTimeout: q.CallerTimeout, Objective: objective(q.route),
+		RouteTimeout: q.route.Timeout, CallerTimeout: q.CallerTimeout, Objective: overdue.Of(q.route).Objective,
 		Start: q.start, Deadline: q.deadline, Retried: q.returned, Begun: q.everReached.Load(),
 		Reserved: q.decision.Reserved,
 	}
@@ -58,7 +59,7 @@
 func (s *relay) terms(now time.Time) admission.Terms {
 	terms := s.g.queue.Terms(s.q.waiting(), now)
 	if s.headSent {
-		terms.Until = s.lastAt.Add(pauseWaitFactor * allowedPause(s.q.route))
+		terms.Until = s.lastAt.Add(overdue.Of(s.q.route).MaxWait(false))
 	}
 	return terms
 }
--- a/role/gateway/intake.go
+++ b/role/gateway/intake.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/grademill/grademill/adapter/pause"
+	"github.com/grademill/grademill/decide/overdue"
 	"github.com/grademill/grademill/role/throttling"
 )
 
@@ -50,7 +51,7 @@
 	now := time.Now()
 	from, known, leave := b.use.intake.Wait(now)
 	defer leave()
-	if !known || from.After(q.start.Add(objective(q.route)/2)) {
+	if !known || from.After(q.start.Add(overdue.Of(q.route).Objective/2)) {
 		return false
 	}
 	pause.For(q.r.Context(), max(from.Sub(now), time.Millisecond))
--- a/role/gateway/overload.go
+++ b/role/gateway/overload.go
@@ -9,6 +9,7 @@
 	"github.com/grademill/grademill/decide/demand"
 	"github.com/grademill/grademill/decide/hallcapacity"
 	"github.com/grademill/grademill/decide/hallsplit"
+	"github.com/grademill/grademill/decide/overdue"
 	"github.com/grademill/grademill/decide/requestmemory"
 	"github.com/grademill/grademill/decide/shedding"
 	"github.com/grademill/grademill/role/gossip"
@@ -56,7 +57,7 @@
 	if c := g.catalog.Load(); c != nil && c.Objective(service) > 0 {
 		return c.Objective(service)
 	}
-	return defaultObjective
+	return overdue.DefaultObjective
 }
 
 // position returns the position of this gateway among all, by name.
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -10,23 +10,12 @@
 	"time"
 
 	"github.com/grademill/grademill/adapter/pause"
-	"github.com/grademill/grademill/decide/catalog"
 	"github.com/grademill/grademill/decide/event"
 	"github.com/grademill/grademill/decide/health"
 )
 
 // Timing and bounds of streams.
 const (
-	// firstWaitFactor is how long the first event may take before another chain is tried, as a
-	// multiple of the route's objective.
-	firstWaitFactor = 3
-	// pauseWaitFactor is how long a pause may last before a chain is given up, as a multiple of the
-	// pause that the route allows: a caller gives up after two seconds or eight such pauses.
-	pauseWaitFactor = 6
-	// defaultMaxPause is the allowed pause of a route that sets none.
-	defaultMaxPause = 500 * time.Millisecond
-	// defaultObjective is the objective of a route that sets none.
-	defaultObjective = time.Second
 	// maxEvent bounds the size of an event, in bytes.
 	maxEvent = 1 << 20
 	// eventBuffer is the size of the read buffer in bytes, enough for a few events.
@@ -172,22 +161,6 @@
 	return true
 }
 
-// objective returns how soon the first event is wanted.
-func objective(r *catalog.Route) time.Duration {
-	if r.TargetLatency <= 0 {
-		return defaultObjective
-	}
-	return r.TargetLatency
-}
-
-// allowedPause returns the longest pause between two events that the route allows.
-func allowedPause(r *catalog.Route) time.Duration {
-	if r.MaxPause <= 0 {
-		return defaultMaxPause
-	}
-	return r.MaxPause
-}
-
 // attempt sends the request along a chain and passes the events on. It reports whether the request
 // has ended; otherwise it also returns why this attempt failed.
 func (s *relay) attempt(reservation *reservation) (bool, string) {
--- a/role/gateway/watchdog.go
+++ b/role/gateway/watchdog.go
@@ -7,23 +7,13 @@
 	"time"
 
 	"github.com/grademill/grademill/decide/failover"
+	"github.com/grademill/grademill/decide/overdue"
 	"github.com/grademill/grademill/decide/timeout"
 	"github.com/grademill/grademill/port/runner"
 )
 
 // Timing and bounds of watching a stream.
 const (
-	// firstOverdueShare is when the first event is overdue, as a share of the objective; usual
-	// times are a tenth of the objective.
-	firstOverdueShare = 0.2
-	// minOverdueShare and maxOverdueShare bound when a later event is overdue, as a share of the
-	// allowed pause; the value between them is learned from the stream. The rest of the pause
-	// remains for repairing the chain.
-	minOverdueShare = 0.35
-	maxOverdueShare = 0.5
-	// recheckShare is the delay until the next check, as a share of the objective or of the allowed
-	// pause.
-	recheckShare = 0.5
 	// maxMoves bounds the attempts of one check to move a request.
 	maxMoves = 3
 	// moveWait bounds the order to move a request: a live endpoint answers within milliseconds.
@@ -38,6 +28,7 @@
 	relay     *relay
 	cancel    context.CancelFunc
 	startedAt time.Time
+	bounds    overdue.Bounds
 	// final is set when no further attempt may follow.
 	final bool
 
@@ -67,24 +58,19 @@
 
 // newWatchdog starts to watch an attempt along a reservation, which stop releases.
 func newWatchdog(ctx context.Context, s *relay, taken *reservation, cancel context.CancelFunc) *watchdog {
-	pause := allowedPause(s.q.route)
+	bounds := overdue.Of(s.q.route)
 	w := &watchdog{
 		ctx: ctx, relay: s, reservation: taken, cancel: cancel, startedAt: time.Now(),
 		final: !s.q.route.Repeats() || s.q.runs()+1 >= s.q.route.Attempts || s.q.sends+1 >= maxSends && !s.headSent,
-		gaps:  timeout.Estimator{Min: fraction(minOverdueShare, pause), Max: fraction(maxOverdueShare, pause)},
+		gaps:  bounds.Gaps(), bounds: bounds,
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	taken.addWatchdog(w)
-	w.timer = time.AfterFunc(fraction(firstOverdueShare, objective(s.q.route)), w.check)
+	w.timer = time.AfterFunc(bounds.FirstCheck(), w.check)
 	return w
 }
 
-// fraction returns the given share of a duration.
-func fraction(share float64, d time.Duration) time.Duration {
-	return time.Duration(share * float64(d))
-}
-
 // event records that an event has arrived.
 func (w *watchdog) event() {
 	w.mu.Lock()
@@ -163,7 +149,7 @@
 		return
 	}
 	if w.checking {
-		w.timer.Reset(fraction(minOverdueShare, w.target(last)))
+		w.timer.Reset(w.bounds.Postponed(last.IsZero()))
 		w.mu.Unlock()
 		return
 	}
@@ -177,16 +163,8 @@
 	defer w.mu.Unlock()
 	w.checking = false
 	if !w.ended && w.last.Equal(last) {
-		w.timer.Reset(fraction(recheckShare, w.target(last)))
-	}
-}
-
-// target returns how long the next event may take.
-func (w *watchdog) target(last time.Time) time.Duration {
-	if last.IsZero() {
-		return objective(w.relay.q.route)
+		w.timer.Reset(w.bounds.Recheck(last.IsZero()))
 	}
-	return allowedPause(w.relay.q.route)
 }
 
 // workingEventAge is how recently an event must have come through an endpoint for the endpoint to
@@ -201,9 +179,9 @@
 		return false
 	}
 	if last.IsZero() {
-		return now.Sub(w.startedAt) > firstWaitFactor*objective(q.route)
+		return now.Sub(w.startedAt) > w.bounds.MaxWait(true)
 	}
-	return now.Sub(last) > pauseWaitFactor*allowedPause(q.route)
+	return now.Sub(last) > w.bounds.MaxWait(false)
 }
 
 // releaseReservation releases the reservation although the attempt goes on. The first endpoint has
@@ -248,9 +226,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.last.IsZero() {
-		return objective(w.relay.q.route) - now.Sub(w.relay.q.start)
+		return w.bounds.Objective - now.Sub(w.relay.q.start)
 	}
-	return allowedPause(w.relay.q.route) - now.Sub(w.last)
+	return w.bounds.Pause - now.Sub(w.last)
 }
 
 // abandonFor ends the attempt for one along another reservation, and reports whether it did; it
