--- a/layout_test.go
+++ b/layout_test.go
@@ -55,6 +55,7 @@
 	"decide/outcome",
 	"decide/overdue",
 	"decide/overlay",
+	"decide/pendingorder",
 	"decide/placement",
 	"decide/plainload",
 	"decide/policy",
--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -8,6 +8,7 @@
 	"github.com/grademill/grademill/decide/health"
 	"github.com/grademill/grademill/decide/layer"
 	"github.com/grademill/grademill/decide/layerreport"
+	"github.com/grademill/grademill/decide/pendingorder"
 	"github.com/grademill/grademill/state/budget"
 	"github.com/grademill/grademill/state/intake"
 	"github.com/grademill/grademill/state/pace"
@@ -114,7 +115,7 @@
 	// layerreport is what it reports to hold while its record differs, nil for none.
 	layerreport atomic.Pointer[layerreport.Report]
 	// pendingOrder is the order that it carries out, nil for none known.
-	pendingOrder atomic.Pointer[pendingOrder]
+	pendingOrder atomic.Pointer[pendingorder.Order]
 	// watchers watch the streams that pass through it.
 	watchers watchers
 	// waiting is the number of queued requests that it last reported, loadReportedAt when it did,
@@ -162,20 +163,12 @@
 // orderedLayers returns the layers of the order that the endpoint carries out at now, empty for
 // none.
 func (u *usage) orderedLayers(now time.Time) layer.Range {
-	order := u.pendingOrder.Load()
-	if order == nil || now.After(order.until) {
-		return layer.Range{}
-	}
-	return order.layers
+	return u.pendingOrder.Load().Layers(now)
 }
 
 // setOrdered records the order that the leader reports for the endpoint, empty layers for none.
 func (u *usage) setOrdered(layers layer.Range, now time.Time) {
-	if layers.Empty() {
-		u.pendingOrder.Store(nil)
-		return
-	}
-	u.pendingOrder.Store(&pendingOrder{layers: layers, until: now.Add(orderWait)})
+	u.pendingOrder.Store(pendingorder.Announced(layers, now))
 }
 
 // updateHealth atomically replaces the health record by the result of change.
--- a/role/gateway/holding.go
+++ b/role/gateway/holding.go
@@ -5,6 +5,7 @@
 
 	"github.com/grademill/grademill/decide/layer"
 	"github.com/grademill/grademill/decide/layerreport"
+	"github.com/grademill/grademill/decide/pendingorder"
 )
 
 // noteLayers records the layers that the endpoint reported at a time.
@@ -20,7 +21,7 @@
 // record.
 func (b *backend) reportedLayers(now time.Time) (layer.Range, bool) {
 	h := b.use.layerreport.Load()
-	if h == nil || !h.Overrides(b.Layers, now, recordLag) {
+	if h == nil || !h.Overrides(b.Layers, now, pendingorder.RecordLag) {
 		return layer.Range{}, false
 	}
 	return h.Reported, true
--- a/role/gateway/leader.go
+++ b/role/gateway/leader.go
@@ -10,7 +10,7 @@
 
 	"github.com/grademill/grademill/adapter/pause"
 	"github.com/grademill/grademill/decide/catalog"
-	"github.com/grademill/grademill/decide/layer"
+	"github.com/grademill/grademill/decide/pendingorder"
 	"github.com/grademill/grademill/decide/placement"
 	"github.com/grademill/grademill/port/kv"
 )
@@ -56,14 +56,6 @@
 	changed time.Time
 }
 
-// pendingOrder is an order that an endpoint carries out. All gateways know of it, so that the next
-// leader continues from there.
-type pendingOrder struct {
-	layers layer.Range
-	// until is when the order counts as lost.
-	until time.Time
-}
-
 // lead takes the right to give orders whenever nobody holds it, and uses it until ctx ends.
 func (g *Gateway) lead(ctx context.Context) {
 	var vacant time.Time
@@ -183,7 +175,7 @@
 	}
 	var group sync.WaitGroup
 	slots := make(chan struct{}, ordersAtOnce)
-	results := make([]orderResult, len(moves))
+	results := make([]pendingorder.Result, len(moves))
 	for i, m := range moves {
 		slots <- struct{}{}
 		group.Go(func() {
@@ -192,7 +184,7 @@
 		})
 	}
 	group.Wait()
-	return !slices.Contains(results, orderReplaced)
+	return !slices.Contains(results, pendingorder.Replaced)
 }
 
 // cards lists the endpoints of a model in the form that the planner needs.
@@ -207,10 +199,10 @@
 			InUse: b.use.active.Load()+b.use.othersActive.Load() > 0,
 		}
 		if order := b.use.pendingOrder.Load(); order != nil {
-			if b.Layers == order.layers || now.After(order.until) {
+			if order.Ended(b.Layers, now) {
 				b.use.pendingOrder.CompareAndSwap(order, nil)
 			} else {
-				c.AssignedLayers, c.Fixed = order.layers, true
+				c.AssignedLayers, c.Fixed = order.Layers(now), true
 			}
 		}
 		cards = append(cards, c)
