--- a/layout_test.go
+++ b/layout_test.go
@@ -49,6 +49,7 @@
 	"decide/layer",
 	"decide/layerreport",
 	"decide/limit",
+	"decide/liveness",
 	"decide/member",
 	"decide/once",
 	"decide/order",
--- a/role/gateway/check.go
+++ b/role/gateway/check.go
@@ -8,48 +8,14 @@
 
 	"github.com/grademill/grademill/adapter/pause"
 	"github.com/grademill/grademill/adapter/probe"
-	"github.com/grademill/grademill/decide/backoff"
 	"github.com/grademill/grademill/decide/endpoint"
+	"github.com/grademill/grademill/decide/liveness"
 	"github.com/grademill/grademill/port/runner"
 )
 
-// Timing of health checks.
-const (
-	// passedFresh is how recent an event that came through an endpoint must be to show that it is
-	// alive: the usual time between two events of a stream.
-	passedFresh = 50 * time.Millisecond
-	// checkedFresh is how long a passed check counts when a late event is the only sign that the
-	// endpoint has failed. It limits the number of checks, each of which costs as much as a
-	// hundredth of a request.
-	checkedFresh = 800 * time.Millisecond
-	// checkStagger is by how much longer than checkedFresh a check by another gateway counts, for
-	// each gateway that ranks before this one as checker of the endpoint. It is the interval
-	// between two digests.
-	checkStagger = 150 * time.Millisecond
-	// checkersEach is the number of gateways that check an endpoint for the others: one may be cut
-	// off.
-	checkersEach = 2
-	// maxRecheckInterval bounds the time between two checks of a down endpoint by a gateway that is
-	// not one of its checkers.
-	maxRecheckInterval = 3 * time.Second
-	// recheckInterval is the time between two checks of a down endpoint.
-	recheckInterval = 400 * time.Millisecond
-	// endedAfter is how long an endpoint must have been silent to count as ended: a process that
-	// was paused, or a connection that lost packets, is back sooner.
-	endedAfter = 700 * time.Millisecond
-	// unverifiedReportTime is how long an endpoint must have been presumed dead, because other
-	// gateways report it down, before this gateway checks it. It is less than the four seconds or
-	// so in which the record of an endpoint that has ended lapses.
-	unverifiedReportTime = 1200 * time.Millisecond
-	// contradictionTime is how long an answer of an endpoint overrides reports that it is down.
-	contradictionTime = 3 * time.Second
-	// verifyPoll is the interval at which a concurrent check is polled for its end: checking a live
-	// endpoint takes a few milliseconds.
-	verifyPoll = 2 * time.Millisecond
-	// reportFresh is how long a report by another gateway counts, and how long after a check
-	// without an answer this gateway reports an endpoint as down: several digest intervals.
-	reportFresh = time.Second
-)
+// verifyPoll is the interval at which a concurrent check is polled for its end: checking a live
+// endpoint takes a few milliseconds.
+const verifyPoll = 2 * time.Millisecond
 
 // Results of checks, as the metrics name them.
 const (
@@ -81,10 +47,6 @@
 	}()
 }
 
-// starvedWait is the time between two checks of an endpoint while this process is starved. It
-// grows, since checks themselves take processor time.
-var starvedWait = backoff.Backoff{Base: 250 * time.Millisecond, Max: time.Second}
-
 // recheckStarved repeats the check of an endpoint that could not be judged until it can be, an
 // event has come through it after since, or its record is gone.
 func (g *Gateway) recheckStarved(b *backend, since time.Time) {
@@ -93,7 +55,7 @@
 	}
 	defer b.use.recheckingStarved.Store(false)
 	for checks := 1; g.isCurrent(b); checks++ {
-		pause.For(context.Background(), starvedWait.Delay(checks, 0))
+		pause.For(context.Background(), liveness.StarvedWait(checks))
 		if b.use.down() || b.use.eventAt.Load() > since.UnixNano() {
 			return
 		}
@@ -133,7 +95,7 @@
 // checkIfUncertain checks an endpoint through which an event is late, unless one has just come
 // through it or it has recently passed a check.
 func (g *Gateway) checkIfUncertain(b *backend, now time.Time) {
-	if b.use.hasRecentEvent(now) || now.UnixNano()-b.use.checkedAt.Load() < int64(checkedFresh) {
+	if b.use.hasRecentEvent(now) || liveness.Checked(elapsed(now, &b.use.checkedAt)) {
 		return
 	}
 	g.checkAsync(b)
@@ -156,8 +118,7 @@
 // the gateways that use a slow endpoint one checks it first, and the others only if no digest
 // reports that check.
 func (g *Gateway) checkBehind(b *backend, now time.Time) {
-	stagger := time.Duration(g.gossip.Overlay().ItemRank(b.ID, b.Hall)) * checkStagger
-	if now.UnixNano()-b.use.othersCheckedAt.Load() < int64(min(checkedFresh+stagger, checkReportTime)) {
+	if liveness.CheckedByOthers(elapsed(now, &b.use.othersCheckedAt), g.gossip.Overlay().ItemRank(b.ID, b.Hall)) {
 		return
 	}
 	g.checkIfUncertain(b, now)
@@ -286,7 +247,7 @@
 // once.
 func (g *Gateway) announceLoss(b *backend) {
 	b.use.watchers.checkSoon()
-	if b.use.down() && b.use.reporters.Count(time.Now()) < enoughWitnesses {
+	if b.use.down() && b.use.reporters.Count(time.Now()) < liveness.EnoughWitnesses {
 		g.gossip.ReportLoss(b.ID)
 	}
 	g.gossip.SendSoon()
@@ -309,9 +270,9 @@
 }
 
 // hasEnded reports whether an endpoint that still has a record has ended: it has not answered this
-// gateway for endedAfter, and another gateway, if there is one, gets no answer either.
+// gateway for some time, and another gateway, if there is one, gets no answer either.
 func (g *Gateway) hasEnded(b *backend, now time.Time) bool {
-	if !b.use.down() || now.UnixNano()-b.use.downSince.Load() < int64(endedAfter) {
+	if !b.use.down() || !liveness.Ended(elapsed(now, &b.use.downSince)) {
 		return false
 	}
 	return g.peers.Alone() || b.use.othersDown.Load() > 0
@@ -321,7 +282,7 @@
 // answered again.
 func (g *Gateway) revive(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause.For(ctx, recheckInterval)
+		pause.For(ctx, liveness.RecheckInterval)
 		for _, b := range g.fleet.Load().byID {
 			g.verifyReportedDown(b, time.Now())
 			if !b.use.down() || !g.recheckDue(b, time.Now()) || !b.use.checking.CompareAndSwap(false, true) {
@@ -339,35 +300,24 @@
 // report it down: the others may be cut off from it, and this gateway may be the one that reaches
 // it.
 func (g *Gateway) verifyReportedDown(b *backend, now time.Time) {
-	if now.UnixNano() < b.use.reportedDownUntil.Load() && now.UnixNano()-b.use.reportedDownSince.Load() > int64(unverifiedReportTime) {
+	if now.UnixNano() < b.use.reportedDownUntil.Load() && liveness.VerifyReports(elapsed(now, &b.use.reportedDownSince)) {
 		g.checkAsync(b)
 	}
 }
 
 // isChecker reports whether this gateway is one of those that check an endpoint for the others: the
-// leader and the first checkersEach in rank.
+// leader and the first in rank.
 func (g *Gateway) isChecker(b *backend) bool {
-	return g.leading.Load() || g.gossip.Overlay().ItemRank(b.ID, b.Hall) < checkersEach
+	return g.leading.Load() || liveness.IsChecker(g.gossip.Overlay().ItemRank(b.ID, b.Hall))
 }
 
 // recheckDue reports whether an endpoint that is down is to be checked again. Its checkers check it
-// all the time, the other gateways once the checkers no longer report it down, or after
-// maxRecheckInterval. An endpoint that is down for this gateway alone is checked at growing
-// intervals.
+// all the time, the other gateways once the checkers no longer report it down, or after the longest
+// interval. An endpoint that is down for this gateway alone is checked at growing intervals.
 func (g *Gateway) recheckDue(b *backend, now time.Time) bool {
-	if g.isChecker(b) {
-		return true
-	}
-	wait := maxRecheckInterval
-	if b.use.othersDown.Load() == 0 {
-		wait = recheckWait.Delay(int(b.use.rechecks.Load()), 0)
-	}
-	return now.UnixNano()-b.use.silentAt.Load() >= int64(wait)
+	return g.isChecker(b) || liveness.RecheckDue(elapsed(now, &b.use.silentAt), int(b.use.rechecks.Load()), b.use.othersDown.Load() != 0)
 }
 
-// recheckWait is the time between two checks of an endpoint that is down for one gateway alone.
-var recheckWait = backoff.Backoff{Base: recheckInterval, Max: maxRecheckInterval}
-
 // recheck asks an endpoint that is down for its report, and uses it again when it gives one.
 func (g *Gateway) recheck(ctx context.Context, b *backend) {
 	report, err := g.probes.Query(ctx, b.Address)
--- a/role/gateway/digest.go
+++ b/role/gateway/digest.go
@@ -5,15 +5,12 @@
 
 	"github.com/grademill/grademill/decide/demand"
 	"github.com/grademill/grademill/decide/layer"
+	"github.com/grademill/grademill/decide/liveness"
 	"github.com/grademill/grademill/state/pace"
 	"github.com/grademill/grademill/state/peers"
 	"github.com/grademill/grademill/wire/gossip"
 )
 
-// checkReportTime is how long a passed check is reported to others: for as long as it may count for
-// the last of the gateways that would check the endpoint.
-const checkReportTime = 3 * time.Second
-
 // Digest returns the use that this gateway makes of endpoints at now, plus that of others. others
 // is nil for the gateway's own digest; for the digest of a whole hall it holds the shares of the
 // other gateways of the hall by endpoint ID, and demands their demands by service.
@@ -28,7 +25,7 @@
 	if others == nil { // a hall's digest does not repeat what its gateways say themselves
 		g.partition.AddToDigest(d)
 	}
-	if others != nil && now.UnixNano()-g.leaderDirectAt.Load() < int64(reportFresh) {
+	if others != nil && now.UnixNano()-g.leaderDirectAt.Load() < int64(liveness.ReportFresh) {
 		d.Leading = true // the leader is in this hall
 	}
 	g.membership.AddToDigest(d, now)
@@ -64,7 +61,7 @@
 	at := now.UnixNano()
 	latest := max(u.checkedAt.Load(), u.othersCheckedAt.Load())
 	return u.active.Load() == 0 && u.held.Load() == 0 && !u.down() && at >= u.stalledUntil.Load() &&
-		at-latest >= int64(checkReportTime) && u.pendingOrder.Load() == nil && !u.intake.ReportsLimit(now)
+		at-latest >= int64(liveness.CheckReportTime) && u.pendingOrder.Load() == nil && !u.intake.ReportsLimit(now)
 }
 
 // digestEntry returns the digest entry of an endpoint at now, plus the use by others; checked is
@@ -73,7 +70,7 @@
 	s := peers.Usage{
 		Active: u.active.Load(), Entered: u.entered.Load(), Held: u.held.Load(), Reading: u.reading.Load(),
 	}
-	if u.down() && now.UnixNano()-u.silentAt.Load() < int64(reportFresh) {
+	if u.down() && now.UnixNano()-u.silentAt.Load() < int64(liveness.ReportFresh) {
 		s.Down = 1
 	}
 	s = s.Plus(others)
@@ -82,7 +79,7 @@
 		Reading: uint32(max(s.Reading, 0)), Down: uint32(max(s.Down, 0)),
 		AvoidedMillis: uint32(max((u.stalledUntil.Load()-now.UnixNano())/int64(time.Millisecond), 0)),
 	}
-	if age := now.UnixNano() - checked; age < int64(checkReportTime) {
+	if age := now.UnixNano() - checked; age < int64(liveness.CheckReportTime) {
 		use.CheckedMillis = uint32(time.Duration(age).Milliseconds()) + 1
 		if slow := u.slowness(now); slow > pace.Unit {
 			use.Pace = uint32(slow)
@@ -162,7 +159,7 @@
 		return
 	}
 	isNew := b.use.reporters.Count(now) == 0
-	if b.use.reporters.Report(from, now) >= enoughWitnesses && !b.use.contradicted(now) {
+	if b.use.reporters.Report(from, now) >= liveness.EnoughWitnesses && !b.use.contradicted(now) {
 		g.believeDown(b, now)
 	}
 	switch {
@@ -179,7 +176,7 @@
 	if now.UnixNano() > b.use.reportedDownUntil.Load() {
 		b.use.reportedDownSince.Store(now.UnixNano())
 	}
-	b.use.reportedDownUntil.Store(now.Add(reportFresh).UnixNano())
+	b.use.reportedDownUntil.Store(now.Add(liveness.ReportFresh).UnixNano())
 	if known {
 		return
 	}
@@ -207,7 +204,7 @@
 
 // leaderHeard reports whether a digest has recently said that some gateway gives orders.
 func (g *Gateway) leaderHeard(now time.Time) bool {
-	return now.UnixNano()-g.leaderHeardAt.Load() < int64(reportFresh)
+	return now.UnixNano()-g.leaderHeardAt.Load() < int64(liveness.ReportFresh)
 }
 
 // handleStallReport avoids an endpoint for as long as another gateway does, and has the streams
--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -4,10 +4,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/grademill/grademill/decide/backoff"
 	"github.com/grademill/grademill/decide/health"
 	"github.com/grademill/grademill/decide/layer"
 	"github.com/grademill/grademill/decide/layerreport"
+	"github.com/grademill/grademill/decide/liveness"
 	"github.com/grademill/grademill/decide/pendingorder"
 	"github.com/grademill/grademill/state/budget"
 	"github.com/grademill/grademill/state/intake"
@@ -130,7 +130,7 @@
 
 // newUsage returns the usage of an endpoint that is not used yet.
 func newUsage() *usage {
-	u := &usage{reporters: reporters.Reporters{ReportLifetime: reportFresh}}
+	u := &usage{reporters: reporters.Reporters{ReportLifetime: liveness.ReportFresh}}
 	u.health.Store(new(health.Record))
 	return u
 }
@@ -144,6 +144,11 @@
 	u.othersDown.Add(s.Down)
 }
 
+// elapsed returns the time from at, in nanoseconds of Unix time, to now.
+func elapsed(now time.Time, at *atomic.Int64) time.Duration {
+	return time.Duration(now.UnixNano() - at.Load())
+}
+
 // noteOthersCheck records that the endpoint answered a check of another gateway at a time.
 func (u *usage) noteOthersCheck(at time.Time) {
 	if at.UnixNano() > u.othersCheckedAt.Load() {
@@ -195,14 +200,10 @@
 	return u.down() || at < u.stalledUntil.Load() || at < u.othersStalledUntil.Load() || at < u.reportedDownUntil.Load()
 }
 
-// enoughWitnesses is the number of other gateways whose reports alone make an endpoint presumed
-// dead: a single one may be cut off itself.
-const enoughWitnesses = 2
-
 // reportedDown reports whether other gateways report the endpoint down while no event has recently
 // come through it here. It then gets no new requests; those that run there are checked.
 func (u *usage) reportedDown(now time.Time) bool {
-	return u.othersDown.Load() >= enoughWitnesses && !u.contradicted(now) && now.UnixNano()-u.eventAt.Load() > int64(workingEventAge)
+	return u.othersDown.Load() >= liveness.EnoughWitnesses && !u.contradicted(now) && liveness.Idle(elapsed(now, &u.eventAt))
 }
 
 // contradicted reports whether reports that the endpoint is down do not count, since it has
@@ -217,7 +218,7 @@
 	if u.reporters.Count(now) == 0 || begun.UnixNano() <= u.reportedDownSince.Load() {
 		return false
 	}
-	u.contradictedUntil.Store(now.Add(contradictionTime).UnixNano())
+	u.contradictedUntil.Store(now.Add(liveness.ContradictionTime).UnixNano())
 	return now.UnixNano() < u.reportedDownUntil.Swap(0)
 }
 
@@ -236,16 +237,12 @@
 
 // hasRecentEvent reports whether an event has just come through the endpoint.
 func (u *usage) hasRecentEvent(now time.Time) bool {
-	return now.UnixNano()-u.eventAt.Load() < int64(passedFresh)
+	return liveness.Alive(elapsed(now, &u.eventAt))
 }
 
-// stallWait is how long an endpoint that stalled requests is avoided: most have ended, and return
-// under another ID. The time doubles with each further stall.
-var stallWait = backoff.Backoff{Base: 3 * time.Second, Max: 12 * time.Second}
-
 // stall records at now that the endpoint stalled requests.
 func (u *usage) stall(now time.Time) {
-	u.stalledUntil.Store(now.Add(stallWait.Delay(int(u.stalls.Add(1)), 0)).UnixNano())
+	u.stalledUntil.Store(now.Add(liveness.StallWait(int(u.stalls.Add(1)))).UnixNano())
 }
 
 // maxFleetFactor bounds the result of fleetFactor, which may be high because this gateway has only
--- a/role/gateway/watchdog.go
+++ b/role/gateway/watchdog.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/grademill/grademill/decide/failover"
+	"github.com/grademill/grademill/decide/liveness"
 	"github.com/grademill/grademill/decide/overdue"
 	"github.com/grademill/grademill/decide/timeout"
 	"github.com/grademill/grademill/port/runner"
@@ -167,15 +168,10 @@
 	}
 }
 
-// workingEventAge is how recently an event must have come through an endpoint for the endpoint to
-// count as working. A late event of another stream there is due to load, to which another attempt
-// would add.
-const workingEventAge = 400 * time.Millisecond
-
 // waitedEnough reports whether the attempt has waited long enough for an event.
 func (w *watchdog) waitedEnough(reservation *reservation, last time.Time) bool {
 	q, now := w.relay.q, time.Now()
-	if !q.route.Repeats() || now.UnixNano()-reservation.first.use.eventAt.Load() < int64(workingEventAge) {
+	if !q.route.Repeats() || liveness.Working(elapsed(now, &reservation.first.use.eventAt)) {
 		return false
 	}
 	if last.IsZero() {
