--- a/decide/failover/failover.go
+++ b/decide/failover/failover.go
@@ -41,3 +41,16 @@
 func ShouldRestart(move, other, spare time.Duration) bool {
 	return move >= spare && minSpeedup*other <= move
 }
+
+// maxFleetFactor bounds the result of FleetFactor, which may be high because this gateway has only
+// one of the requests at the endpoint.
+const maxFleetFactor = 64
+
+// FleetFactor returns the ratio of the requests of all gateways at an endpoint to those of this
+// gateway, from the number of its own and that of the others.
+func FleetFactor(own, others int64) float64 {
+	if own <= 0 || others <= 0 {
+		return 1
+	}
+	return min(1+float64(others)/float64(own), maxFleetFactor)
+}
--- a/decide/failover/failover_test.go
+++ b/decide/failover/failover_test.go
@@ -37,3 +37,14 @@
 	require.True(t, failover.ShouldRestart(300*time.Millisecond, 100*time.Millisecond, 200*time.Millisecond))
 	require.True(t, failover.ShouldRestart(300*time.Millisecond, 100*time.Millisecond, -time.Second))
 }
+
+// Guards against a ratio that is unbounded at a gateway with few of the requests, or less than that
+// of a gateway with all of them.
+func TestFleetFactorIsBounded(t *testing.T) {
+	for _, c := range []struct {
+		own, others int64
+		want        float64
+	}{{0, 0, 1}, {0, 10, 1}, {10, 0, 1}, {10, -1, 1}, {10, 5, 1.5}, {1, 63, 64}, {1, 500, 64}} {
+		require.InDelta(t, c.want, failover.FleetFactor(c.own, c.others), 1e-9, c)
+	}
+}
--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/grademill/grademill/decide/failover"
 	"github.com/grademill/grademill/decide/health"
 	"github.com/grademill/grademill/decide/layer"
 	"github.com/grademill/grademill/decide/layerreport"
@@ -245,19 +246,11 @@
 	u.stalledUntil.Store(now.Add(liveness.StallWait(int(u.stalls.Add(1)))).UnixNano())
 }
 
-// maxFleetFactor bounds the result of fleetFactor, which may be high because this gateway has only
-// one of the requests at the endpoint.
-const maxFleetFactor = 64
-
 // fleetFactor returns the ratio of the requests of all gateways at the endpoint to those of this
 // gateway. When the endpoint is lost they are all moved at once, and each gateway sees only its
 // own.
 func (u *usage) fleetFactor() float64 {
-	own, others := u.active.Load(), u.othersActive.Load()
-	if own <= 0 || others <= 0 {
-		return 1
-	}
-	return min(1+float64(others)/float64(own), maxFleetFactor)
+	return failover.FleetFactor(u.active.Load(), u.othersActive.Load())
 }
 
 // take and release count a request that needs the given memory.
