--- a/decide/catalog/route.go
+++ b/decide/catalog/route.go
@@ -57,6 +57,21 @@
 	return r.Kind == Repeatable || r.Kind == Stream && r.Resumable
 }
 
+// defaultCallerTimeout is how long a caller is assumed to wait when it does not say.
+const defaultCallerTimeout = 30 * time.Second
+
+// TimeLimit returns the smaller of a caller's time limit and the route's timeout, either of
+// which may be missing.
+func (r *Route) TimeLimit(callerTimeout time.Duration) time.Duration {
+	if callerTimeout <= 0 {
+		callerTimeout = defaultCallerTimeout
+	}
+	if r.Timeout <= 0 {
+		return callerTimeout
+	}
+	return min(callerTimeout, r.Timeout)
+}
+
 // Service returns a service of the route, chosen by weight. The same pick always gives the same
 // service.
 func (r *Route) Service(pick uint64) string {
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -15,8 +15,6 @@
 
 // Defaults for incoming requests.
 const (
-	// defaultCallerTimeout is how long a caller is assumed to wait when it does not say.
-	defaultCallerTimeout = 30 * time.Second
 	// defaultMaxBody bounds a body, in bytes, where the configuration does not.
 	defaultMaxBody = 4 << 20
 	// retryAfterOverload is the Retry-After delay of a refusal due to load, retryAfterStore that of
@@ -92,7 +90,7 @@
 	q.print = fingerprint.Of(fingerprint.Request{
 		Method: q.r.Method, Host: q.r.Host, Target: q.r.RequestURI, Team: q.team, Body: q.body,
 	})
-	q.deadline = q.start.Add(requestTimeout(q.CallerTimeout, route.Timeout))
+	q.deadline = q.start.Add(route.TimeLimit(q.CallerTimeout))
 	q.service = c.Services[route.Service(xxhash.Sum64String(q.ID))]
 	if q.service == nil {
 		g.refuse(q, retryAfterStore, "the service of the route is not configured")
@@ -115,18 +113,6 @@
 	return true
 }
 
-// requestTimeout returns the smaller of a caller's time limit and a route's timeout, either of
-// which may be missing.
-func requestTimeout(callerTimeout, timeout time.Duration) time.Duration {
-	if callerTimeout <= 0 {
-		callerTimeout = defaultCallerTimeout
-	}
-	if timeout <= 0 {
-		return callerTimeout
-	}
-	return min(callerTimeout, timeout)
-}
-
 // authorize finds the team of the caller's key. A revoked key must not work, so keys are accepted
 // only while the configuration is known to be current.
 func (g *Gateway) authorize(q *query, c *catalog.Catalog) bool {
