--- a/layout_test.go
+++ b/layout_test.go
@@ -70,6 +70,7 @@
 	"decide/roomshare",
 	"decide/route",
 	"decide/shedding",
+	"decide/takeover",
 	"decide/thinning",
 	"decide/throttle",
 	"decide/timeout",
--- a/role/gateway/leader.go
+++ b/role/gateway/leader.go
@@ -12,6 +12,7 @@
 	"github.com/grademill/grademill/decide/catalog"
 	"github.com/grademill/grademill/decide/pendingorder"
 	"github.com/grademill/grademill/decide/placement"
+	"github.com/grademill/grademill/decide/takeover"
 	"github.com/grademill/grademill/port/kv"
 )
 
@@ -24,11 +25,6 @@
 	// card meanwhile has no chain. The store grants no less than one second, and answers within 0.3
 	// s even when it is slow.
 	leaderLease = 1500 * time.Millisecond
-	// takeoverStagger is how long a gateway waits for each gateway that ranks before it to take the
-	// right, for maxTakeoverRank gateways at most: taking it is two calls of the store, and a
-	// digest announces a new holder at once.
-	takeoverStagger = 150 * time.Millisecond
-	maxTakeoverRank = 8
 	// leaderSettle is the minimum time between reading the store, for the first time or after an
 	// outage, and taking the right: when a fleet starts, the other gateways become known only with
 	// the next changes.
@@ -70,7 +66,7 @@
 			vacant = now
 		}
 		currentFor := time.Duration(now.UnixNano() - g.currentSince.Load())
-		if now.Sub(vacant) < g.takeoverDelay(now) || currentFor < leaderSettle {
+		if now.Sub(vacant) < takeover.Delay(g.gossip.Overlay().FleetRank(leaderKey), g.leaderHeard(now)) || currentFor < leaderSettle {
 			continue
 		}
 		holder := leader{g: g}
@@ -87,17 +83,6 @@
 	}
 }
 
-// takeoverDelay returns how long this gateway waits for others to take the right after the store
-// has said that nobody holds it. It waits longer while another gateway reports that it holds the
-// right.
-func (g *Gateway) takeoverDelay(now time.Time) time.Duration {
-	rank := min(g.gossip.Overlay().FleetRank(leaderKey), maxTakeoverRank)
-	if g.leaderHeard(now) {
-		rank = maxTakeoverRank
-	}
-	return time.Duration(rank) * takeoverStagger
-}
-
 // acquire takes the right to give orders.
 func (o *leader) acquire(ctx context.Context) error {
 	lease, err := o.g.Store.Grant(ctx, leaderLease)
