--- a/role/gateway/check.go
+++ b/role/gateway/check.go
@@ -306,7 +306,7 @@
 }
 
 // isChecker reports whether this gateway is one of those that check an endpoint for the others: the
-// leader and the first in rank.
+// leader and the first few in rank.
 func (g *Gateway) isChecker(b *backend) bool {
 	return g.leading.Load() || liveness.IsChecker(g.gossip.Overlay().ItemRank(b.ID, b.Hall))
 }
