--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -4,10 +4,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/grademill/grademill/decide/backoff"
+	"github.com/grademill/grademill/decide/failover"
 	"github.com/grademill/grademill/decide/health"
 	"github.com/grademill/grademill/decide/layer"
 	"github.com/grademill/grademill/decide/layerreport"
+	"github.com/grademill/grademill/decide/liveness"
+	"github.com/grademill/grademill/decide/pendingorder"
 	"github.com/grademill/grademill/state/budget"
 	"github.com/grademill/grademill/state/intake"
 	"github.com/grademill/grademill/state/pace"
@@ -114,23 +116,22 @@
 	// layerreport is what it reports to hold while its record differs, nil for none.
 	layerreport atomic.Pointer[layerreport.Report]
 	// pendingOrder is the order that it carries out, nil for none known.
-	pendingOrder atomic.Pointer[pendingOrder]
+	pendingOrder atomic.Pointer[pendingorder.Order]
 	// watchers watch the streams that pass through it.
 	watchers watchers
 	// waiting is the number of queued requests that it last reported, loadReportedAt when it did,
 	// in nanoseconds of Unix time.
 	waiting, loadReportedAt atomic.Int64
 	health                  atomic.Pointer[health.Record]
-	// budget and slotBudget are this gateway's shares of its free memory, in tokens times layers, and
-	// of its free slots.
-	budget, slotBudget budget.Budget
+	// budget is this gateway's share of its free room.
+	budget budget.Room
 	// intake holds the limit and backoff period that it has asked for.
 	intake intake.Intake
 }
 
 // newUsage returns the usage of an endpoint that is not used yet.
 func newUsage() *usage {
-	u := &usage{reporters: reporters.Reporters{ReportLifetime: reportFresh}}
+	u := &usage{reporters: reporters.Reporters{ReportLifetime: liveness.ReportFresh}}
 	u.health.Store(new(health.Record))
 	return u
 }
@@ -144,6 +145,11 @@
 	u.othersDown.Add(s.Down)
 }
 
+// elapsed returns the time from at, in nanoseconds of Unix time, to now.
+func elapsed(now time.Time, at *atomic.Int64) time.Duration {
+	return time.Duration(now.UnixNano() - at.Load())
+}
+
 // noteOthersCheck records that the endpoint answered a check of another gateway at a time.
 func (u *usage) noteOthersCheck(at time.Time) {
 	if at.UnixNano() > u.othersCheckedAt.Load() {
@@ -163,20 +169,12 @@
 // orderedLayers returns the layers of the order that the endpoint carries out at now, empty for
 // none.
 func (u *usage) orderedLayers(now time.Time) layer.Range {
-	order := u.pendingOrder.Load()
-	if order == nil || now.After(order.until) {
-		return layer.Range{}
-	}
-	return order.layers
+	return u.pendingOrder.Load().Layers(now)
 }
 
 // setOrdered records the order that the leader reports for the endpoint, empty layers for none.
 func (u *usage) setOrdered(layers layer.Range, now time.Time) {
-	if layers.Empty() {
-		u.pendingOrder.Store(nil)
-		return
-	}
-	u.pendingOrder.Store(&pendingOrder{layers: layers, until: now.Add(orderWait)})
+	u.pendingOrder.Store(pendingorder.Announced(layers, now))
 }
 
 // updateHealth atomically replaces the health record by the result of change.
@@ -203,14 +201,10 @@
 	return u.down() || at < u.stalledUntil.Load() || at < u.othersStalledUntil.Load() || at < u.reportedDownUntil.Load()
 }
 
-// enoughWitnesses is the number of other gateways whose reports alone make an endpoint presumed
-// dead: a single one may be cut off itself.
-const enoughWitnesses = 2
-
 // reportedDown reports whether other gateways report the endpoint down while no event has recently
 // come through it here. It then gets no new requests; those that run there are checked.
 func (u *usage) reportedDown(now time.Time) bool {
-	return u.othersDown.Load() >= enoughWitnesses && !u.contradicted(now) && now.UnixNano()-u.eventAt.Load() > int64(workingEventAge)
+	return u.othersDown.Load() >= liveness.EnoughWitnesses && !u.contradicted(now) && liveness.Idle(elapsed(now, &u.eventAt))
 }
 
 // contradicted reports whether reports that the endpoint is down do not count, since it has
@@ -225,7 +219,7 @@
 	if u.reporters.Count(now) == 0 || begun.UnixNano() <= u.reportedDownSince.Load() {
 		return false
 	}
-	u.contradictedUntil.Store(now.Add(contradictionTime).UnixNano())
+	u.contradictedUntil.Store(now.Add(liveness.ContradictionTime).UnixNano())
 	return now.UnixNano() < u.reportedDownUntil.Swap(0)
 }
 
@@ -244,31 +238,19 @@
 
 // hasRecentEvent reports whether an event has just come through the endpoint.
 func (u *usage) hasRecentEvent(now time.Time) bool {
-	return now.UnixNano()-u.eventAt.Load() < int64(passedFresh)
+	return liveness.Alive(elapsed(now, &u.eventAt))
 }
 
-// stallWait is how long an endpoint that stalled requests is avoided: most have ended, and return
-// under another ID. The time doubles with each further stall.
-var stallWait = backoff.Backoff{Base: 3 * time.Second, Max: 12 * time.Second}
-
 // stall records at now that the endpoint stalled requests.
 func (u *usage) stall(now time.Time) {
-	u.stalledUntil.Store(now.Add(stallWait.Delay(int(u.stalls.Add(1)), 0)).UnixNano())
+	u.stalledUntil.Store(now.Add(liveness.StallWait(int(u.stalls.Add(1)))).UnixNano())
 }
 
-// maxFleetFactor bounds the result of fleetFactor, which may be high because this gateway has only
-// one of the requests at the endpoint.
-const maxFleetFactor = 64
-
 // fleetFactor returns the ratio of the requests of all gateways at the endpoint to those of this
 // gateway. When the endpoint is lost they are all moved at once, and each gateway sees only its
 // own.
 func (u *usage) fleetFactor() float64 {
-	own, others := u.active.Load(), u.othersActive.Load()
-	if own <= 0 || others <= 0 {
-		return 1
-	}
-	return min(1+float64(others)/float64(own), maxFleetFactor)
+	return failover.FleetFactor(u.active.Load(), u.othersActive.Load())
 }
 
 // take and release count a request that needs the given memory.
--- a/role/gateway/overload.go
+++ b/role/gateway/overload.go
@@ -9,10 +9,12 @@
 	"github.com/grademill/grademill/decide/demand"
 	"github.com/grademill/grademill/decide/hallcapacity"
 	"github.com/grademill/grademill/decide/hallsplit"
-	"github.com/grademill/grademill/decide/roomshare"
+	"github.com/grademill/grademill/decide/overdue"
+	"github.com/grademill/grademill/decide/requestmemory"
 	"github.com/grademill/grademill/decide/shedding"
 	"github.com/grademill/grademill/role/gossip"
 	"github.com/grademill/grademill/role/overload"
+	"github.com/grademill/grademill/state/budget"
 	wire "github.com/grademill/grademill/wire/gossip"
 )
 
@@ -53,7 +55,7 @@
 	if c := g.catalog.Load(); c != nil && c.Objective(service) > 0 {
 		return c.Objective(service)
 	}
-	return defaultObjective
+	return overdue.DefaultObjective
 }
 
 // position returns the position of this gateway among all, by name.
@@ -103,18 +105,9 @@
 			holders = append(holders, hallcapacity.Holder{Hall: b.Hall, Layers: b.usable(now), Room: m.Room(card, b.Layers.Len()), Slots: b.Slots})
 		}
 	}
-	return hallcapacity.Halls(m, holders, hallcapacity.Request{Tokens: typicalTokens(m), Duration: g.queue.Times.RequestDuration(service)})
+	return hallcapacity.Halls(m, holders, hallcapacity.Request{Tokens: requestmemory.Typical(m), Duration: g.queue.Times.RequestDuration(service)})
 }
 
-// typicalTokens returns the number of tokens for which a typical request holds memory.
-func typicalTokens(m *catalog.Model) float64 {
-	return float64(m.Prompt) + heldAnswerShare*float64(m.Answer)
-}
-
-// ampleRoom is the part of the room of an endpoint above which free room is not shared out: all
-// gateways together take less than that before they hear of each other.
-const ampleRoom = 0.25
-
 // shareRoom begins a new round of this gateway's budgets of room.
 func (g *Gateway) shareRoom() {
 	c := g.catalog.Load()
@@ -137,18 +130,11 @@
 	if d := g.queue.Times.RequestDuration(b.Service); d > 0 {
 		turnover = g.gossip.DigestInterval().Seconds() / d.Seconds()
 	}
-	typical := typicalTokens(m) * float64(b.Layers.Len())
 	room, free := b.room(m, 0)
 	slots, entered := float64(b.Slots), float64(b.use.entered.Load())
-	if isolated {
-		b.use.budget.Begin(roomshare.IsolatedRound(room, float64(b.use.held.Load()), share, typical, turnover))
-		b.use.slotBudget.Begin(roomshare.IsolatedRound(slots, entered, share, 1, turnover))
-		return
-	}
-	if free > ampleRoom*room {
-		share = 1
-	}
-	freeSlots := slots - entered - float64(b.use.othersEntered.Load())
-	b.use.budget.Begin(roomshare.Round{Free: free, Share: share, Typical: typical, Turnover: turnover})
-	b.use.slotBudget.Begin(roomshare.Round{Free: freeSlots, Share: share, Typical: 1, Turnover: turnover})
+	b.use.budget.Begin(budget.Round{
+		Memory: budget.Part{Total: room, Own: float64(b.use.held.Load()), Free: free, Typical: requestmemory.Typical(m) * float64(b.Layers.Len())},
+		Slots:  budget.Part{Total: slots, Own: entered, Free: slots - entered - float64(b.use.othersEntered.Load()), Typical: 1},
+		Share:  share, Isolated: isolated, Turnover: turnover,
+	})
 }
--- a/role/gateway/reservation.go
+++ b/role/gateway/reservation.go
@@ -6,30 +6,14 @@
 	"time"
 
 	"github.com/grademill/grademill/decide/chain"
+	"github.com/grademill/grademill/decide/chaincost"
 	"github.com/grademill/grademill/decide/failover"
 	"github.com/grademill/grademill/decide/isolation"
+	"github.com/grademill/grademill/decide/requestmemory"
 	"github.com/grademill/grademill/decide/throttle"
 	"github.com/grademill/grademill/decide/unreported"
 )
 
-// Costs of a chain in addition to the engines' own times, in seconds per token.
-const (
-	// hopCostInHall is the cost of passing a token on within a hall, hopCostAcrossHalls to another
-	// hall; the latter is high because all halls share one link.
-	hopCostInHall      = 0.0003
-	hopCostAcrossHalls = 0.006
-	// remoteEntryCost is the cost of entering a chain in a hall other than the one to which the
-	// request is directed. It keeps gateways of different halls from choosing the same chains. Under
-	// high load, 0.74 of the possible value of all requests is reached, a late answer counting less,
-	// and 0.72 with a cost of 0.002.
-	remoteEntryCost = 0.004
-	// maxMemoryFactor bounds the cost factor of a nearly full endpoint.
-	maxMemoryFactor = 12
-	// heldAnswerShare is the share of its answer for which a request holds memory on average, with
-	// a margin: it holds the whole answer only at the end.
-	heldAnswerShare = 0.6
-)
-
 // reservation is the room that a request holds along a chain.
 type reservation struct {
 	chain  chain.Chain
@@ -58,9 +42,8 @@
 // endpoints that hold the lost layers, and new requests would find no room there for seconds.
 func (s *reservation) charge() {
 	s.charged = true
-	s.first.use.slotBudget.Take(1)
 	for i, b := range s.parts {
-		b.use.budget.Take(float64(s.memory[i]))
+		b.use.budget.Take(float64(s.memory[i]), i == 0)
 	}
 }
 
@@ -74,9 +57,8 @@
 // gateway's shares of room.
 func (s *reservation) releaseUnsent() {
 	if !s.released && s.charged {
-		s.first.use.slotBudget.GiveBack(1)
 		for i, b := range s.parts {
-			b.use.budget.GiveBack(float64(s.memory[i]))
+			b.use.budget.GiveBack(float64(s.memory[i]), i == 0)
 		}
 	}
 	s.release()
@@ -102,13 +84,10 @@
 	reusable := s.charged && !s.reading // a rejected request frees nothing
 	s.notePromptRead()
 	s.first.use.entered.Add(-1)
-	if reusable {
-		s.first.use.slotBudget.Release(1)
-	}
 	for i, b := range s.parts {
 		b.use.release(s.memory[i])
 		if reusable {
-			b.use.budget.Release(float64(s.memory[i]))
+			b.use.budget.Release(float64(s.memory[i]), i == 0)
 		}
 	}
 }
@@ -129,19 +108,7 @@
 
 // tokens returns the estimated number of tokens for which the request needs memory.
 func (q *query) tokens() int {
-	m := q.service.Model
-	prompt, likely := q.Prompt, q.ExpectedAnswer
-	if prompt == 0 {
-		prompt = m.Prompt
-	}
-	if likely == 0 {
-		likely = m.Answer
-	}
-	likely = int(float64(likely) * heldAnswerShare)
-	if q.MaxAnswer > 0 {
-		likely = min(likely, q.MaxAnswer)
-	}
-	return prompt + likely
+	return requestmemory.Tokens(q.service.Model, requestmemory.Sizes{Prompt: q.Prompt, ExpectedAnswer: q.ExpectedAnswer, MaxAnswer: q.MaxAnswer})
 }
 
 // candidateCounts describes a search that found no chain, for the log.
@@ -259,11 +226,11 @@
 // find returns the cheapest chain within one hall or, if there is none and the links between halls
 // have capacity left, the cheapest chain overall.
 func (g *Gateway) find(c *chooser, q *query, need int) (chain.Chain, bool) {
-	c.hops(math.Inf(1))
+	c.finder.HopCost = chaincost.Hops(c.finder.HopCost, len(c.finder.EntryCost), math.Inf(1))
 	if found, ok := c.finder.Find(c.holders); ok {
 		return found, true
 	}
-	c.hops(hopCostAcrossHalls)
+	c.finder.HopCost = chaincost.Hops(c.finder.HopCost, len(c.finder.EntryCost), chaincost.HopAcrossHalls)
 	found, ok := c.finder.Find(c.holders)
 	return found, ok && g.linklimit.Allow(q.service.Model, need, g.peers.Size())
 }
--- a/state/budget/budget_test.go
+++ b/state/budget/budget_test.go
@@ -38,3 +38,16 @@
 	b.Take(100 * roomshare.FillShare)
 	require.False(t, b.Allows(10), "no more than was taken is given back")
 }
+
+// Guards against requests that wait for a share of room at an endpoint where room is not short, as after
+// a crash, when the endpoints that are left get the requests of many gateways at once.
+func TestAmpleRoomIsNotSharedOut(t *testing.T) {
+	part := budget.Part{Total: 100, Typical: 10}
+	for free, allowed := range map[float64]bool{26: true, 24: false} {
+		var r budget.Room
+		part.Free = free
+		r.Begin(budget.Round{Memory: part, Slots: part, Share: 0.01})
+		require.Equal(t, allowed, r.AllowsMemory(10), "%v free", free)
+		require.Equal(t, allowed, r.AllowsSlot(), "%v free", free)
+	}
+}
