--- a/role/gossip/gossip.go
+++ b/role/gossip/gossip.go
@@ -49,7 +49,14 @@
 	// been heard, since it may be about to start; minAbsence is the minimum time before it is
 	// considered absent.
 	missedDigestsAnnounced = 2 * missedDigests
-	minAbsence             = 8 * time.Second
+	// midsizeFleet is the largest fleet in which every digest of a gateway carries loads. In a larger
+	// one they are in every second digest while the gateway has room for all its requests: 58 bytes of
+	// loads in each would take 4.6 kB/s.
+	midsizeFleet = 68
+	// keptLoadDigests is the number of digest intervals for which the loads of a gateway count while
+	// its digests carry none, so that the loss of one digest does not drop them.
+	keptLoadDigests = 4
+	minAbsence      = 8 * time.Second
 	// linkShare is the share of the host's link that digests may use, so that requests take
 	// precedence; linkBurst is the time for which unused bandwidth may be saved up.
 	linkShare = 0.08
@@ -114,6 +121,10 @@
 	// relayed is when sums of each other hall were last forwarded: several gateways may act as
 	// delegates of a hall while they do not hear each other. Only receive accesses it.
 	relayed map[string]time.Time
+	// loadsDue is when the gateway's own digest is to carry loads again.
+	loadsDue time.Time
+	// heardLoads holds the last loads of gateways. Only receive accesses it.
+	heardLoads heardLoads
 }
 
 // Overlay returns the fleet as of the last digest.
@@ -177,6 +188,7 @@
 	interval := hallInterval * time.Duration(max(len(o.DigestPeers()), overlay.FlatSize)) / overlay.FlatSize
 	s.interval.Store(int64(interval))
 	s.Peers.Expire(now, missedDigests, hallInterval)
+	s.spaceLoads(d, o.Size(), interval, now)
 	s.send(&wire.Packet{Digest: d}, o.DigestPeers()...)
 	settled := now.Sub(s.started) >= settleRounds*interval // otherwise no peer has been heard yet
 	if settled && o.IsDelegate() && !now.Before(s.sumsDue) {
@@ -322,6 +334,9 @@
 		Interval: millis(d.GetEveryMillis()), Partial: d.GetPartialOutages(),
 		Shares: make(map[string]peers.Usage, len(d.GetUses())), Demands: DecodeLoads(d.GetLoads()),
 	}
+	if r.Members == 0 {
+		r.Demands = s.heardLoads.update(r, now)
+	}
 	if d.GetRelayed() {
 		r.From.Address = d.GetAddress()
 	}
--- a/role/overload/control.go
+++ b/role/overload/control.go
@@ -24,6 +24,11 @@
 	// defaultRemoteWeight is how much the demand of a gateway counts at the endpoints of all other
 	// halls together: most requests stay in the hall of their gateway.
 	defaultRemoteWeight = 0.2
+	// midsizeFleet is the largest fleet whose gateways name [demand.MaxTeams] teams of each class in
+	// their own load reports, and largeFleetTeams the number that they name in a larger one. With 8
+	// teams in each of 6 classes, the reports of a gateway take 63 kB/s there.
+	midsizeFleet    = 68
+	largeFleetTeams = 4
 )
 
 // Reports are the load reports of the other gateways.
@@ -164,13 +169,16 @@
 }
 
 // Demands returns this gateway's own load report, by service. It names teams only while the fleet is
-// short of room, when they matter, and otherwise spares the bytes.
+// short of room, when they matter, and otherwise spares the bytes. In a large fleet it names fewer.
 func (c *Control) Demands(now time.Time) map[string]demand.Demand {
 	demands := make(map[string]demand.Demand)
+	large := c.Reports.Size() > midsizeFleet
 	for name, s := range c.all() {
 		d, short := s.report(now, c.Waiting(name))
 		if !short {
 			d = d.WithoutTeams()
+		} else if large {
+			d = withTeams(d, largeFleetTeams)
 		}
 		if d.Offered() > 0 || d.Waiting > 0 || d.Admitted > 0 {
 			demands[name] = d
@@ -179,6 +187,21 @@
 	return demands
 }
 
+// withTeams returns the demand with the names of the teams that have the most demand of each class.
+func withTeams(d demand.Demand, most int) demand.Demand {
+	classes := make(map[demand.Class]demand.Load, len(d.Classes))
+	for class, load := range d.Classes {
+		teams := load.HeaviestTeams()
+		named := make(map[string]float64, most)
+		for _, team := range teams[:min(most, len(teams))] {
+			named[team] = load.Teams[team]
+		}
+		classes[class] = demand.Load{Offered: load.Offered, Teams: named}
+	}
+	d.Classes = classes
+	return d
+}
+
 // Tick computes the levels anew from the latest reports.
 func (c *Control) Tick(now time.Time) {
 	for name, s := range c.all() {
--- a/role/overload/control_test.go
+++ b/role/overload/control_test.go
@@ -144,6 +144,30 @@
 	require.Equal(t, before, r.sizeCalls)
 }
 
+// Guards against load reports that grow with the classes of a large fleet: 8 teams in each of 6 classes
+// take 63 kB/s there. The rate of a class still includes the teams that are not named.
+func TestFewerTeamsAreNamedInLargeFleets(t *testing.T) {
+	waiting := 1
+	for size, named := range map[int]int{68: demand.MaxTeams, 69: 4} {
+		c := control(&reports{size: size, heard: size, announced: size, halls: map[string]demand.Demand{"north": {Waiting: 1}}}, &waiting)
+		now := time.Unix(1000, 0)
+		for range 20 {
+			for team := range 10 {
+				for range team + 1 {
+					c.Arrive(overload.Arrival{Service: "chat", Team: string(rune('a' + team)), Class: demand.Class{Priority: 1}}, now)
+				}
+			}
+			c.Tick(now)
+			now = now.Add(150 * time.Millisecond)
+		}
+		load := c.Demands(now)["chat"].Classes[demand.Class{Priority: 1}]
+		require.Len(t, load.Teams, named, "%d gateways", size)
+		require.Contains(t, load.Teams, "j")
+		require.NotContains(t, load.Teams, "b", "the teams with the least demand are omitted")
+		require.Greater(t, load.Offered, 300.0, "55 requests every 150 ms")
+	}
+}
+
 // Guards against a gateway that counts, records or reports anything while all parts of the overload
 // control are switched off.
 func TestNothingIsCountedWhileSwitchedOff(t *testing.T) {
