Renew the lease of the leader while a plan is computed

A plan for even room takes 0.2 s of a whole core for each hall, so on a seventh of a core one plan of three halls took longer than the lease of 1.5 s: the leader lost its right with each plan, and the next one began it anew.

--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/grademill/grademill/decide/catalog"
 	"github.com/grademill/grademill/decide/endpoint"
 	"github.com/grademill/grademill/decide/overlay"
+	"github.com/grademill/grademill/decide/placement"
 	"github.com/grademill/grademill/port/exchange"
 	"github.com/grademill/grademill/port/kv"
 	"github.com/grademill/grademill/port/runner"
@@ -151,6 +152,8 @@
 	// queue is where requests of models wait for room.
 	queue admission.Queue[*reservation]
 
+	// planMoves replaces placement.Planner.Plan in tests; nil otherwise.
+	planMoves func(*catalog.Model, []placement.Card) []placement.Move
 	// overload decides which requests are admitted while the fleet is short of room.
 	overload overload.Control
 	// retries is this gateway's share of the retry budget.
--- a/role/gateway/leader.go
+++ b/role/gateway/leader.go
@@ -51,6 +51,8 @@
 	// fence is the revision at which the right was taken.
 	fence uint64
 	lease string
+	// renewed is when the lease was last renewed.
+	renewed time.Time
 	// size is the number of endpoints of the fleet, and changed is when that number last changed.
 	size    int
 	changed time.Time
@@ -123,24 +125,60 @@
 	o.g.leading.Store(true)
 	o.g.gossip.SendSoon()
 	defer o.g.leading.Store(false)
-	renewed := time.Now()
+	o.renewed = time.Now()
 	for ctx.Err() == nil && !o.g.draining.Load() {
-		if now := time.Now(); now.Sub(renewed) >= renewEvery {
-			if err := o.g.Store.KeepAlive(ctx, o.lease); err == nil {
-				renewed = now
-			} else if kv.IsNotFound(err) || now.Sub(renewed) > leaderLease {
-				o.g.Log.Warn().Err(err).Uint64("fence", o.fence).Msg("the right to give orders is lost")
-				return
-			}
-		}
-		if !o.round(ctx) {
+		if !o.renew(ctx) || !o.round(ctx) {
 			return
 		}
 		pause.For(ctx, leaderRound)
 	}
 }
 
-// round gives one round of orders. It returns false when another leader has taken over.
+// renew renews the lease if that is due. It returns false when the right is lost.
+func (o *leader) renew(ctx context.Context) bool {
+	now := time.Now()
+	if now.Sub(o.renewed) < renewEvery {
+		return true
+	}
+	err := o.g.Store.KeepAlive(ctx, o.lease)
+	if err == nil {
+		o.renewed = now
+		return true
+	}
+	if kv.IsNotFound(err) || now.Sub(o.renewed) > leaderLease {
+		o.g.Log.Warn().Err(err).Uint64("fence", o.fence).Msg("the right to give orders is lost")
+		return false
+	}
+	return true
+}
+
+// plan returns the moves of a plan, and renews the lease while it is computed: with EvenRoom, a plan
+// takes 0.2 s of a whole core for each hall, which is longer than the lease on a small part of a
+// core. It returns false when the right is lost or given up; the result is then discarded.
+func (o *leader) plan(ctx context.Context, m *catalog.Model, cards []placement.Card) ([]placement.Move, bool) {
+	compute := o.g.planMoves
+	if compute == nil {
+		compute = placement.Planner{EvenRoom: o.g.EvenRoom}.Plan
+	}
+	planned := make(chan []placement.Move, 1)
+	go func() { planned <- compute(m, cards) }()
+	due := time.NewTicker(leaderRound)
+	defer due.Stop()
+	for {
+		select {
+		case moves := <-planned:
+			return moves, true
+		case <-ctx.Done():
+			return nil, false
+		case <-due.C:
+			if o.g.draining.Load() || !o.renew(ctx) {
+				return nil, false
+			}
+		}
+	}
+}
+
+// round gives one round of orders. It returns false when the right is lost or given up.
 func (o *leader) round(ctx context.Context) bool {
 	f, c := o.g.fleet.Load(), o.g.catalog.Load()
 	now := time.Now()
@@ -159,8 +197,8 @@
 		} else if now.Sub(o.changed) < stableTime {
 			continue
 		}
-		moves := placement.Planner{EvenRoom: o.g.EvenRoom}.Plan(service.Model, cards)
-		if !o.orders(ctx, f, moves, now) {
+		moves, held := o.plan(ctx, service.Model, cards)
+		if !held || !o.orders(ctx, f, moves, time.Now()) {
 			return false
 		}
 	}
