Do not limit the only gateway of a fleet to shares of room

A round gives 0.7 of the free room, so requests at nearly full endpoints waited for one or two rounds (0.15 to 0.3 s) although no other gateway could take the rest.

--- a/role/gateway/overload.go
+++ b/role/gateway/overload.go
@@ -113,15 +113,23 @@
 	return float64(m.Prompt) + heldAnswerShare*float64(m.Answer)
 }
 
-// shareRoom begins a new round of this gateway's budgets of room.
+// shareRoom begins a new round of this gateway's budgets of room. The only gateway of a fleet has
+// nobody to share with and is not limited: a full endpoint would otherwise hold requests up for a
+// round or two, because a round gives only part of the free room.
 func (g *Gateway) shareRoom() {
 	c := g.catalog.Load()
 	if c == nil || !g.Overload.RoomShares {
 		return
 	}
+	only := g.peers.Announced() > 0 && g.peers.Heard() == 1 && g.peers.AllCovered(g.Name)
 	for name, backends := range g.fleet.Load().open {
 		if s := c.Services[name]; s != nil && s.Model != nil {
 			for _, b := range backends {
+				if only {
+					b.use.budget.Lift()
+					b.use.slotBudget.Lift()
+					continue
+				}
 				g.beginRound(s.Model, b)
 			}
 		}
--- a/role/gateway/overload_test.go
+++ b/role/gateway/overload_test.go
@@ -154,3 +154,30 @@
 	require.Equal(t, fullBody(events), w.readRest(answer))
 	require.Contains(t, endLine(t, w, r.Header.Get("X-Request-Id")), `"outcome":"served"`)
 }
+
+// Load: the only gateway fills all slots of the first endpoints at once. Guards against requests that wait for
+// the next rounds of its shares although no other gateway can take the room.
+func TestTheOnlyGatewayIsNotHeldUpByItsShares(t *testing.T) {
+	t.Parallel()
+	var cards []*site.Endpoint
+	for i := range 4 {
+		cards = append(cards, card(fmt.Sprint("card-", i), "north"))
+		cards[i].Slots, cards[i].EventInterval = 3, 20*time.Millisecond
+	}
+	w := newFixtureWith(t, func(g *gateway.Gateway) { g.Overload = gateway.Overload{RoomShares: true} }, cards...)
+	w.eventually(func() bool { return covered(cards, 2) })
+	w.waitForLayers(cards...)
+	w.eventually(func() bool { return w.do(w.streamRequest("/plan/1", 1)).StatusCode == http.StatusOK })
+	var ids []string
+	for range 5 { // of six slots: the first request may still hold one
+		r := w.streamRequest("/plan/1", 60)
+		answer, err := http.DefaultClient.Do(r)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = answer.Body.Close() })
+		require.Equal(t, http.StatusOK, answer.StatusCode)
+		ids = append(ids, r.Header.Get("X-Request-Id"))
+	}
+	for _, id := range ids {
+		require.NotContains(t, endLine(t, w, id), `"crowded"`, "each search finds a chain")
+	}
+}
--- a/state/budget/budget.go
+++ b/state/budget/budget.go
@@ -53,6 +53,11 @@
 	b.update(func(c roomshare.Budget) roomshare.Budget { return c.WithRound(r) })
 }
 
+// Lift ends the limit until the next Begin.
+func (b *Budget) Lift() {
+	b.current.Store(nil)
+}
+
 func (b *Budget) update(change func(roomshare.Budget) roomshare.Budget) {
 	for {
 		old := b.current.Load()
