--- a/role/gateway/chooser.go
+++ b/role/gateway/chooser.go
@@ -33,8 +33,9 @@
 	// open, avoided and crowded count the endpoints of the model, those that were avoided, and
 	// those without enough memory.
 	open, avoided, crowded int
-	// shared leaves out endpoints of whose free room this gateway has used up its share.
-	shared bool
+	// withinShares leaves out endpoints of whose free room this gateway has used up its share. Where
+	// only its share of slots is used up, an endpoint still serves layers behind the first.
+	withinShares bool
 	// skipLimited leaves out endpoints that have announced a limit of which this gateway has no
 	// share left. Otherwise a request may pick them, so that the demand for them is known.
 	skipLimited bool
@@ -94,7 +95,7 @@
 // requests not yet reported, and the noise.
 func (c *chooser) prepare(m *catalog.Model, f *fleet, home string, others unreported.Usage) {
 	c.finder.Layers = m.Layers
-	c.fleetFactor, c.shared = 1, false
+	c.fleetFactor, c.withinShares = 1, false
 	c.unreported = others.UnreportedShare()
 	c.finder.EntryCost = c.finder.EntryCost[:0]
 	c.noise = c.noise[:0]
@@ -169,10 +170,10 @@
 			}
 		}
 		room, free := b.room(q.service.Model, need)
-		if use != skipAvoided && usable.First == 0 && (b.slotsFull(c.unreported) || c.shared && !b.use.slotBudget.Allows(1)) {
+		if use != skipAvoided && usable.First == 0 && (b.slotsFull(c.unreported) || c.withinShares && !b.use.slotBudget.Allows(1)) {
 			usable.First = 1 // layers behind the first need no slot
 		}
-		if use != skipAvoided && (free < 0 || usable.Empty() || c.shared && !b.use.budget.Allows(float64(need*b.Layers.Len()))) {
+		if use != skipAvoided && (free < 0 || usable.Empty() || c.withinShares && !b.use.budget.Allows(float64(need*b.Layers.Len()))) {
 			c.crowded++
 			continue
 		}
--- a/role/gateway/overload.go
+++ b/role/gateway/overload.go
@@ -35,7 +35,7 @@
 		Reports: &g.peers, Objective: g.shortestObjective, Position: g.position, RequestDuration: g.queue.Times.RequestDuration, Waiting: g.queue.WaitingFor, Meter: g.Meter, Log: g.Log,
 	}
 	if g.Overload.HallSplit {
-		g.overload.Halls = g.halls
+		g.overload.Halls = g.hallCapacities
 	}
 	if g.Overload.FleetAdmission {
 		g.queue.FleetLoad, g.queue.ReturnShare = g.overload.RetryLoad, g.Overload.Policy.ReturnShare
@@ -92,8 +92,8 @@
 	d.Loads = gossip.EncodeLoads(demands)
 }
 
-// halls returns the capacities of the halls that have endpoints of a service.
-func (g *Gateway) halls(service string) []hallsplit.Hall {
+// hallCapacities returns the capacities of the halls that have endpoints of a service.
+func (g *Gateway) hallCapacities(service string) []hallsplit.Hall {
 	c, f, now := g.catalog.Load(), g.fleet.Load(), time.Now()
 	if c == nil || c.Services[service] == nil || c.Services[service].Model == nil {
 		return nil
--- a/role/gateway/reservation.go
+++ b/role/gateway/reservation.go
@@ -193,7 +193,7 @@
 	need := q.tokens()
 	c.prepare(q.service.Model, f, cmp.Or(q.decision.Hall, g.Hall), g.peerFlow(q.service.Name))
 	c.fleetFactor = q.requestFactor()
-	c.shared = g.Overload.RoomShares && !q.everReached.Load() // a request that was sent is not held up
+	c.withinShares = g.Overload.RoomShares && !q.everReached.Load() // a request that was sent is not held up
 	c.isolationPlan = g.isolationPlan(q.service.Name, time.Now())
 	found, ok := g.findAdmitted(c, q, f, need, skipAvoidedAndFull)
 	if !ok && q.isolatedAt() == "" && !c.isolationPlan.Empty() { // an endpoint at which a suspect is tried is better than none
@@ -214,7 +214,7 @@
 		}
 	}
 	taken := newReservation(found, need, func(p chain.Stage) *backend { return f.byID[p.ID] })
-	if c.shared {
+	if c.withinShares {
 		taken.charge()
 	}
 	taken.admittedAt = c.admittedAt
--- a/role/overload/control.go
+++ b/role/overload/control.go
@@ -227,8 +227,8 @@
 		if c.Halls == nil {
 			s.shares, s.elsewhere = shares(s.level, own, halls, c.Hall, size, covered)
 		} else {
-			s.halls.update(sites, c.placed(s, own, halls), s.estimate.Value(), heard < size, now)
-			s.shares = s.halls.shares(c.placedRate(s, own), c.Hall, size, covered)
+			s.division.update(sites, c.placed(s, own, halls), s.estimate.Value(), heard < size, now)
+			s.shares = s.division.shares(c.placedRate(s, own), c.Hall, size, covered)
 			s.elsewhere = defaultRemoteWeight / float64(size)
 		}
 	}
@@ -239,7 +239,7 @@
 	}
 	s.fleet, s.age, s.alone, s.position, s.size = fleet, age, alone, position, size
 	s.reported, s.latest = s.latest, own
-	division := s.halls.changes(c.Hall)
+	division := s.division.changes(c.Hall)
 	level, perSecond := s.level, s.estimate.Value()
 	logs := c.Admission && s.mustLog(now)
 	s.mu.Unlock()
@@ -318,7 +318,8 @@
 }
 
 // RoomShare returns this gateway's share of the free room at the endpoints of a hall, and whether it
-// is a share of the whole room, because this gateway does not hear the others.
+// is a share of the whole room, because this gateway does not hear the others. It is an even share
+// until an update has heard another gateway.
 func (c *Control) RoomShare(service, hall string) (share float64, whole bool) {
 	s := c.of(service)
 	s.mu.Lock()
--- a/role/overload/division.go
+++ b/role/overload/division.go
@@ -26,10 +26,10 @@
 	split hallsplit.Split
 	// halls are those of the last plan, by name.
 	halls map[string]hallsplit.Hall
-	// own and reported are the parts of the demand of this gateway's hall that were last recorded,
-	// and the division that was last logged.
-	own      map[string]float64
-	reported hallsplit.Split
+	// own holds the parts of the demand of this gateway's hall that were last recorded, lastLogged the
+	// division that was last logged.
+	own        map[string]float64
+	lastLogged hallsplit.Split
 }
 
 // placed returns the rates of the requests that are to be placed, by the hall of their gateways.
@@ -135,11 +135,11 @@
 	for name := range d.halls {
 		own[name] = d.split.Part(home, name)
 	}
-	r := divisionReport{own: own, split: d.split, halls: d.sorted(), logged: d.split.Change(d.reported) > loggedChange}
+	r := divisionReport{own: own, split: d.split, halls: d.sorted(), logged: d.split.Change(d.lastLogged) > loggedChange}
 	d.own = maps.Clone(own)
 	maps.DeleteFunc(d.own, func(name string, _ float64) bool { _, known := d.halls[name]; return !known })
 	if r.logged {
-		d.reported = d.split
+		d.lastLogged = d.split
 	}
 	return r
 }
--- a/role/overload/service.go
+++ b/role/overload/service.go
@@ -29,17 +29,18 @@
 	level    shedding.Level
 	thinner  thinning.Thinner
 	// fleet is the demand of all gateways as of the last update, age that of the newest report of
-	// another gateway, and alone is set if it is too old.
+	// another gateway, and alone is set while no other gateway is heard although there are some.
 	fleet demand.Demand
 	age   time.Duration
 	alone bool
-	// part and refusedPart are this gateway's parts of the fleet's arrivals and refusals, and shares
-	// its shares of free room by hall; elsewhere is that in halls without demand.
+	// part and refusedPart are this gateway's parts of the fleet's arrivals and refusals; refusedPart
+	// is NaN while nobody refuses. shares are its shares of free room by hall, and elsewhere is that in
+	// halls without demand. All stay as they are while alone is set.
 	part, refusedPart float64
 	shares            map[string]float64
 	elsewhere         float64
-	// halls is the division of the demand among halls, and sequence directs single requests by it.
-	halls    division
+	// division is that of the demand among halls, and sequence directs single requests by it.
+	division division
 	sequence hallsplit.Sequence
 	// latest is this gateway's demand as of the last update, and reported as of the one before: the
 	// reports of the others are about as old.
@@ -113,7 +114,7 @@
 
 // direct returns the hall that is to serve the next request of a gateway of a hall.
 func (s *service) direct(hall string) string {
-	hall, s.sequence = s.sequence.Next(s.halls.split, hall)
+	hall, s.sequence = s.sequence.Next(s.division.split, hall)
 	return hall
 }
 
