--- a/decide/placement/evenroom.go
+++ b/decide/placement/evenroom.go
@@ -380,22 +380,29 @@
 // covered.
 func (cov *coverage) mostLayers(c Card) int {
 	p := cov.planner
-	if cov.evensRoom() {
+	if cov.evensRoom(minKeptCopies) {
 		p.Fill = max(p.Fill, evenRoomFill)
 	}
 	return p.targetLayers(cov.model, c)
 }
 
-// minEvenCopies is the number of copies of the model that a group has to be able to hold at the planned
-// fill for even room: with fewer, the loss of a card leaves so many layers without a holder that
-// recovery is worth more. A group of 1.4 copies served days with many losses worse.
-const minEvenCopies = 1.6
+const (
+	// minEvenCopies is the number of copies of the model that a group has to be able to hold at the
+	// planned fill for even room: with fewer, the loss of a card leaves so many layers without a holder
+	// that recovery is worth more. A group of 1.4 copies served days with many losses worse.
+	minEvenCopies = 1.6
+	// minKeptCopies is the number down to which a group that loses cards keeps its arrangement.
+	// Without the distance between the two, a loss in a group of 1.64 copies had 101 orders follow,
+	// which trimmed cards and moved them.
+	minKeptCopies = 1.25
+)
 
-// evensRoom reports whether the planner's EvenRoom applies to the group.
-func (cov *coverage) evensRoom() bool {
+// evensRoom reports whether the planner's EvenRoom applies to a group that can hold at least this many
+// copies of the model.
+func (cov *coverage) evensRoom(minCopies float64) bool {
 	layers := 0
 	for _, c := range cov.cards {
 		layers += cov.planner.targetLayers(cov.model, c)
 	}
-	return cov.planner.EvenRoom && float64(layers) >= minEvenCopies*float64(cov.model.Layers)
+	return cov.planner.EvenRoom && float64(layers) >= minCopies*float64(cov.model.Layers)
 }
