--- a/role/admission/request.go
+++ b/role/admission/request.go
@@ -18,9 +18,6 @@
 	// Retried is set for a retry, as reported by [Queue.Arrive]. Begun is set once an endpoint may
 	// have received the request.
 	Retried, Begun bool
-	// Reserved is set for a request that was admitted while others are shed, so that it need not give
-	// way to new requests if it is a retry: retries are admitted only to a bounded share of the room.
-	Reserved bool
 }
 
 // share returns the caller's timeout as a share of the route's, 1 if the caller has set none.
--- a/role/gateway/admission.go
+++ b/role/gateway/admission.go
@@ -16,7 +16,6 @@
 		Service: q.service.Name, Team: q.team, Priority: maxPriority - q.priority,
 		RouteTimeout: q.route.Timeout, CallerTimeout: q.CallerTimeout, Objective: overdue.Of(q.route).Objective,
 		Start: q.start, Deadline: q.deadline, Retried: q.returned, Begun: q.everReached.Load(),
-		Reserved: q.decision.Reserved,
 	}
 }
 
--- a/role/overload/control.go
+++ b/role/overload/control.go
@@ -86,7 +86,7 @@
 	// Split switches the division of the demand among halls on.
 	Split bool
 	// Halls returns the halls that have endpoints of a service, with their capacities and without
-	// their demands. It may be nil without Split.
+	// their demands. Their sum bounds the estimated capacity from below. It may be nil without Split.
 	Halls func(service string) []hallsplit.Hall
 	Meter Meter
 	Log   zerolog.Logger
@@ -135,8 +135,6 @@
 type Decision struct {
 	// Admit is set if the request may wait for room.
 	Admit bool
-	// Reserved is set if the request is admitted while others are shed: it need not give way.
-	Reserved bool
 	// Share is the share of such requests that is admitted, 1 for all.
 	Share float64
 	// Hall is where an admitted request is to be served if there is room.
@@ -234,6 +232,9 @@
 		s.bound += h.Capacity
 	}
 	alone := heard < 2 && size > 1
+	if alone {
+		s.bound *= s.part
+	}
 	s.estimate.Span = span
 	switch {
 	case alone && !s.alone: // the others may still run, and use their parts of the capacity
--- a/role/overload/service.go
+++ b/role/overload/service.go
@@ -26,7 +26,8 @@
 	// offered holds the rates of arrivals by class.
 	offered  map[demand.Class]*classRates
 	estimate capacity.Estimate
-	// bound is the rate that the memory and slots of the endpoints allow, 0 if unknown.
+	// bound is the rate that the memory and slots of the endpoints allow this gateway and those that it
+	// hears, 0 if unknown.
 	bound   float64
 	level   shedding.Level
 	thinner thinning.Thinner
@@ -111,7 +112,7 @@
 	if !s.thinner.Keep(key, share) {
 		return Decision{Share: share}
 	}
-	return Decision{Admit: true, Reserved: true, Share: share, Hall: s.direct(hall)}
+	return Decision{Admit: true, Share: share, Hall: s.direct(hall)}
 }
 
 // direct returns the hall that is to serve the next request of a gateway of a hall.
