Compare an answer that was cut off before its first token

The entry was killed before one of the answers had a token; the check then compared an empty slice with a nil one. It compares the tokens as before, none included.

--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -72,7 +72,7 @@
 			require.Equal(t, want, a.tokens)
 		}
 		require.LessOrEqual(t, len(a.tokens), len(want))
-		require.Equal(t, want[:len(a.tokens)], a.tokens)
+		require.Equal(t, want[:len(a.tokens)], append([]uint32{}, a.tokens...)) // none are a nil slice
 	}
 	run(requests, tokens, w.entries[1]).whole(t)
 	w.checkOnce(t)
