--- a/role/gateway/loss_test.go
+++ b/role/gateway/loss_test.go
@@ -213,6 +213,20 @@
 // after a few of them. Without this all requests went to it, and their retries used up the retry budget.
 func TestFirstEndpointThatDropsRequestsIsAvoided(t *testing.T) {
 	t.Parallel()
+	requireFirstEndpointIsAvoided(t, site.Drop)
+}
+
+// A first endpoint that passes its checks, but answers each stream with an error at once, is avoided after a
+// few of them. Without this it seemed idle and got all requests of its hall: their retries used up the retry
+// budget, and then they failed.
+func TestFirstEndpointThatAnswersErrorsIsAvoided(t *testing.T) {
+	t.Parallel()
+	requireFirstEndpointIsAvoided(t, site.Fail)
+}
+
+// requireFirstEndpointIsAvoided checks that streams avoid the first endpoint of a hall that handles them in a
+// mode, and that all are served.
+func requireFirstEndpointIsAvoided(t *testing.T, mode site.Mode) {
 	cards := []*site.Endpoint{
 		card("north-0", "north"), card("north-1", "north"), card("south-0", "south"), card("south-1", "south"),
 	}
@@ -226,7 +240,7 @@
 		}
 	}
 	require.NotNil(t, first)
-	first.SetMode(site.Drop)
+	first.SetMode(mode)
 	const requests = 40
 	for range requests {
 		require.Equal(t, fullBody(3), w.do(w.streamRequest("/plan/1", 3)).body)
