--- a/decide/placement/evenroom_test.go
+++ b/decide/placement/evenroom_test.go
@@ -170,8 +170,8 @@
 
 // The layer with the least room limits how many requests a hall holds. In the halls of two
 // deployments, under a load beyond capacity, that layer was 0.90 to 0.96 full while all layers
-// together were 0.78 and 0.57 full. Even room gives it at least half as much again (measured: 1.6
-// to 1.95 times), with as many orders, and none after them.
+// together were 0.78 and 0.57 full. Even room gives it at least half as much again, with as
+// many orders, and none after them.
 func TestEvenRoomRaisesTheLeastRoom(t *testing.T) {
 	for _, counts := range largeHalls {
 		t.Run(fmt.Sprint(counts), func(t *testing.T) {
@@ -215,7 +215,7 @@
 }
 
 // Guards against a search that suits only the halls above: in no drawn hall is anything worse, and
-// the least room is a quarter larger on average (measured: 1.29).
+// the least room is a quarter larger on average.
 func TestEvenRoomInDrawnHalls(t *testing.T) {
 	const halls = 10
 	random := rand.New(rand.NewPCG(5, 6))
@@ -238,8 +238,8 @@
 // Even room must not be paid for after a failure under load, when all cards are in use: whichever
 // card is lost, one plan covers its layers, and when a card comes back empty it takes layers
 // without an order to any other card. The losses of all cards of a hall, one at a time, take at
-// most two orders more than in the default way (measured: 0, 0, 0, 0, 1, 2) and leave 0.95 of its
-// room (measured: 0.98 to 1.33); other ranges are uncovered, and the cards beside them differ.
+// most two orders more than in the default way and leave 0.95 of its room; other ranges are
+// uncovered, and the cards beside them differ.
 func TestEvenRoomAfterTheLossOfACard(t *testing.T) {
 	for _, counts := range largeHalls {
 		t.Run(fmt.Sprint(counts), func(t *testing.T) {
