--- a/decide/capacity/capacity.go
+++ b/decide/capacity/capacity.go
@@ -152,8 +152,8 @@
 	return e
 }
 
-// WithPart returns the estimate for a part of the fleet. A gateway that has heard no other one for
-// 2 s goes on with its part of the demand and its own reports.
+// WithPart returns the estimate for a part of the fleet. A gateway that hears no other one goes on
+// with its part of the demand and its own reports.
 func (e Estimate) WithPart(part float64) Estimate {
 	e.base *= part
 	e.value *= part
--- a/decide/shedding/replay_test.go
+++ b/decide/shedding/replay_test.go
@@ -127,7 +127,7 @@
 
 // Guards against a flood of one team at the cost of others: 24 teams at 0.8 of the capacity, one of which
 // asks for ten times its usual demand. (At 0.9 the returning callers and the least share of the flood
-// leave at most 0.96 of their demand to the others; 0.93 was measured.) The others lose at most 1 in 20; the flood gets at
+// leave at most 0.96 of their demand to the others.) The others lose at most 1 in 20; the flood gets at
 // least a quarter of the share of all requests.
 func TestFloodOfOneTeam(t *testing.T) {
 	t.Parallel()
