--- a/role/gateway/isolation.go
+++ b/role/gateway/isolation.go
@@ -33,6 +33,11 @@
 	if len(list) == 0 {
 		return isolation.Plan{}
 	}
+	return isolation.New(list, g.expendable(service, now))
+}
+
+// expendable returns the IDs of the endpoints of a service that can be spared for suspects at now, sorted.
+func (g *Gateway) expendable(service string, now time.Time) []string {
 	var endpoints []string
 	var holders []isolation.Holder
 	for _, b := range g.fleet.Load().open[service] {
@@ -45,7 +50,7 @@
 		}
 	}
 	endpoints = append(endpoints, isolation.Expendable(holders)...)
-	return isolation.New(list, slices.Sorted(slices.Values(endpoints)))
+	return slices.Sorted(slices.Values(endpoints))
 }
 
 // awaitIsolation waits until a request may be sent on, within its deadline; a request that is no
@@ -71,6 +76,11 @@
 		if now.After(until) || q.r.Context().Err() != nil {
 			return shortageQuarantine
 		}
+		if !q.isolationWaited {
+			g.Log.Info().Str("request", q.ID).Stringer("print", q.print).Int("ends", g.quarantine.Ends(q.print, now)).
+				Int("suspects", len(g.quarantine.Suspects(now))).Int("endpoints", len(g.expendable(q.service.Name, now))).
+				Msg("request under which endpoints have ended waits for an isolated attempt")
+		}
 		q.isolationWaited = true
 		pause.For(q.r.Context(), isolationWait)
 	}
--- a/role/quarantine/quarantine.go
+++ b/role/quarantine/quarantine.go
@@ -140,6 +140,11 @@
 	q.notifyKeepers(incarnation, begun)
 }
 
+// Ends returns the number of endpoints known to have ended under a request.
+func (q *Quarantine) Ends(f fingerprint.Fingerprint, now time.Time) int {
+	return q.known.Ends(f, now)
+}
+
 // MustIsolate reports whether a request must be isolated from all other suspects.
 func (q *Quarantine) MustIsolate(f fingerprint.Fingerprint, now time.Time) bool {
 	return q.known.Ends(f, now) >= isolateFrom
@@ -233,11 +238,17 @@
 func (q *Quarantine) record(f fingerprint.Fingerprint, e suspects.End, now time.Time) {
 	ends := q.known.Note(f, e, now)
 	if len(ends) == reportFrom {
+		q.logSuspect(f, len(ends), q.Self)
 		q.SendSoon() // the request is isolated once all gateways know
 	}
 	q.evaluate(f, ends, now)
 }
 
+// logSuspect logs that this gateway isolates a request from now on, and the gateway that counted its ends.
+func (q *Quarantine) logSuspect(f fingerprint.Fingerprint, ends int, from string) {
+	q.Log.Info().Stringer("print", f).Int("ends", ends).Str("by", from).Msg("request is isolated: endpoints have ended under it")
+}
+
 // enough reports whether ends show that the request causes them.
 func enough(ends []suspects.End) bool {
 	isolated := slices.ContainsFunc(ends, func(e suspects.End) bool { return e.Tried })
@@ -305,6 +316,9 @@
 	for _, s := range list {
 		f := fingerprint.Fingerprint(s.GetPrint())
 		if s.GetEnds() > 0 {
+			if known := q.known.Ends(f, now); known < isolateFrom && int(s.GetEnds()) >= isolateFrom {
+				q.logSuspect(f, int(s.GetEnds()), from)
+			}
 			q.known.AddReport(f, int(s.GetEnds()), s.GetRecent(), now, now.Add(reportLifetime))
 		}
 		left := min(time.Duration(s.GetLeftMillis())*time.Millisecond, quarantineTime)
