--- a/role/gateway/quarantine_test.go
+++ b/role/gateway/quarantine_test.go
@@ -7,9 +7,11 @@
 	"regexp"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/grademill/grademill/standin/site"
@@ -224,6 +226,52 @@
 	require.Len(t, f.site.Crashed(), ended)
 }
 
+// Copies of a request under which two endpoints have ended are tried one at a time in the whole fleet, whichever
+// gateways they arrive at. Without this, ten gateways sent their copies to the endpoint assigned to the request
+// within 0.1 s, and eight of them to the next one when it ended; gateways of other halls sent theirs seconds later,
+// since they did not know of the ends.
+func TestOneCopyOfASuspectIsTriedAtATime(t *testing.T) {
+	for _, gateways := range []int{1, 4, 15} {
+		t.Run(fmt.Sprint(gateways, " gateways"), func(t *testing.T) {
+			var halls []string
+			var cards []*site.Endpoint
+			for i := range gateways {
+				halls = append(halls, []string{"north", "south", "west"}[i%3])
+			}
+			for i := range 12 {
+				cards = append(cards, card(fmt.Sprint("endpoint-", i), []string{"north", "south", "west"}[i%3]))
+			}
+			f := newFleetInHalls(t, halls, cards...)
+			f.path, f.deadlineMillis = "/plan/9", 4000
+			f.eventually(func() bool { return covered(cards, 3) })
+			f.waitForLayers(cards...)
+			var running, atOnce atomic.Int64
+			f.site.BeforeCrash = func(*site.Endpoint) {
+				if running.Add(1) > 1 {
+					atOnce.Add(1)
+				}
+				time.Sleep(50 * time.Millisecond) // as long as it takes to end an endpoint
+				running.Add(-1)
+			}
+			f.site.CrashOn(poison)
+			var copies sync.WaitGroup
+			r := f.newRequest(0, poison)
+			copies.Go(func() { f.do(r) })
+			f.eventually(func() bool { return len(f.site.Crashed()) >= 2 })
+			time.Sleep(arrivalInterval) // the gateways learn of the second end
+			for i := range 3 * gateways {
+				r := f.newRequest(i, poison)
+				copies.Go(func() { assert.Equal(t, http.StatusServiceUnavailable, f.do(r).StatusCode) })
+			}
+			copies.Wait()
+			require.Zero(t, atOnce.Load(), "runs at the same time as another")
+			require.LessOrEqual(t, len(f.site.Crashed()), 6, "three sends after the third end")
+			require.Equal(t, http.StatusServiceUnavailable, f.send(0, poison).StatusCode)
+			requireLayersInOrder(t, f.fixture)
+		})
+	}
+}
+
 // A request that may run only once is sent to one endpoint, even if that ends under it.
 func TestRequestThatMayRunOnceEndsOneEndpoint(t *testing.T) {
 	t.Parallel()
