--- a/role/gossip/gossip.go
+++ b/role/gossip/gossip.go
@@ -305,11 +305,11 @@
 		switch {
 		case p.GetLoss() != nil:
 			s.Local.HandleLoss(p.GetLoss(), time.Now())
-		case p.GetEnds() != nil:
-			s.Local.HandleEnds(p.GetEnds(), time.Now())
 		case p.GetSuspects() != nil:
 			s.Local.HandleSuspects(p.GetSuspects(), time.Now())
-		default:
+		case p.GetEnds() != nil:
+			s.Local.HandleEnds(p.GetEnds(), time.Now())
+		case p.GetDigest() != nil:
 			s.handleDigest(p.GetDigest(), from.String(), time.Now())
 		}
 	}
--- a/role/quarantine/attempt.go
+++ b/role/quarantine/attempt.go
@@ -57,6 +57,11 @@
 	finished atomic.Bool
 }
 
+// timeLeft returns how much longer the attempt may run without a known outcome.
+func (a *attempt) timeLeft() time.Duration {
+	return maxAttempt - crashTime - time.Since(a.claimed)
+}
+
 // awaitAnswers waits until the keepers of a request have answered an end that this gateway has just reported.
 func (q *Quarantine) awaitAnswers(ctx context.Context, f fingerprint.Fingerprint) {
 	for ctx.Err() == nil {
@@ -86,6 +91,10 @@
 	a := &attempt{q: q, print: c.Print, incarnation: at, claimed: time.Now(), slowest: q.known.Get(c.Print, time.Now()).Slowest()}
 	t, err := q.writeTrial(ctx, c.Print, s.Trial.WithAttempt(q.Self, at.Endpoint, at.Born))
 	if err != nil {
+		if kv.IsNotFound(err) { // the lease of the record has expired
+			q.trials.Remove(c.Print, s.Trial.Revision)
+			err = errTaken
+		}
 		q.release(c.Print)
 		q.Log.Info().Str("request", c.Request).Stringer("print", c.Print).Err(err).Msg("attempt is not claimed")
 		return nil, err
@@ -156,7 +165,7 @@
 // tellAll tells all gateways of a request at once.
 func (q *Quarantine) tellAll(f fingerprint.Fingerprint) {
 	s := q.describe(q.known.Get(f, time.Now()))
-	q.sendTwice(&wire.Packet{Suspects: &wire.Suspects{Gateway: q.Self, Suspects: []*wire.Suspect{s}}}, q.Others()...)
+	q.sendTwice(q.packet(&wire.Suspects{Gateway: q.Self, Suspects: []*wire.Suspect{s}}), q.Others()...)
 }
 
 // passed records that the request has run without crashing its endpoint.
--- a/role/quarantine/guard.go
+++ b/role/quarantine/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/grademill/grademill/adapter/pause"
 	"github.com/grademill/grademill/decide/fingerprint"
 	"github.com/grademill/grademill/decide/trial"
+	"github.com/grademill/grademill/port/kv"
 	"github.com/grademill/grademill/state/suspects"
 )
 
@@ -74,8 +76,12 @@
 			notBefore = now.Add(rand.N(claimSpread))
 		case !now.Before(notBefore):
 			a, err := q.claim(ctx, c, s, spare)
-			if err == nil {
+			var conflict *kv.ConflictError
+			switch {
+			case err == nil:
 				return a, nil
+			case !errors.As(err, &conflict) && !errors.Is(err, errTaken) && !errors.Is(err, errPointless):
+				return nil, &RefusedError{Reason: "the store does not answer", RetryAfter: refusedWait}
 			}
 			notBefore = time.Now().Add(conflictWait)
 			q.awaitChange(ctx, checkInterval)
@@ -104,9 +110,13 @@
 	return ""
 }
 
-// Suspected reports whether the request may be sent only as an isolated attempt, which is not claimed.
+// Suspected reports whether the request may be sent only as an isolated attempt, which is not claimed or was claimed too
+// long ago: another gateway may try it soon.
 func (c *Guard) Suspected() bool {
-	return c.current() == nil && c.Quarantine.Suspected(c.Print, time.Now())
+	if a := c.current(); a != nil {
+		return a.timeLeft() <= 0
+	}
+	return c.Quarantine.Suspected(c.Print, time.Now())
 }
 
 // MayUse reports whether the request may use an endpoint, given those that are reserved: no other request uses the endpoint
@@ -123,7 +133,7 @@
 	if a == nil {
 		return func() {}
 	}
-	timer := time.AfterFunc(maxAttempt-crashTime-time.Since(a.claimed), func() {
+	timer := time.AfterFunc(a.timeLeft(), func() {
 		if !a.finished.Load() {
 			f()
 		}
--- a/role/quarantine/quarantine.go
+++ b/role/quarantine/quarantine.go
@@ -249,10 +249,16 @@
 	}
 	others := q.Others()
 	if i := slices.IndexFunc(others, func(m overlay.Member) bool { return m.Name == e.GetGateway() }); i >= 0 {
-		q.Send(&wire.Packet{Suspects: answer}, others[i])
+		q.Send(q.packet(answer), others[i])
 	}
 }
 
+// packet returns the datagram with a message. It also holds ends of no requests, since former builds take a datagram of
+// whose fields they know none for an empty digest.
+func (q *Quarantine) packet(s *wire.Suspects) *wire.Packet {
+	return &wire.Packet{Ends: &wire.Ends{Gateway: q.Self}, Suspects: s}
+}
+
 // ageAt returns the i-th of some ages, 0 where the sender is a former build that tells none.
 func ageAt(millis []uint32, i int) time.Duration {
 	if i >= len(millis) {
@@ -326,7 +332,7 @@
 			list = append(list, q.describe(q.known.Get(f, now)))
 		}
 		for part := range slices.Chunk(list, maxReported) {
-			q.sendTwice(&wire.Packet{Suspects: &wire.Suspects{Gateway: q.Self, Suspects: part}}, others...)
+			q.sendTwice(q.packet(&wire.Suspects{Gateway: q.Self, Suspects: part}), others...)
 		}
 		pause.For(ctx, announceInterval*time.Duration(max(len(others), announceFleet))/announceFleet)
 	}
@@ -405,8 +411,10 @@
 		if before < trial.SuspectFrom && after >= trial.SuspectFrom {
 			q.logSuspect(f, after, from)
 		}
-		if _, keeps := q.keeperRank(f); after > before && keeps {
-			q.known.Keep(f)
+		if after > before {
+			if _, keeps := q.keeperRank(f); keeps {
+				q.known.Keep(f)
+			}
 		}
 		changed = changed || after < before
 	}
--- a/role/quarantine/quarantine_test.go
+++ b/role/quarantine/quarantine_test.go
@@ -164,10 +164,10 @@
 			for _, o := range n.f.others(n) {
 				switch {
 				case o.Self != m.Name:
-				case p.GetEnds() != nil:
-					o.HearEnds(p.GetEnds(), time.Now())
-				default:
+				case p.GetSuspects() != nil:
 					o.HearSuspects(p.GetSuspects(), time.Now())
+				default:
+					o.HearEnds(p.GetEnds(), time.Now())
 				}
 			}
 		})
