Isolated attempts have room where they are reserved

Callers saw: with gateways killed and datagrams lost, three isolated attempts in a row of a new request were given up within a millisecond of the reservation ("no chain has room"), so that the verdict came 0.6 s later.

Cause: a new request is held to its gateway's share of the free room, of which the reserved endpoint may have none left, and endpoints for suspects were chosen one by one, although several that are reserved at a time may hold all copies of a layer.

Now the shares do not bind an isolated attempt, and an endpoint is reserved only if it can be spared beside those that are.

--- a/decide/trial/situation.go
+++ b/decide/trial/situation.go
@@ -37,7 +37,7 @@
 	// Rank is the number of suspects that are more likely to crash endpoints.
 	Rank int
 	// Reserved is the number of endpoints reserved for suspects, and Endpoints that of all on which they may be
-	// tried.
+	// tried, with those.
 	Reserved, Endpoints int
 	// StoreAnswers is set while the store answers, without which no attempt can be claimed.
 	StoreAnswers bool
@@ -59,10 +59,10 @@
 		return Refuse, "it has been tried often enough"
 	case !s.StoreAnswers:
 		return Refuse, "the store does not answer"
-	case s.Endpoints == 0 && s.Begun:
-		return Wait, "no endpoint can be spared"
-	case s.Endpoints == 0:
+	case s.Endpoints == 0 && !s.Begun:
 		return Refuse, "no endpoint can be spared"
+	case s.Endpoints == 0:
+		return Wait, "no endpoint can be spared"
 	case s.Reserved >= s.maxReserved():
 		return Wait, "other suspects are tried"
 	case s.Waited < s.delay():
--- a/role/gateway/isolation.go
+++ b/role/gateway/isolation.go
@@ -11,14 +11,15 @@
 	"github.com/grademill/grademill/state/suspects"
 )
 
-// spare returns the endpoints on which a suspect may be tried at now: those that can be spared.
+// spare returns the endpoints on which a suspect may be tried at now: those that can be spared beside the reserved ones.
 func (g *Gateway) spare(q *query, now time.Time) []suspects.Incarnation {
-	f := g.fleet.Load()
+	f, reserved := g.fleet.Load(), g.quarantine.Reserved(now)
 	var list []suspects.Incarnation
 	var holders []isolation.Holder
 	for _, b := range f.open[q.service.Name] {
+		_, taken := reserved[b.ID]
 		switch {
-		case b.use.avoided(now):
+		case taken || b.use.avoided(now):
 		case b.Card == "":
 			list = append(list, b.incarnation())
 		default:
--- a/role/gateway/reservation.go
+++ b/role/gateway/reservation.go
@@ -165,7 +165,7 @@
 	need := q.tokens()
 	c.prepare(q.service.Model, f, cmp.Or(q.decision.Hall, g.Hall), g.peerFlow(q.service.Name))
 	c.fleetFactor = q.requestFactor()
-	c.withinShares = g.Overload.RoomShares && !q.everReached.Load() // a request that was sent is not held up
+	c.withinShares = g.Overload.RoomShares && !q.everReached.Load() && q.guard.Endpoint() == "" // a request that was sent is not held up
 	c.reserved = g.quarantine.Reserved(time.Now())
 	found, ok := g.findAdmitted(c, q, f, need, skipAvoidedAndFull)
 	if !ok && q.guard.Endpoint() == "" && c.reserved != nil { // an endpoint at which a suspect is tried is better than none
--- a/role/quarantine/attempt.go
+++ b/role/quarantine/attempt.go
@@ -84,7 +84,7 @@
 
 // claim claims an endpoint for an attempt of a copy, and waits until it is isolated.
 func (q *Quarantine) claim(ctx context.Context, c *Guard, s trial.Situation, spare []suspects.Incarnation) (*attempt, error) {
-	at, ok := choose(c.Print, spare, q.Reserved(time.Now()))
+	at, ok := choose(c.Print, spare)
 	if !ok || !q.hold(c.Print) {
 		return nil, errTaken
 	}
@@ -120,16 +120,14 @@
 	return a, nil
 }
 
-// choose returns the endpoint for a suspect among those that are not reserved.
-func choose(f fingerprint.Fingerprint, spare []suspects.Incarnation, reserved map[string]fingerprint.Fingerprint) (suspects.Incarnation, bool) {
-	var free []string
+// choose returns the endpoint for a suspect among those on which it may be tried.
+func choose(f fingerprint.Fingerprint, spare []suspects.Incarnation) (suspects.Incarnation, bool) {
+	var ids []string
 	byID := make(map[string]suspects.Incarnation, len(spare))
 	for _, l := range spare {
-		if _, taken := reserved[l.Endpoint]; !taken {
-			free, byID[l.Endpoint] = append(free, l.Endpoint), l
-		}
+		ids, byID[l.Endpoint] = append(ids, l.Endpoint), l
 	}
-	top := rendezvous.Top(f.String(), free, 1)
+	top := rendezvous.Top(f.String(), ids, 1)
 	if len(top) == 0 {
 		return suspects.Incarnation{}, false
 	}
--- a/role/quarantine/guard.go
+++ b/role/quarantine/guard.go
@@ -21,7 +21,7 @@
 	// Request is the ID of the request, Print the fingerprint that it shares with other copies.
 	Request string
 	Print   fingerprint.Fingerprint
-	// Spare returns the endpoints on which a suspect may be tried.
+	// Spare returns the endpoints on which a suspect may be tried, without those that are reserved already.
 	Spare func() []suspects.Incarnation
 
 	mu sync.Mutex // guards attempt
@@ -55,10 +55,10 @@
 			return nil, nil
 		}
 		q.known.Arrived(c.Print, now)
-		spare := c.Spare()
+		spare, reserved := c.Spare(), len(q.Reserved(now))
 		s := trial.Situation{
-			Trial: q.trials.Get(c.Print), Ends: q.known.Ends(c.Print, now), Rank: q.known.Rank(c.Print, now), Reserved: len(q.Reserved(now)),
-			Endpoints: len(spare), StoreAnswers: q.StoreAnswers(), Begun: begun, Waited: now.Sub(since), MaxWait: maxWait,
+			Trial: q.trials.Get(c.Print), Ends: q.known.Ends(c.Print, now), Rank: q.known.Rank(c.Print, now), Reserved: reserved,
+			Endpoints: len(spare) + reserved, StoreAnswers: q.StoreAnswers(), Begun: begun, Waited: now.Sub(since), MaxWait: maxWait,
 		}
 		action, reason := s.Next(now)
 		if !logged || action == trial.Refuse {
--- a/role/quarantine/quarantine_test.go
+++ b/role/quarantine/quarantine_test.go
@@ -315,7 +315,10 @@
 
 // guard returns the guard of a copy of a request.
 func (n *node) guard(request fingerprint.Fingerprint) *quarantine.Guard {
-	return &quarantine.Guard{Quarantine: n.Quarantine, Print: request, Spare: n.f.spare}
+	return &quarantine.Guard{Quarantine: n.Quarantine, Print: request, Spare: func() []suspects.Incarnation {
+		reserved := n.Reserved(time.Now())
+		return slices.DeleteFunc(n.f.spare(), func(l suspects.Incarnation) bool { return reserved[l.Endpoint] != 0 })
+	}}
 }
 
 // runSchedule has a request arrive at gateways for a while, also at several at once, as gateways end and start again. It
