An isolated attempt needs no free room, and a shortage of room does not lead to a reserved endpoint

Cause: where no chain had room, requests were sent to the endpoint of an attempt after all, among them copies of the other suspect, so that its end proved nothing; and an attempt whose endpoint was full was given up.

Now a reserved endpoint is used only when no other chain holds all layers, and an attempt does not wait behind requests that its endpoint will not get.

--- a/role/gateway/reservation.go
+++ b/role/gateway/reservation.go
@@ -168,9 +168,8 @@
 	c.withinShares = g.Overload.RoomShares && !q.everReached.Load() && q.guard.Endpoint() == "" // a request that was sent is not held up
 	c.reserved = g.quarantine.Reserved(time.Now())
 	found, ok := g.findAdmitted(c, q, f, need, skipAvoidedAndFull)
-	if !ok && q.guard.Endpoint() == "" && c.reserved != nil { // an endpoint at which a suspect is tried is better than none
-		c.reserved = nil
-		found, ok = g.findAdmitted(c, q, f, need, skipAvoidedAndFull)
+	if !ok && q.guard.Endpoint() != "" { // nothing else is sent there meanwhile, and the endpoint itself may refuse it
+		found, ok = g.findAdmitted(c, q, f, need, skipAvoided)
 	}
 	if !ok {
 		q.lastSearch.Store(&candidateCounts{need: need, open: c.open, avoided: c.avoided, crowded: c.crowded})
@@ -179,6 +178,7 @@
 		if _, exists := c.finder.Find(c.holders); exists {
 			return nil, short
 		}
+		c.reserved = nil // an endpoint at which a suspect is tried is better than none
 		// Endpoints that seem to be down may be unreachable for this gateway alone, or this process
 		// may be too slow to receive their answers.
 		if found, ok = g.findAdmitted(c, q, f, need, skipFull); !ok {
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -25,8 +25,6 @@
 	writeWait = 10 * time.Second
 	// pollBudget is the interval at which a stream polls the retry budget.
 	pollBudget = 15 * time.Millisecond
-	// maxIsolatedWait is how long a suspect for which an endpoint is reserved waits for room there.
-	maxIsolatedWait = time.Second
 	// noRoomWait is how long an endpoint that refused for lack of room is avoided.
 	noRoomWait = 200 * time.Millisecond
 )
@@ -160,15 +158,15 @@
 	}
 }
 
-// queued waits in the queue for a reservation.
+// queued makes a reservation, for which a request that is no suspect waits in the queue.
 func (s *relay) queued() (*reservation, shortage) {
-	terms := s.terms(time.Now())
-	if s.q.guard.Endpoint() != "" { // its endpoint is reserved meanwhile
-		if until := time.Now().Add(maxIsolatedWait); until.Before(terms.Until) {
-			terms.Until = until
-		}
+	var taken *reservation
+	var short shortage
+	if s.q.guard.Endpoint() != "" { // it has an endpoint of its own
+		taken, short = s.g.reserve(s.q)
+	} else {
+		taken, short = s.g.reserveQueued(s.q, s.terms(time.Now()))
 	}
-	taken, short := s.g.reserveQueued(s.q, terms)
 	if short == shortageNone && s.q.gone() {
 		taken.cancel()
 		return nil, shortageCaller
