Quarantine: an outcome that the store does not take leaves its attempt to time out; a suspect is cleared after 0.25 s at least

If the store took no outcome for ten seconds, the attempt was taken for removed, and its request could not be claimed again at any gateway that believed so, for as long as the record's lease. Now it counts as in progress until its time is over. A request that crashes endpoints within milliseconds is not cleared by an event that comes within milliseconds either. The wait for an attempt is split into parts.

--- a/decide/trial/trial.go
+++ b/decide/trial/trial.go
@@ -22,8 +22,9 @@
 	// ends meanwhile, the request may be the cause.
 	StartWindow = time.Second
 	// provenFactor is how many times as long as any endpoint that has ended under a suspect another one must have
-	// run it to show that it is harmless.
+	// run it to show that it is harmless, and minProven is the shortest such time.
 	provenFactor = 2
+	minProven    = 250 * time.Millisecond
 )
 
 // Trial is the state of the isolated attempts of a suspect. The zero Trial has had none.
@@ -89,7 +90,7 @@
 // ran, and events have come for answering. slowest is the longest time for which an endpoint that has ended had
 // it, 0 if that is not known.
 func Harmless(ran, answering, slowest time.Duration) bool {
-	return answering >= StartWindow || slowest > 0 && ran >= provenFactor*slowest
+	return answering >= StartWindow || slowest > 0 && ran >= max(provenFactor*slowest, minProven)
 }
 
 // Evidence is what is known of a suspect after an isolated attempt.
--- a/decide/trial/trial_test.go
+++ b/decide/trial/trial_test.go
@@ -73,6 +73,7 @@
 	const ms = time.Millisecond
 	require.False(t, trial.Harmless(300*ms, 0, 200*ms))
 	require.True(t, trial.Harmless(400*ms, 0, 200*ms))
+	require.False(t, trial.Harmless(200*ms, 0, 10*ms))
 	require.False(t, trial.Harmless(1500*ms, 900*ms, 800*ms))
 	require.True(t, trial.Harmless(1500*ms, 1000*ms, 800*ms))
 	require.False(t, trial.Harmless(1500*ms, 900*ms, 0))
--- a/role/quarantine/attempt.go
+++ b/role/quarantine/attempt.go
@@ -82,6 +82,13 @@
 	errPointless = errors.New("the attempt has become needless, or its endpoint has ended")
 )
 
+// isLost reports whether a claim failed although the store answers: another gateway was faster, or it is not needed any
+// more.
+func isLost(err error) bool {
+	var conflict *kv.ConflictError
+	return errors.As(err, &conflict) || errors.Is(err, errTaken) || errors.Is(err, errPointless)
+}
+
 // claim claims an endpoint for an attempt of a copy, and waits until it is isolated.
 func (q *Quarantine) claim(ctx context.Context, c *Guard, s trial.Situation, spare []suspects.Incarnation) (*attempt, error) {
 	at, ok := choose(c.Print, spare)
@@ -244,23 +251,24 @@
 	q.queueWrite(f)
 }
 
-// record writes the state after the attempt to the store, or removes its record there, and tells all gateways.
+// record writes the state after the attempt to the store, or removes its record there, and tells all gateways. If the
+// store does not answer, the attempt counts as in progress until trial.Timeout.
 func (a *attempt) record(next trial.Trial, remove bool) {
 	q, f := a.q, a.print
-	for failures := 1; time.Since(a.claimed) < trial.Timeout; failures++ {
+	for failures := 1; ; failures++ {
 		var err error
 		if remove {
-			ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
-			err = q.Store.Revoke(ctx, a.trial.Lease)
-			cancel()
+			err = q.removeTrial(a.trial.Lease)
 		} else {
 			next, err = q.writeTrial(context.Background(), f, next)
 		}
-		var conflict *kv.ConflictError
-		if err == nil || kv.IsNotFound(err) || errors.As(err, &conflict) {
+		if err == nil || kv.IsNotFound(err) || isLost(err) {
 			break
 		}
 		q.Log.Warn().Err(err).Stringer("print", f).Msg("the store did not accept the outcome of an isolated attempt")
+		if time.Since(a.claimed) > trial.Timeout {
+			return
+		}
 		pause.For(context.Background(), outcomeRetry.Delay(failures, 0))
 	}
 	if remove {
--- a/role/quarantine/guard.go
+++ b/role/quarantine/guard.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/grademill/grademill/adapter/pause"
 	"github.com/grademill/grademill/decide/fingerprint"
 	"github.com/grademill/grademill/decide/trial"
-	"github.com/grademill/grademill/port/kv"
 	"github.com/grademill/grademill/state/suspects"
 )
 
@@ -45,7 +42,7 @@
 	q := c.Quarantine
 	q.awaitAnswers(ctx, c.Print)
 	since, logged := time.Now(), false
-	var notBefore time.Time
+	var notBefore time.Time // of a claim
 	for {
 		now := time.Now()
 		if left := q.Remaining(c.Print, now); left > 0 {
@@ -63,10 +60,9 @@
 		action, reason := s.Next(now)
 		if !logged || action == trial.Refuse {
 			logged = true
-			q.Log.Info().Str("request", c.Request).Stringer("print", c.Print).Int("ends", s.Ends).Int("rank", s.Rank).Int("sends", s.Trial.Sends).
-				Int("reserved", s.Reserved).Int("endpoints", s.Endpoints).Str("by", s.Trial.Holder).Dur("waited_ms", s.Waited).Str("reason", reason).
-				Msg("request under which endpoints have ended waits for an isolated attempt")
+			c.logWait(s, reason)
 		}
+		wait := checkInterval
 		switch {
 		case ctx.Err() != nil:
 			return nil, &RefusedError{Reason: "the caller has left"}
@@ -74,27 +70,29 @@
 			return nil, &RefusedError{Reason: reason, RetryAfter: refusedWait}
 		case action == trial.Wait:
 			notBefore = now.Add(rand.N(claimSpread))
-		case !now.Before(notBefore):
+		case now.Before(notBefore):
+			wait = notBefore.Sub(now)
+		default:
 			a, err := q.claim(ctx, c, s, spare)
-			var conflict *kv.ConflictError
-			switch {
-			case err == nil:
+			if err == nil {
 				return a, nil
-			case !errors.As(err, &conflict) && !errors.Is(err, errTaken) && !errors.Is(err, errPointless):
+			}
+			if !isLost(err) {
 				return nil, &RefusedError{Reason: "the store does not answer", RetryAfter: refusedWait}
 			}
 			notBefore = time.Now().Add(conflictWait)
-			q.awaitChange(ctx, checkInterval)
-			continue
-		}
-		if action == trial.Claim {
-			pause.For(ctx, notBefore.Sub(now))
-			continue
 		}
-		q.awaitChange(ctx, checkInterval)
+		q.awaitChange(ctx, wait)
 	}
 }
 
+// logWait logs why the request waits for an isolated attempt, or is refused.
+func (c *Guard) logWait(s trial.Situation, reason string) {
+	c.Quarantine.Log.Info().Str("request", c.Request).Stringer("print", c.Print).Int("ends", s.Ends).Int("rank", s.Rank).
+		Int("sends", s.Trial.Sends).Int("reserved", s.Reserved).Int("endpoints", s.Endpoints).Str("by", s.Trial.Holder).
+		Dur("waited_ms", s.Waited).Str("reason", reason).Msg("request under which endpoints have ended waits for an isolated attempt")
+}
+
 // current returns the isolated attempt, nil if there is none.
 func (c *Guard) current() *attempt {
 	c.mu.Lock()
--- a/role/quarantine/store.go
+++ b/role/quarantine/store.go
@@ -221,6 +221,13 @@
 	return t, nil
 }
 
+// removeTrial removes the record of a trial with its lease.
+func (q *Quarantine) removeTrial(lease string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	return q.Store.Revoke(ctx, lease)
+}
+
 // isStored reports whether the store holds a request.
 func (q *Quarantine) isStored(f fingerprint.Fingerprint) bool {
 	q.mu.Lock()
