--- a/port/exchange/exchange.go
+++ b/port/exchange/exchange.go
@@ -27,6 +27,9 @@
 	Prompt, MaxAnswer, ExpectedAnswer int
 	// LastEvent is the ID of the last event that the caller has; empty for none.
 	LastEvent string
+	// SharedParts lists the IDs of the parts of the prompt that it may share with the prompts of
+	// other requests, in their order; nil if the caller does not send them.
+	SharedParts []string
 }
 
 // EndpointHeaders holds the contents of the headers that a gateway sends to an endpoint
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -254,7 +254,7 @@
 		Dur("first_ms", first).Dur("total_ms", now.Sub(q.start)).
 		Uint64("version", q.version).Dur("proof_age_ms", q.proofAge)
 	if q.print != 0 {
-		line = line.Stringer("print", q.print)
+		line = line.Stringer("print", q.print).Strs("parts", q.SharedParts)
 	}
 	if q.last != nil { // the record by which this gateway chose the endpoint
 		line = line.Str("endpoint", q.last.ID).Uint64("record_revision", q.last.Revision).
