--- a/role/gateway/fixture_test.go
+++ b/role/gateway/fixture_test.go
@@ -233,8 +233,14 @@
 // do sends a request and reads the answer.
 func (w *fixture) do(r *http.Request) reply {
 	w.t.Helper()
-	answer, err := http.DefaultClient.Do(r)
-	require.NoError(w.t, err)
+	return doWith(w.t, http.DefaultClient, r)
+}
+
+// doWith is do with a client of its own.
+func doWith(t *testing.T, client *http.Client, r *http.Request) reply {
+	t.Helper()
+	answer, err := client.Do(r)
+	require.NoError(t, err)
 	defer answer.Body.Close() //nolint:errcheck // read to its end
 	body, err := io.ReadAll(answer.Body)
 	return reply{answer, string(body), err != nil}
--- a/standin/site/endpoint.go
+++ b/standin/site/endpoint.go
@@ -201,7 +201,7 @@
 		return
 	}
 	e.recordRun(r)
-	e.Site.crashIfMarked(e, body)
+	e.Site.crashIfMarked(e, r, body)
 	e.answer(w, r, body, mode)
 }
 
--- a/standin/site/model.go
+++ b/standin/site/model.go
@@ -45,7 +45,7 @@
 		return
 	}
 	e.recordRun(r)
-	e.Site.crashIfMarked(e, body)
+	e.Site.crashIfMarked(e, r, body)
 	e.setBody(id, string(body))
 	e.setRunning(id, chain)
 	defer e.setRunning(id, nil)
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 )
 
@@ -16,11 +18,11 @@
 	StoreAddress string
 	// Layers is the number of layers of the model.
 	Layers int
-	// CrashSilently makes an endpoint that runs a request marked by CrashOn stop answering, like a host
+	// CrashSilently makes an endpoint that runs a request marked by CrashOn or CrashOnPart stop answering, like a host
 	// that loses power. Otherwise it refuses connections, like a host whose process has ended.
 	CrashSilently bool
 	// BeforeCrash, if set, is called before an endpoint ends because it runs a request marked by
-	// CrashOn.
+	// CrashOn or CrashOnPart.
 	BeforeCrash func(*Endpoint)
 
 	mu sync.Mutex // guards what follows
@@ -35,9 +37,10 @@
 	modes map[string][]Mode
 	// crashes holds the bodies marked by CrashOn: an endpoint that begins to run such a request ends.
 	// crashesMoved holds those marked by CrashOnMove: an endpoint to which such a request is moved ends.
-	// crashed lists the endpoints that have ended in either way.
-	crashes, crashesMoved map[string]bool
-	crashed               []*Endpoint
+	// crashingParts holds the parts of prompts marked by CrashOnPart. crashed lists the endpoints that have
+	// ended in any of these ways.
+	crashes, crashesMoved, crashingParts map[string]bool
+	crashed                              []*Endpoint
 }
 
 // New starts a site with a store and no endpoints.
@@ -105,6 +108,27 @@
 	s.crashes[body] = true
 }
 
+// CrashOnPart makes every request whose prompt has this part, other than as its last one, end the endpoint
+// that begins to run it, like CrashOn.
+func (s *Site) CrashOnPart(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.crashingParts == nil {
+		s.crashingParts = make(map[string]bool)
+	}
+	s.crashingParts[id] = true
+}
+
+// hasCrashingPart reports whether the header that names the parts of a prompt lists one marked by CrashOnPart
+// before the last; s.mu is held.
+func (s *Site) hasCrashingPart(header string) bool {
+	parts := strings.Split(header, ",")
+	return slices.ContainsFunc(parts[:len(parts)-1], func(part string) bool {
+		id, _, _ := strings.Cut(part, ":")
+		return s.crashingParts[id]
+	})
+}
+
 // CrashOnMove makes every request with this body end the endpoints to which it is moved.
 func (s *Site) CrashOnMove(body string) {
 	s.mu.Lock()
@@ -134,17 +158,18 @@
 	}
 }
 
-// Crashed returns the endpoints that have ended under requests marked by CrashOn or CrashOnMove.
+// Crashed returns the endpoints that have ended under requests marked by CrashOn, CrashOnPart or CrashOnMove.
 func (s *Site) Crashed() []*Endpoint {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return append([]*Endpoint(nil), s.crashed...)
 }
 
-// crashIfMarked ends an endpoint that begins to run a request, if CrashOn has marked the body.
-func (s *Site) crashIfMarked(e *Endpoint, body []byte) {
+// crashIfMarked ends an endpoint that begins to run a request, if CrashOn has marked the body or CrashOnPart a
+// part of the prompt.
+func (s *Site) crashIfMarked(e *Endpoint, r *http.Request, body []byte) {
 	s.mu.Lock()
-	crashes := s.crashes[string(body)]
+	crashes := s.crashes[string(body)] || s.hasCrashingPart(r.Header.Get("X-Prefix-Hash"))
 	if crashes {
 		s.crashed = append(s.crashed, e)
 	}
