--- a/decide/fingerprint/fingerprint.go
+++ b/decide/fingerprint/fingerprint.go
@@ -1,5 +1,5 @@
 // Package fingerprint identifies repeated requests by their content, since callers give each
-// attempt a new ID.
+// attempt a new ID, and the parts that prompts of different requests share.
 package fingerprint
 
 import (
@@ -8,8 +8,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Fingerprint is a hash that is equal for equal requests of the same team. Two different requests
-// share one by chance once in 2^64 pairs. The zero Fingerprint stands for no request.
+// Fingerprint is a hash that is equal for equal requests of the same team, or for the same part of prompts
+// for the same service. Two different requests or parts share one by chance once in 2^64 pairs. The zero
+// Fingerprint stands for none.
 type Fingerprint uint64
 
 // Request holds the parts of a request that determine its fingerprint.
@@ -32,6 +33,16 @@
 	return Fingerprint(d.Sum64())
 }
 
+// OfPart returns the fingerprint of the part with an ID of the prompts for a service, whichever team they are of.
+func OfPart(service, part string) Fingerprint {
+	d := xxhash.New()
+	for _, field := range []string{"part of a prompt", service, part} {
+		_, _ = d.WriteString(field) // never fails
+		_, _ = d.Write([]byte{0})   // separates fields
+	}
+	return Fingerprint(d.Sum64())
+}
+
 // String returns the fingerprint in hexadecimal, as in the logs.
 func (f Fingerprint) String() string {
 	return strconv.FormatUint(uint64(f), 16)
--- a/state/suspects/incarnation.go
+++ b/decide/suspicion/incarnation.go
@@ -1,4 +1,4 @@
-package suspects
+package suspicion
 
 import (
 	"strconv"
--- a/decide/trial/situation.go
+++ b/decide/trial/situation.go
@@ -4,7 +4,7 @@
 
 // Bounds of the wait for an isolated attempt.
 const (
-	// MaxWait is how long a copy of a suspect is held while the outcome of an attempt may clear it.
+	// MaxWait is how long a request with a suspect is held while the outcome of an attempt may clear it.
 	MaxWait = 1500 * time.Millisecond
 	// rankStep is the delay before a suspect is tried for each one that is more likely to crash endpoints: the
 	// verdict on that one, a few hundred milliseconds after its claim, clears those that ran beside it. After
@@ -29,12 +29,13 @@
 	Refuse
 )
 
-// Situation is what a gateway knows when it holds a copy of a suspect. It is immutable.
+// Situation is what a gateway knows when it holds a request with suspects. It is immutable.
 type Situation struct {
-	// Trial is that of the suspect, and Ends the number of endpoints known to have ended under it.
+	// Trial is that of the suspect that is farthest from an attempt: see [Trial.Blocking].
 	Trial Trial
-	Ends  int
-	// Rank is the number of suspects that are more likely to crash endpoints.
+	// Ends is the number of endpoints known to have ended under one of the suspects, Rank the number of other
+	// suspects that are more likely to crash endpoints, both of the most likely one.
+	Ends int
 	Rank int
 	// Reserved is the number of endpoints reserved for suspects, and Endpoints that of all on which they may be
 	// tried, with those.
--- a/role/gateway/check.go
+++ b/role/gateway/check.go
@@ -174,9 +174,7 @@
 // reference returns the address of an endpoint with which a silent one is compared: the one, other
 // than the given one, through which an event came last. It returns the empty string if that was
 // longer than referenceFresh ago. When the link of this host is congested no endpoint answers in
-// time: while large configurations arrived three times per second, 104 of 136 endpoints found
-// silent within ten seconds answered again within a second, and 620 streams had been moved
-// needlessly.
+// time.
 func (g *Gateway) reference(address string) string {
 	last, found := time.Now().Add(-referenceFresh).UnixNano(), ""
 	for _, b := range g.fleet.Load().byAddress {
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -10,8 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/grademill/grademill/decide/catalog"
-	"github.com/grademill/grademill/decide/fingerprint"
-	"github.com/grademill/grademill/state/suspects"
+	"github.com/grademill/grademill/decide/cause"
 )
 
 // Defaults for incoming requests.
@@ -22,8 +21,6 @@
 	// one where the gateway waits for the store.
 	retryAfterOverload = 250 * time.Millisecond
 	retryAfterStore    = 600 * time.Millisecond
-	// defaultPriority is not used: a request has the priority of its team, or else of its route.
-	defaultPriority = 5
 	// maxPriority is the least urgent priority of a request; 0 is the most urgent one.
 	maxPriority = 9
 )
@@ -89,29 +86,21 @@
 	if !g.authorize(q, c) || !g.readBody(q, c.Limits) {
 		return false
 	}
-	q.print = fingerprint.Of(fingerprint.Request{
-		Method: q.r.Method, Host: q.r.Host, Target: q.r.RequestURI, Team: q.team, Body: q.body,
-	})
-	q.guard.Quarantine, q.guard.Request, q.guard.Print = &g.quarantine, q.ID, q.print
-	q.guard.Spare = func() []suspects.Incarnation { return g.spare(q, time.Now()) }
 	q.deadline = q.start.Add(route.TimeLimit(q.CallerTimeout))
 	q.service = c.Services[route.Service(xxhash.Sum64String(q.ID))]
 	if q.service == nil {
 		g.refuse(q, retryAfterStore, "the service of the route is not configured")
 		return false
 	}
+	g.initGuard(q)
 	if !g.loaded.Load() && q.service.Model == nil {
-		// A plain service has few endpoints, and those read so far would get the requests of a
-		// whole fleet: of 280 requests that 286 gateways sent to one of the three endpoints of a
-		// service, it reset 13.
+		// A plain service has few endpoints: those read so far would get the requests of a whole fleet.
 		g.refuse(q, retryAfterStore, "the store has not been read yet")
 		return false
 	}
 	g.retries.CountFirstAttempt(q.service.Name, time.Now())
-	// A request under which three endpoints have ended would crash every endpoint that runs it: in
-	// a fleet of 33, such requests ended endpoints 57 times in 90 s.
-	if left := g.quarantine.Remaining(q.print, q.start); left > 0 {
-		g.refuse(q, left, string(shortageQuarantine))
+	if g.quarantined(q, q.start) {
+		g.refuse(q, q.refused.RetryAfter, string(shortageQuarantine))
 		return false
 	}
 	return true
@@ -200,10 +189,8 @@
 	switch {
 	case q.callerLeft():
 		q.setOutcome(0, outcomeLeft, reason)
-	case !q.mayHaveRun && g.quarantine.Remaining(q.print, time.Now()) > 0:
-		g.refuse(q, g.quarantine.Remaining(q.print, time.Now()), reason)
-	case !q.mayHaveRun && q.refusedFor > 0:
-		g.refuse(q, q.refusedFor, reason)
+	case !q.mayHaveRun && (g.quarantined(q, time.Now()) || q.refused != nil):
+		g.refuse(q, q.refused.RetryAfter, reason)
 	case !q.mayHaveRun:
 		g.refuse(q, g.retryAfter(q, time.Now()), reason)
 	case q.timeLeft(time.Now()) <= 0:
@@ -253,8 +240,11 @@
 		Int("status", q.status).Str("reason", q.reason).Strs("used", q.used).Int("sends", q.sends).Int("runs", len(q.ran)).
 		Dur("first_ms", first).Dur("total_ms", now.Sub(q.start)).
 		Uint64("version", q.version).Dur("proof_age_ms", q.proofAge)
-	if q.print != 0 {
-		line = line.Stringer("print", q.print).Strs("parts", q.SharedParts)
+	if causes := q.guard.Causes; causes != nil {
+		line = line.Stringer("print", causes[0].Print).Strs("parts", cause.Strings(causes[1:]))
+	}
+	if q.refused != nil {
+		line = line.Stringer("cause", q.refused.Cause)
 	}
 	if q.last != nil { // the record by which this gateway chose the endpoint
 		line = line.Str("endpoint", q.last.ID).Uint64("record_revision", q.last.Revision).
--- a/role/gateway/isolation.go
+++ b/role/gateway/isolation.go
@@ -6,15 +6,14 @@
 	"time"
 
 	"github.com/grademill/grademill/decide/isolation"
+	"github.com/grademill/grademill/decide/suspicion"
 	"github.com/grademill/grademill/decide/trial"
-	"github.com/grademill/grademill/role/quarantine"
-	"github.com/grademill/grademill/state/suspects"
 )
 
 // spare returns the endpoints on which a suspect may be tried at now: those that can be spared beside the reserved ones.
-func (g *Gateway) spare(q *query, now time.Time) []suspects.Incarnation {
+func (g *Gateway) spare(q *query, now time.Time) []suspicion.Incarnation {
 	f, reserved := g.fleet.Load(), g.quarantine.Reserved(now)
-	var list []suspects.Incarnation
+	var list []suspicion.Incarnation
 	var holders []isolation.Holder
 	for _, b := range f.open[q.service.Name] {
 		_, taken := reserved[b.ID]
@@ -29,7 +28,7 @@
 	for _, id := range isolation.Expendable(holders) {
 		list = append(list, f.byID[id].incarnation())
 	}
-	return slices.DeleteFunc(list, func(l suspects.Incarnation) bool { return q.avoids(f.byID[l.Endpoint].Address) })
+	return slices.DeleteFunc(list, func(l suspicion.Incarnation) bool { return q.avoids(f.byID[l.Endpoint].Address) })
 }
 
 // awaitIsolation waits until a request may be sent, until a given time if its caller has part of the answer. A request that
@@ -40,10 +39,9 @@
 	if !begun {
 		wait = min(trial.MaxWait, q.timeLeft(time.Now()))
 	}
-	var refused *quarantine.RefusedError
-	if errors.As(q.guard.Enter(q.r.Context(), wait, begun), &refused) {
-		q.refusedFor = refused.RetryAfter
+	if errors.As(q.guard.Enter(q.r.Context(), wait, begun), &q.refused) {
 		return shortageQuarantine
 	}
+	q.refused = nil
 	return shortageNone
 }
--- a/role/gateway/plain.go
+++ b/role/gateway/plain.go
@@ -182,7 +182,7 @@
 		g.endedUnder(q, b)
 		return false, "the answer broke off: " + err.Error()
 	}
-	q.guard.Passed()
+	q.guard.PassedSince(q.sentAt)
 	if t.answer.Status >= http.StatusInternalServerError {
 		b.use.updateHealth(health.Record.WithFailure)
 		if !last && g.timeLeft(q) && g.avoidAndHasOther(q, b) {
--- a/role/gateway/quarantine.go
+++ b/role/gateway/quarantine.go
@@ -3,9 +3,11 @@
 import (
 	"time"
 
+	"github.com/grademill/grademill/decide/cause"
+	"github.com/grademill/grademill/decide/fingerprint"
 	"github.com/grademill/grademill/decide/overlay"
+	"github.com/grademill/grademill/decide/suspicion"
 	"github.com/grademill/grademill/role/quarantine"
-	"github.com/grademill/grademill/state/suspects"
 )
 
 // initQuarantine sets up the quarantine of requests that may have crashed endpoints.
@@ -19,9 +21,26 @@
 	g.quarantine.Init()
 }
 
+// initGuard sets up the guard of a request, whose service is known.
+func (g *Gateway) initGuard(q *query) {
+	request := fingerprint.Request{Method: q.r.Method, Host: q.r.Host, Target: q.r.RequestURI, Team: q.team, Body: q.body}
+	q.guard.Quarantine, q.guard.Request = &g.quarantine, q.ID
+	q.guard.Causes = cause.List(fingerprint.Of(request), q.service.Name, q.SharedParts)
+	q.guard.Spare = func() []suspicion.Incarnation { return g.spare(q, time.Now()) }
+}
+
+// quarantined reports whether a cause of the request is quarantined at now, and sets the reason of its refusal if so.
+func (g *Gateway) quarantined(q *query, now time.Time) bool {
+	by, left := q.guard.Quarantined(now)
+	if left > 0 {
+		q.refused = &quarantine.RefusedError{Reason: string(shortageQuarantine), Cause: by, RetryAfter: left}
+	}
+	return left > 0
+}
+
 // incarnation returns the incarnation that the record of the endpoint names.
-func (b *backend) incarnation() suspects.Incarnation {
-	return suspects.Incarnation{Endpoint: b.ID, Born: b.Born}
+func (b *backend) incarnation() suspicion.Incarnation {
+	return suspicion.Incarnation{Endpoint: b.ID, Born: b.Born}
 }
 
 // endedAfterSilence records at now that an endpoint that had been found silent has certainly ended:
@@ -50,14 +69,14 @@
 	}
 	g.verify(q.r.Context(), b)
 	if b.use.ended.Load() {
-		g.quarantine.Report(b.incarnation(), []suspects.Begun{{Print: q.print, Age: time.Since(q.sentAt)}}, time.Now())
+		g.quarantine.Report(b.incarnation(), q.guard.Begun(time.Since(q.sentAt)), time.Now())
 	}
 }
 
 // incarnationState returns whether an incarnation has certainly ended: its record is gone or names another incarnation,
 // or its endpoint is known to have ended. Otherwise it returns whether the endpoint is presumed dead or nothing is known
 // of it yet, and has it checked if neither is so.
-func (g *Gateway) incarnationState(l suspects.Incarnation) (ended, silent bool) {
+func (g *Gateway) incarnationState(l suspicion.Incarnation) (ended, silent bool) {
 	b := g.fleet.Load().byID[l.Endpoint]
 	over := b == nil || b.Born != 0 && l.Born != 0 && b.Born != l.Born || b.use.ended.Load()
 	if over || b.use.presumedDead(time.Now()) {
--- a/role/gateway/query.go
+++ b/role/gateway/query.go
@@ -10,7 +10,6 @@
 
 	"github.com/grademill/grademill/adapter/ingress"
 	"github.com/grademill/grademill/decide/catalog"
-	"github.com/grademill/grademill/decide/fingerprint"
 	"github.com/grademill/grademill/port/exchange"
 	"github.com/grademill/grademill/role/overload"
 	"github.com/grademill/grademill/role/quarantine"
@@ -29,9 +28,7 @@
 	priority int
 	body     []byte
 	hasBody  bool
-	// print is the fingerprint that identifies the request when it is sent again under another ID, guard
-	// keeps it from endpoints that it may crash.
-	print fingerprint.Fingerprint
+	// guard keeps the request from endpoints that it may crash.
 	guard quarantine.Guard
 	// version is the version of the configuration that admitted the request.
 	version uint64
@@ -58,8 +55,8 @@
 	// reached is set once the endpoint of the current send may have received the request.
 	reached atomic.Bool
 
-	// refusedFor is the Retry-After delay of a suspect that may not be sent now, 0 for none.
-	refusedFor time.Duration
+	// refused says why the request may not be sent now, nil if it may.
+	refused *quarantine.RefusedError
 
 	// decision is that of the overload control on the request of a model.
 	decision overload.Decision
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -90,8 +90,7 @@
 // maySendAgain reports whether the request may be sent once more. A stream whose caller already has
 // events is not broken off for lack of room: after maxSends, maySendAgain waits for noRoomWait,
 // until an endpoint that refused may be tried again, and allows another send for as long as the
-// caller accepts a pause. Without this, 24 of the 33 streams that were broken off in a burst of
-// three times the usual traffic had only been refused.
+// caller accepts a pause.
 func (s *relay) maySendAgain() bool {
 	if s.q.sends < maxSends {
 		return true
--- a/role/gateway/watchdog.go
+++ b/role/gateway/watchdog.go
@@ -103,11 +103,6 @@
 	return w.relay.q.reached.Load() && (w.first.IsZero() || now.Sub(w.first) < trial.StartWindow)
 }
 
-// suspected reports whether the request may crash endpoints.
-func (w *watchdog) suspected() bool {
-	return w.relay.g.quarantine.Suspected(w.relay.q.print, time.Now())
-}
-
 // age returns how long the endpoints of the chain have had the request at now.
 func (w *watchdog) age(now time.Time) time.Duration {
 	w.mu.Lock()
@@ -198,7 +193,7 @@
 // attempt for one along that chain. It reports whether it did. When an endpoint is lost, the few
 // endpoints of its hall that hold the same layers have to read the prompts of all its streams again.
 func (w *watchdog) switchIfFaster(old, target *reservation, lost *backend) bool {
-	if w.final || w.suspected() {
+	if w.final || w.relay.q.guard.MayCrash() {
 		return false
 	}
 	q := w.relay.q
@@ -253,7 +248,7 @@
 		return false
 	}
 	q := w.relay.q
-	if w.suspected() { // it waits for an isolated attempt
+	if w.relay.q.guard.MayCrash() { // it waits for an isolated attempt
 		q.everReached.Store(true)
 		return reservation.first.use.down() && w.abandonFor(nil)
 	}
@@ -305,7 +300,7 @@
 // or the request cannot be moved.
 func (w *watchdog) move(reservation *reservation, lost *backend) bool {
 	g, q, address := w.relay.g, w.relay.q, lost.Address
-	if w.suspected() {
+	if w.relay.q.guard.MayCrash() {
 		return false // it might crash another endpoint
 	}
 	q.avoid(address)
--- a/role/gateway/watchers.go
+++ b/role/gateway/watchers.go
@@ -17,13 +17,13 @@
 	}
 }
 
-// begun returns the requests that an endpoint had recently started at now.
+// begun returns the causes of the requests that an endpoint had recently started at now.
 func (s *watchers) begun(now time.Time) []suspects.Begun {
 	var list []suspects.Begun
 	for _, w := range s.Values() {
 		if w.justStarted(now) {
-			list = append(list, suspects.Begun{Print: w.relay.q.print, Age: w.age(now)})
+			list = append(list, w.relay.q.guard.Begun(w.age(now))...)
 		}
 	}
-	return list
+	return suspects.Unique(list)
 }
--- a/role/quarantine/attempt.go
+++ b/role/quarantine/attempt.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -9,8 +10,10 @@
 
 	"github.com/grademill/grademill/adapter/pause"
 	"github.com/grademill/grademill/decide/backoff"
+	"github.com/grademill/grademill/decide/cause"
 	"github.com/grademill/grademill/decide/fingerprint"
 	"github.com/grademill/grademill/decide/rendezvous"
+	"github.com/grademill/grademill/decide/suspicion"
 	"github.com/grademill/grademill/decide/trial"
 	"github.com/grademill/grademill/port/kv"
 	"github.com/grademill/grademill/state/suspects"
@@ -44,15 +47,20 @@
 // outcomeRetry spaces out the writes of an outcome that the store does not accept.
 var outcomeRetry = backoff.Backoff{Base: 200 * time.Millisecond, Max: time.Second}
 
-// attempt is an isolated attempt of a suspect, from its claim until its outcome is known. Of its methods passed and
-// finish the first that is called has an effect.
+// suspect is a suspect of the request of an attempt, with its trial while the attempt is in progress.
+type suspect struct {
+	cause.Cause
+	trial trial.Trial
+}
+
+// attempt is an isolated attempt of a request with suspects, from its claim until its outcome is known. Of its methods
+// passed and finish the first that is called has an effect.
 type attempt struct {
 	q           *Quarantine
-	print       fingerprint.Fingerprint
-	incarnation suspects.Incarnation
-	trial       trial.Trial
+	suspects    []suspect
+	incarnation suspicion.Incarnation
 	claimed     time.Time
-	// slowest is the longest time for which an endpoint that has ended under the suspect had it.
+	// slowest is the longest time for which an endpoint that has ended under one of the suspects had it.
 	slowest  time.Duration
 	finished atomic.Bool
 }
@@ -62,14 +70,19 @@
 	return maxAttempt - crashTime - time.Since(a.claimed)
 }
 
-// awaitAnswers waits until the keepers of a request have answered an end that this gateway has just reported.
-func (q *Quarantine) awaitAnswers(ctx context.Context, f fingerprint.Fingerprint) {
+// awaitAnswers waits until the keepers of the causes of a request have answered an end that this gateway has just
+// reported.
+func (q *Quarantine) awaitAnswers(ctx context.Context, causes []cause.Cause) {
 	for ctx.Err() == nil {
+		left := time.Duration(0)
 		q.mu.Lock()
-		r := q.unanswered[f]
+		for _, c := range causes {
+			if r := q.unanswered[c.Print]; r.missing > 0 {
+				left = max(left, answerWait-time.Since(r.at))
+			}
+		}
 		q.mu.Unlock()
-		left := answerWait - time.Since(r.at)
-		if r.missing <= 0 || left <= 0 {
+		if left <= 0 {
 			return
 		}
 		q.awaitChange(ctx, left)
@@ -89,54 +102,104 @@
 	return errors.As(err, &conflict) || errors.Is(err, errTaken) || errors.Is(err, errPointless)
 }
 
-// claim claims an endpoint for an attempt of a copy, and waits until it is isolated.
-func (q *Quarantine) claim(ctx context.Context, c *Guard, s trial.Situation, spare []suspects.Incarnation) (*attempt, error) {
-	at, ok := choose(c.Print, spare)
-	if !ok || !q.hold(c.Print) {
+// claim claims an endpoint for an attempt of a request with suspects, and waits until it is isolated.
+func (q *Quarantine) claim(ctx context.Context, c *Guard, s trial.Situation, list []cause.Cause, spare []suspicion.Incarnation) (*attempt, error) {
+	at, ok := choose(c.Causes[0].Print, spare)
+	if !ok {
 		return nil, errTaken
 	}
-	a := &attempt{q: q, print: c.Print, incarnation: at, claimed: time.Now(), slowest: q.known.Get(c.Print, time.Now()).Slowest()}
-	t, err := q.writeTrial(ctx, c.Print, s.Trial.WithAttempt(q.Self, at.Endpoint, at.Born))
+	a := &attempt{q: q, incarnation: at, claimed: time.Now()}
+	for _, suspected := range sorted(list) {
+		if err := a.claim(ctx, suspected); err != nil {
+			q.Log.Info().Str("request", c.Request).Stringer("cause", suspected).Err(err).Msg("attempt is not claimed")
+			a.finish(false)
+			return nil, err
+		}
+	}
+	q.tellAll(a.prints()...)
+	pause.For(ctx, isolationWait)
+	if err := q.checkClaim(ctx, a, s); err != nil {
+		a.finish(false)
+		return nil, err
+	}
+	q.Count(eventTried)
+	for _, one := range a.suspects {
+		q.Log.Info().Str("request", c.Request).Stringer("print", one.Print).Str("part", one.Part).Str("endpoint", at.Endpoint).
+			Int("ends", s.Ends).Int("sends", one.trial.Sends).Uint64("revision", one.trial.Revision).
+			Msg("request is tried apart from others under which endpoints have ended")
+	}
+	return a, nil
+}
+
+// sorted returns causes in an order that is the same at all gateways, so that of two that claim several at once one
+// succeeds.
+func sorted(list []cause.Cause) []cause.Cause {
+	return slices.SortedFunc(slices.Values(list), func(a, b cause.Cause) int { return cmp.Compare(a.Print, b.Print) })
+}
+
+// claim claims the endpoint of the attempt for one of its suspects.
+func (a *attempt) claim(ctx context.Context, c cause.Cause) error {
+	q := a.q
+	if !q.hold(c.Print) {
+		return errTaken
+	}
+	former := q.trials.Get(c.Print)
+	t, err := q.writeTrial(ctx, c.Print, former.WithAttempt(q.Self, a.incarnation.Endpoint, a.incarnation.Born))
 	if err != nil {
 		if kv.IsNotFound(err) { // the lease of the record has expired
-			q.trials.Remove(c.Print, s.Trial.Revision)
+			q.trials.Remove(c.Print, former.Revision)
 			err = errTaken
 		}
 		q.release(c.Print)
-		q.Log.Info().Str("request", c.Request).Stringer("print", c.Print).Err(err).Msg("attempt is not claimed")
-		return nil, err
+		return err
 	}
-	a.trial = t
 	q.trials.Note(c.Print, t)
-	q.tellAll(c.Print)
-	pause.For(ctx, isolationWait)
+	a.suspects = append(a.suspects, suspect{c, t})
+	a.slowest = max(a.slowest, q.known.Slowest(c.Print))
+	return nil
+}
+
+// checkClaim returns an error if an attempt that has been isolated is not to be made: s is what was known at its claim.
+func (q *Quarantine) checkClaim(ctx context.Context, a *attempt, s trial.Situation) error {
 	now := time.Now()
-	switch ended, _ := q.State(at); {
-	case ctx.Err() != nil, ended, q.Remaining(c.Print, now) > 0, q.known.Ends(c.Print, now) < trial.SuspectFrom && s.Ends >= trial.SuspectFrom:
-		err = errPointless
-	case q.Reserved(now)[at.Endpoint] != c.Print:
-		err = errTaken
+	if ended, _ := q.State(a.incarnation); ctx.Err() != nil || ended {
+		return errPointless
 	}
-	if err != nil {
-		a.finish(false)
-		return nil, err
+	reserved, suspected := q.Reserved(now)[a.incarnation.Endpoint], false
+	for _, one := range a.suspects {
+		if q.Remaining(one.Print, now) > 0 {
+			return errPointless
+		}
+		suspected = suspected || one.trial.Sends > 1 || q.known.Suspected(one.Print, now)
 	}
-	q.Count(eventTried)
-	q.Log.Info().Str("request", c.Request).Stringer("print", c.Print).Str("endpoint", at.Endpoint).Int("ends", s.Ends).Int("sends", t.Sends).
-		Uint64("revision", t.Revision).Msg("request is tried apart from others under which endpoints have ended")
-	return a, nil
+	switch {
+	case !suspected && s.Ends > 0: // cleared meanwhile
+		return errPointless
+	case !slices.Contains(a.prints(), reserved):
+		return errTaken
+	}
+	return nil
+}
+
+// prints returns the fingerprints of the suspects.
+func (a *attempt) prints() []fingerprint.Fingerprint {
+	list := make([]fingerprint.Fingerprint, 0, len(a.suspects))
+	for _, s := range a.suspects {
+		list = append(list, s.Print)
+	}
+	return list
 }
 
 // choose returns the endpoint for a suspect among those on which it may be tried.
-func choose(f fingerprint.Fingerprint, spare []suspects.Incarnation) (suspects.Incarnation, bool) {
+func choose(f fingerprint.Fingerprint, spare []suspicion.Incarnation) (suspicion.Incarnation, bool) {
 	var ids []string
-	byID := make(map[string]suspects.Incarnation, len(spare))
+	byID := make(map[string]suspicion.Incarnation, len(spare))
 	for _, l := range spare {
 		ids, byID[l.Endpoint] = append(ids, l.Endpoint), l
 	}
 	top := rendezvous.Top(f.String(), ids, 1)
 	if len(top) == 0 {
-		return suspects.Incarnation{}, false
+		return suspicion.Incarnation{}, false
 	}
 	return byID[top[0]], true
 }
@@ -167,16 +230,19 @@
 	q.wakeLocked()
 }
 
-// tellAll tells all gateways of a request at once.
-func (q *Quarantine) tellAll(f fingerprint.Fingerprint) {
-	s := q.describe(q.known.Get(f, time.Now()))
-	q.sendTwice(q.packet(&wire.Suspects{Gateway: q.Self, Suspects: []*wire.Suspect{s}}), q.Others()...)
+// tellAll tells all gateways of causes at once.
+func (q *Quarantine) tellAll(list ...fingerprint.Fingerprint) {
+	m, now := &wire.Suspects{Gateway: q.Self}, time.Now()
+	for _, f := range list {
+		m.Suspects = append(m.Suspects, q.describe(q.known.Get(f, now)))
+	}
+	q.sendTwice(q.packet(m), q.Others()...)
 }
 
-// passed records that the request has run without crashing its endpoint.
-func (a *attempt) passed() {
+// passed records that the request, which began its answer at a time, has run without crashing its endpoint.
+func (a *attempt) passed(began time.Time) {
 	if a.finished.CompareAndSwap(false, true) {
-		go a.conclude(trial.Passed)
+		go a.conclude(trial.Passed, began)
 	}
 }
 
@@ -191,7 +257,7 @@
 		if sent {
 			outcome = a.observe()
 		}
-		a.conclude(outcome)
+		a.conclude(outcome, time.Time{})
 	}()
 }
 
@@ -211,54 +277,90 @@
 	}
 }
 
-// conclude reaches the verdict, and records the outcome for all gateways.
-func (a *attempt) conclude(o trial.Outcome) {
-	q, f := a.q, a.print
-	defer q.release(f)
-	life := a.incarnation.Life()
-	if o == trial.Ended && !slices.ContainsFunc(q.known.Get(f, time.Now()).Ends, func(e suspects.End) bool { return e.Life == life }) {
-		q.Report(a.incarnation, []suspects.Begun{{Print: f}}, time.Now())
-	}
+// conclude reaches the verdict, and records the outcome for all gateways. began is when an answer began that ran well.
+func (a *attempt) conclude(o trial.Outcome, began time.Time) {
+	q := a.q
 	if o == trial.Ended {
+		a.reportEnd()
 		pause.For(context.Background(), evidenceWait)
 	}
 	now := time.Now()
-	known := q.known.Get(f, now)
-	evidence := trial.Evidence{Outcome: o, Ends: q.known.Ends(f, now), Shared: q.known.Shares(f, life, isolationWait, now)}
-	guilty := a.trial.Guilty(evidence)
-	q.Log.Info().Stringer("print", f).Str("endpoint", a.incarnation.Endpoint).Stringer("outcome", o).Int("ends", evidence.Ends).
-		Bool("shared", evidence.Shared).Int("sends", a.trial.Sends).Dur("took_ms", now.Sub(a.claimed)).Bool("guilty", guilty).
-		Msg("outcome of an isolated attempt")
-	switch {
-	case guilty:
-		q.convict(f, known, life, now)
-	case o == trial.Passed:
-		q.Completed(f, now)
+	tried := a.evidence(o, now)
+	verdict := trial.Judge(tried)
+	for i, s := range a.suspects {
+		q.Log.Info().Stringer("print", s.Print).Str("part", s.Part).Str("endpoint", a.incarnation.Endpoint).Stringer("outcome", o).
+			Int("ends", tried[i].Ends).Bool("shared", tried[i].Shared).Bool("proven", tried[i].Proven).Int("sends", s.trial.Sends).
+			Dur("took_ms", now.Sub(a.claimed)).Bool("guilty", i == verdict.Culprit).Msg("outcome of an isolated attempt")
+		switch {
+		case i == verdict.Culprit:
+			q.convict(s.Cause, a.incarnation.Life(), now)
+		case o == trial.Passed:
+			q.Completed(s.Print, began, now)
+		}
+	}
+	for i, s := range a.suspects {
+		go func() {
+			defer q.release(s.Print)
+			next := verdict.Trials[i]
+			a.record(s, next, o == trial.Passed || next.Sends == 0)
+		}()
 	}
-	next := a.trial.WithOutcome(o, evidence.Ends)
-	a.record(next, o == trial.Passed || next.Sends == 0)
 }
 
-// convict quarantines a request.
-func (q *Quarantine) convict(f fingerprint.Fingerprint, known suspects.Suspect, isolated suspects.Life, now time.Time) {
-	if !q.known.SetQuarantine(f, now, now.Add(quarantineTime)) {
+// reportEnd reports the end of the endpoint under the suspects for which this gateway has not done so yet.
+func (a *attempt) reportEnd() {
+	q, now := a.q, time.Now()
+	var begun []suspects.Begun
+	for _, s := range a.suspects {
+		if !q.known.EndedUnder(s.Print, a.incarnation.Life()) {
+			begun = append(begun, suspects.Begun{Print: s.Print, Age: now.Sub(a.claimed) - isolationWait, Part: s.Part != ""})
+		}
+	}
+	if begun != nil {
+		q.Report(a.incarnation, begun, now)
+	}
+}
+
+// evidence returns what is known of the suspects after the attempt. One that was tried before is accountable for the
+// ends that have been put down to another one since.
+func (a *attempt) evidence(o trial.Outcome, now time.Time) []trial.Tried {
+	q, life, list := a.q, a.incarnation.Life(), make([]trial.Tried, 0, len(a.suspects))
+	for _, s := range a.suspects {
+		known := q.known.Get(s.Print, now)
+		e := trial.Evidence{
+			Outcome: o, Ends: q.known.Ends(s.Print, now), Proven: q.known.Proven(s.Print, now),
+			Shared: q.known.Shares(a.prints(), life, isolationWait, now),
+		}
+		if s.trial.Sends > 1 {
+			e.Ends = known.Count
+		}
+		list = append(list, trial.Tried{Trial: s.trial, Evidence: e, Part: known.Part})
+	}
+	return list
+}
+
+// convict quarantines a cause.
+func (q *Quarantine) convict(c cause.Cause, isolated suspicion.Life, now time.Time) {
+	ends := q.known.Get(c.Print, now).Ends
+	if !q.known.SetQuarantine(c.Print, now, now.Add(quarantineTime)) {
 		return
 	}
 	q.Count(eventBegun)
-	q.Log.Warn().Stringer("print", f).Strs("ended", q.nameEnds(known.Ends, isolated)).Dur("lasts_ms", quarantineTime).Msg("request is quarantined")
+	q.Log.Warn().Stringer("print", c.Print).Str("part", c.Part).Strs("ended", q.names.of(ends, isolated)).
+		Dur("lasts_ms", quarantineTime).Msg("request is quarantined")
 	q.wake()
-	q.tellAll(f)
-	q.queueWrite(f)
+	q.tellAll(c.Print)
+	q.queueWrite(c.Print)
 }
 
-// record writes the state after the attempt to the store, or removes its record there, and tells all gateways. If the
-// store does not answer, the attempt counts as in progress until trial.Timeout.
-func (a *attempt) record(next trial.Trial, remove bool) {
-	q, f := a.q, a.print
+// record writes the state of a suspect after the attempt to the store, or removes its record there, and tells all
+// gateways. If the store does not answer, the attempt counts as in progress until trial.Timeout.
+func (a *attempt) record(s suspect, next trial.Trial, remove bool) {
+	q, f := a.q, s.Print
 	for failures := 1; ; failures++ {
 		var err error
 		if remove {
-			err = q.removeTrial(a.trial.Lease)
+			err = q.removeTrial(s.trial.Lease)
 		} else {
 			next, err = q.writeTrial(context.Background(), f, next)
 		}
@@ -272,7 +374,7 @@
 		pause.For(context.Background(), outcomeRetry.Delay(failures, 0))
 	}
 	if remove {
-		q.trials.Remove(f, a.trial.Revision)
+		q.trials.Remove(f, s.trial.Revision)
 	} else {
 		q.trials.Note(f, next)
 	}
--- a/role/quarantine/store.go
+++ b/role/quarantine/store.go
@@ -10,10 +10,11 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/grademill/grademill/decide/backoff"
+	"github.com/grademill/grademill/decide/cause"
 	"github.com/grademill/grademill/decide/fingerprint"
+	"github.com/grademill/grademill/decide/suspicion"
 	"github.com/grademill/grademill/decide/trial"
 	"github.com/grademill/grademill/port/kv"
-	"github.com/grademill/grademill/state/suspects"
 	wire "github.com/grademill/grademill/wire/gossip"
 )
 
@@ -117,9 +118,9 @@
 	q.mu.Lock()
 	q.stored[f] = true
 	q.mu.Unlock()
-	var ends []suspects.End
+	var ends []suspicion.End
 	for _, l := range text.GetLives() {
-		ends = append(ends, suspects.End{Life: suspects.Life(l)})
+		ends = append(ends, suspicion.End{Life: suspicion.Life(l)})
 	}
 	if left := min(time.UnixMilli(text.GetUntilUnixMillis()).Sub(now), quarantineTime); left > 0 {
 		q.adopt(f, left, ends, "the store", now)
@@ -146,7 +147,10 @@
 		return false
 	}
 	if t.Holder == q.Self && q.hold(f) {
-		a := &attempt{q: q, print: f, incarnation: suspects.Incarnation{Endpoint: t.Endpoint, Born: t.Born}, trial: t, claimed: t.Since}
+		a := &attempt{
+			q: q, incarnation: suspicion.Incarnation{Endpoint: t.Endpoint, Born: t.Born}, claimed: t.Since,
+			suspects: []suspect{{Cause: cause.Cause{Print: f}, trial: t}},
+		}
 		a.finish(true)
 	}
 	return true
--- a/state/suspects/suspects.go
+++ b/state/suspects/suspects.go
@@ -1,10 +1,10 @@
-// Package suspects records the requests during which endpoints have ended, and quarantines
-// requests.
+// Package suspects records the possible causes of the ends of endpoints, and quarantines causes: requests, and
+// parts of prompts.
 //
 // Note records an end that this gateway counts, Merge what another gateway knows. SetQuarantine
-// quarantines a request: it is not sent to endpoints until a given time. An end has one cause, so the
-// ends of a quarantined request do not count for others. Clear removes the ends of a request that has
-// run without crashing its endpoint.
+// quarantines a cause: no request with it is sent to endpoints until a given time. An end has one cause, so the
+// ends of a quarantined one do not count for others. Clear removes the ends of a cause when a request with it
+// has run without crashing its endpoint.
 package suspects
 
 import (
@@ -15,31 +15,40 @@
 	"time"
 
 	"github.com/grademill/grademill/decide/fingerprint"
+	"github.com/grademill/grademill/decide/suspicion"
+	"github.com/grademill/grademill/state/lastrun"
 )
 
 const (
-	// maxRecords bounds the recorded requests, some 200 bytes each. A fleet that loses 500
+	// maxRecords bounds the recorded causes, some 200 bytes each. A fleet that loses 500
 	// endpoints at once, each with 20 requests just begun, has 10,000 of them, and each gateway
 	// counts a share.
 	maxRecords = 4096
 	// recentTime is how long an end counts as recent: its request is retried at once, or when its
 	// caller retries.
 	recentTime = 5 * time.Second
-	// maxEnds bounds the recorded ends of a request; further ones change no decision.
-	maxEnds = 8
 	// countLifetime is how long a number of ends counts that another gateway reports without saying
 	// which incarnations have ended, as former builds do.
 	countLifetime = 3 * time.Second
 )
 
-// Begun is a request that an endpoint had just begun to run when it ended.
+// Begun is a possible cause of the end of an endpoint: a request that it had just begun to run, or a part of the prompt
+// of such a request.
 type Begun struct {
 	Print fingerprint.Fingerprint
 	// Age is how long the endpoint had the request: one that crashes endpoints does so soon.
 	Age time.Duration
+	// Part is set if the cause is a part of prompts.
+	Part bool
 }
 
-// Prints formats the fingerprints of requests for the log.
+// Unique returns each cause of a list once, with its shortest age.
+func Unique(begun []Begun) []Begun {
+	slices.SortFunc(begun, func(a, b Begun) int { return cmp.Or(cmp.Compare(a.Print, b.Print), cmp.Compare(a.Age, b.Age)) })
+	return slices.CompactFunc(begun, func(a, b Begun) bool { return a.Print == b.Print })
+}
+
+// Prints formats the fingerprints of causes for the log.
 func Prints(begun []Begun) []string {
 	list := make([]string, 0, len(begun))
 	for _, b := range begun {
@@ -48,104 +57,115 @@
 	return list
 }
 
-// End is the end of an incarnation during a request.
-type End struct {
-	Life Life
-	// Age is the value from Begun.
-	Age time.Duration
-}
-
-// Suspect describes a request during which endpoints have ended, as gateways tell each other.
+// Suspect describes a cause under which endpoints have ended, as gateways tell each other.
 type Suspect struct {
 	Print fingerprint.Fingerprint
-	// Count is the number of incarnations that have ended during it. Ends are their ends; a former
+	// Part is set if the cause is a part of prompts.
+	Part bool
+	// Count is the number of incarnations that have ended under it. Ends are their ends; a former
 	// build does not tell them.
 	Count int
-	Ends  []End
+	Ends  []suspicion.End
 	// Cleared is set if it has been cleared since.
 	Cleared bool
-	// Since is the time since the last end, or since the request was cleared.
+	// Since is the time since the last end, or since the cause was cleared.
 	Since time.Duration
+	// Ran is the time since a request with it last began an answer that ran well, 0 if that is not known.
+	Ran time.Duration
 	// QuarantineLeft is the time left of its quarantine, 0 if it is not quarantined.
 	QuarantineLeft time.Duration
 	// Recent is set while the last end is recent.
 	Recent bool
 }
 
-// Suspects holds the requests during which endpoints have ended. Set the exported fields before
+// Suspects holds the causes under which endpoints have ended. Set the exported fields before
 // the first use.
 type Suspects struct {
-	// Retention is how long ends count after the last one during the same request.
+	// Retention is how long ends count after the last one under the same cause, and good runs of a part.
 	Retention time.Duration
-	// SuspectFrom is the number of ends that makes a request suspect.
-	SuspectFrom int
 
+	// ran holds when parts last ran well, also those under which no endpoint has ended.
+	ran lastrun.Table
 	// size is the number of entries in records. It is read without the lock, because every request
 	// checks it and most gateways have no records most of the time.
 	size atomic.Int64
 	mu   sync.Mutex // guards what follows
-	// records holds the requests, explained until when ends are due to a quarantined request, and to
+	// records holds the causes, explained until when ends are due to a quarantined one, and to
 	// which one.
 	records   map[fingerprint.Fingerprint]*record
-	explained map[Life]explanation
+	explained map[suspicion.Life]explanation
 }
 
-// explanation names the quarantined request to which an end is due.
+// explanation names the quarantined cause to which an end is due.
 type explanation struct {
 	by    fingerprint.Fingerprint
 	until time.Time
 }
 
-// record is the state of a request.
+// record is the state of a cause.
 type record struct {
-	// ends are the ends during the request, each incarnation once, at is when the last one was. noted
-	// is set if this gateway tells the fleet of them.
-	ends  []End
-	at    time.Time
+	suspicion.Suspicion
+	// noted is set if this gateway tells the fleet of the ends.
 	noted bool
 	// count is the number of ends that a former build reported, valid until countUntil.
 	count      int
 	countUntil time.Time
 	// recentUntil is the time until which an end or an arrival counts as recent.
 	recentUntil time.Time
-	// clearedAt is when the request was cleared; reports of earlier ends do not count.
-	clearedAt time.Time
 	// quarantinedUntil is the end of the quarantine.
 	quarantinedUntil time.Time
 }
 
-// Note records that an incarnation ended during a request, and returns the number of ends of the
-// request before and after.
-func (s *Suspects) Note(f fingerprint.Fingerprint, e End, now time.Time) (before, after int) {
+// Note records that an incarnation ended under a cause, and returns the number of ends of the
+// cause before and after.
+func (s *Suspects) Note(f fingerprint.Fingerprint, e suspicion.End, now time.Time) (before, after int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.record(f, now)
 	before = s.ends(f, r, now)
-	s.add(r, now, now, e)
+	s.add(r, now, e)
 	r.noted = true
 	return before, s.ends(f, r, now)
 }
 
-// Merge adds what another gateway knows of a request, and returns the number of its ends before and
+// NotePart records that a cause is a part of prompts, and when another gateway last saw a request with it run well, the
+// zero time if that is not known.
+func (s *Suspects) NotePart(f fingerprint.Fingerprint, ranAt, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.record(f, now).notePart(ranAt, now)
+}
+
+// notePart is NotePart for a record.
+func (r *record) notePart(ranAt, now time.Time) {
+	r.Part = true
+	if !ranAt.IsZero() {
+		r.clear(ranAt, now)
+	}
+}
+
+// Merge adds what another gateway knows of a cause, and returns the number of its ends before and
 // after.
 func (s *Suspects) Merge(o Suspect, now time.Time) (before, after int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at := now.Add(-o.Since)
 	known := s.records[o.Print]
-	if now.Sub(at) > s.Retention || known != nil && !o.Cleared && !at.After(known.clearedAt) {
+	if now.Sub(at) > s.Retention || known != nil && !o.Cleared && !at.After(known.RanAt) {
 		return 0, 0
 	}
 	r := s.record(o.Print, now)
 	before = s.ends(o.Print, r, now)
+	if o.Part {
+		r.notePart(o.ranAt(now), now)
+	}
 	switch {
-	case o.Cleared && at.Before(r.at): // ends are known from after that
 	case o.Cleared:
 		r.clear(at, now)
 	case len(o.Ends) == 0:
 		r.count, r.countUntil = o.Count, now.Add(countLifetime)
 	default:
-		s.add(r, at, now, o.Ends...)
+		s.add(r, at, o.Ends...)
 	}
 	if o.Recent {
 		r.recentUntil = later(r.recentUntil, now.Add(recentTime))
@@ -153,7 +173,15 @@
 	return before, s.ends(o.Print, r, now)
 }
 
-// Keep makes the record of a request, if there is one, one of those that this gateway tells the fleet of.
+// ranAt returns when a request with the cause last began an answer that ran well, the zero time if that is not known.
+func (o Suspect) ranAt(now time.Time) time.Time {
+	if o.Ran == 0 {
+		return time.Time{}
+	}
+	return now.Add(-o.Ran)
+}
+
+// Keep makes the record of a cause, if there is one, one of those that this gateway tells the fleet of.
 func (s *Suspects) Keep(f fingerprint.Fingerprint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -163,39 +191,9 @@
 }
 
 // add adds ends to a record, the last of which was at a time; s.mu is held.
-func (s *Suspects) add(r *record, at, now time.Time, ends ...End) {
-	if now.Sub(r.at) > s.Retention {
-		r.ends = nil
-	}
-	r.at = later(r.at, at)
+func (s *Suspects) add(r *record, at time.Time, ends ...suspicion.End) {
+	r.Suspicion = r.WithEnds(at, s.Retention, ends...)
 	r.recentUntil = later(r.recentUntil, at.Add(recentTime))
-	for _, e := range ends {
-		switch i := r.index(e.Life); {
-		case i >= 0:
-			r.ends[i].Age = min(r.ends[i].Age, e.Age)
-		case len(r.ends) < maxEnds:
-			r.ends = append(r.ends, e)
-		}
-	}
-}
-
-// index returns the index of the end of an incarnation, -1 if the record has none.
-func (r *record) index(l Life) int {
-	return slices.IndexFunc(r.ends, func(e End) bool { return e.Life == l })
-}
-
-// Slowest returns the longest time for which an incarnation that has ended had the request.
-func (o Suspect) Slowest() time.Duration {
-	return slowest(o.Ends)
-}
-
-// slowest returns the longest age of some ends.
-func slowest(ends []End) time.Duration {
-	age := time.Duration(0)
-	for _, e := range ends {
-		age = max(age, e.Age)
-	}
-	return age
 }
 
 // later returns the later of two times.
@@ -206,14 +204,18 @@
 	return b
 }
 
-// clear removes the ends of a request that was cleared at a time, unless it is quarantined.
+// clear removes the ends of a cause, of which a request that began an answer at a time has run well, unless it is
+// quarantined or an endpoint has ended since.
 func (r *record) clear(at, now time.Time) {
-	if !r.quarantinedUntil.After(now) {
-		*r = record{clearedAt: at}
+	if r.quarantinedUntil.After(now) {
+		return
+	}
+	if r.Suspicion = r.WithRun(at); len(r.Ends) == 0 {
+		*r = record{Suspicion: r.Suspicion}
 	}
 }
 
-// Arrived records that a request during which incarnations have ended has arrived again.
+// Arrived records that a request with a cause under which incarnations have ended has arrived again.
 func (s *Suspects) Arrived(f fingerprint.Fingerprint, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -222,7 +224,7 @@
 	}
 }
 
-// Ends returns the number of incarnations known to have ended during a request, without those whose
+// Ends returns the number of incarnations known to have ended under a cause, without those whose
 // end is due to a quarantined one.
 func (s *Suspects) Ends(f fingerprint.Fingerprint, now time.Time) int {
 	if s.size.Load() == 0 {
@@ -236,22 +238,71 @@
 	return 0
 }
 
-// Shares reports whether an incarnation has ended at most age after it began to run a suspect other
-// than f.
-func (s *Suspects) Shares(f fingerprint.Fingerprint, l Life, age time.Duration, now time.Time) bool {
+// Suspected reports whether so many incarnations have ended under a cause that it is suspect.
+func (s *Suspects) Suspected(f fingerprint.Fingerprint, now time.Time) bool {
+	if s.size.Load() == 0 {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.records[f]
+	return r != nil && s.suspected(f, r, now)
+}
+
+// suspected is Suspected for a record; s.mu is held.
+func (s *Suspects) suspected(f fingerprint.Fingerprint, r *record, now time.Time) bool {
+	return s.ends(f, r, now) >= r.Threshold(now, s.Retention)
+}
+
+// Proven reports whether a cause is a part with which a request ran well, however many endpoints have ended since.
+func (s *Suspects) Proven(f fingerprint.Fingerprint, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.records[f]
+	return r != nil && r.Part && r.Suspicion.Proven(now, s.Retention)
+}
+
+// EndedUnder reports whether an incarnation is known to have ended under a cause.
+func (s *Suspects) EndedUnder(f fingerprint.Fingerprint, l suspicion.Life) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.records[f]
+	if r == nil {
+		return false
+	}
+	_, ended := r.AgeAt(l)
+	return ended
+}
+
+// Slowest returns the longest time for which an incarnation that has ended had a request with a cause.
+func (s *Suspects) Slowest(f fingerprint.Fingerprint) time.Duration {
+	if s.size.Load() == 0 {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r := s.records[f]; r != nil {
+		return r.Slowest()
+	}
+	return 0
+}
+
+// Shares reports whether an incarnation has ended at most age after it began to run a request with a suspect other
+// than the given causes.
+func (s *Suspects) Shares(causes []fingerprint.Fingerprint, l suspicion.Life, age time.Duration, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for other, r := range s.records {
-		if i := r.index(l); other != f && i >= 0 && r.ends[i].Age < age && s.ends(other, r, now) >= s.SuspectFrom {
+		if a, ended := r.AgeAt(l); ended && a < age && !slices.Contains(causes, other) && s.suspected(other, r, now) {
 			return true
 		}
 	}
 	return false
 }
 
-// SetQuarantine quarantines a request until a given time, and reports whether this started a new
+// SetQuarantine quarantines a cause until a given time, and reports whether this started a new
 // quarantine. The given ends, and those recorded here, are due to it.
-func (s *Suspects) SetQuarantine(f fingerprint.Fingerprint, now, until time.Time, ends ...End) bool {
+func (s *Suspects) SetQuarantine(f fingerprint.Fingerprint, now, until time.Time, ends ...suspicion.End) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.record(f, now)
@@ -262,22 +313,22 @@
 	if isNew {
 		r.quarantinedUntil = until
 	}
-	s.add(r, now, now, ends...)
+	s.add(r, now, ends...)
 	if s.explained == nil {
-		s.explained = make(map[Life]explanation)
+		s.explained = make(map[suspicion.Life]explanation)
 	}
 	for l, e := range s.explained {
 		if !e.until.After(now) {
 			delete(s.explained, l)
 		}
 	}
-	for _, e := range r.ends {
+	for _, e := range r.Ends {
 		s.explained[e.Life] = explanation{by: f, until: r.quarantinedUntil}
 	}
 	return isNew
 }
 
-// QuarantineLeft returns the remaining quarantine of a request at now, 0 if there is none.
+// QuarantineLeft returns the remaining quarantine of a cause at now, 0 if there is none.
 func (s *Suspects) QuarantineLeft(f fingerprint.Fingerprint, now time.Time) time.Duration {
 	if s.size.Load() == 0 {
 		return 0
@@ -290,24 +341,38 @@
 	return 0
 }
 
-// Clear removes the ends of a request that has run without crashing its endpoint, unless it is
-// quarantined, and returns how many there were.
-func (s *Suspects) Clear(f fingerprint.Fingerprint, now time.Time) int {
+// NoteRun records that a request with a part, which began its answer at a time, has run without crashing its endpoint.
+func (s *Suspects) NoteRun(part fingerprint.Fingerprint, at time.Time) {
+	s.ran.Note(part, at)
+}
+
+// LastRun returns when a request with a part that this gateway served last began an answer that ran well, the zero time
+// if that is not known.
+func (s *Suspects) LastRun(part fingerprint.Fingerprint) time.Time {
+	return s.ran.Last(part)
+}
+
+// Clear removes the ends of a cause after a request with it, which began its answer at a time, has run without crashing
+// its endpoint, and returns how many there were. It leaves those of a quarantined cause, and those of one under which
+// an endpoint has ended since.
+func (s *Suspects) Clear(f fingerprint.Fingerprint, at, now time.Time) int {
 	if s.size.Load() == 0 {
 		return 0
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.records[f]
-	if r == nil || r.quarantinedUntil.After(now) {
+	if r == nil || r.quarantinedUntil.After(now) || len(r.Ends) == 0 && r.count == 0 {
 		return 0
 	}
 	ends := s.ends(f, r, now)
-	r.clear(now, now)
+	if r.clear(at, now); len(r.Ends) > 0 {
+		return 0
+	}
 	return ends
 }
 
-// Get returns what is known of a request at now.
+// Get returns what is known of a cause at now.
 func (s *Suspects) Get(f fingerprint.Fingerprint, now time.Time) Suspect {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -317,19 +382,22 @@
 	return Suspect{Print: f}
 }
 
-// describe returns what is known of a request at now; s.mu is held.
+// describe returns what is known of a cause at now; s.mu is held.
 func (s *Suspects) describe(f fingerprint.Fingerprint, r *record, now time.Time) Suspect {
-	d := Suspect{Print: f, QuarantineLeft: max(r.quarantinedUntil.Sub(now), 0), Recent: r.recentUntil.After(now)}
-	switch since := now.Sub(r.at); {
+	d := Suspect{Print: f, Part: r.Part, QuarantineLeft: max(r.quarantinedUntil.Sub(now), 0), Recent: r.recentUntil.After(now)}
+	if r.Part && !r.RanAt.IsZero() {
+		d.Ran = max(now.Sub(r.RanAt), time.Millisecond)
+	}
+	switch since := now.Sub(r.At); {
 	case since <= s.Retention:
-		d.Count, d.Ends, d.Since = len(r.ends), slices.Clone(r.ends), since
-	case !r.clearedAt.IsZero():
-		d.Cleared, d.Since = true, now.Sub(r.clearedAt)
+		d.Count, d.Ends, d.Since = len(r.Ends), slices.Clone(r.Ends), since
+	case !r.RanAt.IsZero():
+		d.Cleared, d.Since = true, now.Sub(r.RanAt)
 	}
 	return d
 }
 
-// List returns up to limit requests that are quarantined, have at least minEnds ends, or have just been
+// List returns up to limit causes that are quarantined, have at least minEnds ends, or have just been
 // cleared: first the quarantined ones, then those with the most ends. With notedOnly it omits
 // those that are neither quarantined nor noted or kept by this gateway.
 func (s *Suspects) List(minEnds, limit int, notedOnly bool, now time.Time) []Suspect {
@@ -353,7 +421,7 @@
 }
 
 // Rank returns the number of recent suspects that are more likely to crash endpoints than a given one:
-// those with more ends, or that took less time to end them.
+// those with more ends, parts of prompts before requests, or those that took less time to end them.
 func (s *Suspects) Rank(f fingerprint.Fingerprint, now time.Time) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -361,24 +429,34 @@
 	if own == nil {
 		return 0
 	}
-	ends, rank := s.ends(f, own, now), 0
+	rank := 0
 	for other, r := range s.records {
-		if other == f || r.quarantinedUntil.After(now) || !r.recentUntil.After(now) {
+		if other == f || r.quarantinedUntil.After(now) || !r.recentUntil.After(now) || !s.suspected(other, r, now) {
 			continue
 		}
-		n := s.ends(other, r, now)
-		if n >= s.SuspectFrom && cmp.Or(cmp.Compare(n, ends), cmp.Compare(slowest(own.ends), slowest(r.ends)), cmp.Compare(f, other)) > 0 {
+		if cmp.Or(
+			cmp.Compare(s.ends(other, r, now), s.ends(f, own, now)), cmp.Compare(boolInt(r.Part), boolInt(own.Part)),
+			cmp.Compare(own.Slowest(), r.Slowest()), cmp.Compare(f, other),
+		) > 0 {
 			rank++
 		}
 	}
 	return rank
 }
 
-// ends returns the number of ends of a record that are not due to another request; s.mu is held.
+// boolInt returns 1 for true, so that it compares as more than false.
+func boolInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// ends returns the number of ends of a record that are not due to another cause; s.mu is held.
 func (s *Suspects) ends(f fingerprint.Fingerprint, r *record, now time.Time) int {
 	n := 0
-	if now.Sub(r.at) <= s.Retention {
-		for _, end := range r.ends {
+	if now.Sub(r.At) <= s.Retention {
+		for _, end := range r.Ends {
 			if e, ok := s.explained[end.Life]; !ok || e.by == f || !e.until.After(now) {
 				n++
 			}
@@ -390,34 +468,37 @@
 	return n
 }
 
-// record returns the record of a request, and creates it if necessary; s.mu is held.
+// record returns the record of a cause with the last good run, and creates it if necessary; s.mu is held.
 func (s *Suspects) record(f fingerprint.Fingerprint, now time.Time) *record {
-	if r := s.records[f]; r != nil {
-		return r
-	}
-	if s.records == nil {
-		s.records = make(map[fingerprint.Fingerprint]*record)
+	r := s.records[f]
+	if r == nil {
+		if s.records == nil {
+			s.records = make(map[fingerprint.Fingerprint]*record)
+		}
+		if len(s.records) >= maxRecords {
+			s.evict(now)
+		}
+		r = new(record)
+		s.records[f] = r
+		s.size.Store(int64(len(s.records)))
 	}
-	if len(s.records) >= maxRecords {
-		s.evict(now)
+	if ranAt := s.ran.Last(f); !ranAt.IsZero() {
+		r.notePart(ranAt, now)
 	}
-	r := new(record)
-	s.records[f] = r
-	s.size.Store(int64(len(s.records)))
 	return r
 }
 
 // evict drops the records that no longer count. If that does not free half of the space, it also
-// drops the older half of the rest. It keeps quarantined requests; s.mu is held.
+// drops the older half of the rest. It keeps quarantined causes; s.mu is held.
 func (s *Suspects) evict(now time.Time) {
 	var times []time.Time
 	for f, r := range s.records {
 		switch {
 		case r.quarantinedUntil.After(now):
-		case s.ends(f, r, now) == 0 && now.Sub(r.clearedAt) > recentTime:
+		case s.ends(f, r, now) == 0 && now.Sub(r.RanAt) > recentTime:
 			delete(s.records, f)
 		default:
-			times = append(times, r.at)
+			times = append(times, r.At)
 		}
 	}
 	if len(s.records) < maxRecords/2 || len(times) == 0 {
@@ -426,7 +507,7 @@
 	slices.SortFunc(times, time.Time.Compare)
 	middle := times[len(times)/2]
 	for f, r := range s.records {
-		if !r.quarantinedUntil.After(now) && !r.at.After(middle) {
+		if !r.quarantinedUntil.After(now) && !r.At.After(middle) {
 			delete(s.records, f)
 		}
 	}
