--- a/role/gateway/limit_test.go
+++ b/role/gateway/limit_test.go
@@ -19,8 +19,13 @@
 
 // newFleetInHalls starts one gateway in each of the halls in front of the endpoints.
 func newFleetInHalls(t *testing.T, halls []string, endpoints ...*site.Endpoint) *fleet {
+	return newFleetWith(t, gateway.Overload{}, halls, endpoints...)
+}
+
+// newFleetWith is newFleetInHalls with an overload control.
+func newFleetWith(t *testing.T, o gateway.Overload, halls []string, endpoints ...*site.Endpoint) *fleet {
 	in := func(i int) func(*gateway.Gateway) {
-		return func(g *gateway.Gateway) { g.Hall = halls[i] }
+		return func(g *gateway.Gateway) { g.Hall, g.Overload = halls[i], o }
 	}
 	f := &fleet{fixture: newFixtureWith(t, in(0), endpoints...)}
 	f.targets = append(f.targets, f.target)
--- a/standin/site/endpoint.go
+++ b/standin/site/endpoint.go
@@ -36,6 +36,13 @@
 	Twice
 	// Drop runs a stream and closes the connection before the first event.
 	Drop
+	// Unframed answers with neither a length nor chunks, and closes the connection after it.
+	Unframed
+	// UnframedCut answers like Unframed, and closes the connection inside an event of a stream.
+	UnframedCut
+	// UnframedReset answers like Unframed, and resets the connection between two events of a stream, or in
+	// the middle of another answer.
+	UnframedReset
 )
 
 // Endpoint is one incarnation of a back end. Set the exported fields before it is
@@ -196,6 +203,11 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if mode == Unframed || mode == UnframedCut || mode == UnframedReset {
+		u := &unframedWriter{ResponseWriter: w}
+		defer func() { u.end(mode == UnframedReset) }()
+		w = u
+	}
 	if e.Card != "" {
 		e.stream(w, r, body, mode)
 		return
@@ -266,6 +278,9 @@
 	case Twice:
 		answerTwice(w, r, text)
 		return
+	case UnframedReset:
+		_, _ = io.WriteString(w, text[:len(text)/2])
+		return
 	}
 	_, _ = io.WriteString(w, text) // the caller may have closed the connection
 }
--- a/standin/site/model.go
+++ b/standin/site/model.go
@@ -76,6 +76,13 @@
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
+		if mode == UnframedCut && n == after+2 {
+			_, _ = w.Write([]byte(text[:len(text)/2]))
+			return
+		}
+		if mode == UnframedReset && n == after+3 {
+			return
+		}
 		if mode == Hang && n == after+2 {
 			<-r.Context().Done()
 			e.countDisconnect()
--- a/test/soak/caller_test.go
+++ b/test/soak/caller_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -17,9 +18,11 @@
 // exchange is one request of a caller and the response that the caller received.
 type exchange struct {
 	id, path, key string
-	at, ended     time.Time
-	status        int
-	body          string
+	// parts are the parts of the prompt, as the header states them.
+	parts     string
+	at, ended time.Time
+	status    int
+	body      string
 	// whole is set when the response body was read to its end.
 	whole  bool
 	events int
@@ -80,12 +83,21 @@
 	}
 }
 
-// poisonRequest is the body that crashes each endpoint that starts to run the request.
-const poisonRequest = "ends who runs it"
+// poisonRequest is the body that crashes each endpoint that starts to run the request, and poisonPart the part of
+// prompts that does.
+const (
+	poisonRequest = "ends who runs it"
+	poisonPart    = "dead"
+)
+
+// parts returns the value of the header with the parts of a prompt: those given, and one of the request's own.
+func parts(id string, shared ...string) string {
+	return strings.Join(append(shared, id), ":10,") + ":10"
+}
 
 // sendPoison sends the poison request repeatedly, each time under a new ID and to
-// a random gateway, until ctx ends.
-func (c *callers) sendPoison(ctx context.Context, seed uint64) {
+// a random gateway, until ctx ends. With a part, no two of the requests are alike, and all have the part.
+func (c *callers) sendPoison(ctx context.Context, seed uint64, part string) {
 	r := rand.New(rand.NewPCG(seed, 8))
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 12 * time.Second}
 	for i := 0; ctx.Err() == nil; i++ {
@@ -94,8 +106,13 @@
 		ready := c.ready[n]
 		c.mu.Unlock()
 		if ready {
-			ex := exchange{id: fmt.Sprintf("d%d-%d", seed, i), path: "/plan/again", key: c.backends.key(r), events: 20, node: n}
-			c.send(&client, ex, poisonRequest)
+			id := fmt.Sprintf("d%d-%d", seed, i)
+			ex := exchange{id: id, path: "/plan/again", key: c.backends.key(r), events: 20, node: n, parts: parts(id, "all", "half0")}
+			body := poisonRequest
+			if part != "" {
+				ex.parts, body = parts(id, "all", "half0", part), id
+			}
+			c.send(&client, ex, body)
 		}
 		time.Sleep(time.Duration(100+r.IntN(500)) * time.Millisecond)
 	}
@@ -105,6 +122,7 @@
 func (c *callers) ask(client *http.Client, n *node, r *rand.Rand, id string) exchange {
 	return c.send(client, exchange{
 		id: id, path: pathPrefixes[r.IntN(len(pathPrefixes))] + id, key: c.backends.key(r), events: 5 + r.IntN(60), node: n,
+		parts: parts(id, "all", "half"+strconv.Itoa(len(id)%2)),
 	}, id)
 }
 
@@ -121,6 +139,7 @@
 	request.Header.Set("X-Request-Id", id)
 	request.Header.Set("X-Deadline-Ms", "8000")
 	request.Header.Set("X-Token-Usage", fmt.Sprintf("10,%d", ex.events))
+	request.Header.Set("X-Prefix-Hash", ex.parts)
 	// Without GetBody the client cannot resend a request on its own.
 	request.GetBody = nil
 	ex.at = time.Now()
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -123,12 +123,12 @@
 	w.t.Logf("%d endpoints left; %d pairs of a request and an endpoint that must not get it", len(w.backends.left), checked)
 }
 
-// checkCrashes checks that the poison request crashed at most three endpoints after
-// the gateways had time to learn of the first three crashes.
+// checkCrashes checks that the poison request or part crashed at most three endpoints after
+// the gateways had time to learn of the first crashes.
 func (w *world) checkCrashes() {
 	late := 0
 	for i, at := range w.backends.crashes {
-		if i >= 3 && at.Sub(w.backends.crashes[2]) > reconnectBound {
+		if i >= w.knownFrom && at.Sub(w.backends.crashes[w.knownFrom-1]) > reconnectBound {
 			late++
 		}
 	}
--- a/test/soak/site_test.go
+++ b/test/soak/site_test.go
@@ -136,9 +136,8 @@
 // restartDelay is how long an endpoint crashed by the poison request stays down.
 const restartDelay = time.Second
 
-// crashOnBody makes a request with this body crash each endpoint that starts to run it. The
-// endpoint restarts with the same ID and without state.
-func (b *backends) crashOnBody(body string) {
+// restartCrashed makes an endpoint that a poison request crashes restart with the same ID and without state.
+func (b *backends) restartCrashed() {
 	b.site.BeforeCrash = func(e *site.Endpoint) {
 		b.mu.Lock()
 		link := b.live[e]
@@ -150,7 +149,6 @@
 			time.AfterFunc(restartDelay, func() { b.enter(e.NextIncarnation()) })
 		}
 	}
-	b.site.CrashOn(body)
 }
 
 // lateRecord is the largest delay of a record that was written before the departure and arrives after it.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -81,6 +81,8 @@
 	unplanned []time.Time
 	// overloadReports are the limits and backoff periods that endpoints asked for.
 	overloadReports []overloadReport
+	// knownFrom is the number of crashes by a poison request from which on all gateways learn of it.
+	knownFrom int
 
 	mu sync.Mutex // guards the fields below
 	// gatewayFaults are the periods in which gateways, or their links to the store, were faulty.
@@ -110,8 +112,8 @@
 	slots int
 	// burst is the number of additional callers during the first half of the faults.
 	burst int
-	// poisonRequest is set to send the poison request repeatedly.
-	poisonRequest bool
+	// poisonRequest is set to send the poison request repeatedly, poisonPart to send requests with the poison part.
+	poisonRequest, poisonPart bool
 	// overloadReports is set to make endpoints ask for limits and backoff periods.
 	overloadReports bool
 	// killed is set to add, after the faults, a phase of a load past the capacity in which gateways are
@@ -144,6 +146,14 @@
 	}
 }
 
+// TestSoakWithPoisonPart runs seeds with requests, no two of them alike, that share a part that crashes each endpoint
+// that starts to run one.
+func TestSoakWithPoisonPart(t *testing.T) {
+	for i := range uint64(*seeds) {
+		t.Run(fmt.Sprint("seed ", *from+i), func(t *testing.T) { soak(t, *from+i, load{poisonPart: true}) })
+	}
+}
+
 // soak runs one seed.
 func soak(t *testing.T, seed uint64, l load) {
 	dir := t.TempDir()
@@ -154,7 +164,7 @@
 	})
 	w := &world{
 		t: t, backends: newBackends(t, l.slots), r: rand.New(rand.NewPCG(seed, 1)), linkFaults: make(map[*site.Endpoint][]time.Time),
-		gatewayFaults: make(map[*node][]span),
+		gatewayFaults: make(map[*node][]span), knownFrom: 3,
 	}
 	overload := seed/2%2 == 1 // half of the seeds of one hall and half of those of two; draws nothing, so that seeds keep their faults
 	t.Logf("overload control: %t", overload)
@@ -179,9 +189,15 @@
 	for i := range callerCount {
 		group.Go(func() { c.run(ctx, seed*1000+uint64(i)) })
 	}
+	w.backends.restartCrashed()
 	if l.poisonRequest {
-		w.backends.crashOnBody(poisonRequest)
-		group.Go(func() { c.sendPoison(ctx, seed) })
+		w.backends.site.CrashOn(poisonRequest)
+		group.Go(func() { c.sendPoison(ctx, seed, "") })
+	}
+	if l.poisonPart {
+		w.knownFrom = 5
+		w.backends.site.CrashOnPart(poisonPart)
+		group.Go(func() { c.sendPoison(ctx, seed, poisonPart) })
 	}
 	faults := time.Duration(*seconds) * time.Second
 	burst, cancelBurst := context.WithTimeout(ctx, faults/2)
