Isolated attempts begin where a chain can, and the likeliest suspects claim first

Expendable now looks whether the other layers are held, in the hall if possible, and a suspect that has waited lets 40 ms go by for each likelier one, in which it sees their claims. The example of Expendable has the case; the delay is by the rank that decides who goes first already."

--- a/decide/isolation/spared.go
+++ b/decide/isolation/spared.go
@@ -12,11 +12,11 @@
 	Layers layer.Range
 }
 
-// Expendable returns the endpoints at which a chain can start and whose loss leaves no layers
-// uncovered: those whose layers are all held by other endpoints of their hall as well. If there
-// are none, it returns those whose layers are all held by other endpoints of any hall. Without the
-// only holder of a layer no request could be served.
-func Expendable(holders []Holder) []string {
+// Expendable returns the endpoints at which a chain through all layers can start and whose loss leaves no layers
+// uncovered. It prefers those whose layers are all held by other endpoints of their hall as well, and then those whose
+// hall holds the other layers, since chains stay within a hall as a rule. Without the only holder of a layer no request
+// could be served.
+func Expendable(holders []Holder, layers int) []string {
 	halls, all := make(map[string]counts), counts{}
 	for _, h := range holders {
 		if halls[h.Hall] == nil {
@@ -25,20 +25,25 @@
 		halls[h.Hall].add(h.Layers)
 		all.add(h.Layers)
 	}
-	var near, far []string
+	var near, far, across []string
 	for _, h := range holders {
+		hall, rest := halls[h.Hall], layer.Range{First: h.Layers.End, End: layers}
 		switch {
-		case h.Layers.Empty() || h.Layers.First > 0:
-		case halls[h.Hall].redundant(h.Layers):
+		case h.Layers.Empty() || h.Layers.First > 0 || !all.hold(h.Layers, 2) || !all.hold(rest, 1):
+		case !hall.hold(rest, 1):
+			across = append(across, h.ID)
+		case hall.hold(h.Layers, 2):
 			near = append(near, h.ID)
-		case all.redundant(h.Layers):
+		default:
 			far = append(far, h.ID)
 		}
 	}
-	if len(near) > 0 {
-		return near
+	for _, list := range [][]string{near, far} {
+		if len(list) > 0 {
+			return list
+		}
 	}
-	return far
+	return across
 }
 
 // counts holds the number of holders by layer.
@@ -51,10 +56,10 @@
 	}
 }
 
-// redundant reports whether each of the given layers has another holder.
-func (c counts) redundant(r layer.Range) bool {
+// hold reports whether each of the given layers has at least n holders.
+func (c counts) hold(r layer.Range, n int) bool {
 	for l := r.First; l < r.End; l++ {
-		if c[l] < 2 {
+		if c[l] < n {
 			return false
 		}
 	}
--- a/decide/isolation/spared_test.go
+++ b/decide/isolation/spared_test.go
@@ -16,11 +16,17 @@
 	north := []isolation.Holder{
 		of("large-1", "north", 0, 14), of("small-1", "north", 0, 8), of("small-2", "north", 14, 20),
 	}
-	fmt.Println(isolation.Expendable(north))
-	fmt.Println(isolation.Expendable(north[:1]))
-	fmt.Println(isolation.Expendable([]isolation.Holder{of("large-1", "north", 0, 20), of("large-2", "south", 0, 20)}))
+	fmt.Println(isolation.Expendable(north, 20))
+	fmt.Println(isolation.Expendable(north[:1], 20))
+	fmt.Println(isolation.Expendable([]isolation.Holder{of("large-1", "north", 0, 20), of("large-2", "south", 0, 20)}, 20))
+	// No chain through the north can start at its small cards once its large one is lost.
+	south := []isolation.Holder{of("small-3", "north", 0, 8), of("large-2", "south", 0, 14), of("small-4", "south", 0, 8), of("small-5", "south", 14, 20)}
+	fmt.Println(isolation.Expendable(append(north[1:], south...), 20))
+	fmt.Println(isolation.Expendable(north[1:], 20))
 	// Output:
 	// [small-1]
 	// []
 	// [large-1 large-2]
+	// [small-4]
+	// []
 }
--- a/decide/trial/situation.go
+++ b/decide/trial/situation.go
@@ -12,6 +12,8 @@
 	rankStep = 100 * time.Millisecond
 	// maxRank is the rank from which on the delay does not grow.
 	maxRank = 8
+	// claimStep is the time in which the other gateways hear of a claim.
+	claimStep = 40 * time.Millisecond
 	// reservedDivisor bounds the reserved endpoints: at most one in reservedDivisor, but at least one, and one
 	// more for a suspect under which minEnds have ended. The others serve all other requests.
 	reservedDivisor = 3
@@ -72,6 +74,12 @@
 	return Claim, ""
 }
 
+// ClaimDelay returns how long a request that has waited lets go by once it may claim, so that of many that wait for an
+// endpoint the most likely culprits come first and the others see their claims.
+func (s Situation) ClaimDelay() time.Duration {
+	return time.Duration(min(s.Rank, maxRank)) * claimStep
+}
+
 // maxReserved returns the number of endpoints that may be reserved at a time, with one for this suspect.
 func (s Situation) maxReserved() int {
 	n := max(s.Endpoints/reservedDivisor, 1)
--- a/role/gateway/isolation.go
+++ b/role/gateway/isolation.go
@@ -15,6 +15,10 @@
 	f, reserved := g.fleet.Load(), g.quarantine.Reserved(now)
 	var list []suspicion.Incarnation
 	var holders []isolation.Holder
+	layers := 0
+	if q.service.Model != nil {
+		layers = q.service.Model.Layers
+	}
 	for _, b := range f.open[q.service.Name] {
 		_, taken := reserved[b.ID]
 		switch {
@@ -25,7 +29,7 @@
 			holders = append(holders, isolation.Holder{ID: b.ID, Hall: b.Hall, Layers: b.usable(now)})
 		}
 	}
-	for _, id := range isolation.Expendable(holders) {
+	for _, id := range isolation.Expendable(holders, layers) {
 		list = append(list, f.byID[id].incarnation())
 	}
 	return slices.DeleteFunc(list, func(l suspicion.Incarnation) bool { return q.avoids(f.byID[l.Endpoint].Address) })
--- a/role/quarantine/guard.go
+++ b/role/quarantine/guard.go
@@ -95,7 +95,7 @@
 		case action == trial.Refuse:
 			return nil, &RefusedError{Reason: reason, Cause: list[0], RetryAfter: refusedWait}
 		case action == trial.Wait:
-			notBefore = now.Add(rand.N(claimSpread))
+			notBefore = now.Add(s.ClaimDelay() + rand.N(claimSpread))
 		case now.Before(notBefore):
 			wait = notBefore.Sub(now)
 		default:
