--- a/decide/requestlog/log.go
+++ b/decide/requestlog/log.go
@@ -102,11 +102,23 @@
 	return text
 }
 
-// concerns reports whether the line contains the fingerprint of a request.
-func (l *Line) concerns(fingerprint string) bool {
+// concerns reports whether the line contains one of some fingerprints.
+func (l *Line) concerns(fingerprints []string) bool {
 	var begun []string
 	_ = json.Unmarshal(l.Fields["begun"], &begun) // few lines have it
-	return fingerprint != "" && (l.text("print") == fingerprint || slices.Contains(begun, fingerprint))
+	return slices.ContainsFunc(fingerprints, func(f string) bool { return l.text("print") == f || slices.Contains(begun, f) })
+}
+
+// fingerprints returns that of the request of the line, and that of the cause for which it was refused, which is written
+// after the ID of a part of its prompt.
+func (l *Line) fingerprints() []string {
+	var list []string
+	for _, text := range []string{l.text("print"), l.text("cause")} {
+		if text != "" {
+			list = append(list, text[strings.Index(text, "=")+1:])
+		}
+	}
+	return list
 }
 
 // add stores a line if it is relevant.
@@ -141,10 +153,10 @@
 	processes := make(map[string]bool)
 	var mentioned strings.Builder
 	endpoints := make(map[string]bool)
-	fingerprint := ""
+	var fingerprints []string
 	for _, l := range s.requestLines {
 		processes[l.Process] = true
-		fingerprint = cmp.Or(fingerprint, l.text("print"))
+		fingerprints = append(fingerprints, l.fingerprints()...)
 		endpoints[l.text("endpoint")] = true
 		for _, value := range l.Fields {
 			mentioned.Write(value)
@@ -152,7 +164,7 @@
 	}
 	lines := s.withLevels(slices.Clone(s.requestLines))
 	for _, l := range s.stateLines {
-		if l.concerns(fingerprint) || l.departs() && endpoints[l.text("endpoint")] {
+		if l.concerns(fingerprints) || l.departs() && endpoints[l.text("endpoint")] {
 			if !l.At.After(to) {
 				lines = append(lines, l)
 			}
--- a/decide/requestlog/log_test.go
+++ b/decide/requestlog/log_test.go
@@ -58,6 +58,17 @@
 	require.Equal(t, []string{"g2 endpoint does not answer", "g3 request is quarantined", "g1 request ended"}, messagesOf(t, lines))
 }
 
+// The story of a request refused for a part of its prompt must include what became of others with that part, and not the
+// ends under parts that it has in common with all.
+func TestStoryOfAQuarantinedPart(t *testing.T) {
+	const lines = `{"process":"g2","time":"2026-12-02T09:50:00Z","endpoint":"a","address":"10.0.0.1:80","ended":true,"begun":["f0","p0","p1"],"message":"endpoint does not answer"}
+{"process":"g2","time":"2026-12-02T09:50:01Z","endpoint":"b","address":"10.0.0.2:80","ended":true,"begun":["f1","p0"],"message":"endpoint does not answer"}
+{"process":"g3","time":"2026-12-02T09:50:02Z","print":"p1","part":"91bd3f06","message":"request is quarantined"}
+{"process":"g1","time":"2026-12-02T10:00:00Z","request":"r1","print":"f9","parts":["91bd3f06=p1","5c1e07a2=p0"],"cause":"91bd3f06=p1","outcome":"not run","message":"request ended"}
+`
+	require.Equal(t, []string{"g2 endpoint does not answer", "g3 request is quarantined", "g1 request ended"}, messagesOf(t, lines))
+}
+
 // The story of a request that reached a departed endpoint must include which gateways knew of the
 // departure, and since when.
 func TestStoryOfARequestToALeavingEndpoint(t *testing.T) {
