A suspect that another gateway has claimed meanwhile is not taken over

A request with several suspects claims their records one after the other, some milliseconds each. A claim of another gateway that was heard in that time was written over, since the record was read anew and its attempt not looked at: two attempts of one part at once. TestSuspectClaimedMeanwhileIsNotTakenOver fails without the check.

--- a/decide/trial/trial.go
+++ b/decide/trial/trial.go
@@ -48,6 +48,11 @@
 	return t.Holder != "" && now.Sub(t.Since) < Timeout
 }
 
+// Claimable reports whether an attempt may be claimed at now: none is in progress, and they are not used up.
+func (t Trial) Claimable(now time.Time) bool {
+	return !t.InProgress(now) && t.Sends < maxSends
+}
+
 // Blocking returns the one of two trials that keeps a request with both suspects back for longer at now: one in progress,
 // or that with more attempts.
 func (t Trial) Blocking(o Trial, now time.Time) Trial {
--- a/decide/trial/verdict_test.go
+++ b/decide/trial/verdict_test.go
@@ -77,4 +77,8 @@
 	require.Equal(t, running, often.Blocking(running, start))
 	require.Equal(t, running, running.Blocking(often, start))
 	require.Equal(t, often, running.Blocking(often, after(trial.Timeout)))
+	require.True(t, often.Claimable(start))
+	require.False(t, trial.Trial{Sends: 3}.Claimable(start))
+	require.False(t, running.Claimable(start))
+	require.True(t, running.Claimable(after(trial.Timeout)))
 }
--- a/role/quarantine/attempt.go
+++ b/role/quarantine/attempt.go
@@ -147,11 +147,15 @@
 	if !q.hold(c.Print) {
 		return errTaken
 	}
-	if !q.Suspected(c.Print, time.Now()) {
+	former, now := q.trials.Get(c.Print), time.Now()
+	switch {
+	case !q.Suspected(c.Print, now):
 		q.release(c.Print)
 		return errPointless
+	case !former.Claimable(now): // another gateway was faster while this one claimed the suspects before it
+		q.release(c.Print)
+		return errTaken
 	}
-	former := q.trials.Get(c.Print)
 	t, err := q.writeTrial(ctx, c.Print, former.WithAttempt(q.Self, a.incarnation.Endpoint, a.incarnation.Born))
 	if err != nil {
 		if kv.IsNotFound(err) { // the lease of the record has expired
--- a/role/quarantine/part_test.go
+++ b/role/quarantine/part_test.go
@@ -1,6 +1,7 @@
 package quarantine_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -8,13 +9,18 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/grademill/grademill/decide/cause"
 	"github.com/grademill/grademill/decide/fingerprint"
+	"github.com/grademill/grademill/decide/overlay"
 	"github.com/grademill/grademill/decide/suspicion"
+	"github.com/grademill/grademill/port/kv"
 	"github.com/grademill/grademill/role/quarantine"
 	"github.com/grademill/grademill/state/suspects"
+	wire "github.com/grademill/grademill/wire/gossip"
 )
 
 // Parameters of the schedules of parts.
@@ -337,3 +343,97 @@
 		t.Logf("%d gateways: %d endpoints have ended, %d datagrams", size, len(p.ended), p.sent)
 	}
 }
+
+// An endpoint may have begun 192 requests with several parts each. What keepers are told of its end fits datagrams that
+// networks do not split, each cause once.
+func TestReportOfAFullEndpointFitsDatagrams(t *testing.T) {
+	t.Parallel()
+	const mtu = 1472 // bytes that a datagram carries over Ethernet
+	largest, causes := 0, make(map[uint64]int)
+	q := quarantine.Quarantine{
+		Self: name(0), Count: func(string) {}, Log: zerolog.Nop(),
+		Keepers: func(string) []overlay.Member { return []overlay.Member{{Name: name(1)}} },
+		Send: func(p *wire.Packet, _ ...overlay.Member) {
+			largest = max(largest, proto.Size(p))
+			for _, f := range p.GetEnds().GetPrints() {
+				causes[f]++
+			}
+		},
+	}
+	q.Init()
+	var begun []suspects.Begun
+	for i := range 192 {
+		g := quarantine.Guard{Quarantine: &q, Causes: cause.List(fingerprint.Fingerprint(1<<40+i), "assistant", []string{"all", fmt.Sprint("team-", i%20)})}
+		begun = append(begun, g.Begun(time.Minute)...)
+	}
+	q.Report(suspicion.Incarnation{Endpoint: "i-0a1d405b03", Born: 1 << 40}, suspects.Unique(begun), time.Now())
+	require.LessOrEqual(t, largest, mtu)
+	require.Len(t, causes, 192+1+20)
+	for f, n := range causes {
+		require.Equal(t, 1, n, f)
+	}
+}
+
+// What the quarantine costs a request with three parts that runs well, while nothing has ended and once 1,000 causes have.
+func BenchmarkGuard(b *testing.B) {
+	for _, ends := range []int{0, 1000} {
+		b.Run(fmt.Sprint(ends, " causes with ends"), func(b *testing.B) {
+			q := quarantine.Quarantine{
+				Keepers: func(string) []overlay.Member { return nil }, Others: func() []overlay.Member { return nil },
+				Send: func(*wire.Packet, ...overlay.Member) {}, SendSoon: func() {}, Count: func(string) {}, Log: zerolog.Nop(),
+			}
+			q.Init()
+			for i := range ends {
+				q.Report(suspicion.Incarnation{Endpoint: fmt.Sprint(i)}, []suspects.Begun{{Print: fingerprint.Fingerprint(i + 1)}}, time.Now())
+			}
+			for i := 0; b.Loop(); i++ {
+				g := quarantine.Guard{Quarantine: &q, Causes: cause.List(fingerprint.Fingerprint(1<<40+i), "assistant", []string{"a", "b", "c"})}
+				if err := g.Enter(b.Context(), time.Second, false); err != nil {
+					b.Fatal(err)
+				}
+				g.PassedSince(time.Now())
+			}
+		})
+	}
+}
+
+// While a gateway claims one suspect of a request, another gateway may claim a further one of its suspects. The attempt of
+// that one is in progress then, and is not taken over.
+func TestSuspectClaimedMeanwhileIsNotTakenOver(t *testing.T) {
+	t.Parallel()
+	inFleet(t, 5, func(ctx context.Context, f *fleet) {
+		causes := cause.List(1, "assistant", []string{"a", "b"})[1:]
+		slices.SortFunc(causes, func(a, b cause.Cause) int { return cmp.Compare(a.Print, b.Print) })
+		for i := range 2 {
+			var begun []suspects.Begun
+			for _, c := range causes {
+				begun = append(begun, suspects.Begun{Print: c.Print, Part: true})
+			}
+			f.nodes[0].Report(suspicion.Incarnation{Endpoint: fmt.Sprint("ended-", i)}, begun, time.Now())
+		}
+		time.Sleep(time.Second)
+		g := f.nodes[1].guard(1)
+		g.Causes = append(g.Causes, causes...)
+		second := "grademill/trial/" + causes[1].Print.String()
+		f.beforePut = func(key string) {
+			if key == second {
+				return
+			}
+			f.beforePut = nil
+			record := &wire.Trial{Holder: name(9), Endpoint: "endpoint-1", Sends: 1, Lease: "lease"}
+			text, err := proto.Marshal(record)
+			require.NoError(t, err)
+			f.mu.Lock()
+			f.revision++
+			record.Revision = f.revision
+			f.stored[second] = kv.Pair{Key: second, Value: text, Revision: f.revision}
+			f.mu.Unlock()
+			f.nodes[1].HearReports([]*wire.Suspect{{Print: uint64(causes[1].Print), Part: true, Trial: record}}, name(9), time.Now())
+		}
+		require.Error(t, g.Enter(ctx, time.Second, false))
+		var held wire.Trial
+		require.NoError(t, proto.Unmarshal(f.stored[second].Value, &held))
+		require.Equal(t, name(9), held.GetHolder())
+		time.Sleep(3 * time.Second) // what was claimed before is given back
+	})
+}
--- a/role/quarantine/quarantine_test.go
+++ b/role/quarantine/quarantine_test.go
@@ -65,6 +65,8 @@
 	cut    map[string]bool
 	sent   int
 	fanOut int
+	// beforePut, if set, is called before a write of a key.
+	beforePut func(key string)
 }
 
 // isCut reports whether a gateway reaches neither the others nor the store.
@@ -280,6 +282,9 @@
 
 // Put implements quarantine.Store.
 func (f *fleet) Put(_ context.Context, w kv.Write) (uint64, error) {
+	if f.beforePut != nil {
+		f.beforePut(w.Key)
+	}
 	if err := f.callStore(); err != nil {
 		return 0, err
 	}
