The suspects of an attempt are judged from the narrowest to the broadest

They were left in the order in which their records are claimed, that of the fingerprints: of a request and a part of it with as many ends neither was quarantined if the part came first, and the request ended up to two endpoints more. TestRequestIsQuarantinedBeforeItsParts fails without the order.

--- a/decide/trial/verdict.go
+++ b/decide/trial/verdict.go
@@ -17,7 +17,8 @@
 	Trials []Trial
 }
 
-// Judge returns the verdict on the suspects of one request, which all have the outcome of its attempt in common.
+// Judge returns the verdict on the suspects of one request, from the narrowest to the broadest, which all have the outcome
+// of its attempt in common.
 //
 // An end has one cause. Of several suspects that may be guilty it is one with which no request ran well before, and of
 // these the one with the most ends. The request itself goes before parts with as many ends: nothing else is refused with
--- a/role/quarantine/attempt.go
+++ b/role/quarantine/attempt.go
@@ -59,7 +59,8 @@
 // passed and finish the first that is called has an effect.
 type attempt struct {
 	q *Quarantine
-	// causes are all causes of the request, and suspects those that the attempt has claimed.
+	// causes are all causes of the request, and suspects those that the attempt has claimed, from the narrowest to the
+	// broadest once all are.
 	causes      []cause.Cause
 	suspects    []suspect
 	incarnation suspicion.Incarnation
@@ -120,6 +121,7 @@
 			return nil, err
 		}
 	}
+	slices.SortFunc(a.suspects, func(x, y suspect) int { return cmp.Compare(slices.Index(list, x.Cause), slices.Index(list, y.Cause)) })
 	q.tellAll(cause.Prints(list)...)
 	pause.For(ctx, isolationWait)
 	if err := q.checkClaim(ctx, a, s); err != nil {
--- a/role/quarantine/part_test.go
+++ b/role/quarantine/part_test.go
@@ -437,3 +437,44 @@
 		time.Sleep(3 * time.Second) // what was claimed before is given back
 	})
 }
+
+// Of a request and a part of it with as many ends the request is quarantined, whatever the order of their fingerprints: no
+// other request is refused with it. The part stays suspect until a request with it runs well.
+func TestRequestIsQuarantinedBeforeItsParts(t *testing.T) {
+	t.Parallel()
+	for _, request := range []fingerprint.Fingerprint{1, 1<<64 - 1} {
+		inFleet(t, 5, func(ctx context.Context, f *fleet) {
+			part := fingerprint.OfPart("assistant", "m")
+			for i := range 3 {
+				g := f.nodes[i].guard(0)
+				g.Causes = cause.List(request, "assistant", []string{"m"})
+				require.NoError(t, g.Enter(ctx, time.Second, false))
+				at := suspicion.Incarnation{Endpoint: g.Endpoint()}
+				if at.Endpoint == "" {
+					at.Endpoint = fmt.Sprint("another-", i)
+				}
+				f.mu.Lock()
+				f.ended[at] = time.Now()
+				f.mu.Unlock()
+				f.nodes[i].Report(at, g.Begun(50*time.Millisecond), time.Now())
+				g.End(true)
+				time.Sleep(time.Second)
+			}
+			for _, n := range f.nodes {
+				require.Positive(t, n.Remaining(request, time.Now()))
+				require.Zero(t, n.Remaining(part, time.Now()))
+				require.True(t, n.Suspected(part, time.Now()))
+			}
+			g := f.nodes[3].guard(0)
+			g.Causes = cause.List(7, "assistant", []string{"m"})
+			require.NoError(t, g.Enter(ctx, time.Second, false))
+			require.NotEmpty(t, g.Endpoint())
+			g.PassedSince(time.Now())
+			time.Sleep(3 * time.Second)
+			for _, n := range f.nodes {
+				require.False(t, n.Suspected(part, time.Now()))
+				require.Positive(t, n.Remaining(request, time.Now()))
+			}
+		})
+	}
+}
