--- a/role/quarantine/part_test.go
+++ b/role/quarantine/part_test.go
@@ -249,8 +249,9 @@
 	p.connected[name] = time.Now()
 }
 
-// playParts plays a schedule, in which requests with the part come from two seconds on, and returns the fleet.
-func playParts(t *testing.T, size int, seed uint64, loss float64, calm bool) (p *parts) {
+// playParts plays a schedule, in which requests with the part end endpoints from two seconds on, and returns the fleet. It
+// has no other trouble if it is calm; with popular set, requests with the part run well before.
+func playParts(t *testing.T, size int, seed uint64, loss float64, calm, popular bool) (p *parts) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		p = &parts{
@@ -265,8 +266,12 @@
 		for i := 0; time.Since(begun) < 18*time.Second; i++ {
 			time.Sleep(10 * time.Millisecond)
 			n, team := p.node(p.intN(size)), fmt.Sprint("team-", p.intN(3))
+			ids := []string{"all", team}
+			if popular && time.Since(begun) < time.Second/2 {
+				ids = append(ids, deadly)
+			}
 			if time.Since(begun) < 15*time.Second {
-				p.group.Go(func() { p.sendHarmless(ctx, n, "all", team) })
+				p.group.Go(func() { p.sendHarmless(ctx, n, ids...) })
 			}
 			if time.Since(begun) > 2*time.Second && i%10 == 0 {
 				n := p.node(p.intN(size))
@@ -321,7 +326,7 @@
 	quarantined := 0
 	for _, c := range []struct{ size, seeds int }{{1, 6}, {5, 6}, {30, 6}, {469, 1}} {
 		for seed := range uint64(c.seeds) {
-			p := playParts(t, c.size, seed, 0.1, false)
+			p := playParts(t, c.size, seed, 0.1, false, false)
 			require.LessOrEqual(t, p.late(), 3, "%d gateways, seed %d", c.size, seed)
 			require.Empty(t, p.wrong, "%d gateways, seed %d", c.size, seed)
 			quarantined += p.quarantined
@@ -330,11 +335,24 @@
 	t.Logf("%d harmless requests quarantined: the endpoint of their attempt ended by chance", quarantined)
 }
 
+// A part with which requests ran well may come to end endpoints. It is found all the same.
+func TestPopularPartThatComesToEndEndpoints(t *testing.T) {
+	t.Parallel()
+	for _, size := range []int{1, 5, 30} {
+		for seed := range uint64(3) {
+			p := playParts(t, size, seed, 0.1, seed > 0, true)
+			require.LessOrEqual(t, p.late(), 3, "%d gateways, seed %d", size, seed)
+			require.Empty(t, p.wrong, "%d gateways, seed %d", size, seed)
+			t.Logf("%d gateways, seed %d: %d endpoints have ended", size, seed, len(p.ended))
+		}
+	}
+}
+
 // Harmless requests with the same team and the same first part are served as without the others.
 func TestHarmlessRequestsWithTheOtherPartsAreServed(t *testing.T) {
 	t.Parallel()
 	for _, size := range []int{1, 5, 30, 469} {
-		p := playParts(t, size, 1, 0, true)
+		p := playParts(t, size, 1, 0, true, false)
 		require.LessOrEqual(t, len(p.ended), 2+4+3, "two ends, those under way, and three attempts")
 		require.Zero(t, p.refused, "%d gateways", size)
 		require.Greater(t, p.served, 100, "%d gateways", size)
