--- a/role/quarantine/quarantine.go
+++ b/role/quarantine/quarantine.go
@@ -38,7 +38,7 @@
 	minRemaining = time.Second
 	// maxReported limits the causes in a datagram, some 40 bytes each.
 	maxReported = 64
-	// maxPendingWrites limits the requests that wait to be written to the store.
+	// maxPendingWrites limits the causes that wait to be written to the store.
 	maxPendingWrites = 256
 	// announcerRank is the number of keepers that tell all gateways of a suspect: one of them may have
 	// ended unnoticed.
@@ -77,7 +77,7 @@
 	// State returns whether an incarnation of an endpoint has certainly ended, and otherwise whether it is
 	// silent; it has the endpoint checked if that is not known.
 	State func(suspicion.Incarnation) (ended, silent bool)
-	// Store keeps the quarantined requests and the trials of suspects. StoreAnswers reports whether it answers
+	// Store keeps the quarantined causes and the trials of suspects. StoreAnswers reports whether it answers
 	// this gateway.
 	Store        Store
 	StoreAnswers func() bool
@@ -89,7 +89,7 @@
 	known  suspects.Suspects
 	trials trials.Trials
 	writes chan fingerprint.Fingerprint
-	// announcing is signalled when there are requests to announce.
+	// announcing is signalled when there are causes to announce.
 	announcing chan struct{}
 
 	mu sync.Mutex // guards the fields below
@@ -97,13 +97,13 @@
 	changed chan struct{}
 	// resends are the datagrams to be sent once more, since a datagram may be lost.
 	resends []message
-	// announced are the requests to be announced to all gateways.
+	// announced are the causes to be announced to all gateways.
 	announced map[fingerprint.Fingerprint]bool
 	// unanswered are the causes whose ends were reported to their keepers.
 	unanswered map[fingerprint.Fingerprint]reported
 	// running are the suspects of which this gateway holds an attempt.
 	running map[fingerprint.Fingerprint]bool
-	// stored are the requests that the store holds as quarantined.
+	// stored are the causes that the store holds as quarantined.
 	stored map[fingerprint.Fingerprint]bool
 }
 
@@ -113,7 +113,7 @@
 	to     []overlay.Member
 }
 
-// reported is a report to the keepers of a request: when it was sent, and how many answers are awaited.
+// reported is a report to the keepers of a cause: when it was sent, and how many answers are awaited.
 type reported struct {
 	at      time.Time
 	missing int
@@ -131,7 +131,7 @@
 	q.stored = make(map[fingerprint.Fingerprint]bool)
 }
 
-// Run writes the requests that this gateway quarantines to the store, and announces suspects, until ctx
+// Run writes the causes that this gateway quarantines to the store, and announces suspects, until ctx
 // ends.
 func (q *Quarantine) Run(ctx context.Context) {
 	var group sync.WaitGroup
--- a/role/quarantine/store.go
+++ b/role/quarantine/store.go
@@ -20,7 +20,7 @@
 
 // Keys and times of the quarantine in the store.
 const (
-	// keyPrefix precedes the fingerprint of a quarantined request in its key, trialPrefix that of a suspect
+	// keyPrefix precedes the fingerprint of a quarantined cause in its key, trialPrefix that of a suspect
 	// that has been tried.
 	keyPrefix   = "grademill/quarantine/"
 	trialPrefix = "grademill/trial/"
@@ -46,7 +46,7 @@
 	Revoke(ctx context.Context, lease string) error
 }
 
-// queueWrite queues a request to be written to the store. If the queue is full, the request spreads with
+// queueWrite queues a cause to be written to the store. If the queue is full, the cause spreads with
 // digests only.
 func (q *Quarantine) queueWrite(f fingerprint.Fingerprint) {
 	select {
@@ -56,7 +56,7 @@
 	}
 }
 
-// persist writes a request to the store, unless another gateway does: the one that has tried it writes it at once.
+// persist writes a cause to the store, unless another gateway does: the one that has tried it writes it at once.
 func (q *Quarantine) persist(ctx context.Context, f fingerprint.Fingerprint) {
 	wait := time.Duration(0)
 	if !q.holds(f) {
@@ -75,7 +75,7 @@
 	}
 }
 
-// put writes a request under a lease that lasts as long as the quarantine.
+// put writes a cause under a lease that lasts as long as the quarantine.
 func (q *Quarantine) put(ctx context.Context, f fingerprint.Fingerprint) error {
 	now := time.Now()
 	known := q.known.Get(f, now)
@@ -99,7 +99,7 @@
 	return err
 }
 
-// Put handles a pair read from the store, and reports whether its key is that of a quarantined request or of a
+// Put handles a pair read from the store, and reports whether its key is that of a quarantined cause or of a
 // trial.
 func (q *Quarantine) Put(p kv.Pair, now time.Time) bool {
 	if f, ok := parseKey(p.Key, trialPrefix); ok {
@@ -157,7 +157,7 @@
 }
 
 // Removed handles the removal of a key from the store at a revision, and reports whether it was that of a
-// quarantined request or of a trial. A request whose lease expired too early is written again.
+// quarantined cause or of a trial. A cause whose lease expired too early is written again.
 func (q *Quarantine) Removed(key string, revision uint64, now time.Time) bool {
 	if f, ok := parseKey(key, trialPrefix); ok {
 		q.trials.Remove(f, revision)
@@ -232,7 +232,7 @@
 	return q.Store.Revoke(ctx, lease)
 }
 
-// isStored reports whether the store holds a request.
+// isStored reports whether the store holds a cause.
 func (q *Quarantine) isStored(f fingerprint.Fingerprint) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
