--- a/role/gateway/check.go
+++ b/role/gateway/check.go
@@ -32,8 +32,7 @@
 
 // checkAsync checks an endpoint in the background, one check at a time, and again while this
 // process is starved of processor time. If the endpoint does not answer, the streams through it are
-// moved at once, without waiting about 200 ms longer for the endpoints before it in the chain to
-// report the stall.
+// moved at once: the endpoints before it in the chain report the stall later.
 func (g *Gateway) checkAsync(b *backend) {
 	if b.use.down() || !b.use.checking.CompareAndSwap(false, true) {
 		return
