--- a/review/standin/caller.go
+++ b/review/standin/caller.go
@@ -79,6 +79,24 @@
 	return response.StatusCode, response.Header.Get("X-Response-Seal"), response.Body.Close()
 }
 
+// stream sends a request for a stream of some events, and reports whether the whole of it came.
+func (c *channel) stream(q request, events int) (whole bool, got int) {
+	_ = c.conn.SetDeadline(time.Now().Add(q.patience)) // fails only on a closed connection
+	_, err := fmt.Fprintf(c.conn, "POST %s%s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nX-Model: plans\r\n"+
+		"X-Token-Usage: 10,%d\r\nAuthorization: Token %s\r\nContent-Length: %d\r\n\r\n%s",
+		modelPrefix, q.id, host, q.id, q.patience.Milliseconds(), events, q.key, len(q.body), q.body)
+	if err != nil {
+		return false, 0
+	}
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil || response.StatusCode != http.StatusOK {
+		return false, 0
+	}
+	text, err := io.ReadAll(response.Body)
+	got = strings.Count(string(text), "data:")
+	return err == nil && got == events, got
+}
+
 // String describes the answer for the record.
 func (a answer) String() string {
 	if a.status == 0 {
--- a/review/standin/silence.go
+++ b/review/standin/silence.go
@@ -63,7 +63,7 @@
 	for _, r := range runners {
 		ran += len(r.ran())
 	}
-	unanswered, late := 0, 0
+	unanswered, late, never := 0, 0, 0
 	for _, a := range answers {
 		w.note("%s", a)
 		if a.took > silenceTimeout {
@@ -72,9 +72,12 @@
 		if a.took > silenceTimeout+finalAnswer {
 			late++
 		}
+		if a.status == 0 {
+			never++
+		}
 	}
-	w.note("%d requests, %d run; %d unanswered at the route's timeout of %v, %d of these without a final answer %v later",
-		atOnce, ran, unanswered, silenceTimeout, late, finalAnswer)
+	w.note("%d requests, %d run; %d unanswered at the route's timeout of %v, %d of these without a final answer %v later, "+
+		"%d without any while their callers waited", atOnce, ran, unanswered, silenceTimeout, late, finalAnswer, never)
 	if ran == 0 {
 		return false, fmt.Errorf("no request was run")
 	}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -25,6 +26,12 @@
 	service = "members-desk"
 	host    = "club.example"
 	prefix  = "/renew/"
+	// model is the service that runs a model of so many layers, modelPrefix the path of its route.
+	model       = "coach-llm"
+	modelPrefix = "/plan/"
+	layers      = 8
+	// card is the kind of accelerator of the model's runners, whose memory holds half of the layers.
+	card = "l40s"
 )
 
 // revocation is the bound of a small deployment on the use of a key that was taken away, as its settings name it.
@@ -33,6 +40,7 @@
 // world is the platform of a case: the store, and the addresses of the gateways.
 type world struct {
 	*record
+	site  *site.Site
 	store *site.Store
 	// callers are the addresses at which the gateways serve callers, ready those at which they tell whether they are
 	// ready.
@@ -44,11 +52,11 @@
 
 // newWorld starts the store, and writes the settings of the gateways into dir.
 func newWorld(dir string, r *record) (*world, error) {
-	platform, err := site.New(1)
+	platform, err := site.New(layers)
 	if err != nil {
 		return nil, err
 	}
-	w := &world{record: r, store: platform.Store, dir: dir}
+	w := &world{record: r, site: platform, store: platform.Store, dir: dir}
 	for i := range gateways {
 		var free []string
 		for range 4 {
@@ -59,7 +67,7 @@
 			free = append(free, address)
 		}
 		w.callers, w.ready = append(w.callers, free[0]), append(w.ready, free[1])
-		text := settings(fmt.Sprintf("front-%d", i+1), platform.StoreAddress, free)
+		text := settings(fmt.Sprintf("front-%d", i+1), []string{"rosehill", "quatrebornes"}[i], platform.StoreAddress, free)
 		if err := os.WriteFile(filepath.Join(dir, fmt.Sprintf("gateway-%d.toml", i+1)), []byte(text), 0o600); err != nil {
 			return nil, err
 		}
@@ -68,10 +76,10 @@
 }
 
 // settings returns the template of the deploy file, filled in for a gateway with the bounds of a small deployment.
-func settings(name, store string, addresses []string) string {
+func settings(name, zone, store string, addresses []string) string {
 	return fmt.Sprintf(`role = "gateway"
 name = %q
-hall = "rosehill"
+hall = %q
 address = %q
 admin = %q
 
@@ -90,16 +98,26 @@
 room_shares = true
 fleet_admission = true
 hall_split = true
-`, name, addresses[2], addresses[3], addresses[0], addresses[1], store)
+`, name, zone, addresses[2], addresses[3], addresses[0], addresses[1], store)
 }
 
+// The range of ports of the gateways. It lies below the ports that systems give to outgoing connections, of which one
+// could take a port before the gateway does.
+const (
+	firstPort = 18000
+	ports     = 12000
+)
+
 // freeAddress returns a loopback address at which nothing listens.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var err error
+	for range 100 {
+		var l net.Listener
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))); err == nil {
+			return l.Addr().String(), l.Close()
+		}
 	}
-	return l.Addr().String(), l.Close()
+	return "", err
 }
 
 // begin lets the script start the gateways, and waits until they have been ready for some time.
@@ -137,8 +155,8 @@
 	Prio int      `json:"prio"`
 }
 
-// configure writes the next version of the configuration: one route for requests that must not be repeated. It
-// returns when the store has taken it.
+// configure writes the next version of the configuration: one route for requests that must not be repeated, and one for
+// streams that may be resumed. It returns when the store has taken it.
 func (w *world) configure(timeout time.Duration, tenants []tenant) time.Time {
 	w.version++
 	w.store.Set("op/config", map[string]any{
@@ -146,10 +164,19 @@
 		"routes": []map[string]any{{
 			"name": "renew", "host": host, "path_prefix": prefix, "kind": "non_idempotent", "timeout_ms": timeout.Milliseconds(),
 			"slo_ms": 300, "prio": 2, "service": service, "attempts": 1, "public": false,
+		}, {
+			"name": "plan", "host": host, "path_prefix": modelPrefix, "kind": "streaming", "timeout_ms": 20000, "slo_ms": 500,
+			"gap_aim_ms": 200, "prio": 1, "service": model, "attempts": 2, "public": false, "sticky": true, "resumable": true,
 		}},
-		"services": []map[string]any{{"name": service, "health_path": "/health", "max_conns": 110, "proto": "h1", "tls": false}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants":  tenants,
+		"services": []map[string]any{
+			{"name": service, "health_path": "/health", "max_conns": 110, "proto": "h1", "tls": false},
+			{"name": model, "health_path": "/health", "max_conns": 1138, "proto": "h1", "tls": false, "engine": map[string]any{
+				"slots": 64, "kv_token_bytes": 80000, "step_ms": 1, "read_per_s": 100000, "layers": layers, "layer_mb": 1000,
+				"kinds": []any{map[string]any{"name": card, "mb": 5000, "pace": 1, "read_x": 1}},
+			}},
+		},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": tenants,
 	})
 	w.note("the store takes configuration %d with %d tenants: %v", w.version, len(tenants), tenants)
 	return time.Now()
