Gateway: a line when the data halls of the fleet change, and the halls of a moved stream

Nothing said when the set of halls changed, and "request moved" named addresses only.

Now a line says which halls the fleet has and had, and "request moved" has the former chain and the halls of the new one.

--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -55,6 +57,11 @@
 	return f
 }
 
+// dataHalls returns the names of the data halls, sorted.
+func (f *fleet) dataHalls() []string {
+	return slices.Sorted(maps.Keys(f.byHall))
+}
+
 // backend is an endpoint with its usage.
 type backend struct {
 	roster.Record
--- a/role/gateway/members.go
+++ b/role/gateway/members.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -74,7 +75,12 @@
 	if !changed && !reconfigured {
 		return
 	}
-	g.fleet.Store(newFleet(g.backends()))
+	next := newFleet(g.backends())
+	former := g.fleet.Swap(next)
+	if halls := next.dataHalls(); !slices.Equal(halls, former.dataHalls()) {
+		g.Log.Info().Strs("halls", halls).Strs("former", former.dataHalls()).Int("endpoints", len(next.byID)).
+			Msg("the data halls of the fleet have changed")
+	}
 	g.Meter.Endpoints(g.membership.Roster.Size())
 }
 
--- a/role/gateway/reservation.go
+++ b/role/gateway/reservation.go
@@ -42,6 +42,15 @@
 	return slices.ContainsFunc(s.parts, func(b *backend) bool { return b.use.down() })
 }
 
+// halls returns the data halls of the endpoints of the chain, in its order.
+func (s *reservation) halls() []string {
+	names := make([]string, 0, len(s.parts))
+	for _, b := range s.parts {
+		names = append(names, b.Hall)
+	}
+	return names
+}
+
 // charge charges the room to this gateway's shares of free room. The room of requests that these do
 // not hold up is not charged: the requests moved after a loss would use up the shares of the few
 // endpoints that hold the lost layers, and new requests would find no room there for seconds.
--- a/role/gateway/watchdog.go
+++ b/role/gateway/watchdog.go
@@ -320,7 +320,8 @@
 		ctx, cancel := context.WithTimeout(w.ctx, moveWait)
 		err := g.Runners.Reroute(ctx, q.ID, next.chain)
 		cancel()
-		g.Log.Info().Str("request", q.ID).Str("lost", address).Stringer("chain", next.chain).AnErr("error", err).
+		g.Log.Info().Str("request", q.ID).Str("lost", address).Stringer("former", reservation.chain).
+			Stringer("chain", next.chain).Strs("halls", next.halls()).AnErr("error", err).
 			Msg("request moved")
 		if err == nil {
 			w.replace(next)
