Gateway: an endpoint's data hall is named, not numbered, in the search for a chain

What callers saw: gateways ended by themselves, several within a second, when a data hall had lost its last endpoint and a stream of another hall was moved. Every request and stream that they carried was cut.

Evidence: a trial copy that logged, for each kept stage, its hall, its number and the tables: hall "quatrebornes", number 2, tables of 2 halls ["rosehill","quatrebornes"], then the panic, in both gateways.

The mend: chain.Holder has the hall's name. The Finder resolves names within one search, from the holders of that search, and has one cost for hops within a hall and one for all others, as all its users do; nothing outside of it has a number. Noise by hall is kept by name too. A hall that only a kept stage is in is one more name.

--- a/cmd/measure/bound.go
+++ b/cmd/measure/bound.go
@@ -181,7 +181,7 @@
 // fastestChain returns the time per token in milliseconds on the fastest chain without load, and
 // its number of stages.
 func (p placed) fastestChain() (milliseconds float64, stages int) {
-	f := chain.Finder{Layers: p.model.Layers, HopCost: [][]float64{{hop}}, EntryCost: []float64{0}}
+	f := chain.Finder{Layers: p.model.Layers, HopCost: hop}
 	var holders []chain.Holder
 	cost := make(map[string]float64)
 	for _, c := range p.cards {
--- a/decide/chain/finder.go
+++ b/decide/chain/finder.go
@@ -16,8 +16,8 @@
 // Holder is an endpoint that holds layers, with the current cost of using it.
 type Holder struct {
 	ID, Address string
-	// Hall is the index of the data hall in Finder.HopCost.
-	Hall   int
+	// Hall is the name of its data hall.
+	Hall   string
 	Layers layer.Range
 	// CostPerLayer is the cost of one layer for one token, in seconds.
 	CostPerLayer float64
@@ -30,12 +30,18 @@
 type Finder struct {
 	// Layers is the number of layers of the model.
 	Layers int
-	// HopCost[i][j] is the cost of passing a token on from hall i to hall j, in seconds.
-	HopCost [][]float64
-	// EntryCost[i] is the cost of starting a chain in hall i, in seconds.
-	EntryCost []float64
+	// Home is the name of the hall from which requests enter. The cost of starting a chain there is
+	// EntryCost, and in any other hall RemoteEntryCost, in seconds per token.
+	Home                       string
+	EntryCost, RemoteEntryCost float64
+	// HopCost is the cost of passing a token on within a hall, RemoteHopCost to another hall, in
+	// seconds per token. It is infinite if a chain must not leave its hall.
+	HopCost, RemoteHopCost float64
 
 	boundaries []int
+	// halls holds the names of the holders' halls, hallOf the index in halls of each holder's.
+	halls  []string
+	hallOf []int16
 	// cost and from have a row for each boundary and a column for each holder: the least cost
 	// of a chain up to the boundary that ends at the holder, and the holder that runs the layers
 	// before the previous boundary.
@@ -78,19 +84,33 @@
 	size := len(f.boundaries) * len(holders)
 	f.cost = slices.Grow(f.cost[:0], size)[:size]
 	f.from = slices.Grow(f.from[:0], size)[:size]
-	f.cheapestEnds = slices.Grow(f.cheapestEnds[:0], len(f.HopCost))[:len(f.HopCost)]
+	f.numberHalls(holders)
+	f.cheapestEnds = slices.Grow(f.cheapestEnds[:0], len(f.halls))[:len(f.halls)]
 	for i := range f.cost {
 		f.cost[i] = math.Inf(1)
 		f.from[i] = -1
 	}
 }
 
+// numberHalls fills halls and hallOf.
+func (f *Finder) numberHalls(holders []Holder) {
+	f.halls, f.hallOf = f.halls[:0], f.hallOf[:0]
+	for _, h := range holders {
+		i := slices.Index(f.halls, h.Hall)
+		if i < 0 {
+			i = len(f.halls)
+			f.halls = append(f.halls, h.Hall)
+		}
+		f.hallOf = append(f.hallOf, int16(i))
+	}
+}
+
 // advance extends the chains by the layers between boundaries k-1 and k.
 func (f *Finder) advance(k int, holders []Holder) {
 	n := len(holders)
 	low, high := f.boundaries[k-1], f.boundaries[k]
 	before, after := f.cost[(k-1)*n:k*n], f.cost[k*n:(k+1)*n]
-	f.findCheapestEnds(before, holders)
+	f.findCheapestEnds(before)
 	for j, h := range holders {
 		if h.Layers.First > low || h.Layers.End < high {
 			continue
@@ -105,7 +125,7 @@
 }
 
 // findCheapestEnds finds, for each hall, the holder at which the cheapest chain ends.
-func (f *Finder) findCheapestEnds(before []float64, holders []Holder) {
+func (f *Finder) findCheapestEnds(before []float64) {
 	for hall := range f.cheapestEnds {
 		f.cheapestEnds[hall] = -1
 	}
@@ -113,8 +133,8 @@
 		if math.IsInf(cost, 1) {
 			continue
 		}
-		if best := f.cheapestEnds[holders[i].Hall]; best < 0 || cost < before[best] {
-			f.cheapestEnds[holders[i].Hall] = int16(i)
+		if best := f.cheapestEnds[f.hallOf[i]]; best < 0 || cost < before[best] {
+			f.cheapestEnds[f.hallOf[i]] = int16(i)
 		}
 	}
 }
@@ -124,14 +144,21 @@
 func (f *Finder) cheapestEntry(k, j int, before []float64, holders []Holder) (float64, int16) {
 	h := holders[j]
 	if k == 1 {
-		return f.EntryCost[h.Hall] + h.FixedCost, -1
+		if h.Hall == f.Home {
+			return f.EntryCost + h.FixedCost, -1
+		}
+		return f.RemoteEntryCost + h.FixedCost, -1
 	}
 	cost, from := math.Inf(1), int16(-1)
 	for hall, i := range f.cheapestEnds {
 		if i < 0 || int(i) == j {
 			continue
 		}
-		if c := before[i] + f.HopCost[hall][h.Hall] + h.FixedCost; c < cost {
+		hop := f.RemoteHopCost
+		if hall == int(f.hallOf[j]) {
+			hop = f.HopCost
+		}
+		if c := before[i] + hop + h.FixedCost; c < cost {
 			cost, from = c, i
 		}
 	}
--- a/decide/chain/finder_test.go
+++ b/decide/chain/finder_test.go
@@ -17,14 +17,16 @@
 // one.
 func finder(layers int) *chain.Finder {
 	return &chain.Finder{
-		Layers: layers, EntryCost: []float64{0, 1, 1},
-		HopCost: [][]float64{{0.3, 5, 5}, {5, 0.3, 5}, {5, 5, 0.3}},
+		Layers: layers, Home: hallName(0), RemoteEntryCost: 1, HopCost: 0.3, RemoteHopCost: 5,
 	}
 }
 
+// hallName returns the name of a hall; hall 0 is the one from which requests enter.
+func hallName(hall int) string { return fmt.Sprint("hall-", hall) }
+
 func holder(name string, hall, first, end int, perLayer float64) chain.Holder {
 	return chain.Holder{
-		ID: name, Address: name + ":1", Hall: hall, Layers: layer.Range{First: first, End: end}, CostPerLayer: perLayer,
+		ID: name, Address: name + ":1", Hall: hallName(hall), Layers: layer.Range{First: first, End: end}, CostPerLayer: perLayer,
 	}
 }
 
@@ -87,15 +89,31 @@
 	require.Greater(t, float64(best), 0.9*float64(found))
 }
 
+// entryCost returns the cost of starting a chain at a holder.
+func entryCost(f *chain.Finder, h chain.Holder) float64 {
+	if h.Hall == f.Home {
+		return f.EntryCost
+	}
+	return f.RemoteEntryCost
+}
+
+// hopCost returns the cost of passing a token on from one holder to another.
+func hopCost(f *chain.Finder, from, to chain.Holder) float64 {
+	if from.Hall == to.Hall {
+		return f.HopCost
+	}
+	return f.RemoteHopCost
+}
+
 // chainCost returns the cost of a chain.
 func chainCost(f *chain.Finder, holders []chain.Holder, c chain.Chain) float64 {
 	cost, last := 0.0, -1
 	for _, p := range c {
 		j := slices.IndexFunc(holders, func(h chain.Holder) bool { return h.ID == p.ID })
 		if last < 0 {
-			cost += f.EntryCost[holders[j].Hall]
+			cost += entryCost(f, holders[j])
 		} else {
-			cost += f.HopCost[holders[last].Hall][holders[j].Hall]
+			cost += hopCost(f, holders[last], holders[j])
 		}
 		cost += float64(p.Layers.Len()) * holders[j].CostPerLayer
 		last = j
@@ -122,9 +140,9 @@
 		cost := h.CostPerLayer
 		switch {
 		case from.last < 0:
-			cost += f.EntryCost[h.Hall]
+			cost += entryCost(f, h)
 		case from.last != j:
-			cost += f.HopCost[holders[from.last].Hall][h.Hall]
+			cost += hopCost(f, holders[from.last], h)
 		}
 		best = min(best, cost+leastCost(f, holders, searchState{from.at + 1, j}, known))
 	}
--- a/decide/chaincost/chaincost.go
+++ b/decide/chaincost/chaincost.go
@@ -3,8 +3,6 @@
 package chaincost
 
 import (
-	"slices"
-
 	"github.com/grademill/grademill/decide/catalog"
 )
 
@@ -72,40 +70,6 @@
 	return min(room/free, maxMemoryFactor)
 }
 
-// HallNoise returns the cost factor of a hall for one request, from a random number in [0, 1).
-func HallNoise(random float64) float64 { return 1 + maxHallNoise*random }
-
 // EndpointNoise returns the cost factor of an endpoint for one request, from a random number in
 // [0, 1).
 func EndpointNoise(random float64) float64 { return 1 + maxEndpointNoise*random }
-
-// Entries appends to list the cost of entering a chain in each hall, for a request that is directed
-// to the hall home.
-func Entries(list []float64, halls []string, home string) []float64 {
-	for _, hall := range halls {
-		entry := RemoteEntry
-		if hall == home {
-			entry = 0
-		}
-		list = append(list, entry)
-	}
-	return list
-}
-
-// Hops returns the cost of passing a token on from each of a number of halls to each; between two
-// halls it is crossHall. It reuses the memory of rows.
-func Hops(rows [][]float64, halls int, crossHall float64) [][]float64 {
-	for len(rows) < halls {
-		rows = append(rows, nil)
-	}
-	rows = rows[:halls]
-	for i := range rows {
-		row := slices.Grow(rows[i][:0], halls)[:halls]
-		for j := range row {
-			row[j] = crossHall
-		}
-		row[i] = HopInHall
-		rows[i] = row
-	}
-	return rows
-}
--- a/decide/chaincost/chaincost_test.go
+++ b/decide/chaincost/chaincost_test.go
@@ -1,7 +1,6 @@
 package chaincost_test
 
 import (
-	"math"
 	"testing"
 	"time"
 
@@ -44,19 +43,26 @@
 
 // Guards against noise that makes a hall or an endpoint cheaper than it is, or exceeds its bound.
 func TestNoiseOnlyAddsCost(t *testing.T) {
-	require.InDelta(t, 1, chaincost.HallNoise(0), 1e-9)
-	require.InDelta(t, 1.7, chaincost.HallNoise(1), 1e-9)
+	var noise chaincost.HallNoise
+	require.InDelta(t, 1, noise.Factor("least", func() float64 { return 0 }), 1e-9)
+	require.InDelta(t, 1.7, noise.Factor("most", func() float64 { return 1 }), 1e-9)
 	require.InDelta(t, 1, chaincost.EndpointNoise(0), 1e-9)
 	require.InDelta(t, 1.2, chaincost.EndpointNoise(1), 1e-9)
 }
 
-// Guards against costs of an earlier search that remain in the reused memory.
-func TestReusedMemoryIsOverwritten(t *testing.T) {
-	require.Equal(t, []float64{chaincost.RemoteEntry, 0}, chaincost.Entries([]float64{9}[:0], []string{"a", "b"}, "b"))
-	in, across, inf := chaincost.HopInHall, chaincost.HopAcrossHalls, math.Inf(1)
-	rows := chaincost.Hops(nil, 3, inf)
-	require.Equal(t, [][]float64{{in, inf, inf}, {inf, in, inf}, {inf, inf, in}}, rows)
-	rows = chaincost.Hops(rows, 2, across)
-	require.Equal(t, [][]float64{{in, across}, {across, in}}, rows)
-	require.Equal(t, [][]float64{{in, inf, inf}, {inf, in, inf}, {inf, inf, in}}, chaincost.Hops(rows, 3, inf))
+// Guards against factors of an earlier request that remain in the reused memory, and against a factor that differs
+// from one endpoint of a hall to the next.
+func TestHallNoiseIsDrawnOncePerRequest(t *testing.T) {
+	var noise chaincost.HallNoise
+	for _, random := range []float64{0.2, 0.4} {
+		noise.Reset()
+		drawn := 0
+		draw := func() float64 { drawn++; return random }
+		for range 3 {
+			for _, hall := range []string{"a", "b"} {
+				require.InDelta(t, 1+0.7*random, noise.Factor(hall, draw), 1e-9)
+			}
+		}
+		require.Equal(t, 2, drawn)
+	}
 }
--- a/decide/placement/evenroom.go
+++ b/decide/placement/evenroom.go
@@ -252,7 +252,7 @@
 
 // chainTime returns the time per token of the fastest chain, infinite if there is none.
 func (a *arrangement) chainTime() float64 {
-	f := chain.Finder{Layers: a.model.Layers, HopCost: [][]float64{{a.hopTime()}}, EntryCost: []float64{a.hopTime()}}
+	f := chain.Finder{Layers: a.model.Layers, HopCost: a.hopTime(), EntryCost: a.hopTime()}
 	holders := make([]chain.Holder, len(a.cards))
 	for i, c := range a.cards {
 		holders[i] = chain.Holder{
--- a/decide/placement/evenroom_test.go
+++ b/decide/placement/evenroom_test.go
@@ -110,7 +110,7 @@
 // stage.
 func tokenTime(t *testing.T, cards []placement.Card) float64 {
 	const hop = 0.0003
-	f := chain.Finder{Layers: mixedModel.Layers, HopCost: [][]float64{{hop}}, EntryCost: []float64{hop}}
+	f := chain.Finder{Layers: mixedModel.Layers, HopCost: hop, EntryCost: hop}
 	var holders []chain.Holder
 	perLayer := make(map[string]float64)
 	for _, c := range cards {
--- a/role/gateway/chooser.go
+++ b/role/gateway/chooser.go
@@ -19,8 +19,8 @@
 type chooser struct {
 	finder  chain.Finder
 	holders []chain.Holder
-	// noise is the random cost factor of each hall for this request.
-	noise []float64
+	// noise holds the random cost factors of the halls for this request.
+	noise chaincost.HallNoise
 	// fleetFactor is how many requests of the whole fleet are moved or sent again for the same
 	// reason, for each one of this gateway: see usage.fleetFactor. It is 1 unless an endpoint was
 	// lost.
@@ -70,24 +70,21 @@
 			continue
 		}
 		holders = append(holders, chain.Holder{
-			ID: p.ID, Address: p.Address, Hall: b.hall, Layers: p.Layers,
+			ID: p.ID, Address: p.Address, Hall: b.Hall, Layers: p.Layers,
 			CostPerLayer: c.layerTime(q, b) * chaincost.KeptLayer,
 		})
 	}
 	c.holders = holders
 }
 
-// prepare sets the model, the costs of entering a chain in each hall, the share of other gateways'
-// requests not yet reported, and the noise.
-func (c *chooser) prepare(m *catalog.Model, f *fleet, home string, others unreported.Usage) {
-	c.finder.Layers = m.Layers
+// prepare sets the model, the hall to which the request is directed, and the share of other gateways'
+// requests not yet reported.
+func (c *chooser) prepare(m *catalog.Model, home string, others unreported.Usage) {
+	c.finder.Layers, c.finder.Home = m.Layers, home
+	c.finder.HopCost, c.finder.RemoteEntryCost = chaincost.HopInHall, chaincost.RemoteEntry
 	c.fleetFactor, c.withinShares = 1, false
 	c.unreported = others.UnreportedShare()
-	c.finder.EntryCost = chaincost.Entries(c.finder.EntryCost[:0], f.halls, home)
-	c.noise = c.noise[:0]
-	for range f.halls {
-		c.noise = append(c.noise, chaincost.HallNoise(rand.Float64()))
-	}
+	c.noise.Reset()
 }
 
 // candidateFilter selects the backends that a search leaves out.
@@ -145,7 +142,7 @@
 			continue
 		}
 		c.holders = append(c.holders, chain.Holder{
-			ID: b.ID, Address: b.Address, Hall: b.hall, Layers: usable,
+			ID: b.ID, Address: b.Address, Hall: b.Hall, Layers: usable,
 			CostPerLayer: c.perLayer(q, b, now) * chaincost.MemoryFactor(free, room),
 		})
 	}
@@ -198,7 +195,7 @@
 // perLayer returns the cost of a layer of a backend for a request, in seconds per token, before the
 // memory factor.
 func (c *chooser) perLayer(q *query, b *backend, now time.Time) float64 {
-	noise := c.noise[b.hall] * chaincost.EndpointNoise(rand.Float64())
+	noise := c.noise.Factor(b.Hall, rand.Float64) * chaincost.EndpointNoise(rand.Float64())
 	slow := float64(b.use.slowness(now)) / pace.Unit
 	return c.layerTime(q, b) * slow * noise
 }
--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -30,8 +30,6 @@
 	byAddress map[string]*backend
 	// byHall holds the backends by the name of their data hall.
 	byHall map[string][]*backend
-	// halls holds the names of the data halls; backend.hall is an index into it.
-	halls []string
 }
 
 // newFleet returns a fleet of the given backends.
@@ -40,13 +38,7 @@
 		open: make(map[string][]*backend), byID: make(map[string]*backend), byAddress: make(map[string]*backend),
 		byHall: make(map[string][]*backend),
 	}
-	index := make(map[string]int)
 	for _, b := range all {
-		if _, ok := index[b.Hall]; !ok {
-			index[b.Hall] = len(f.halls)
-			f.halls = append(f.halls, b.Hall)
-		}
-		b.hall = index[b.Hall]
 		f.byID[b.ID] = b
 		f.byHall[b.Hall] = append(f.byHall[b.Hall], b)
 		f.byAddress[b.Address] = b
@@ -66,8 +58,6 @@
 type backend struct {
 	roster.Record
 	use *usage
-	// hall is the index of its data hall in the fleet.
-	hall int
 }
 
 // usage is what this gateway knows of an endpoint beyond its record. It survives changes of the
--- a/role/gateway/pace.go
+++ b/role/gateway/pace.go
@@ -18,11 +18,11 @@
 	for ctx.Err() == nil {
 		pause.For(ctx, surveyEvery)
 		o, f := g.gossip.Overlay(), g.fleet.Load()
-		for _, hall := range f.halls {
+		for hall, backends := range f.byHall {
 			if hall != g.Hall && len(o.PeersIn(hall)) > 0 {
 				continue // its own gateways check its endpoints
 			}
-			for _, b := range f.byHall[hall] {
+			for _, b := range backends {
 				now := time.Now()
 				backingOff := b.use.intake.Held(now) == throttle.BackingOff
 				if b.Card != "" && !backingOff && !b.use.askedLately(now) && !b.use.presumedDead(now) && o.ItemRank(b.ID, hall) == 0 {
--- a/role/gateway/reservation.go
+++ b/role/gateway/reservation.go
@@ -172,7 +172,7 @@
 	c := choosers.Get().(*chooser)
 	defer choosers.Put(c)
 	need := q.tokens()
-	c.prepare(q.service.Model, f, cmp.Or(q.decision.Hall, g.Hall), g.peerFlow(q.service.Name))
+	c.prepare(q.service.Model, cmp.Or(q.decision.Hall, g.Hall), g.peerFlow(q.service.Name))
 	c.fleetFactor = q.requestFactor()
 	c.withinShares = g.Overload.RoomShares && !q.everReached.Load() && q.guard.Endpoint() == "" // a request that was sent is not held up
 	c.reserved = g.quarantine.Reserved(time.Now())
@@ -240,11 +240,11 @@
 // find returns the cheapest chain within one hall or, if there is none and the links between halls
 // have capacity left, the cheapest chain overall.
 func (g *Gateway) find(c *chooser, q *query, need int) (chain.Chain, bool) {
-	c.finder.HopCost = chaincost.Hops(c.finder.HopCost, len(c.finder.EntryCost), math.Inf(1))
+	c.finder.RemoteHopCost = math.Inf(1)
 	if found, ok := c.finder.Find(c.holders); ok {
 		return found, true
 	}
-	c.finder.HopCost = chaincost.Hops(c.finder.HopCost, len(c.finder.EntryCost), chaincost.HopAcrossHalls)
+	c.finder.RemoteHopCost = chaincost.HopAcrossHalls
 	found, ok := c.finder.Find(c.holders)
 	return found, ok && g.linklimit.Allow(q.service.Model, need, g.peers.Size())
 }
@@ -256,7 +256,7 @@
 	c := choosers.Get().(*chooser)
 	defer choosers.Put(c)
 	need := q.tokens()
-	c.prepare(q.service.Model, f, g.Hall, g.peerFlow(q.service.Name))
+	c.prepare(q.service.Model, g.Hall, g.peerFlow(q.service.Name))
 	c.fleetFactor = lost.use.fleetFactor()
 	c.reserved = g.quarantine.Reserved(time.Now())
 	c.collect(q, f, need, skipAvoidedAndFull)
