Catalog: whether callers need a key is decided where the configuration is decoded

What callers saw: once the last key was taken away from all teams, requests with a key that was taken away, with a key that no configuration ever held, and without a key were run and answered 200.

Cause: Catalog.HasTeams inferred from the number of known keys whether the configuration has teams. The decoder had dropped the difference between "tenants" that hold no key and a configuration without "tenants".

Evidence: in a run of the case both gateways log "configuration is in force" with version 3, the one without keys, and then the requests with version 3, team "" and status 200. So no older configuration was used, and nothing but the test for teams lets a request pass without a team on a route that is not public. Before, with one key left, an unknown key and none got 401.

The mend: apikey.Registry carries whether a key is required, and its zero value admits nobody. HasTeams is gone, nothing infers it.

--- /dev/null
+++ b/decide/apikey/registry.go
@@ -0,0 +1,40 @@
+// Package apikey holds the API keys of a configuration, and whether requests need one.
+package apikey
+
+import "iter"
+
+// Registry maps API keys to their holders. It is immutable. The zero Registry admits nobody: a request
+// needs a key, and there is none.
+type Registry[H any] struct {
+	// optional is set if requests need no key.
+	optional bool
+	// holders holds the holder of each key.
+	holders map[string]H
+}
+
+// Optional returns the registry of a configuration under which requests need no key.
+func Optional[H any]() Registry[H] {
+	return Registry[H]{optional: true}
+}
+
+// New returns a registry of the given keys and their holders, of which a request must have one, even if
+// there are none.
+func New[H any](held iter.Seq2[string, H]) Registry[H] {
+	r := Registry[H]{holders: make(map[string]H)}
+	for key, holder := range held {
+		r.holders[key] = holder
+	}
+	return r
+}
+
+// Required reports whether a request needs a key.
+func (r Registry[H]) Required() bool { return !r.optional }
+
+// Holder returns the holder of a key.
+func (r Registry[H]) Holder(key string) (H, bool) {
+	holder, ok := r.holders[key]
+	return holder, ok
+}
+
+// Len returns the number of keys.
+func (r Registry[H]) Len() int { return len(r.holders) }
--- a/decide/catalog/catalog.go
+++ b/decide/catalog/catalog.go
@@ -1,6 +1,6 @@
 // Package catalog holds one version of a gateway's configuration: the routes of requests, the
 // services, and the teams with their API keys. New builds a Catalog; its methods look up the
-// route of a request and the team of a key.
+// route of a request.
 package catalog
 
 import (
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/grademill/grademill/decide/apikey"
 )
 
 // Catalog is one version of the configuration. It is immutable and must not be changed after
@@ -19,22 +21,20 @@
 	Services map[string]*Service
 	// Limits bound the requests of callers.
 	Limits Limits
+	// Keys holds the teams by API key, and whether callers need one.
+	Keys apikey.Registry[*Team]
 	// routes are by host in lower case, those with the longest prefix first.
 	routes map[string][]*Route
-	// teams are by API key.
-	teams map[string]*Team
 	// objectives holds the shortest target latency of the routes of each service.
 	objectives map[string]time.Duration
 }
 
 // New returns a catalog of the given parts.
-func New(version uint64, routes []*Route, services []*Service, teams []Team, limits Limits) *Catalog {
+func New(version uint64, routes []*Route, services []*Service, keys apikey.Registry[*Team], limits Limits) *Catalog {
 	c := &Catalog{
-		Version: version, Limits: limits,
-		Services: make(map[string]*Service, len(services)),
-		routes:   make(map[string][]*Route),
-		teams:    make(map[string]*Team),
-
+		Version: version, Limits: limits, Keys: keys,
+		Services:   make(map[string]*Service, len(services)),
+		routes:     make(map[string][]*Route),
 		objectives: make(map[string]time.Duration),
 	}
 	for _, s := range services {
@@ -52,11 +52,6 @@
 	for _, list := range c.routes {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
-	for i := range teams {
-		for _, key := range teams[i].Keys {
-			c.teams[key] = &teams[i]
-		}
-	}
 	return c
 }
 
@@ -77,22 +72,9 @@
 	return c.objectives[service]
 }
 
-// Team returns the team that owns an API key.
-func (c *Catalog) Team(key string) (*Team, bool) {
-	t, ok := c.teams[key]
-	return t, ok
-}
-
-// HasTeams reports whether any API key is configured, so that callers need one.
-func (c *Catalog) HasTeams() bool {
-	return len(c.teams) > 0
-}
-
 // Team is a group of callers.
 type Team struct {
 	Name string
-	// Keys are the team's API keys.
-	Keys []string
 	// Priority overrides the priority of a route, 0 being the most urgent; nil keeps the
 	// route's.
 	Priority *int
--- a/role/gateway/fixture_test.go
+++ b/role/gateway/fixture_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -156,11 +157,16 @@
 
 // configure writes the next version of the configuration, with or without the team's key.
 func (w *fixture) configure(withKey bool) {
-	w.version += 3
 	keys := []string{"another-key"}
 	if withKey {
 		keys = append(keys, key)
 	}
+	w.configureTeams(map[string]any{"tenants": []any{map[string]any{"name": "desk", "api_keys": keys}}})
+}
+
+// configureTeams writes the next version of the configuration with the given fields in place of the team's.
+func (w *fixture) configureTeams(teams map[string]any) {
+	w.version += 3
 	route := func(prefix, kind, service string, more map[string]any) map[string]any {
 		r := map[string]any{
 			"name": "r-" + service + prefix, "host": host, "path_prefix": prefix, "kind": kind, "service": service,
@@ -171,7 +177,7 @@
 		}
 		return r
 	}
-	w.site.Store.Set("op/config", map[string]any{
+	configuration := map[string]any{
 		"version": w.version,
 		"routes": []any{
 			route("/renew/", "non_idempotent", records, map[string]any{"attempts": 1}),
@@ -195,8 +201,9 @@
 		"limits": map[string]any{
 			"max_body_bytes": 1000, "max_header_bytes": 16384, "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
 		},
-		"tenants": []any{map[string]any{"name": "desk", "api_keys": keys}},
-	})
+	}
+	maps.Copy(configuration, teams)
+	w.site.Store.Set("op/config", configuration)
 }
 
 // eventually waits until a condition holds.
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -109,14 +109,14 @@
 // authorize finds the team of the caller's key. A revoked key must not work, so keys are accepted
 // only while the configuration is known to be current.
 func (g *Gateway) authorize(q *query, c *catalog.Catalog) bool {
-	if q.route.Public || !c.HasTeams() {
+	if q.route.Public || !c.Keys.Required() {
 		return true
 	}
 	if !g.fresh(q) {
 		g.refuse(q, g.retryAfterOutage(q.start), "the configuration is not known to be current")
 		return false
 	}
-	team, ok := c.Team(q.Key)
+	team, ok := c.Keys.Holder(q.Key)
 	if !ok {
 		g.reject(q, http.StatusUnauthorized, "the key is not known")
 		return false
