Gateway: the number of API keys in force, and whether requests need one, in a line and a metric

The line "configuration is in force" had the version alone: that the last key was gone showed only in the requests' lines, by an empty team. It now has keys and keys_required, and is a warning without any key; keys{required} is the same as a metric. The regression test of the case waits for the line.

--- a/adapter/meter/gateway.go
+++ b/adapter/meter/gateway.go
@@ -1,6 +1,7 @@
 package meter
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -26,6 +27,7 @@
 	digests     *prometheus.CounterVec
 	endpoints   *prometheus.GaugeVec
 	revision    prometheus.Gauge
+	keys        *prometheus.GaugeVec
 	load        *prometheus.GaugeVec
 	hallParts   *prometheus.GaugeVec
 	shed        *prometheus.CounterVec
@@ -90,6 +92,9 @@
 		revision: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "gateway_store_revision", Help: "Latest store revision known to this gateway.",
 		}),
+		keys: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "gateway_keys", Help: "API keys of the configuration in force, by whether requests need one.",
+		}, []string{"required"}),
 		load: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "gateway_fleet_load",
 			Help: "Load of a model service in the whole fleet: capacity (estimated), offered and admitted in requests per second, and shedding (1 or 0).",
@@ -110,7 +115,7 @@
 		}),
 	}
 	m.Registry.MustRegister(
-		m.ended, m.first, m.total, m.pause, m.retries, m.checks, m.orders, m.held, m.quarantine, m.platform, m.store, m.digests, m.endpoints, m.revision, m.load, m.hallParts, m.shed,
+		m.ended, m.first, m.total, m.pause, m.retries, m.checks, m.orders, m.held, m.quarantine, m.platform, m.store, m.digests, m.endpoints, m.revision, m.keys, m.load, m.hallParts, m.shed,
 		m.connections, m.dropped)
 	return m
 }
@@ -152,6 +157,12 @@
 	m.endpoints.WithLabelValues("leaving").Set(float64(leaving))
 }
 
+// Keys records the number of API keys of the configuration in force, and whether requests need one.
+func (m *Gateway) Keys(n int, required bool) {
+	m.keys.Reset()
+	m.keys.WithLabelValues(strconv.FormatBool(required)).Set(float64(n))
+}
+
 // Store records the latest known store revision.
 func (m *Gateway) Store(revision uint64) { m.revision.Set(float64(revision)) }
 
--- a/layout_test.go
+++ b/layout_test.go
@@ -21,6 +21,7 @@
 // and return values.
 var decisions = []string{
 	"decide/answer",
+	"decide/apikey",
 	"decide/apportion",
 	"decide/assignment",
 	"decide/backoff",
--- a/role/gateway/follow.go
+++ b/role/gateway/follow.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/grademill/grademill/decide/freshness"
 	"github.com/grademill/grademill/port/kv"
 	"github.com/grademill/grademill/state/mirror"
@@ -81,7 +83,13 @@
 	}
 	g.catalog.Store(c)
 	g.members.reconfigured.Store(true)
-	g.Log.Info().Uint64("version", c.Version).Uint64("revision", p.Revision).Msg("configuration is in force")
+	g.Meter.Keys(c.Keys.Len(), c.Keys.Required())
+	level := zerolog.InfoLevel
+	if c.Keys.Len() == 0 { // it admits either nobody or everybody
+		level = zerolog.WarnLevel
+	}
+	g.Log.WithLevel(level).Uint64("version", c.Version).Uint64("revision", p.Revision).
+		Int("keys", c.Keys.Len()).Bool("keys_required", c.Keys.Required()).Msg("configuration is in force")
 }
 
 // partial records that a part of the store as of the given time is known. The gateway is not ready
--- a/role/gateway/keys_test.go
+++ b/role/gateway/keys_test.go
@@ -34,6 +34,8 @@
 	require.Equal(t, http.StatusOK, w.statusWith("/renew/1", key))
 	w.configureTeams(map[string]any{"tenants": []any{map[string]any{"name": "desk", "api_keys": []string{}}}})
 	w.inForce()
+	w.waitForLog(`"level":"warn","process":"gateway-1","version":6,"revision":`)
+	w.waitForLog(`"keys":0,"keys_required":true,"message":"configuration is in force"`)
 	before := len(e.Seen())
 	for _, k := range []string{key, "another-key", "never-configured", ""} {
 		require.Equal(t, http.StatusUnauthorized, w.statusWith("/renew/1", k), "key %q", k)
--- a/role/gateway/meter.go
+++ b/role/gateway/meter.go
@@ -31,6 +31,9 @@
 	Endpoints(open, leaving int)
 	// Store records the revision up to which the store is known.
 	Store(revision uint64)
+	// Keys records the number of API keys of the configuration in force, and whether requests need
+	// one.
+	Keys(n int, required bool)
 	// Quarantine counts an event of the quarantine.
 	Quarantine(event string)
 	overload.Meter
