Catalog: an empty key and a key of several teams admit nobody

A team's key "" admitted requests without a key, as that team. A key that two teams had admitted its holder as whichever came last in the document. A team without a name admitted requests whose runners were told of no team.

--- a/decide/apikey/registry_test.go
+++ b/decide/apikey/registry_test.go
@@ -32,3 +32,24 @@
 		require.Equal(t, want != "", ok)
 	}
 }
+
+// Guards against an empty key that admits requests without one, and against a key that admits its holder as whichever of
+// several holders comes last.
+func TestEmptyAndSharedKeysAdmitNobody(t *testing.T) {
+	held := [][2]string{{"", "north"}, {"k1", "north"}, {"k1", "south"}, {"k1", "north"}, {"k2", "north"}, {"k2", "north"}}
+	r := apikey.New(func(yield func(string, string) bool) {
+		for _, h := range held {
+			if !yield(h[0], h[1]) {
+				return
+			}
+		}
+	})
+	require.Equal(t, 1, r.Len())
+	for _, key := range []string{"", "k1"} {
+		_, ok := r.Holder(key)
+		require.False(t, ok, key)
+	}
+	holder, ok := r.Holder("k2")
+	require.True(t, ok, "twice at one holder")
+	require.Equal(t, "north", holder)
+}
--- a/role/gateway/keys_test.go
+++ b/role/gateway/keys_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"testing"
 
@@ -43,3 +44,55 @@
 	require.Len(t, e.Seen(), before)
 	require.Equal(t, http.StatusOK, w.statusWith("/open/1", ""), "the route is public")
 }
+
+// Guards against an empty key that admits requests without one, and against a key of several teams that admits its holder
+// as any of them: each of a series of drawn configurations, in which keys come and go, is compared with a model.
+func TestOnlyHoldersOfKeysAreServed(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			w := newFixture(t, plain("a"))
+			r := rand.New(rand.NewPCG(seed, 1))
+			for range 8 {
+				teams, admitted := drawTeams(r)
+				w.configureTeams(teams)
+				w.inForce()
+				for _, k := range append(drawnKeys, "never-configured", "") {
+					want := http.StatusUnauthorized
+					if admitted(k) {
+						want = http.StatusOK
+					}
+					require.Equal(t, want, w.statusWith("/renew/1", k), "key %q of %v", k, teams)
+				}
+			}
+		})
+	}
+}
+
+// drawnKeys are the keys that drawTeams hands out.
+var drawnKeys = []string{"k1", "k2", "k3"}
+
+// drawTeams returns the fields of a configuration for teams, and which keys it admits. A key of several teams admits
+// nobody, and where the configuration has the field, nor does a request without a key.
+func drawTeams(r *rand.Rand) (fields map[string]any, admitted func(key string) bool) {
+	switch r.IntN(6) {
+	case 0:
+		return nil, func(string) bool { return true }
+	case 1:
+		return map[string]any{"tenants": nil}, func(string) bool { return false }
+	}
+	holders := make(map[string]int)
+	teams := []any{}
+	for i := range r.IntN(4) {
+		keys := []string{}
+		for _, k := range append(drawnKeys, "") {
+			if r.IntN(4) == 0 {
+				keys = append(keys, k, k)
+				holders[k]++
+			}
+		}
+		teams = append(teams, map[string]any{"name": fmt.Sprint("team-", i), "api_keys": keys})
+	}
+	return map[string]any{"tenants": teams}, func(k string) bool { return k != "" && holders[k] == 1 }
+}
