Configuration replica: an API key of two teams admits nobody

A key that two teams have was mapped to whichever a map's iteration gave last, anew at each revision and in each process: its caller was now one team, now the other. The replica now holds the apikey.Registry that the gateway's catalog has, with the same answer.

TestKeyOfTwoTeamsAdmitsNobody on the code before (with the map in place of the registry):

expected: false actual: true Messages: south

--- a/cmd/grademill/roles.go
+++ b/cmd/grademill/roles.go
@@ -158,8 +158,7 @@
 // teamOf returns a function that maps the hash of a key to its team.
 func teamOf(c *configreplica.Config) func(string) (string, bool) {
 	return func(hash string) (string, bool) {
-		team, ok := c.Current().TeamByKey[hash]
-		return team, ok
+		return c.Current().Keys.Holder(hash)
 	}
 }
 
--- a/state/configreplica/config.go
+++ b/state/configreplica/config.go
@@ -4,11 +4,13 @@
 
 import (
 	"encoding/json"
+	"iter"
 	"sync"
 	"sync/atomic"
 
 	"github.com/gravitational/trace"
 
+	"github.com/grademill/grademill/decide/apikey"
 	"github.com/grademill/grademill/decide/config"
 	"github.com/grademill/grademill/decide/policy"
 	"github.com/grademill/grademill/state/headlog"
@@ -25,8 +27,8 @@
 	// Policies are compiled from State, or from the latest earlier state whose
 	// policies compiled in this process.
 	Policies *policy.Set
-	// TeamByKey maps the SHA-256 hash of an API key to the name of its team.
-	TeamByKey map[string]string
+	// Keys holds the names of the teams by the SHA-256 hash of an API key.
+	Keys apikey.Registry[string]
 }
 
 // Config is a replica of the configuration. Create it with New. It is safe for concurrent
@@ -118,12 +120,7 @@
 	if state.Revision <= former.State.Revision {
 		return nil
 	}
-	next := &Snapshot{State: state, Policies: former.Policies, TeamByKey: make(map[string]string)}
-	for name, team := range state.Teams {
-		for _, hash := range team.Value.KeySHA256 {
-			next.TeamByKey[hash] = name
-		}
-	}
+	next := &Snapshot{State: state, Policies: former.Policies, Keys: apikey.New(teamsByKey(state))}
 	policies, err := former.Policies.With(state.Policies)
 	if err == nil {
 		next.Policies = policies
@@ -134,6 +131,19 @@
 	return err
 }
 
+// teamsByKey returns the hashes of the API keys, each with the name of a team that has it.
+func teamsByKey(state *config.State) iter.Seq2[string, string] {
+	return func(yield func(string, string) bool) {
+		for name, team := range state.Teams {
+			for _, hash := range team.Value.KeySHA256 {
+				if !yield(hash, name) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // ApplyRecord returns the state that results from applying a record to state.
 func ApplyRecord(state *config.State, record headlog.Record) (*config.State, error) {
 	var change config.Change
--- a/state/configreplica/config_test.go
+++ b/state/configreplica/config_test.go
@@ -46,7 +46,20 @@
 		require.NoError(t, to.ApplyReply(reply))
 		require.Equal(t, uint64(2000), to.Revision())
 		require.Equal(t, from.Current().State, to.Current().State)
-		require.Equal(t, "t", to.Current().TeamByKey[fmt.Sprintf("%064d", 2000)])
+		team, _ := to.Current().Keys.Holder(fmt.Sprintf("%064d", 2000))
+		require.Equal(t, "t", team)
+	}
+}
+
+// Guards against a key of two teams that admits its caller as either of them, at random.
+func TestKeyOfTwoTeamsAdmitsNobody(t *testing.T) {
+	c := configreplica.New()
+	hash := fmt.Sprintf("%064d", 1)
+	for i, name := range []string{"north", "south"} {
+		require.NoError(t, c.Apply([]headlog.Record{{Revision: uint64(i + 1), ID: name, Body: fmt.Appendf(nil,
+			`{"kind":"teams","name":%q,"body":{"key_sha256":[%q]}}`, name, hash)}}))
+		team, ok := c.Current().Keys.Holder(hash)
+		require.Equal(t, i == 0, ok, team)
 	}
 }
 
