Configuration: a team whose list of services is empty may call none

The list was dropped as well when the state was stored.

Team.MayCall decides: all if the field is absent, none if the list is empty, and omitzero keeps the empty list when the state is written.

TestTeamWithoutServicesMayCallNone on the code before (with the test that the entry had):

expected: false actual: true Messages: {"services":[]}

--- a/decide/config/state.go
+++ b/decide/config/state.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -44,8 +45,13 @@
 	KeySHA256 []string `json:"key_sha256" validate:"max=16,dive,len=64,hexadecimal,lowercase"`
 	// MaxInFlight bounds the team's concurrent requests at one entry; zero means no bound.
 	MaxInFlight int `json:"max_in_flight,omitempty" validate:"min=0"`
-	// Services are the services that the team may call; empty means all.
-	Services []string `json:"services,omitempty" validate:"max=256"`
+	// Services are the services that the team may call: all if it is nil, none if it is empty.
+	Services []string `json:"services,omitzero" validate:"max=256"`
+}
+
+// MayCall reports whether the team may call a service.
+func (t Team) MayCall(service string) bool {
+	return t.Services == nil || slices.Contains(t.Services, service)
 }
 
 // Policy sets how a class of requests is treated. Its string fields are CEL expressions; an
--- a/decide/config/state_test.go
+++ b/decide/config/state_test.go
@@ -1,6 +1,7 @@
 package config_test
 
 import (
+	"encoding/json"
 	"errors"
 	"testing"
 
@@ -27,6 +28,22 @@
 	require.Zero(t, three.ObjectRevision(config.KindTeam, "desk"))
 }
 
+// Guards against a team from which its last service is taken away being allowed all services, also once the state has
+// been stored and read again.
+func TestTeamWithoutServicesMayCallNone(t *testing.T) {
+	for body, want := range map[string]bool{`{}`: true, `{"services":["plan"]}`: true, `{"services":["other"]}`: false, `{"services":[]}`: false} {
+		state, err := new(config.State).With(1, change(config.KindTeam, "desk", body))
+		require.NoError(t, err)
+		stored, err := json.Marshal(state)
+		require.NoError(t, err)
+		var read config.State
+		require.NoError(t, json.Unmarshal(stored, &read))
+		for _, s := range []*config.State{state, &read} {
+			require.Equal(t, want, s.Teams["desk"].Value.MayCall("plan"), body)
+		}
+	}
+}
+
 func TestChangesFollowEachOther(t *testing.T) {
 	var zero config.State
 	for _, revision := range []uint64{0, 2} {
--- a/role/entry/complete.go
+++ b/role/entry/complete.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/grademill/grademill/decide/config"
@@ -63,7 +62,7 @@
 		return config.Service{}, outcome.Refuse(outcome.UnknownModel, "no "+string(kind)+" service "+name, 0)
 	}
 	rules, ok := s.State.Teams[team]
-	if !ok || !allowed(rules.Value.Services, name) {
+	if !ok || !rules.Value.MayCall(name) {
 		return config.Service{}, outcome.Refuse(outcome.Forbidden, "team "+team+" may not use "+name, 0)
 	}
 	if limit := rules.Value.MaxInFlight; limit > 0 && e.loadOf(team) > limit {
@@ -72,11 +71,6 @@
 	return service.Value, nil
 }
 
-// allowed reports whether name is in services; an empty list allows all.
-func allowed(services []string, name string) bool {
-	return len(services) == 0 || slices.Contains(services, name)
-}
-
 // countRequest counts a request of a team as in flight until done is called.
 func (e *Entry) countRequest(team string) (done func()) {
 	e.mu.Lock()
