--- a/role/gateway/check.go
+++ b/role/gateway/check.go
@@ -72,7 +72,7 @@
 
 // isCurrent reports whether the backend is the incarnation that the record of the endpoint names.
 func (g *Gateway) isCurrent(b *backend) bool {
-	current := g.fleet.Load().byID[b.ID]
+	current := g.fleet.Load().ByID[b.ID]
 	return current != nil && current.use == b.use
 }
 
@@ -176,7 +176,7 @@
 // time.
 func (g *Gateway) reference(address string) string {
 	last, found := time.Now().Add(-referenceFresh).UnixNano(), ""
-	for _, b := range g.fleet.Load().byAddress {
+	for _, b := range g.fleet.Load().ByAddress {
 		if at := b.use.eventAt.Load(); b.Address != address && at > last && !b.use.down() {
 			last, found = at, b.Address
 		}
@@ -254,7 +254,7 @@
 func (g *Gateway) noteStalls(report runner.Report) {
 	now := time.Now()
 	for _, stall := range report.Stalled {
-		b := g.fleet.Load().byAddress[stall.Address]
+		b := g.fleet.Load().ByAddress[stall.Address]
 		if b == nil || b.use.presumedDead(now) {
 			continue
 		}
@@ -279,7 +279,7 @@
 func (g *Gateway) revive(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause.For(ctx, liveness.RecheckInterval)
-		for _, b := range g.fleet.Load().byID {
+		for _, b := range g.fleet.Load().ByID {
 			g.verifyReportedDown(b, time.Now())
 			if !b.use.down() || !g.recheckDue(b, time.Now()) || !b.use.checking.CompareAndSwap(false, true) {
 				continue
--- a/role/gateway/chooser.go
+++ b/role/gateway/chooser.go
@@ -104,7 +104,7 @@
 	c.holders = c.holders[:0]
 	c.open, c.avoided, c.crowded, c.entryCandidates, c.declining = 0, 0, 0, 0, c.declining[:0]
 	now, own := time.Now(), q.guard.Endpoint()
-	for _, b := range f.open[q.service.Name] {
+	for _, b := range f.Open[q.service.Name] {
 		usable := b.usable(now)
 		// A card of unknown kind has no known costs; a record written by another program may name
 		// one.
--- a/role/gateway/digest.go
+++ b/role/gateway/digest.go
@@ -30,7 +30,7 @@
 	}
 	g.membership.AddToDigest(d, now)
 	g.addLoads(d, demands, now)
-	for id, b := range g.fleet.Load().byID {
+	for id, b := range g.fleet.Load().ByID {
 		if b.use.unused(now) && (others == nil || others[id] == peers.Usage{}) {
 			continue // the case of most endpoints of a large fleet
 		}
@@ -116,7 +116,7 @@
 		g.handleOrders(f, d, now)
 	}
 	for _, use := range d.GetUses() {
-		b := f.byID[use.GetEndpoint()]
+		b := f.ByID[use.GetEndpoint()]
 		if b == nil {
 			continue
 		}
@@ -140,7 +140,7 @@
 
 // HandleLoss handles the report that an endpoint does not answer another gateway.
 func (g *Gateway) HandleLoss(l *gossip.Loss, now time.Time) {
-	if b := g.fleet.Load().byID[l.GetEndpoint()]; b != nil {
+	if b := g.fleet.Load().ByID[l.GetEndpoint()]; b != nil {
 		g.handleDownReport(b, l.GetGateway(), now)
 	}
 }
@@ -198,7 +198,7 @@
 		reported[use.GetEndpoint()] = layer.Range{First: int(use.GetOrderedFirst()), End: int(use.GetOrderedEnd())}
 	}
 	leading := g.leading.Load()
-	for id, b := range f.byID {
+	for id, b := range f.ByID {
 		layers := reported[id]
 		if layers.Empty() && (leading || b.use.pendingOrder.Load() == nil) {
 			continue
@@ -225,7 +225,7 @@
 // Tick divides the limits of endpoints anew, compares this gateway's freshness proof with those of
 // the others, and advances the quarantine.
 func (g *Gateway) Tick(now time.Time) {
-	for id, b := range g.fleet.Load().byID {
+	for id, b := range g.fleet.Load().ByID {
 		g.throttling.UpdateShare(id, &b.use.intake, now)
 	}
 	g.overload.Tick(now)
--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"maps"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +11,7 @@
 	"github.com/grademill/grademill/decide/liveness"
 	"github.com/grademill/grademill/decide/pendingorder"
 	"github.com/grademill/grademill/state/budget"
+	"github.com/grademill/grademill/state/fleetindex"
 	"github.com/grademill/grademill/state/intake"
 	"github.com/grademill/grademill/state/pace"
 	"github.com/grademill/grademill/state/peers"
@@ -21,37 +20,12 @@
 	"github.com/grademill/grademill/state/suspects"
 )
 
-// fleet is a snapshot of all known endpoints. It is immutable; the usage of its backends is not.
-type fleet struct {
-	// open holds the backends that take new work, by service.
-	open map[string][]*backend
-	// byID and byAddress also hold backends that are leaving.
-	byID      map[string]*backend
-	byAddress map[string]*backend
-	// byHall holds the backends by the name of their data hall.
-	byHall map[string][]*backend
-}
+// fleet is a snapshot of all known endpoints. The usage of its backends changes.
+type fleet = fleetindex.Index[*backend]
 
 // newFleet returns a fleet of the given backends.
 func newFleet(all []*backend) *fleet {
-	f := &fleet{
-		open: make(map[string][]*backend), byID: make(map[string]*backend), byAddress: make(map[string]*backend),
-		byHall: make(map[string][]*backend),
-	}
-	for _, b := range all {
-		f.byID[b.ID] = b
-		f.byHall[b.Hall] = append(f.byHall[b.Hall], b)
-		f.byAddress[b.Address] = b
-		if !b.Leaving {
-			f.open[b.Service] = append(f.open[b.Service], b)
-		}
-	}
-	return f
-}
-
-// dataHalls returns the names of the data halls, sorted.
-func (f *fleet) dataHalls() []string {
-	return slices.Sorted(maps.Keys(f.byHall))
+	return fleetindex.New(all, func(b *backend) *roster.Record { return &b.Record })
 }
 
 // backend is an endpoint with its usage.
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -223,7 +223,7 @@
 
 // counter returns the usage that sums the shares of the other gateways at an endpoint.
 func (g *Gateway) counter(endpoint string) peers.Counter {
-	if b := g.fleet.Load().byID[endpoint]; b != nil {
+	if b := g.fleet.Load().ByID[endpoint]; b != nil {
 		return b.use
 	}
 	return nil
--- a/role/gateway/isolation.go
+++ b/role/gateway/isolation.go
@@ -19,7 +19,7 @@
 	if q.service.Model != nil {
 		layers = q.service.Model.Layers
 	}
-	for _, b := range f.open[q.service.Name] {
+	for _, b := range f.Open[q.service.Name] {
 		_, taken := reserved[b.ID]
 		switch {
 		case taken || b.use.avoided(now):
@@ -30,9 +30,9 @@
 		}
 	}
 	for _, id := range isolation.Expendable(holders, layers) {
-		list = append(list, f.byID[id].incarnation())
+		list = append(list, f.ByID[id].incarnation())
 	}
-	return slices.DeleteFunc(list, func(l suspicion.Incarnation) bool { return q.avoids(f.byID[l.Endpoint].Address) })
+	return slices.DeleteFunc(list, func(l suspicion.Incarnation) bool { return q.avoids(f.ByID[l.Endpoint].Address) })
 }
 
 // awaitIsolation waits until a request may be sent, until a given time if its caller has part of the answer. A request that
--- a/role/gateway/leader.go
+++ b/role/gateway/leader.go
@@ -159,14 +159,14 @@
 func (o *leader) round(ctx context.Context) bool {
 	f, c := o.g.fleet.Load(), o.g.catalog.Load()
 	now := time.Now()
-	if len(f.byID) != o.size {
-		o.size, o.changed = len(f.byID), now
+	if len(f.ByID) != o.size {
+		o.size, o.changed = len(f.ByID), now
 	}
 	for name, service := range c.Services {
 		if service.Model == nil {
 			continue
 		}
-		cards := o.cards(service.Model, f.open[name], now)
+		cards := o.cards(service.Model, f.Open[name], now)
 		if holdsAny(cards) {
 			if now.UnixNano()-o.g.currentSince.Load() < int64(lapseGrace) {
 				continue // records that lapsed during the outage are written again
@@ -191,7 +191,7 @@
 // taken over.
 func (o *leader) orders(ctx context.Context, f *fleet, moves []placement.Move, now time.Time) bool {
 	for _, m := range moves {
-		f.byID[m.ID].use.setOrdered(m.Layers, now)
+		f.ByID[m.ID].use.setOrdered(m.Layers, now)
 	}
 	if len(moves) > 0 {
 		o.g.gossip.SendSoon() // if this process ends now, another leader continues
@@ -203,7 +203,7 @@
 		slots <- struct{}{}
 		group.Go(func() {
 			defer func() { <-slots }()
-			results[i] = o.order(ctx, f.byID[m.ID], m.Layers)
+			results[i] = o.order(ctx, f.ByID[m.ID], m.Layers)
 		})
 	}
 	group.Wait()
--- a/role/gateway/members.go
+++ b/role/gateway/members.go
@@ -61,7 +61,7 @@
 
 // handleLeaving records that an endpoint has announced that it leaves.
 func (g *Gateway) handleLeaving(endpoint string) {
-	if b := g.fleet.Load().byID[endpoint]; b != nil {
+	if b := g.fleet.Load().ByID[endpoint]; b != nil {
 		g.membership.NoteDeparture(b.Endpoint)
 		g.rebuild()
 	}
@@ -77,8 +77,8 @@
 	}
 	next := newFleet(g.backends())
 	former := g.fleet.Swap(next)
-	if halls := next.dataHalls(); !slices.Equal(halls, former.dataHalls()) {
-		g.Log.Info().Strs("halls", halls).Strs("former", former.dataHalls()).Int("endpoints", len(next.byID)).
+	if halls := next.Halls(); !slices.Equal(halls, former.Halls()) {
+		g.Log.Info().Strs("halls", halls).Strs("former", former.Halls()).Int("endpoints", len(next.ByID)).
 			Msg("the data halls of the fleet have changed")
 	}
 	g.Meter.Endpoints(g.membership.Roster.Size())
--- a/role/gateway/overload.go
+++ b/role/gateway/overload.go
@@ -99,8 +99,8 @@
 		return nil
 	}
 	m := c.Services[service].Model
-	holders := make([]hallcapacity.Holder, 0, len(f.open[service]))
-	for _, b := range f.open[service] {
+	holders := make([]hallcapacity.Holder, 0, len(f.Open[service]))
+	for _, b := range f.Open[service] {
 		if card, known := m.Cards[b.Card]; known && !b.use.presumedDead(now) {
 			holders = append(holders, hallcapacity.Holder{Hall: b.Hall, Layers: b.usable(now), Room: m.Room(card, b.Layers.Len()), Slots: b.Slots})
 		}
@@ -117,7 +117,7 @@
 		return
 	}
 	only := g.peers.Announced() > 0 && g.peers.Heard() == 1 && g.peers.AllCovered(g.Name)
-	for name, backends := range g.fleet.Load().open {
+	for name, backends := range g.fleet.Load().Open {
 		if s := c.Services[name]; s != nil && s.Model != nil {
 			for _, b := range backends {
 				if only {
--- a/role/gateway/pace.go
+++ b/role/gateway/pace.go
@@ -18,7 +18,7 @@
 	for ctx.Err() == nil {
 		pause.For(ctx, surveyEvery)
 		o, f := g.gossip.Overlay(), g.fleet.Load()
-		for hall, backends := range f.byHall {
+		for hall, backends := range f.ByHall {
 			if hall != g.Hall && len(o.PeersIn(hall)) > 0 {
 				continue // its own gateways check its endpoints
 			}
--- a/role/gateway/plain.go
+++ b/role/gateway/plain.go
@@ -81,7 +81,7 @@
 func (g *Gateway) candidates(q *query, now time.Time) candidates {
 	var c candidates
 	own, reserved := q.guard.Endpoint(), g.quarantine.Reserved(now)
-	for _, b := range g.fleet.Load().open[q.service.Name] {
+	for _, b := range g.fleet.Load().Open[q.service.Name] {
 		if q.avoids(b.Address) || own != "" && b.ID != own {
 			continue
 		}
--- a/role/gateway/quarantine.go
+++ b/role/gateway/quarantine.go
@@ -77,7 +77,7 @@
 // or its endpoint is known to have ended. Otherwise it returns whether the endpoint is presumed dead or nothing is known
 // of it yet, and has it checked if neither is so.
 func (g *Gateway) incarnationState(l suspicion.Incarnation) (ended, silent bool) {
-	b := g.fleet.Load().byID[l.Endpoint]
+	b := g.fleet.Load().ByID[l.Endpoint]
 	over := b == nil || b.Born != 0 && l.Born != 0 && b.Born != l.Born || b.use.ended.Load()
 	if over || b.use.presumedDead(time.Now()) {
 		return over && g.loaded.Load(), true
--- a/role/gateway/reservation.go
+++ b/role/gateway/reservation.go
@@ -194,7 +194,7 @@
 			return nil, shortageLayers
 		}
 	}
-	taken := newReservation(found, need, func(p chain.Stage) *backend { return f.byID[p.ID] })
+	taken := newReservation(found, need, func(p chain.Stage) *backend { return f.ByID[p.ID] })
 	if c.withinShares {
 		taken.charge()
 	}
@@ -224,7 +224,7 @@
 		if !ok {
 			return nil, false
 		}
-		first := f.byID[found[0].ID]
+		first := f.ByID[found[0].ID]
 		if !again {
 			first.use.intake.CountDemand(now)
 		}
@@ -269,7 +269,7 @@
 		if b := old.backendOf(p); b != nil {
 			return b // it may have left the fleet, and still runs its requests
 		}
-		return f.byID[p.ID]
+		return f.ByID[p.ID]
 	}), shortageNone
 }
 
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -230,7 +230,7 @@
 		address = t.reply.RefusedBy
 	}
 	s.q.avoid(address)
-	if b := s.g.fleet.Load().byAddress[address]; b != nil {
+	if b := s.g.fleet.Load().ByAddress[address]; b != nil {
 		b.use.noRoomUntil.Store(time.Now().Add(noRoomWait).UnixNano())
 		room, free := b.room(s.q.service.Model, 0)
 		full := t.answer != nil && t.answer.Status == http.StatusServiceUnavailable
