Gateway: a fault in the search for a chain costs its request, not the process

Its panic was on a watchdog's timer, where nothing recovers it, and ended the process with everyone's requests.

Each search for a chain, of a first attempt, another one and a move, now runs in a contain.Guard. A panic gives the request no chain, as if none held all layers, with a line "a computation for a request has failed" (request, fault, trace; one a second at most) and faults_total. Only the search is contained: it holds no lock, has reserved nothing yet, and works on a chooser that is made anew afterwards. What it may leave is the capacity of the links between halls that it took. Everything else that may panic on a goroutine of its own (the replacement of a reservation, checks of endpoints, the quarantine, the store) changes state that others share, and still ends the process.

The gateway has no test with a fault: it has no way to cause one.

--- a/adapter/meter/gateway.go
+++ b/adapter/meter/gateway.go
@@ -33,6 +33,7 @@
 	shed        *prometheus.CounterVec
 	connections prometheus.Counter
 	dropped     prometheus.Counter
+	faults      prometheus.Counter
 }
 
 // gatewayBuckets are histogram buckets in seconds, from one network hop to the longest time
@@ -113,10 +114,13 @@
 		dropped: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "gateway_log_lines_dropped_total", Help: "Log lines dropped because their reader was too slow.",
 		}),
+		faults: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "gateway_faults_total", Help: "Computations for a request that failed with a panic.",
+		}),
 	}
 	m.Registry.MustRegister(
 		m.ended, m.first, m.total, m.pause, m.retries, m.checks, m.orders, m.held, m.quarantine, m.platform, m.store, m.digests, m.endpoints, m.revision, m.keys, m.load, m.hallParts, m.shed,
-		m.connections, m.dropped)
+		m.connections, m.dropped, m.faults)
 	return m
 }
 
@@ -172,6 +176,9 @@
 // Held counts a request that is held back from an endpoint.
 func (m *Gateway) Held(reason string) { m.held.WithLabelValues(reason).Inc() }
 
+// Fault counts a computation for a request that failed with a panic.
+func (m *Gateway) Fault() { m.faults.Inc() }
+
 // Quarantine counts an event of a request during which endpoints ended.
 func (m *Gateway) Quarantine(event string) { m.quarantine.WithLabelValues(event).Inc() }
 
--- a/decide/chain/finder.go
+++ b/decide/chain/finder.go
@@ -35,7 +35,7 @@
 	Home                       string
 	EntryCost, RemoteEntryCost float64
 	// HopCost is the cost of passing a token on within a hall, RemoteHopCost to another hall, in
-	// seconds per token. It is infinite if a chain must not leave its hall.
+	// seconds per token.
 	HopCost, RemoteHopCost float64
 
 	boundaries []int
@@ -65,6 +65,14 @@
 	return f.trace(holders)
 }
 
+// FindInHall returns the cheapest chain of holders of one hall, as Find does.
+func (f *Finder) FindInHall(holders []Holder) (Chain, bool) {
+	remote := f.RemoteHopCost
+	f.RemoteHopCost = math.Inf(1)
+	defer func() { f.RemoteHopCost = remote }()
+	return f.Find(holders)
+}
+
 // collectBoundaries collects the layers at which a chain may change holders: the ends of all
 // ranges.
 func (f *Finder) collectBoundaries(holders []Holder) {
--- a/decide/chain/finder_test.go
+++ b/decide/chain/finder_test.go
@@ -57,6 +57,20 @@
 	}
 }
 
+// Guards against a search within a hall that leaves it, and against one that changes the costs of later searches.
+func TestFindInHall(t *testing.T) {
+	f := finder(8)
+	holders := []chain.Holder{holder("a", 0, 0, 4, 1), holder("far", 1, 4, 8, 0.1)}
+	_, ok := f.FindInHall(holders)
+	require.False(t, ok)
+	found, ok := f.Find(holders)
+	require.True(t, ok)
+	require.Equal(t, "a:1[0,4) far:1[4,8)", found.String())
+	found, ok = f.FindInHall(append(holders, holder("near", 0, 4, 8, 9)))
+	require.True(t, ok)
+	require.Equal(t, "a:1[0,4) near:1[4,8)", found.String())
+}
+
 // Find finds a chain whenever there is one, the chain runs each layer once and in order, and
 // more than nine in ten cost no more than the best of an exhaustive search that may change
 // holders at any layer and return to a holder.
--- a/role/gateway/attempt.go
+++ b/role/gateway/attempt.go
@@ -82,14 +82,14 @@
 		_, _ = answer.ReadAll() // only so that the connection can be reused
 	case t.reply.Signed && t.reply.ID == q.ID:
 		q.mayHaveRun = true
-		b.use.updateHealth(health.Record.WithAnswer)
+		b.use.health.Update(health.Record.WithAnswer)
 		if b.Card == "" {
 			b.use.ended.Store(false) // it has started again
 		}
 	default:
 		q.mayHaveRun = true
 		t.verdict, t.err = verdictLost, errUnsigned
-		b.use.updateHealth(health.Record.WithFailure)
+		b.use.health.Update(health.Record.WithFailure)
 	}
 	return t
 }
@@ -120,11 +120,11 @@
 	}
 	switch {
 	case !sent || b.Card == "" && ctx.Err() == nil:
-		b.use.updateHealth(func(r health.Record) health.Record { return r.WithLoss(time.Now()) })
+		b.use.health.Update(func(r health.Record) health.Record { return r.WithLoss(time.Now()) })
 	case ctx.Err() == nil:
-		b.use.updateHealth(func(r health.Record) health.Record { return r.WithDrop(time.Now()) })
+		b.use.health.Update(func(r health.Record) health.Record { return r.WithDrop(time.Now()) })
 	default:
-		b.use.updateHealth(health.Record.WithFailure)
+		b.use.health.Update(health.Record.WithFailure)
 	}
 	if !sent {
 		g.checkAsync(b)
--- a/role/gateway/chooser.go
+++ b/role/gateway/chooser.go
@@ -81,7 +81,8 @@
 // requests not yet reported.
 func (c *chooser) prepare(m *catalog.Model, home string, others unreported.Usage) {
 	c.finder.Layers, c.finder.Home = m.Layers, home
-	c.finder.HopCost, c.finder.RemoteEntryCost = chaincost.HopInHall, chaincost.RemoteEntry
+	c.finder.HopCost, c.finder.RemoteHopCost = chaincost.HopInHall, chaincost.HopAcrossHalls
+	c.finder.RemoteEntryCost = chaincost.RemoteEntry
 	c.fleetFactor, c.withinShares = 1, false
 	c.unreported = others.UnreportedShare()
 	c.noise.Reset()
--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/grademill/grademill/decide/liveness"
 	"github.com/grademill/grademill/decide/pendingorder"
 	"github.com/grademill/grademill/state/budget"
+	"github.com/grademill/grademill/state/cell"
 	"github.com/grademill/grademill/state/fleetindex"
 	"github.com/grademill/grademill/state/intake"
 	"github.com/grademill/grademill/state/pace"
@@ -93,7 +94,7 @@
 	// waiting is the number of queued requests that it last reported, loadReportedAt when it did,
 	// in nanoseconds of Unix time.
 	waiting, loadReportedAt atomic.Int64
-	health                  atomic.Pointer[health.Record]
+	health                  cell.Cell[health.Record]
 	// budget is this gateway's share of its free room.
 	budget budget.Room
 	// intake holds the limit and backoff period that it has asked for.
@@ -102,9 +103,7 @@
 
 // newUsage returns the usage of an endpoint that is not used yet.
 func newUsage() *usage {
-	u := &usage{reporters: reporters.Reporters{ReportLifetime: liveness.ReportFresh}}
-	u.health.Store(new(health.Record))
-	return u
+	return &usage{reporters: reporters.Reporters{ReportLifetime: liveness.ReportFresh}}
 }
 
 // Count adds the share of another gateway at the endpoint.
@@ -148,17 +147,6 @@
 	u.pendingOrder.Store(pendingorder.Announced(layers, now))
 }
 
-// updateHealth atomically replaces the health record by the result of change.
-func (u *usage) updateHealth(change func(health.Record) health.Record) {
-	for {
-		old := u.health.Load()
-		next := change(*old)
-		if u.health.CompareAndSwap(old, &next) {
-			return
-		}
-	}
-}
-
 // avoided reports whether new requests avoid the endpoint at now.
 func (u *usage) avoided(now time.Time) bool {
 	return u.presumedDead(now) || u.reportedDown(now) || now.UnixNano() < u.noRoomUntil.Load() || u.health.Load().Avoided(now)
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/grademill/grademill/adapter/contain"
 	"github.com/grademill/grademill/adapter/hostclock"
 	"github.com/grademill/grademill/adapter/probe"
 	"github.com/grademill/grademill/adapter/upstream"
@@ -152,6 +153,8 @@
 	// queue is where requests of models wait for room.
 	queue admission.Queue[*reservation]
 
+	// faults keeps a fault in the search for a chain from ending the process.
+	faults contain.Guard
 	// planMoves replaces placement.Planner.Plan in tests; nil otherwise.
 	planMoves func(*catalog.Model, []placement.Card) []placement.Move
 	// overload decides which requests are admitted while the fleet is short of room.
@@ -177,6 +180,7 @@
 	g.retries.Share, g.retries.Reserve, g.retries.Window = g.RetryShare, g.RetryReserve, g.RetryWindow
 	g.retries.Size = g.peers.Size
 	g.fleet.Store(new(fleet))
+	g.faults.Log, g.faults.Count = g.Log, g.Meter.Fault
 	g.initMembership()
 	g.initPartition()
 	g.peers.Counter = g.counter
--- a/role/gateway/meter.go
+++ b/role/gateway/meter.go
@@ -34,6 +34,8 @@
 	// Keys records the number of API keys of the configuration in force, and whether requests need
 	// one.
 	Keys(n int, required bool)
+	// Fault counts a computation for a request that failed with a panic.
+	Fault()
 	// Quarantine counts an event of the quarantine.
 	Quarantine(event string)
 	overload.Meter
--- a/role/gateway/plain.go
+++ b/role/gateway/plain.go
@@ -177,20 +177,20 @@
 	q.ran = append(q.ran, b)
 	body, err := t.answer.ReadAll()
 	if err != nil {
-		b.use.updateHealth(health.Record.WithFailure)
+		b.use.health.Update(health.Record.WithFailure)
 		q.cause = causeBroken
 		g.endedUnder(q, b)
 		return false, "the answer broke off: " + err.Error()
 	}
 	q.guard.PassedSince(q.sentAt)
 	if t.answer.Status >= http.StatusInternalServerError {
-		b.use.updateHealth(health.Record.WithFailure)
+		b.use.health.Update(health.Record.WithFailure)
 		if !last && g.timeLeft(q) && g.avoidAndHasOther(q, b) {
 			q.cause = causeFailed
 			return false, "the endpoint answered " + strconv.Itoa(t.answer.Status)
 		}
 	} else {
-		b.use.updateHealth(health.Record.WithSuccess)
+		b.use.health.Update(health.Record.WithSuccess)
 	}
 	g.deliver(q, t, body)
 	return true, ""
--- a/role/gateway/reservation.go
+++ b/role/gateway/reservation.go
@@ -2,12 +2,10 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
 	"github.com/grademill/grademill/decide/chain"
-	"github.com/grademill/grademill/decide/chaincost"
 	"github.com/grademill/grademill/decide/failover"
 	"github.com/grademill/grademill/decide/requestmemory"
 	"github.com/grademill/grademill/decide/throttle"
@@ -182,9 +180,12 @@
 	}
 	if !ok {
 		q.lastSearch.Store(&candidateCounts{need: need, open: c.open, avoided: c.avoided, crowded: c.crowded})
-		short := c.shortage()
-		c.collect(q, f, need, skipAvoided)
-		if _, exists := c.finder.Find(c.holders); exists {
+		short, exists := c.shortage(), false
+		g.faults.Run(q.ID, func() {
+			c.collect(q, f, need, skipAvoided)
+			_, exists = c.finder.Find(c.holders)
+		})
+		if exists {
 			return nil, short
 		}
 		c.reserved = nil // an endpoint at which a suspect is tried is better than none
@@ -219,9 +220,8 @@
 	again := q.hasSearched()
 	c.skipLimited = again
 	for range maxHeldPicks {
-		c.collect(q, f, need, use)
-		found, ok := g.find(c, q, need)
-		if !ok {
+		found := g.search(c, q, need, func() { c.collect(q, f, need, use) })
+		if found == nil {
 			return nil, false
 		}
 		first := f.ByID[found[0].ID]
@@ -237,16 +237,23 @@
 	return nil, false
 }
 
-// find returns the cheapest chain within one hall or, if there is none and the links between halls
-// have capacity left, the cheapest chain overall.
-func (g *Gateway) find(c *chooser, q *query, need int) (chain.Chain, bool) {
-	c.finder.RemoteHopCost = math.Inf(1)
-	if found, ok := c.finder.Find(c.holders); ok {
-		return found, true
+// search returns the cheapest chain within one hall of the holders that collect lists or, if there is
+// none and the links between halls have capacity left, the cheapest chain overall; nil for none. A fault
+// leaves only the chooser half changed, which then starts anew.
+func (g *Gateway) search(c *chooser, q *query, need int, collect func()) (found chain.Chain) {
+	if !g.faults.Run(q.ID, func() {
+		collect()
+		ok := false
+		if found, ok = c.finder.FindInHall(c.holders); ok {
+			return
+		}
+		if found, ok = c.finder.Find(c.holders); !ok || !g.linklimit.Allow(q.service.Model, need, g.peers.Size()) {
+			found = nil
+		}
+	}) {
+		*c, found = chooser{}, nil
 	}
-	c.finder.RemoteHopCost = chaincost.HopAcrossHalls
-	found, ok := c.finder.Find(c.holders)
-	return found, ok && g.linklimit.Allow(q.service.Model, need, g.peers.Size())
+	return found
 }
 
 // reserveMove reserves room along the cheapest chain to which a running request can be moved. The
@@ -259,10 +266,11 @@
 	c.prepare(q.service.Model, g.Hall, g.peerFlow(q.service.Name))
 	c.fleetFactor = lost.use.fleetFactor()
 	c.reserved = g.quarantine.Reserved(time.Now())
-	c.collect(q, f, need, skipAvoidedAndFull)
-	c.keepChain(old, q, time.Now())
-	found, ok := g.find(c, q, need)
-	if !ok || found[0] != old.chain[0] {
+	found := g.search(c, q, need, func() {
+		c.collect(q, f, need, skipAvoidedAndFull)
+		c.keepChain(old, q, time.Now())
+	})
+	if found == nil || found[0] != old.chain[0] {
 		return nil, shortageLayers
 	}
 	return newReservation(found, need, func(p chain.Stage) *backend {
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -260,7 +260,7 @@
 func (s *relay) passWhole(t sendResult, reservation *reservation) (bool, string) {
 	body, err := t.answer.ReadAll()
 	if err != nil || s.headSent || t.answer.Status >= http.StatusInternalServerError && s.q.route.Repeats() {
-		reservation.first.use.updateHealth(func(r health.Record) health.Record { return r.WithError(time.Now()) })
+		reservation.first.use.health.Update(func(r health.Record) health.Record { return r.WithError(time.Now()) })
 		s.q.avoid(reservation.first.Address)
 		s.q.cause = causeFailed
 		return false, "the endpoint answered " + strconv.Itoa(t.answer.Status)
@@ -272,12 +272,12 @@
 // events passes events on until the stream ends or breaks. It reports whether the request has
 // ended; otherwise it also returns why the chain broke.
 func (s *relay) events(t sendResult, reservation *reservation, w *watchdog) (bool, string) {
-	reservation.first.use.updateHealth(health.Record.WithoutErrors)
+	reservation.first.use.health.Update(health.Record.WithoutErrors)
 	reader := event.Reader{Source: bufio.NewReaderSize(t.answer, eventBuffer), Max: maxEvent}
 	for {
 		e, err := reader.Next()
 		if errors.Is(err, io.EOF) {
-			reservation.first.use.updateHealth(health.Record.WithSuccess)
+			reservation.first.use.health.Update(health.Record.WithSuccess)
 			return true, s.finish(t)
 		}
 		if err != nil {
@@ -346,7 +346,7 @@
 	}
 	stalled := w.gaveUp()
 	q.avoid(reservation.first.Address)
-	reservation.first.use.updateHealth(health.Record.WithFailure)
+	reservation.first.use.health.Update(health.Record.WithFailure)
 	s.g.verify(q.r.Context(), reservation.first)
 	s.noteLoss(reservation.first)
 	q.resumed++
