--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -48,6 +48,9 @@
 			}
 		}
 	}
+	for _, n := range w.nodes {
+		assert.Empty(w.t, n.ownEnds(), "a gateway ended by itself")
+	}
 	w.checkKeys(c)
 	w.checkLeaving(c)
 	w.checkCrashes()
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -35,8 +35,12 @@
 	incarnation int
 	// stopped is when the current process got SIGTERM, zero if it has not.
 	stopped time.Time
-	out     *os.File
-	exited  chan struct{}
+	// ending is set once the current process got a signal that ends it, and faults describes the ends of processes that
+	// got none.
+	ending bool
+	faults []string
+	out    *os.File
+	exited chan struct{}
 }
 
 // binary builds the gateway once per test run and returns the path of the executable.
@@ -94,12 +98,19 @@
 	n.process.Stdout, n.process.Stderr = n.out, n.out
 	require.NoError(n.t, n.process.Start())
 	n.incarnation++
-	n.stopped = time.Time{}
+	n.stopped, n.ending = time.Time{}, false
 	exited := make(chan struct{})
 	n.exited = exited
 	process := n.process
 	go func() {
-		_ = process.Wait() // processes end by a signal of the test
+		err := process.Wait()
+		status, ok := process.ProcessState.Sys().(syscall.WaitStatus)
+		hungUp := ok && status.Signaled() && status.Signal() == syscall.SIGHUP // sent before the process handles it
+		n.mu.Lock()
+		if !n.ending && !hungUp {
+			n.faults = append(n.faults, fmt.Sprintf("%s: %s ended by itself: %v", time.Now().Format("15:04:05.000"), n.name, err))
+		}
+		n.mu.Unlock()
 		close(exited)
 	}()
 }
@@ -111,6 +122,7 @@
 	if s == syscall.SIGTERM && n.stopped.IsZero() {
 		n.stopped = time.Now()
 	}
+	n.ending = n.ending || s == syscall.SIGTERM || s == syscall.SIGKILL
 	_ = n.process.Process.Signal(s) // the process may have exited already
 }
 
@@ -140,6 +152,13 @@
 	<-n.exited
 }
 
+// ownEnds describes the ends of processes that got no signal.
+func (n *node) ownEnds() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.faults
+}
+
 // isReady checks the readiness of the gateway, like the load balancer.
 func (n *node) isReady() bool {
 	client := http.Client{Timeout: time.Second}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -116,6 +116,8 @@
 	poisonRequest, poisonPart bool
 	// overloadReports is set to make endpoints ask for limits and backoff periods.
 	overloadReports bool
+	// emptiedHall is set to empty a data hall again and again under long streams.
+	emptiedHall bool
 	// killed is set to add, after the faults, a phase of a load past the capacity in which gateways are
 	// killed.
 	killed bool
@@ -206,6 +208,12 @@
 		group.Go(func() { c.run(burst, seed*1000+uint64(callerCount+i)) })
 	}
 	var reporters sync.WaitGroup
+	if l.emptiedHall {
+		for i := range streamCallers {
+			group.Go(func() { c.runStreams(ctx, seed*1000+700+uint64(i)) })
+		}
+		reporters.Go(func() { w.emptyHall(seed, faults) })
+	}
 	if l.overloadReports {
 		reporters.Go(func() { w.reportOverload(seed, faults) })
 	}
