Store: an answer that holds a part of the changes proves nothing

Cause: the store bounds the events of one answer, and every answer to a request for changes counted as proof that all changes up to the request are known, at the gateway that asked and at those that ask it (port/kv promised as much for every adapter, and the platform's did not keep it).

The feed then asks the store for its revision and takes no proof before the changes have reached it, by the time at which it asked for that; it needs no answer without events, which a store with constant writes never gives. Until then the mirror confirms nothing and asks again at once, and the cache keeps its former proof for the gateways that ask it (Cache.AddPartial).

--- a/port/kv/feed.go
+++ b/port/kv/feed.go
@@ -10,7 +10,8 @@
 type Page struct {
 	// Pairs are ordered by key in a scan, and by time in changes.
 	Pairs []Pair
-	// More is set if the scan has another page.
+	// More is set if the scan has another page, and in changes if some that were written before the
+	// call was sent may be missing.
 	More bool
 	// At is the store's revision as of the page. It never decreases.
 	At uint64
@@ -25,7 +26,7 @@
 
 // Feed reads a store together with its revision, so that a copy can be kept current. All
 // reads except ScanStale are linearizable: they return everything that was written before
-// the call was sent.
+// the call was sent, unless they say that there may be more.
 type Feed interface {
 	// Scan returns a page of the pairs whose keys start with prefix and sort after the
 	// key after. Successive pages do not form a snapshot.
@@ -34,7 +35,8 @@
 	ScanStale(ctx context.Context, prefix, after string) (Page, error)
 	// Changes waits up to wait for changes under prefix after revision. It returns an
 	// empty page if there were none, and a CompactedError if the store's history no longer
-	// contains the changes since revision.
+	// contains the changes since revision. A page with More set holds the first of them,
+	// up to the revision At.
 	Changes(ctx context.Context, prefix string, revision uint64, wait time.Duration) (Page, error)
 }
 
--- a/role/gateway/follow.go
+++ b/role/gateway/follow.go
@@ -31,7 +31,7 @@
 func (g *Gateway) follow(ctx context.Context) {
 	m := mirror.Mirror{
 		Feed: &g.feed, WatchTimeout: g.policy().WatchTimeout(), MinInterval: min(changesSettle, g.policy().WatchTimeout()), Grace: lapseGrace,
-		Now: g.Clock, Refresh: g.refreshed, Put: g.put, Removed: g.gone, ConfirmPartial: g.partial, Unhurried: g.fleetStarting, Unproven: g.unproven, Confirm: g.confirm,
+		Now: g.Clock, Refresh: g.refreshed, Put: g.put, Removed: g.gone, Applied: g.rebuild, ConfirmPartial: g.partial, Unhurried: g.fleetStarting, Unproven: g.unproven, Confirm: g.confirm,
 		Log: g.Log,
 		StoreFailed: func(err error) {
 			g.failing.Store(true)
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -23,7 +23,6 @@
 	"github.com/grademill/grademill/decide/overlay"
 	"github.com/grademill/grademill/decide/placement"
 	"github.com/grademill/grademill/port/exchange"
-	"github.com/grademill/grademill/port/kv"
 	"github.com/grademill/grademill/port/runner"
 	"github.com/grademill/grademill/role/admission"
 	"github.com/grademill/grademill/role/announcer"
@@ -54,7 +53,7 @@
 
 // Store is the part of the store's interface that a gateway uses.
 type Store interface {
-	kv.Feed
+	watchcache.Store
 	announcer.Store
 	// Grant creates a lease that lapses after ttl unless it is kept alive.
 	Grant(ctx context.Context, ttl time.Duration) (string, error)
--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -47,6 +47,9 @@
 	// writes: when the request was sent, or, if another process answered in place of the store, the
 	// time of that process's proof.
 	Confirm func(proven time.Time)
+	// Applied is called after the changes of an answer that may lack others, which are then requested
+	// at once. Nil for no calls.
+	Applied func()
 	// ConfirmPartial receives such a time after each page but the last of the first full read,
 	// while the pages prove it: the keys read so far include all writes before it. Nil for no
 	// calls.
@@ -82,9 +85,9 @@
 	unproven  int
 	// overdue is set after a full read whose proof is old or missing.
 	overdue bool
-	// lag and paced are the values of the last page.
-	lag   time.Duration
-	paced bool
+	// lag, paced and more are the values of the last page.
+	lag         time.Duration
+	paced, more bool
 	// failures counts consecutive failures, unanswered those of the store itself.
 	failures, unanswered int
 	// lastAnswer is the time of the store's last answer, restored that of its first answer after
@@ -145,6 +148,10 @@
 				continue
 			}
 			m.unhurried = false
+			if m.more {
+				m.applied()
+				continue
+			}
 			m.Confirm(sent.Add(-m.lag))
 			if !m.paced {
 				m.pause(ctx, m.MinInterval-time.Since(begun))
@@ -153,6 +160,13 @@
 	}
 }
 
+// applied reports the changes of an answer that may lack others.
+func (m *Mirror) applied() {
+	if m.Applied != nil {
+		m.Applied()
+	}
+}
+
 // readAgain pauses after a full read without a proof, and reports whether to read everything
 // again.
 func (m *Mirror) readAgain(ctx context.Context) bool {
@@ -214,7 +228,7 @@
 			m.remove(key, r.first)
 		}
 	}
-	m.at, m.lag, m.paced = r.at, 0, false
+	m.at, m.lag, m.paced, m.more = r.at, 0, false, false
 	m.overdue = !r.proves() || time.Since(r.begun) > m.WatchTimeout
 	m.fullRead = nil
 	if !r.proves() {
@@ -261,7 +275,7 @@
 // follow requests changes once and applies them.
 func (m *Mirror) follow(ctx context.Context) error {
 	wait := m.WatchTimeout
-	if m.failures > 0 || m.overdue {
+	if m.failures > 0 || m.overdue || m.more {
 		wait = 0 // detect the store's return, or its continued silence, at once
 	}
 	for _, removal := range m.pendingRemovals {
@@ -282,7 +296,7 @@
 	if len(page.Pairs) == 0 && page.At > m.at {
 		m.Log.Debug().Uint64("from", m.at).Uint64("to", page.At).Msg("revision of the store rose without a change")
 	}
-	m.at, m.lag, m.paced, m.overdue = max(m.at, page.At), page.Lag, page.RateLimited, false
+	m.at, m.lag, m.paced, m.more, m.overdue = max(m.at, page.At), page.Lag, page.RateLimited, page.More, false
 	return nil
 }
 
--- a/state/watchcache/cache.go
+++ b/state/watchcache/cache.go
@@ -94,14 +94,18 @@
 	// that revision, 0 if unknown.
 	at  uint64
 	sum uint64
-	// proven is the time up to which all writes are known for certain. direct is set while this
-	// proof comes from the store itself.
-	proven time.Time
-	direct bool
+	proof
 	// changed is closed at the next change of the fields above.
 	changed chan struct{}
 }
 
+// proof is the time up to which all writes are known for certain. direct is set while it comes from
+// the store itself.
+type proof struct {
+	proven time.Time
+	direct bool
+}
+
 // change is a change retained for other gateways.
 type change struct {
 	kv.Pair
@@ -139,21 +143,30 @@
 // Add records a page of changes that was complete at time proven, and the checksum of the replica
 // that includes them. direct is set when the page comes from the store itself.
 func (c *Cache) Add(page kv.Page, proven time.Time, direct bool, sum uint64) {
-	c.add(page, proven, direct, false, sum)
+	c.add(page, proof{proven, direct}, false, sum)
+}
+
+// AddPartial records a page of changes after which others may be missing, and the checksum of the
+// replica that includes them: it proves nothing, and the former proof stands.
+func (c *Cache) AddPartial(page kv.Page, sum uint64) {
+	c.mu.Lock()
+	former := c.proof
+	c.mu.Unlock()
+	c.add(page, former, false, sum)
 }
 
 // AddFromScan records changes that were found by a full read requested at time sent, and not by a
 // watch.
 func (c *Cache) AddFromScan(page kv.Page, sent time.Time, sum uint64) {
-	c.add(page, sent, true, true, sum)
+	c.add(page, proof{sent, true}, true, sum)
 }
 
 // add records a page. missed is set for changes that no watch delivered.
-func (c *Cache) add(page kv.Page, proven time.Time, direct, missed bool, sum uint64) {
+func (c *Cache) add(page kv.Page, proven proof, missed bool, sum uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known, now := c.at, c.now()
-	c.at, c.sum, c.proven, c.direct = max(c.at, page.At), sum, proven, direct
+	c.at, c.sum, c.proof = max(c.at, page.At), sum, proven
 	c.supersede(page.Pairs)
 	for _, p := range page.Pairs {
 		c.changes = append(c.changes, change{p, now, missed || p.Revision <= known})
--- a/state/watchcache/feed.go
+++ b/state/watchcache/feed.go
@@ -54,6 +54,14 @@
 	Fetch(ctx context.Context, address string, q Request) (Answer, error)
 }
 
+// Store is the store's interface for reading.
+type Store interface {
+	kv.Feed
+	// Revision returns the revision of the store: it is at least that of every write before the call
+	// was sent.
+	Revision(ctx context.Context) (uint64, error)
+}
+
 // Feed is a kv.Feed that queries other gateways where possible, and the store otherwise.
 //
 // A watch of the store may miss a change. A full read finds it, and gateways that query this one
@@ -62,7 +70,7 @@
 // Set the exported fields before the first call. Calls must come from a single goroutine.
 type Feed struct {
 	// Store is the store, Source queries other gateways.
-	Store  kv.Feed
+	Store  Store
 	Source Source
 	// Sources returns the addresses of the gateways to query, in order; none if this gateway
 	// queries the store itself. If standby is set, it also queries the store when none of them has
@@ -86,6 +94,10 @@
 	// compared is when a difference from another gateway's replica last caused a full read, plus
 	// the random extra.
 	compared time.Time
+	// target is a revision of the store as of targetAt that the replica has yet to reach to be proven
+	// current, 0 for none.
+	target   uint64
+	targetAt time.Time
 	// silent are the gateways that recently did not answer.
 	silent silent
 	// proven is set once a page of changes has proven the replica current.
@@ -299,19 +311,53 @@
 	}
 	f.note(err)
 	if err == nil {
+		page, sent = f.prove(ctx, page, sent)
 		page, _ = f.apply(page, sent, true, revision)
 	}
 	return page, err
 }
 
-// apply applies a page of the changes after a revision to the replica and the cache. It returns
-// the page reduced to new changes, and the checksum of the replica. A full read contains changes
+// prove returns a page of changes that was requested at time sent, and the time as of which it is
+// complete. If changes may be missing, it asks the store for its revision: the page that reaches it
+// holds everything written before. Until then, More stays set.
+func (f *Feed) prove(ctx context.Context, page kv.Page, sent time.Time) (kv.Page, time.Time) {
+	if !page.More {
+		f.target = 0
+		return page, sent
+	}
+	if f.target == 0 {
+		asked := f.Cache.now()
+		revision, err := f.Store.Revision(ctx)
+		f.note(err)
+		if err != nil {
+			f.Log.Info().Err(err).Uint64("revision", page.At).Dur("proof_age_ms", f.Age()).
+				Msg("the store does not tell its revision, changes prove nothing")
+			return page, sent
+		}
+		f.target, f.targetAt = revision, asked
+	}
+	if page.At < f.target {
+		f.Log.Info().Uint64("revision", page.At).Uint64("store_revision", f.target).Int("changes", len(page.Pairs)).
+			Dur("proof_age_ms", f.Age()).Msg("the answer of the store holds a part of the changes")
+		return page, sent
+	}
+	f.target, page.More = 0, false
+	page.Lag += sent.Sub(f.targetAt) // negative: the proof is newer than the request for the page
+	return page, f.targetAt
+}
+
+// apply applies a page of the changes after a revision to the replica and the cache, which it proves
+// current as of a time unless changes may be missing. It returns the page reduced to new changes, and the checksum of the replica. A full read contains changes
 // beyond its revision. They are not new to this gateway, but are added to the cache because
 // requesters may lack them.
 func (f *Feed) apply(page kv.Page, proven time.Time, direct bool, revision uint64) (kv.Page, uint64) {
 	all := page
 	page.Pairs, all.Pairs = f.replica.apply(page.Pairs, f.Cache.At())
 	sum := f.replica.sumAt(max(revision, page.At))
+	if page.More {
+		f.Cache.AddPartial(all, sum)
+		return page, sum
+	}
 	f.Cache.Add(all, proven, direct, sum)
 	f.proven = true
 	return page, sum
--- a/state/watchcache/feed_test.go
+++ b/state/watchcache/feed_test.go
@@ -33,13 +33,17 @@
 	return s.Scan(ctx, prefix, after)
 }
 
+func (s *scripted) Revision(context.Context) (uint64, error) {
+	return s.changes.At, s.err
+}
+
 func (s *scripted) Changes(context.Context, string, uint64, time.Duration) (kv.Page, error) {
 	s.asked++
 	return s.changes, s.err
 }
 
 // newFeed returns a feed over a store that queries the gateways at the given addresses.
-func newFeed(s kv.Feed, from watchcache.Source, addresses ...string) *watchcache.Feed {
+func newFeed(s watchcache.Store, from watchcache.Source, addresses ...string) *watchcache.Feed {
 	return &watchcache.Feed{
 		Store: s, Source: from, Cache: new(watchcache.Cache), Log: zerolog.Nop(),
 		Sources: func() ([]string, bool) { return addresses, true },
@@ -54,6 +58,57 @@
 	return a.cache.Fetch(ctx, q)
 }
 
+// partialStore answers a request for changes with one change, whether or not there are others.
+type partialStore struct {
+	scripted
+	revision uint64
+	err      error
+}
+
+func (p *partialStore) Changes(_ context.Context, _ string, revision uint64, _ time.Duration) (kv.Page, error) {
+	next := min(revision+1, p.revision)
+	page := kv.Page{At: next, More: next > revision}
+	if page.More {
+		page.Pairs = []kv.Pair{{Key: "k", Revision: next}}
+	}
+	return page, nil
+}
+
+func (p *partialStore) Revision(context.Context) (uint64, error) { return p.revision, p.err }
+
+// Guards against an answer that holds a part of the changes being taken for proof that the replica is current, by this
+// gateway or by those that query it: after a cut, keys that had been taken away were accepted.
+func TestPartOfTheChangesProvesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &partialStore{revision: 1}
+		f := newFeed(s, nil)
+		f.Sources = func() ([]string, bool) { return nil, false }
+		_, err := f.Changes(t.Context(), "", 0, 0)
+		require.NoError(t, err)
+		s.revision = 4 // three changes during a cut
+		time.Sleep(time.Minute)
+		for at := uint64(1); at < 3; at++ {
+			page, err := f.Changes(t.Context(), "", at, 0)
+			require.NoError(t, err)
+			require.True(t, page.More)
+			answer, err := f.Cache.Fetch(t.Context(), watchcache.Request{After: at})
+			require.NoError(t, err)
+			require.Equal(t, time.Minute, answer.Age, "the former proof")
+		}
+		s.revision = 5 // written after the store told its revision
+		page, err := f.Changes(t.Context(), "", 3, 0)
+		require.NoError(t, err)
+		require.False(t, page.More)
+		answer, err := f.Cache.Fetch(t.Context(), watchcache.Request{After: 3})
+		require.NoError(t, err)
+		require.Zero(t, answer.Age)
+		s.err = errors.New("no answer")
+		page, err = f.Changes(t.Context(), "", 4, 0)
+		require.NoError(t, err)
+		require.True(t, page.More, "the store does not tell its revision")
+	})
+}
+
 // When the store has compacted its history, only the gateway that queries it needs a full read. A
 // gateway that queries the other one receives the differences from it.
 func TestCompactedHistoryNeedsNoFullReadByOthers(t *testing.T) {
--- a/state/watchcache/proof_test.go
+++ b/state/watchcache/proof_test.go
@@ -155,7 +155,23 @@
 	return page
 }
 
-// Changes implements kv.Feed.
+// Revision implements watchcache.Store.
+func (s *store) Revision(context.Context) (uint64, error) {
+	time.Sleep(s.delay())
+	s.mu.Lock()
+	revision := uint64(len(s.writes))
+	s.mu.Unlock()
+	time.Sleep(s.delay())
+	if s.lost() {
+		return 0, errLost
+	}
+	return revision, nil
+}
+
+// maxChanges is the largest number of changes in an answer.
+const maxChanges = 2
+
+// Changes implements kv.Feed. It answers up to maxChanges changes, and does not tell whether there are others.
 func (s *store) Changes(ctx context.Context, _ string, revision uint64, wait time.Duration) (kv.Page, error) {
 	time.Sleep(s.delay())
 	page, next := s.since(revision)
@@ -193,8 +209,8 @@
 		return page, s.changed
 	}
 	for _, w := range s.writes {
-		if w.revision > revision {
-			page.Pairs = append(page.Pairs, kv.Pair{Key: w.key, Revision: w.revision})
+		if w.revision > revision && len(page.Pairs) < maxChanges {
+			page.Pairs, page.At, page.More = append(page.Pairs, kv.Pair{Key: w.key, Revision: w.revision}), w.revision, true
 		}
 	}
 	return page, s.changed
