Mirror: pages of a full read prove only the keys that they have reached

If the first fresh page ends before the configuration's key, because other keys have come before it, that page was taken for proof that the configuration is the newest, and keys that had been taken away were accepted until the next page. ConfirmPartial now has the last key read.

TestFirstPageDoesNotProveAStaleConfiguration on the code before:

Not equal: expected: 503 actual: 200

--- a/role/gateway/follow.go
+++ b/role/gateway/follow.go
@@ -92,12 +92,12 @@
 		Int("keys", c.Keys.Len()).Bool("keys_required", c.Keys.Required()).Msg("configuration is in force")
 }
 
-// partial records that a part of the store as of the given time is known. The gateway is not ready
-// yet, but serves callers that come to it: when all gateways start at once, callers have nowhere
-// else to go.
-func (g *Gateway) partial(sent time.Time) {
+// partial records that the keys of the store up to last are known as of the given time. The gateway
+// is not ready yet, but serves callers that come to it once the configuration is among these keys:
+// when all gateways start at once, callers have nowhere else to go.
+func (g *Gateway) partial(sent time.Time, last string) {
 	g.rebuild()
-	if g.catalog.Load() == nil {
+	if g.catalog.Load() == nil || last < g.Decoders.Catalog {
 		return
 	}
 	g.proof.Store(max(g.proof.Load(), sent.UnixNano()))
--- a/role/gateway/store_test.go
+++ b/role/gateway/store_test.go
@@ -228,6 +228,28 @@
 	w.eventually(second.Ready)
 }
 
+// Guards against a first page without the configuration that proves one known from a stale page: keys that had been taken
+// away were accepted.
+func TestFirstPageDoesNotProveAStaleConfiguration(t *testing.T) {
+	t.Parallel()
+	w, _ := newModel(t)
+	w.site.Store.FreezeStaleReads()
+	w.configure(false)
+	for i := range 60 { // they come before the configuration, and fill the first page
+		w.site.Store.Set(fmt.Sprint("a/", i), "x")
+	}
+	w.site.Store.SetFaults(func(r *http.Request) site.Fault {
+		return site.Fault{Silent: strings.HasPrefix(r.URL.Path, "/-/kv-range") && r.URL.Query().Get("after_rev") != ""}
+	})
+	second := w.start("gateway-2")
+	w.target = w.serve(second)
+	for begun := time.Now(); time.Since(begun) < 1500*time.Millisecond; time.Sleep(20 * time.Millisecond) {
+		require.Equal(t, http.StatusServiceUnavailable, w.do(w.streamRequest("/plan/1", 3)).StatusCode)
+	}
+	w.site.Store.SetFaults(nil)
+	w.eventually(func() bool { return w.do(w.streamRequest("/plan/1", 3)).StatusCode == http.StatusUnauthorized })
+}
+
 // An older configuration never replaces a newer one.
 func TestOlderConfigurationIsIgnored(t *testing.T) {
 	t.Parallel()
--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -51,9 +51,9 @@
 	// at once. Nil for no calls.
 	Applied func()
 	// ConfirmPartial receives such a time after each page but the last of the first full read,
-	// while the pages prove it: the keys read so far include all writes before it. Nil for no
-	// calls.
-	ConfirmPartial func(proven time.Time)
+	// while the pages prove it: the keys read so far, up to key last, include all writes before it.
+	// Keys after last may be known from stale pages, of which that does not hold. Nil for no calls.
+	ConfirmPartial func(proven time.Time, last string)
 	// Unhurried reports, after a stale first page of the first full read, whether no caller waits
 	// for a proof. If so, full reads use stale pages only, until a proof is found. Nil for never.
 	Unhurried func() bool
@@ -220,7 +220,7 @@
 			break
 		}
 		if first && m.ConfirmPartial != nil && r.proves() {
-			m.ConfirmPartial(r.sent)
+			m.ConfirmPartial(r.sent, r.after)
 		}
 	}
 	for key := range m.known {
--- a/state/mirror/mirror_test.go
+++ b/state/mirror/mirror_test.go
@@ -354,8 +354,9 @@
 		m := &mirror.Mirror{
 			Feed: f, WatchTimeout: time.Second, Log: zerolog.Nop(), StoreFailed: func(error) {},
 			Put: func(kv.Pair) { held++ }, Removed: func(string, uint64) {},
-			ConfirmPartial: func(proven time.Time) {
+			ConfirmPartial: func(proven time.Time, last string) {
 				require.Equal(t, begun, proven)
+				require.Equal(t, fmt.Sprint("key-", held-1), last)
 				require.Equal(t, 2*(len(partial)+1), held)
 				partial = append(partial, time.Since(begun))
 			},
@@ -402,7 +403,7 @@
 				require.Equal(t, "1", held["d"])
 				return 200 * time.Millisecond, false
 			},
-			ConfirmPartial: func(time.Time) { require.Subset(t, []string{"a", "b"}, slices.Collect(maps.Keys(held))) },
+			ConfirmPartial: func(time.Time, string) { require.Subset(t, []string{"a", "b"}, slices.Collect(maps.Keys(held))) },
 			StoreFailed:    func(error) {},
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
@@ -487,7 +488,7 @@
 					Unproven: func(readings int) (time.Duration, bool) {
 						return 100 * time.Millisecond, unhurried && readings < 3
 					},
-					ConfirmPartial: func(time.Time) { partial = true },
+					ConfirmPartial: func(time.Time, string) { partial = true },
 					Confirm: func(proven time.Time) {
 						confirmed = true
 						require.False(t, proven.Before(newest))
