Ingress: a body that the handler left unread is no part of the next request's head

What callers saw: on a kept connection the request after one that was rejected with 40 kB of body unread, as one with an unknown key is, got 431, and callers don't retry after it.

Cause: the connection was marked idle when the handler returned, and what is read on an idle connection is recorded as the next request's head. net/http reads the rest of a body, up to 256 kB, only then. The record was taken for a head of 40 kB. By the same way a body with an empty line made the next chunked request be seen as having no second length.

The mend: between the handler's return and net/http's own mark of an idle connection, a connection whose body was not read to its end is draining: nothing is recorded. It may be closed as an idle one may, and its caller has as long as for a head.

TestConnectionWhoseBodyDoesNotEndIsClosed guards the new state.

--- a/adapter/ingress/conn.go
+++ b/adapter/ingress/conn.go
@@ -9,11 +9,12 @@
 	"github.com/grademill/grademill/adapter/peek"
 )
 
-// The states of a connection: idle between requests, serving a request, or closed by the
-// server.
+// The states of a connection: idle between requests, serving a request, draining the rest of a
+// request's body after its handler has returned, or closed by the server.
 const (
 	idle int32 = iota
 	serving
+	draining
 	closed
 )
 
@@ -21,13 +22,14 @@
 // head. A caller that needs longer is sending slowly.
 const headReadGrace = time.Second
 
-// conn is a caller's connection. The server closes it only while it is idle, and serves a
-// request only if it arrived before the close.
+// conn is a caller's connection. The server closes it only while it is idle or draining, and serves
+// a request only if it arrived before the close.
 type conn struct {
 	net.Conn
 	state atomic.Int32
 	// idleSince is when the connection became idle. headStarted is when the first byte of the
-	// next request head arrived, 0 before that. Both are Unix times in nanoseconds.
+	// next request head arrived, 0 before that, or when the connection began to drain. Both are
+	// Unix times in nanoseconds.
 	idleSince, headStarted atomic.Int64
 	// head holds the bytes read since the connection became idle: the next request's head and
 	// possibly the start of its body. Only the goroutine that serves the connection uses it.
@@ -56,6 +58,13 @@
 	c.state.Store(idle)
 }
 
+// markDraining marks the connection as one on which the rest of a body is read. The caller has as
+// long for it as for a head.
+func (c *conn) markDraining() {
+	c.headStarted.Store(time.Now().UnixNano())
+	c.state.Store(draining)
+}
+
 // hasUnreadInput reports whether the caller has sent bytes that are not yet read, or whose
 // reading began less than headReadGrace before now. A process starved of processor time can
 // take a second to read them.
@@ -78,7 +87,7 @@
 
 // closeIfIdle closes the connection unless it is serving a request.
 func (c *conn) closeIfIdle() {
-	if c.state.CompareAndSwap(idle, closed) {
+	if c.state.CompareAndSwap(idle, closed) || c.state.CompareAndSwap(draining, closed) {
 		_ = c.Close() // an error changes nothing for the caller
 	}
 }
--- a/adapter/ingress/server.go
+++ b/adapter/ingress/server.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log"
 	"net"
 	"net/http"
@@ -119,20 +120,49 @@
 		defer s.mu.Unlock()
 		delete(s.conns, c)
 	case http.StateIdle:
+		if c.state.Load() == draining {
+			c.markIdle()
+		}
 		if s.stopping.Load() {
 			c.closeIfNoInput(time.Now())
 		}
 	}
 }
 
+// trackedBody is a request's body that knows whether it has been read to its end.
+type trackedBody struct {
+	io.ReadCloser
+	whole atomic.Bool
+}
+
+// Read implements io.Reader.
+func (b *trackedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.whole.Store(true)
+	}
+	return n, err
+}
+
 // serve handles one request. If the connection was closed before the request was read, serve
-// aborts it without calling the handler.
+// aborts it without calling the handler. Unless the body has been read to its end, the connection
+// drains until net/http has read the rest, which is no part of the next request's head.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	c, ok := r.Context().Value(connKey{}).(*conn)
 	if !ok || !c.state.CompareAndSwap(idle, serving) {
 		panic(http.ErrAbortHandler)
 	}
-	defer c.markIdle()
+	read := &trackedBody{ReadCloser: r.Body}
+	if r.Body != http.NoBody {
+		r.Body = read
+	}
+	defer func() {
+		if r.Body == http.NoBody || read.whole.Load() {
+			c.markIdle()
+		} else {
+			c.markDraining()
+		}
+	}()
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -174,7 +204,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if state := c.state.Load(); state == serving || state == idle && c.hasUnreadInput(now) {
+		if state := c.state.Load(); state == serving || state != closed && c.hasUnreadInput(now) {
 			return false
 		}
 	}
--- a/adapter/ingress/server_test.go
+++ b/adapter/ingress/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"log"
 	"net"
@@ -109,6 +110,53 @@
 	}
 }
 
+// Guards against a body that the handler has left unread being taken for the head of the next request: that one was
+// rejected as too long, or as having two lengths.
+func TestRequestAfterAnUnreadBodyIsServed(t *testing.T) {
+	s := start(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost && r.URL.Path == "/rejected" {
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+	}), ingress.Limits{MaxHeaderBytes: 16 << 10})
+	for name, body := range map[string]string{
+		"large":        strings.Repeat("x", 40<<10),
+		"like a head":  "\r\nContent-Length: 3\r\n\r\n",
+		"of one byte":  "x",
+		"not rejected": "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, r := dial(t, s)
+			for range 5 {
+				_, err := fmt.Fprintf(c, "POST /rejected HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+				require.NoError(t, err)
+				answer, err := http.ReadResponse(r, nil)
+				require.NoError(t, err)
+				require.Equal(t, http.StatusUnauthorized, answer.StatusCode)
+				_, err = io.WriteString(c, "POST /served HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n")
+				require.NoError(t, err)
+				answer, err = http.ReadResponse(r, nil)
+				require.NoError(t, err)
+				require.Equal(t, http.StatusOK, answer.StatusCode)
+				require.Equal(t, http.StatusOK, ask(t, c, r).StatusCode)
+			}
+		})
+	}
+}
+
+// Guards against a caller that never sends the rest of a rejected body keeping its connection, and a server that stops
+// from stopping.
+func TestConnectionWhoseBodyDoesNotEndIsClosed(t *testing.T) {
+	s := start(t, http.NotFoundHandler(), ingress.Limits{ReadHeaderTimeout: time.Millisecond})
+	c, r := dial(t, s)
+	_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\nx")
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, r)
+	require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+	require.Eventually(t, s.Idle, waitTimeout, time.Millisecond)
+}
+
 // After CloseAfterResponses, an idle connection closes with its next response. If the previous
 // response has not quite finished, the connection may close after that one, as it does after a
 // response begun before CloseAfterResponses; a request sent at that moment is not served.
