Gateway: calls at a silent endpoint are not answered one after the other

Cause: each waited in endedUnder for a check of the endpoint of its own, to tell the quarantine whether its process has ended. Checks of one endpoint run one at a time, and that of a silent host takes 0.3 s. A report of an endpoint of a model is shared by all that need one from after a time; the check of a plain endpoint was not.

The mend: a finished check of a plain endpoint counts for all whose answer broke off before it began. The request waits for it only if it may be sent again, since whether the endpoint has ended decides on that; otherwise the check reports in the background.

--- a/role/gateway/attempt.go
+++ b/role/gateway/attempt.go
@@ -157,16 +157,3 @@
 	g.Meter.Retry(cause)
 	return true
 }
-
-// copyHeader copies the headers of an endpoint's answer to the caller's.
-func copyHeader(to, from http.Header) {
-	for name, values := range from {
-		if name == "Content-Length" || name == "Transfer-Encoding" || name == "Trailer" {
-			continue
-		}
-		to[name] = values
-	}
-	if _, typed := from["Content-Type"]; !typed {
-		to["Content-Type"] = nil // keeps the server from guessing one
-	}
-}
--- a/role/gateway/check.go
+++ b/role/gateway/check.go
@@ -134,11 +134,14 @@
 
 // checkSince is like checkNow, but does not use a report requested before since.
 func (g *Gateway) checkSince(b *backend, since time.Time) bool {
+	begun := time.Now()
 	if b.Card == "" {
-		g.checkPlain(b)
+		if b.use.checkBegunAt.Load() <= since.UnixNano() { // otherwise one has ended that began after since
+			g.checkPlain(b)
+			b.use.checkBegunAt.Store(begun.UnixNano())
+		}
 		return true
 	}
-	begun := time.Now()
 	report, err := g.probes.QuerySince(context.Background(), b.Address, since)
 	now := time.Now()
 	switch {
--- a/role/gateway/plain.go
+++ b/role/gateway/plain.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/grademill/grademill/adapter/upstream"
 	"github.com/grademill/grademill/decide/health"
 	"github.com/grademill/grademill/decide/plainload"
 	"github.com/grademill/grademill/decide/throttle"
@@ -234,7 +235,7 @@
 		q.outcome = outcomeFailed
 		q.reason = "the endpoint's own answer"
 	}
-	copyHeader(q.w.Header(), t.answer.Header)
+	upstream.CopyHeader(q.w.Header(), t.answer.Header)
 	if q.r.Method != http.MethodHead {
 		q.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
--- a/role/gateway/quarantine.go
+++ b/role/gateway/quarantine.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"github.com/grademill/grademill/decide/cause"
@@ -62,15 +63,23 @@
 }
 
 // endedUnder reports the end of an endpoint of a plain service that gave a request no whole answer,
-// if its process has ended.
+// if its process has ended. It waits for the check only if the request may be sent again, which
+// depends on the result: the checks of a silent endpoint take long, and the caller waits no longer.
 func (g *Gateway) endedUnder(q *query, b *backend) {
 	if !q.reached.Load() || q.r.Context().Err() != nil {
 		return
 	}
-	g.verify(q.r.Context(), b)
-	if b.use.ended.Load() {
-		g.quarantine.Report(b.incarnation(), q.guard.Begun(time.Since(q.sentAt)), time.Now())
+	begun := q.guard.Begun(time.Since(q.sentAt))
+	report := func(ctx context.Context) {
+		if g.verify(ctx, b); b.use.ended.Load() {
+			g.quarantine.Report(b.incarnation(), begun, time.Now())
+		}
 	}
+	if q.route.Repeats() && q.timeLeft(time.Now()) > 0 {
+		report(q.r.Context())
+		return
+	}
+	go report(context.WithoutCancel(q.r.Context()))
 }
 
 // incarnationState returns whether an incarnation has certainly ended: its record is gone or names another incarnation,
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/grademill/grademill/adapter/pause"
+	"github.com/grademill/grademill/adapter/upstream"
 	"github.com/grademill/grademill/decide/event"
 	"github.com/grademill/grademill/decide/health"
 	"github.com/grademill/grademill/state/budget"
@@ -322,7 +323,7 @@
 func (s *relay) head(t sendResult) {
 	s.headSent = true
 	s.q.setOutcome(t.answer.Status, outcomeServed, "")
-	copyHeader(s.q.w.Header(), t.answer.Header)
+	upstream.CopyHeader(s.q.w.Header(), t.answer.Header)
 	s.q.w.WriteHeader(t.answer.Status)
 }
 
