Chain: endpoints of a search are told apart by their addresses, not by their IDs

The search merged the two into one stage, so that one incarnation was given layers that only the other has. Engines would have refused that chain.

--- a/decide/chain/finder.go
+++ b/decide/chain/finder.go
@@ -15,6 +15,7 @@
 
 // Holder is an endpoint that holds layers, with the current cost of using it.
 type Holder struct {
+	// ID may be that of another incarnation as well, Address tells the holders of a search apart.
 	ID, Address string
 	// Hall is the name of its data hall.
 	Hall   string
@@ -189,7 +190,7 @@
 	}
 	chain := make(Chain, 0, initialCapacity)
 	for ; k > 0; k-- {
-		if len(chain) > 0 && chain[len(chain)-1].ID == holders[at].ID {
+		if len(chain) > 0 && chain[len(chain)-1].Address == holders[at].Address {
 			chain[len(chain)-1].Layers.First = f.boundaries[k-1]
 		} else {
 			chain = append(chain, Stage{
@@ -211,7 +212,7 @@
 func merge(c Chain) Chain {
 	for i := 0; i < len(c); i++ {
 		for j := len(c) - 1; j > i; j-- {
-			if c[j].ID == c[i].ID {
+			if c[j].Address == c[i].Address {
 				c[i].Layers.End = c[j].Layers.End
 				c = slices.Delete(c, i+1, j+1)
 				break
--- a/decide/chain/finder_test.go
+++ b/decide/chain/finder_test.go
@@ -57,6 +57,16 @@
 	}
 }
 
+// Guards against a chain that gives the layers of an endpoint's new incarnation to its former one, which is kept while a
+// request is moved.
+func TestIncarnationsAreNotMerged(t *testing.T) {
+	former, next := holder("a", 0, 0, 4, 1), holder("a", 0, 4, 8, 1)
+	next.Address = "a:2"
+	found, ok := finder(8).Find([]chain.Holder{former, next})
+	require.True(t, ok)
+	require.Equal(t, "a:1[0,4) a:2[4,8)", found.String())
+}
+
 // Guards against a search within a hall that leaves it, and against one that changes the costs of later searches.
 func TestFindInHall(t *testing.T) {
 	f := finder(8)
