--- a/role/gateway/store_test.go
+++ b/role/gateway/store_test.go
@@ -228,6 +228,31 @@
 	w.eventually(second.Ready)
 }
 
+// Guards against an answer that holds a part of the missed changes being taken for proof of the newest configuration: keys
+// that had been taken away were accepted after a gateway had been cut off.
+func TestKeysTakenAwayDuringACutAreRefused(t *testing.T) {
+	t.Parallel()
+	e := plain("a")
+	w := newFixture(t, e)
+	w.site.Store.SetFaults(func(*http.Request) site.Fault { return site.Fault{Status: http.StatusServiceUnavailable} })
+	w.eventually(func() bool { // its proof is too old
+		return w.do(w.request("POST", "/renew/1", "x")).StatusCode == http.StatusServiceUnavailable
+	})
+	w.configure(true)
+	for i := range 300 {
+		w.site.Store.Set(fmt.Sprint("a/", i), "x")
+	}
+	w.configure(false)
+	seen := len(e.Seen())
+	w.site.Store.SetFaults(func(r *http.Request) site.Fault { return site.Fault{Delay: 50 * time.Millisecond} })
+	w.eventually(func() bool {
+		status := w.do(w.request("POST", "/renew/1", "x")).StatusCode
+		require.NotEqual(t, http.StatusOK, status)
+		return status == http.StatusUnauthorized
+	})
+	require.Len(t, e.Seen(), seen)
+}
+
 // Guards against a first page without the configuration that proves one known from a stale page: keys that had been taken
 // away were accepted.
 func TestFirstPageDoesNotProveAStaleConfiguration(t *testing.T) {
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -216,8 +216,8 @@
 	return http.StatusOK, item
 }
 
-// pageItems is the largest number of items in a page; it is small so that tests
-// read several pages.
+// pageItems is the largest number of items in a page, and of events in an answer to a
+// watch; it is small so that tests read several.
 const pageItems = 50
 
 func (s *Store) scan(prefix, after string, stale bool) (int, any) {
@@ -267,9 +267,9 @@
 	}
 }
 
-// since returns the changes under a prefix after a revision, the present revision,
-// a channel that is closed at the next change, and whether those changes have been
-// compacted.
+// since returns up to pageItems changes under a prefix after a revision, the revision up to
+// which these are all changes, a channel that is closed at the next change, and whether those
+// changes have been compacted.
 func (s *Store) since(prefix string, after uint64) ([]Item, uint64, chan struct{}, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -285,6 +285,9 @@
 		if item.Rev > after && strings.HasPrefix(item.Key, prefix) {
 			events = append(events, item)
 		}
+		if len(events) == pageItems {
+			return events, item.Rev, s.changed, false
+		}
 	}
 	return events, s.rev, s.changed, false
 }
