Gateway: the first check of a plain endpoint is not passed over

An endpoint whose host refuses connections was not found to have ended.

TestPlainEndpointThatRefusesConnectionsIsFoundEnded on the commit before: condition never satisfied. It passes now, and TestCallsAtASilentEndpointDoNotWaitForEachOther still does.

--- a/role/gateway/check.go
+++ b/role/gateway/check.go
@@ -132,11 +132,12 @@
 	return g.checkSince(b, time.Time{})
 }
 
-// checkSince is like checkNow, but does not use a report requested before since.
+// checkSince is like checkNow, but uses the result of another check that began after since, unless that
+// is zero.
 func (g *Gateway) checkSince(b *backend, since time.Time) bool {
 	begun := time.Now()
 	if b.Card == "" {
-		if b.use.checkBegunAt.Load() <= since.UnixNano() { // otherwise one has ended that began after since
+		if since.IsZero() || b.use.checkBegunAt.Load() <= since.UnixNano() {
 			g.checkPlain(b)
 			b.use.checkBegunAt.Store(begun.UnixNano())
 		}
--- a/role/gateway/silent_plain_test.go
+++ b/role/gateway/silent_plain_test.go
@@ -67,3 +67,14 @@
 	require.LessOrEqual(t, counter.checks.Load(), int64(2), "checks that the answers have waited for")
 	w.eventually(func() bool { return counter.checks.Load() > 0 })
 }
+
+// Guards against a check of a plain endpoint that is passed over since none has been made before: its process was not
+// found to have ended.
+func TestPlainEndpointThatRefusesConnectionsIsFoundEnded(t *testing.T) {
+	t.Parallel()
+	gone := plain("gone")
+	gone.Public = freePort(t) // nothing listens there
+	w := newFixture(t, gone)
+	w.do(w.request("POST", "/freeze/1", "x"))
+	w.waitForLog(`"endpoint":"gone","address":"` + gone.Public + `","ended":true,"message":"plain endpoint was checked"`)
+}
