--- a/role/gateway/check.go
+++ b/role/gateway/check.go
@@ -132,8 +132,7 @@
 	return g.checkSince(b, time.Time{})
 }
 
-// checkSince is like checkNow, but uses the result of another check that began after since, unless that
-// is zero.
+// checkSince is like checkNow, but uses the result of another check that began after a non-zero since.
 func (g *Gateway) checkSince(b *backend, since time.Time) bool {
 	begun := time.Now()
 	if b.Card == "" {
