--- a/role/gateway/store_test.go
+++ b/role/gateway/store_test.go
@@ -244,7 +244,7 @@
 	}
 	w.configure(false)
 	seen := len(e.Seen())
-	w.site.Store.SetFaults(func(r *http.Request) site.Fault { return site.Fault{Delay: 50 * time.Millisecond} })
+	w.site.Store.SetFaults(func(*http.Request) site.Fault { return site.Fault{Delay: 50 * time.Millisecond} })
 	w.eventually(func() bool {
 		status := w.do(w.request("POST", "/renew/1", "x")).StatusCode
 		require.NotEqual(t, http.StatusOK, status)
