Quarantine test: wait until the gateways know of the second end, not for 0.1 s

From its log: the second endpoint ended at 19.49 s, the check that found it took 35 ms, and the other gateways learned of it at 19.53 to 19.57 s. The test waits 0.1 s from the beginning of that end, of which the end itself takes 50 ms, and then sends 45 copies. It now waits until each gateway has logged that it isolates the request, which is what it set out to wait for; the checks are the same, and hold for every copy that is sent.

The line on changes that do not prove anything yet says what is known: that the store's revision is not reached.

--- a/role/gateway/quarantine_test.go
+++ b/role/gateway/quarantine_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"regexp"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -258,7 +259,9 @@
 			r := f.newRequest(0, poison)
 			copies.Go(func() { f.do(r) })
 			f.eventually(func() bool { return len(f.site.Crashed()) >= 2 })
-			time.Sleep(arrivalInterval) // the gateways learn of the second end
+			f.eventually(func() bool { // the gateways learn of the second end
+				return strings.Count(f.log.String(), `"message":"request is isolated: endpoints have ended under it"`) >= gateways
+			})
 			for i := range 3 * gateways {
 				r := f.newRequest(i, poison)
 				copies.Go(func() {
--- a/state/watchcache/feed.go
+++ b/state/watchcache/feed.go
@@ -338,7 +338,7 @@
 	}
 	if page.At < f.target {
 		f.Log.Info().Uint64("revision", page.At).Uint64("store_revision", f.target).Int("changes", len(page.Pairs)).
-			Dur("proof_age_ms", f.Age()).Msg("the answer of the store holds a part of the changes")
+			Dur("proof_age_ms", f.Age()).Msg("the changes have not reached the revision of the store yet")
 		return page, sent
 	}
 	f.target, page.More = 0, false
