Stand-in: an endpoint whose record was withdrawn does not write it again by itself

An endpoint of the platform that leaves without a word does not write. The same could happen to one that had announced that it leaves and then took an order.

The stand-in now keeps the state of the record: an order changes the layers of a record that is there, in its state. The check of the soak is as it was.

--- a/standin/site/endpoint.go
+++ b/standin/site/endpoint.go
@@ -90,10 +90,25 @@
 	// signals is what the endpoint reports in its answers, and limitSentAt when it first sent the limit.
 	signals     Signals
 	limitSentAt time.Time
+	// state is the state of its record, empty if it has none.
+	state string
 	// disconnects counts the requests whose caller closed the connection while they ran.
 	disconnects int
 }
 
+// setState records the state of the endpoint's record, and currentState returns it.
+func (e *Endpoint) setState(state string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state = state
+}
+
+func (e *Endpoint) currentState() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state
+}
+
 // Address returns the address at which others reach the endpoint.
 func (e *Endpoint) Address() string {
 	if e.Public != "" {
--- a/standin/site/model.go
+++ b/standin/site/model.go
@@ -253,7 +253,7 @@
 	e.orders++
 	e.layers = [2]int{doc.From, doc.To}
 	e.mu.Unlock()
-	e.Site.Announce(e)
+	e.Site.update(e)
 	return http.StatusAccepted
 }
 
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -237,19 +237,36 @@
 // defaultSlots is the default number of concurrent requests of an endpoint.
 const defaultSlots = 64
 
+// The states of a record.
+const (
+	stateReady    = "ready"
+	stateDraining = "draining"
+)
+
 // Announce writes the record of an endpoint to the store as ready.
-func (s *Site) Announce(e *Endpoint) { s.announce(e, "ready") }
+func (s *Site) Announce(e *Endpoint) { s.announce(e, stateReady) }
 
 // Leave writes the record of an endpoint as draining: it is about to end.
-func (s *Site) Leave(e *Endpoint) { s.announce(e, "draining") }
+func (s *Site) Leave(e *Endpoint) { s.announce(e, stateDraining) }
 
 // Overwrite replaces the record of an endpoint by a text, as another writer of the store might.
 func (s *Site) Overwrite(e *Endpoint, text string) { s.Store.SetText("servers/"+e.ID, []byte(text)) }
 
-// Withdraw removes the record of an endpoint, which keeps serving.
-func (s *Site) Withdraw(e *Endpoint) { s.Store.Remove("servers/" + e.ID) }
+// Withdraw removes the record of an endpoint, which keeps serving, and does not write it again by itself.
+func (s *Site) Withdraw(e *Endpoint) {
+	e.setState("")
+	s.Store.Remove("servers/" + e.ID)
+}
+
+// update writes the record of an endpoint that has changed, in the state that it has, unless it has none.
+func (s *Site) update(e *Endpoint) {
+	if state := e.currentState(); state != "" {
+		s.announce(e, state)
+	}
+}
 
 func (s *Site) announce(e *Endpoint, state string) {
+	e.setState(state)
 	r := Record{Service: e.Service, Addr: e.Address(), Zone: e.Hall, Slots: cmp.Or(e.Slots, defaultSlots), State: state, Kind: e.Card, Born: e.StartedAt(), Version: "v1"}
 	if e.Card != "" {
 		from, to := e.Layers()
