Soak: a report of overload does not take back that an endpoint leaves

From the logs: e8 asked for rest from 24.37 s on, for 3 s; it announced its departure at 27.08 s, in its record and in all its answers; at 27.37 s the end of the period of rest cleared all that its answers say. Its record as draining was overwritten by the late one that the soak writes after it, and between the two the store forgot its history, so that no gateway ever saw it; gateway-3, which started after that, had nothing left to know it by.

An endpoint of the platform says that it leaves in all its answers, so the period of rest no longer clears it. No check is changed.

--- a/test/soak/words_test.go
+++ b/test/soak/words_test.go
@@ -35,6 +35,9 @@
 		if e == nil {
 			return
 		}
+		if e.CurrentSignals().Leaving {
+			continue
+		}
 		s := overloadReport{endpoint: e, from: time.Now()}
 		lasts := time.Duration(2+r.IntN(3)) * time.Second
 		switch r.IntN(3) {
@@ -49,7 +52,9 @@
 		w.t.Logf("%s: %s reports %+v for %s", s.from.Format("15:04:05.000"), e.ID, s.signals, lasts)
 		e.SetSignals(s.signals)
 		time.Sleep(lasts)
-		e.SetSignals(site.Signals{})
+		if !e.CurrentSignals().Leaving { // it says so until it ends
+			e.SetSignals(site.Signals{})
+		}
 		s.until = time.Now()
 		w.overloadReports = append(w.overloadReports, s)
 	}
