Store: changes are passed on before the store is asked for its revision

Now an answer with changes is passed on at once, and the next call begins with the question for the revision. Where that is not answered, an answer without changes is the proof, as before. What is awaited is forgotten with a full read, and with an answer of another gateway.

--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -276,7 +276,7 @@
 func (m *Mirror) follow(ctx context.Context) error {
 	wait := m.WatchTimeout
 	if m.failures > 0 || m.overdue || m.more {
-		wait = 0 // detect the store's return, or its continued silence, at once
+		wait = 0 // detect the store's return, or its continued silence, at once; ask for the rest of the changes
 	}
 	for _, removal := range m.pendingRemovals {
 		wait = min(wait, max(time.Until(removal.due), 0))
--- a/state/watchcache/feed.go
+++ b/state/watchcache/feed.go
@@ -94,8 +94,9 @@
 	// compared is when a difference from another gateway's replica last caused a full read, plus
 	// the random extra.
 	compared time.Time
-	// target is a revision of the store as of targetAt that the replica has yet to reach to be proven
-	// current, 0 for none.
+	// unproven is set if the last answer of the store may lack changes. target is a revision of the
+	// store as of targetAt that the replica has yet to reach to be proven current, 0 for none.
+	unproven bool
 	target   uint64
 	targetAt time.Time
 	// silent are the gateways that recently did not answer.
@@ -204,6 +205,7 @@
 	}
 	f.replica = f.scan.seen
 	f.scan = scan{}
+	f.unproven, f.target = false, 0
 }
 
 // differences returns the changes relative to the known revisions of keys. It does not filter by
@@ -240,6 +242,7 @@
 		answer, err := f.Source.Fetch(ctx, address, q)
 		if err == nil {
 			f.logSource(address, nil)
+			f.unproven, f.target = false, 0
 			return f.applyRelayed(address, answer, revision, sent)
 		}
 		if ctx.Err() != nil {
@@ -298,9 +301,14 @@
 	return kv.Page{}, trace.Wrap(&kv.CompactedError{Revision: a.At})
 }
 
-// askStore queries the store itself.
+// askStore queries the store itself. If the last answer may lack changes, it first asks the store for
+// its revision: a replica that has reached it holds everything written before. Changes are passed on
+// before that, since a call may take long.
 func (f *Feed) askStore(ctx context.Context, prefix string, revision uint64, wait time.Duration) (kv.Page, error) {
 	sent := f.Cache.now()
+	if f.unproven && f.hasReached(ctx, revision) {
+		return f.proveReached(kv.Page{At: revision}, sent, revision), nil
+	}
 	page, err := f.wait(ctx, prefix, revision, wait)
 	overdue := errors.Is(err, errOverdue)
 	if overdue || errors.Is(err, errRefreshed) {
@@ -310,46 +318,54 @@
 		sent = resent
 	}
 	f.note(err)
-	if err == nil {
-		page, sent = f.prove(ctx, page, sent)
-		page, _ = f.apply(page, sent, true, revision)
+	if err != nil {
+		return page, err
 	}
-	return page, err
-}
-
-// prove returns a page of changes that was requested at time sent, and the time as of which it is
-// complete. If changes may be missing, it asks the store for its revision: the page that reaches it
-// holds everything written before. Until then, More stays set.
-func (f *Feed) prove(ctx context.Context, page kv.Page, sent time.Time) (kv.Page, time.Time) {
+	if page.More && f.target != 0 && page.At >= f.target {
+		return f.proveReached(page, sent, revision), nil
+	}
+	f.unproven = page.More
 	if !page.More {
 		f.target = 0
-		return page, sent
 	}
+	page, _ = f.apply(page, sent, true, revision)
+	return page, nil
+}
+
+// hasReached reports whether the revision of the replica is that of the store, as of targetAt. It asks
+// the store unless it is still to reach one.
+func (f *Feed) hasReached(ctx context.Context, revision uint64) bool {
 	if f.target == 0 {
 		asked := f.Cache.now()
-		revision, err := f.Store.Revision(ctx)
+		target, err := f.Store.Revision(ctx)
 		f.note(err)
 		if err != nil {
-			f.Log.Info().Err(err).Uint64("revision", page.At).Dur("proof_age_ms", f.Age()).
+			f.Log.Info().Err(err).Uint64("revision", revision).Dur("proof_age_ms", f.Age()).
 				Msg("the store does not tell its revision, changes prove nothing")
-			return page, sent
+			return false
 		}
-		f.target, f.targetAt = revision, asked
+		f.target, f.targetAt = target, asked
 	}
-	if page.At < f.target {
-		f.Log.Info().Uint64("revision", page.At).Uint64("store_revision", f.target).Int("changes", len(page.Pairs)).
-			Dur("proof_age_ms", f.Age()).Msg("the changes have not reached the revision of the store yet")
-		return page, sent
+	if revision < f.target {
+		f.Log.Info().Uint64("revision", revision).Uint64("store_revision", f.target).Dur("proof_age_ms", f.Age()).
+			Msg("the changes have not reached the revision of the store yet")
 	}
-	f.target, page.More = 0, false
-	page.Lag += sent.Sub(f.targetAt) // negative: the proof is newer than the request for the page
-	return page, f.targetAt
+	return revision >= f.target
+}
+
+// proveReached applies a page requested at time sent with which the replica has reached target.
+func (f *Feed) proveReached(page kv.Page, sent time.Time, revision uint64) kv.Page {
+	page.More = false
+	page.Lag += sent.Sub(f.targetAt) // negative if the proof is newer than the request
+	f.unproven, f.target = false, 0
+	page, _ = f.apply(page, f.targetAt, true, revision)
+	return page
 }
 
 // apply applies a page of the changes after a revision to the replica and the cache, which it proves
-// current as of a time unless changes may be missing. It returns the page reduced to new changes, and the checksum of the replica. A full read contains changes
-// beyond its revision. They are not new to this gateway, but are added to the cache because
-// requesters may lack them.
+// current as of a time unless changes may be missing. It returns the page reduced to new changes, and
+// the checksum of the replica. A full read contains changes beyond its revision. They are not new to
+// this gateway, but are added to the cache because requesters may lack them.
 func (f *Feed) apply(page kv.Page, proven time.Time, direct bool, revision uint64) (kv.Page, uint64) {
 	all := page
 	page.Pairs, all.Pairs = f.replica.apply(page.Pairs, f.Cache.At())
--- a/state/watchcache/feed_test.go
+++ b/state/watchcache/feed_test.go
@@ -63,6 +63,8 @@
 	scripted
 	revision uint64
 	err      error
+	// revisions counts the calls of Revision.
+	revisions int
 }
 
 func (p *partialStore) Changes(_ context.Context, _ string, revision uint64, _ time.Duration) (kv.Page, error) {
@@ -74,7 +76,10 @@
 	return page, nil
 }
 
-func (p *partialStore) Revision(context.Context) (uint64, error) { return p.revision, p.err }
+func (p *partialStore) Revision(context.Context) (uint64, error) {
+	p.revisions++
+	return p.revision, p.err
+}
 
 // Guards against an answer that holds a part of the changes being taken for proof that the replica is current, by this
 // gateway or by those that query it: after a cut, keys that had been taken away were accepted.
@@ -83,8 +88,10 @@
 		s := &partialStore{revision: 1}
 		f := newFeed(s, nil)
 		f.Sources = func() ([]string, bool) { return nil, false }
-		_, err := f.Changes(t.Context(), "", 0, 0)
-		require.NoError(t, err)
+		for at := range uint64(2) {
+			_, err := f.Changes(t.Context(), "", at, 0)
+			require.NoError(t, err)
+		}
 		s.revision = 4 // three changes during a cut
 		time.Sleep(time.Minute)
 		for at := uint64(1); at < 3; at++ {
@@ -103,9 +110,14 @@
 		require.NoError(t, err)
 		require.Zero(t, answer.Age)
 		s.err = errors.New("no answer")
+		asked := s.revisions
 		page, err = f.Changes(t.Context(), "", 4, 0)
 		require.NoError(t, err)
-		require.True(t, page.More, "the store does not tell its revision")
+		require.True(t, page.More)
+		require.Equal(t, asked, s.revisions, "changes do not wait for another call")
+		page, err = f.Changes(t.Context(), "", 5, 0)
+		require.NoError(t, err)
+		require.False(t, page.More, "an answer without changes proves it where the store does not tell its revision")
 	})
 }
 
