Chain: the choice between a hall and all halls is the Finder's

Read again: the gateway chose between a search within a hall and one across halls, in a function that could panic after it had set its result, which was then cleared by hand. The choice is Finder.FindNear, the result is set once the search has returned, and the second search of reserve is contained in the same way, with the same reset of the chooser. The gateway only says whether the links have room. No change of what is found.

--- a/decide/chain/finder.go
+++ b/decide/chain/finder.go
@@ -66,8 +66,20 @@
 	return f.trace(holders)
 }
 
-// FindInHall returns the cheapest chain of holders of one hall, as Find does.
-func (f *Finder) FindInHall(holders []Holder) (Chain, bool) {
+// FindNear returns the cheapest chain of holders of one hall or, if there is none and mayLeave returns
+// true, the cheapest chain of all of them. It calls mayLeave only if there is such a chain.
+func (f *Finder) FindNear(holders []Holder, mayLeave func() bool) (Chain, bool) {
+	if found, ok := f.findInHall(holders); ok {
+		return found, true
+	}
+	if found, ok := f.Find(holders); ok && mayLeave() {
+		return found, true
+	}
+	return nil, false
+}
+
+// findInHall is like Find, for holders of one hall.
+func (f *Finder) findInHall(holders []Holder) (Chain, bool) {
 	remote := f.RemoteHopCost
 	f.RemoteHopCost = math.Inf(1)
 	defer func() { f.RemoteHopCost = remote }()
--- a/decide/chain/finder_test.go
+++ b/decide/chain/finder_test.go
@@ -67,18 +67,26 @@
 	require.Equal(t, "a:1[0,4) a:2[4,8)", found.String())
 }
 
-// Guards against a search within a hall that leaves it, and against one that changes the costs of later searches.
-func TestFindInHall(t *testing.T) {
+// Guards against a chain that leaves its hall without need or leave, and against costs of one search that remain in the
+// next.
+func TestFindNear(t *testing.T) {
 	f := finder(8)
 	holders := []chain.Holder{holder("a", 0, 0, 4, 1), holder("far", 1, 4, 8, 0.1)}
-	_, ok := f.FindInHall(holders)
+	asked := 0
+	mayLeave := func(may bool) func() bool {
+		return func() bool { asked++; return may }
+	}
+	_, ok := f.FindNear(holders, mayLeave(false))
 	require.False(t, ok)
-	found, ok := f.Find(holders)
+	found, ok := f.FindNear(holders, mayLeave(true))
 	require.True(t, ok)
 	require.Equal(t, "a:1[0,4) far:1[4,8)", found.String())
-	found, ok = f.FindInHall(append(holders, holder("near", 0, 4, 8, 9)))
+	found, ok = f.FindNear(append(holders, holder("near", 0, 4, 8, 9)), mayLeave(true))
 	require.True(t, ok)
 	require.Equal(t, "a:1[0,4) near:1[4,8)", found.String())
+	_, ok = f.FindNear(holders[:1], mayLeave(true))
+	require.False(t, ok)
+	require.Equal(t, 2, asked, "only where there is another chain")
 }
 
 // Find finds a chain whenever there is one, the chain runs each layer once and in order, and
--- a/role/gateway/reservation.go
+++ b/role/gateway/reservation.go
@@ -180,12 +180,8 @@
 	}
 	if !ok {
 		q.lastSearch.Store(&candidateCounts{need: need, open: c.open, avoided: c.avoided, crowded: c.crowded})
-		short, exists := c.shortage(), false
-		g.faults.Run(q.ID, func() {
-			c.collect(q, f, need, skipAvoided)
-			_, exists = c.finder.Find(c.holders)
-		})
-		if exists {
+		short := c.shortage()
+		if g.search(c, q, func() { c.collect(q, f, need, skipAvoided) }, func() bool { return true }) != nil {
 			return nil, short
 		}
 		c.reserved = nil // an endpoint at which a suspect is tried is better than none
@@ -220,7 +216,7 @@
 	again := q.hasSearched()
 	c.skipLimited = again
 	for range maxHeldPicks {
-		found := g.search(c, q, need, func() { c.collect(q, f, need, use) })
+		found := g.search(c, q, func() { c.collect(q, f, need, use) }, g.mayLeaveHall(q, need))
 		if found == nil {
 			return nil, false
 		}
@@ -237,25 +233,27 @@
 	return nil, false
 }
 
-// search returns the cheapest chain within one hall of the holders that collect lists or, if there is
-// none and the links between halls have capacity left, the cheapest chain overall; nil for none. A fault
-// leaves only the chooser half changed, which then starts anew.
-func (g *Gateway) search(c *chooser, q *query, need int, collect func()) (found chain.Chain) {
+// search returns the cheapest chain of the holders that collect lists, preferably within one hall, and
+// across halls if mayLeave allows it; nil for none. A fault leaves only the chooser half changed, which
+// then starts anew.
+func (g *Gateway) search(c *chooser, q *query, collect func(), mayLeave func() bool) (found chain.Chain) {
 	if !g.faults.Run(q.ID, func() {
 		collect()
-		ok := false
-		if found, ok = c.finder.FindInHall(c.holders); ok {
-			return
-		}
-		if found, ok = c.finder.Find(c.holders); !ok || !g.linklimit.Allow(q.service.Model, need, g.peers.Size()) {
-			found = nil
+		if cheapest, ok := c.finder.FindNear(c.holders, mayLeave); ok {
+			found = cheapest
 		}
 	}) {
-		*c, found = chooser{}, nil
+		*c = chooser{}
 	}
 	return found
 }
 
+// mayLeaveHall returns a function that takes the room that a chain across halls needs on the links
+// between them, and reports whether there was enough.
+func (g *Gateway) mayLeaveHall(q *query, need int) func() bool {
+	return func() bool { return g.linklimit.Allow(q.service.Model, need, g.peers.Size()) }
+}
+
 // reserveMove reserves room along the cheapest chain to which a running request can be moved. The
 // first endpoint stays, and so do the others unless they are avoided, as the lost one is.
 func (g *Gateway) reserveMove(q *query, old *reservation, lost *backend) (*reservation, shortage) {
@@ -266,10 +264,10 @@
 	c.prepare(q.service.Model, g.Hall, g.peerFlow(q.service.Name))
 	c.fleetFactor = lost.use.fleetFactor()
 	c.reserved = g.quarantine.Reserved(time.Now())
-	found := g.search(c, q, need, func() {
+	found := g.search(c, q, func() {
 		c.collect(q, f, need, skipAvoidedAndFull)
 		c.keepChain(old, q, time.Now())
-	})
+	}, g.mayLeaveHall(q, need))
 	if found == nil || found[0] != old.chain[0] {
 		return nil, shortageLayers
 	}
