--- a/role/gateway/follow.go
+++ b/role/gateway/follow.go
@@ -78,14 +78,15 @@
 		g.Log.Error().Err(err).Uint64("revision", p.Revision).Msg("configuration not understood, the previous one stays in force")
 		return
 	}
-	if current := g.catalog.Load(); current != nil && c.Version <= current.Version {
+	current := g.catalog.Load()
+	if current != nil && c.Version <= current.Version {
 		return
 	}
 	g.catalog.Store(c)
 	g.members.reconfigured.Store(true)
 	g.Meter.Keys(c.Keys.Len(), c.Keys.Required())
 	level := zerolog.InfoLevel
-	if c.Keys.Len() == 0 { // it admits either nobody or everybody
+	if current != nil && current.Keys.Len() > 0 && c.Keys.Len() == 0 { // from now on nobody or anyone is served
 		level = zerolog.WarnLevel
 	}
 	g.Log.WithLevel(level).Uint64("version", c.Version).Uint64("revision", p.Revision).
