Store: a call that is not answered is a failure, also the question for the revision

Read again: where the store did not tell its revision, the feed asked for changes in the same call. The call now fails, as one for changes does, and the next one asks for changes, of which an answer without any is a proof: a store that answers only one of the two is followed all the same.

AddPartial no longer reads the former proof under one lock and writes it under another. TestPartOfTheChangesProvesNothing asks for the failure; on the commit before:

An error is expected but got nil. Messages: the store does not tell its revision: no second call in a row

--- a/state/watchcache/cache.go
+++ b/state/watchcache/cache.go
@@ -143,30 +143,31 @@
 // Add records a page of changes that was complete at time proven, and the checksum of the replica
 // that includes them. direct is set when the page comes from the store itself.
 func (c *Cache) Add(page kv.Page, proven time.Time, direct bool, sum uint64) {
-	c.add(page, proof{proven, direct}, false, sum)
+	c.add(page, &proof{proven, direct}, false, sum)
 }
 
 // AddPartial records a page of changes after which others may be missing, and the checksum of the
 // replica that includes them: it proves nothing, and the former proof stands.
 func (c *Cache) AddPartial(page kv.Page, sum uint64) {
-	c.mu.Lock()
-	former := c.proof
-	c.mu.Unlock()
-	c.add(page, former, false, sum)
+	c.add(page, nil, false, sum)
 }
 
 // AddFromScan records changes that were found by a full read requested at time sent, and not by a
 // watch.
 func (c *Cache) AddFromScan(page kv.Page, sent time.Time, sum uint64) {
-	c.add(page, proof{sent, true}, true, sum)
+	c.add(page, &proof{sent, true}, true, sum)
 }
 
-// add records a page. missed is set for changes that no watch delivered.
-func (c *Cache) add(page kv.Page, proven proof, missed bool, sum uint64) {
+// add records a page. proven is nil if the former proof stands; missed is set for changes that no watch
+// delivered.
+func (c *Cache) add(page kv.Page, proven *proof, missed bool, sum uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known, now := c.at, c.now()
-	c.at, c.sum, c.proof = max(c.at, page.At), sum, proven
+	c.at, c.sum = max(c.at, page.At), sum
+	if proven != nil {
+		c.proof = *proven
+	}
 	c.supersede(page.Pairs)
 	for _, p := range page.Pairs {
 		c.changes = append(c.changes, change{p, now, missed || p.Revision <= known})
--- a/state/watchcache/feed.go
+++ b/state/watchcache/feed.go
@@ -94,9 +94,9 @@
 	// compared is when a difference from another gateway's replica last caused a full read, plus
 	// the random extra.
 	compared time.Time
-	// unproven is set if the last answer of the store may lack changes. target is a revision of the
+	// partial is set if the last answer of the store may lack changes. target is a revision of the
 	// store as of targetAt that the replica has yet to reach to be proven current, 0 for none.
-	unproven bool
+	partial  bool
 	target   uint64
 	targetAt time.Time
 	// silent are the gateways that recently did not answer.
@@ -166,30 +166,6 @@
 	return page, nil
 }
 
-// scan is a full read, page by page.
-type scan struct {
-	sent time.Time
-	// stale is set if the first page may be older than the request for it.
-	stale bool
-	// first is the revision of the first page, and at is the lowest revision of any page.
-	first, at uint64
-	pairs     []kv.Pair
-	seen      replica
-}
-
-// addPage adds a page to the read.
-func (s *scan) addPage(page kv.Page) {
-	if !s.seen.loaded() {
-		s.first, s.at = page.At, page.At
-		s.seen.revisions = make(map[string]uint64)
-	}
-	s.at = min(s.at, page.At)
-	for _, p := range page.Pairs {
-		s.seen.put(p.Key, p.Revision)
-	}
-	s.pairs = append(s.pairs, page.Pairs...)
-}
-
 // finishScan records a completed full read. Gateways that query this one receive the differences
 // from the previously known state, and need not read everything again.
 func (f *Feed) finishScan() {
@@ -205,24 +181,7 @@
 	}
 	f.replica = f.scan.seen
 	f.scan = scan{}
-	f.unproven, f.target = false, 0
-}
-
-// differences returns the changes relative to the known revisions of keys. It does not filter by
-// the revision up to which all changes seemed to be known, because a watch may have missed some.
-func (s *scan) differences(known map[string]uint64) []kv.Pair {
-	var list []kv.Pair
-	for _, p := range s.pairs {
-		if p.Revision > known[p.Key] {
-			list = append(list, p)
-		}
-	}
-	for key := range known {
-		if _, there := s.seen.revisions[key]; !there {
-			list = append(list, kv.Pair{Key: key, Revision: s.at, Deleted: true})
-		}
-	}
-	return list
+	f.forgetTarget()
 }
 
 // Changes implements kv.Feed.
@@ -242,7 +201,7 @@
 		answer, err := f.Source.Fetch(ctx, address, q)
 		if err == nil {
 			f.logSource(address, nil)
-			f.unproven, f.target = false, 0
+			f.forgetTarget()
 			return f.applyRelayed(address, answer, revision, sent)
 		}
 		if ctx.Err() != nil {
@@ -302,12 +261,19 @@
 }
 
 // askStore queries the store itself. If the last answer may lack changes, it first asks the store for
-// its revision: a replica that has reached it holds everything written before. Changes are passed on
-// before that, since a call may take long.
+// its revision: a replica that has reached it holds everything written before. That answer was passed
+// on at once, since another call may take long.
 func (f *Feed) askStore(ctx context.Context, prefix string, revision uint64, wait time.Duration) (kv.Page, error) {
 	sent := f.Cache.now()
-	if f.unproven && f.hasReached(ctx, revision) {
-		return f.proveReached(kv.Page{At: revision}, sent, revision), nil
+	if f.partial {
+		if err := f.setTarget(ctx); err != nil {
+			return kv.Page{}, err
+		}
+		if revision >= f.target {
+			return f.applyProven(kv.Page{At: revision}, sent, revision), nil
+		}
+		f.Log.Info().Uint64("revision", revision).Uint64("store_revision", f.target).Dur("proof_age_ms", f.Age()).
+			Msg("the changes have not reached the revision of the store yet")
 	}
 	page, err := f.wait(ctx, prefix, revision, wait)
 	overdue := errors.Is(err, errOverdue)
@@ -322,46 +288,16 @@
 		return page, err
 	}
 	if page.More && f.target != 0 && page.At >= f.target {
-		return f.proveReached(page, sent, revision), nil
+		return f.applyProven(page, sent, revision), nil
 	}
-	f.unproven = page.More
 	if !page.More {
-		f.target = 0
+		f.forgetTarget()
 	}
+	f.partial = page.More
 	page, _ = f.apply(page, sent, true, revision)
 	return page, nil
 }
 
-// hasReached reports whether the revision of the replica is that of the store, as of targetAt. It asks
-// the store unless it is still to reach one.
-func (f *Feed) hasReached(ctx context.Context, revision uint64) bool {
-	if f.target == 0 {
-		asked := f.Cache.now()
-		target, err := f.Store.Revision(ctx)
-		f.note(err)
-		if err != nil {
-			f.Log.Info().Err(err).Uint64("revision", revision).Dur("proof_age_ms", f.Age()).
-				Msg("the store does not tell its revision, changes prove nothing")
-			return false
-		}
-		f.target, f.targetAt = target, asked
-	}
-	if revision < f.target {
-		f.Log.Info().Uint64("revision", revision).Uint64("store_revision", f.target).Dur("proof_age_ms", f.Age()).
-			Msg("the changes have not reached the revision of the store yet")
-	}
-	return revision >= f.target
-}
-
-// proveReached applies a page requested at time sent with which the replica has reached target.
-func (f *Feed) proveReached(page kv.Page, sent time.Time, revision uint64) kv.Page {
-	page.More = false
-	page.Lag += sent.Sub(f.targetAt) // negative if the proof is newer than the request
-	f.unproven, f.target = false, 0
-	page, _ = f.apply(page, f.targetAt, true, revision)
-	return page
-}
-
 // apply applies a page of the changes after a revision to the replica and the cache, which it proves
 // current as of a time unless changes may be missing. It returns the page reduced to new changes, and
 // the checksum of the replica. A full read contains changes beyond its revision. They are not new to
--- a/state/watchcache/feed_test.go
+++ b/state/watchcache/feed_test.go
@@ -115,9 +115,11 @@
 		require.NoError(t, err)
 		require.True(t, page.More)
 		require.Equal(t, asked, s.revisions, "changes do not wait for another call")
+		_, err = f.Changes(t.Context(), "", 5, 0)
+		require.Error(t, err, "the store does not tell its revision: no second call in a row")
 		page, err = f.Changes(t.Context(), "", 5, 0)
 		require.NoError(t, err)
-		require.False(t, page.More, "an answer without changes proves it where the store does not tell its revision")
+		require.False(t, page.More, "an answer without changes is a proof")
 	})
 }
 
