Gateway: SIGHUP does not end a process that is still starting

TestHangupDuringStart, which holds the process while it reads its settings, on the code before: the process has ended, "" does not contain "gateway serves". What is left is the time until the program's own packages run, and can't be caught by it.

--- a/cmd/grademill-gateway/daemon.go
+++ b/cmd/grademill-gateway/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
 
+	"github.com/grademill/grademill/adapter/hangup"
 	"github.com/grademill/grademill/adapter/ingress"
 	"github.com/grademill/grademill/adapter/meter"
 	"github.com/grademill/grademill/decide/shedding"
@@ -109,7 +110,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	signal.Ignore(syscall.SIGPIPE)
 	failed := make(chan error, 3)
 	callers := d.server(d.file.Gateway.Caller, d.gateway, d.callerLimits)
@@ -133,11 +134,9 @@
 		select {
 		case err := <-failed:
 			return err
-		case s := <-signals:
-			if s == syscall.SIGHUP {
-				d.reload()
-				continue
-			}
+		case <-hangup.Received():
+			d.reload()
+		case <-signals:
 			d.stop(callers)
 			cancel()
 			<-stopped
--- a/cmd/grademill-gateway/main_test.go
+++ b/cmd/grademill-gateway/main_test.go
@@ -54,6 +54,13 @@
 // start builds the gateway and runs it with settings in which callers are served at the given
 // address.
 func start(t *testing.T, caller string) *process {
+	p := build(t, caller)
+	p.run(t)
+	return p
+}
+
+// build builds the gateway, and writes settings in which callers are served at the given address.
+func build(t *testing.T, caller string) *process {
 	dir := t.TempDir()
 	program := filepath.Join(dir, "grademill-gateway")
 	out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
@@ -62,6 +69,11 @@
 	p.write(t, gatewaySettings(caller, freeAddress(t), freeAddress(t), p.admin))
 	p.Cmd = exec.Command(program, "-settings", p.settings)
 	p.Stdout, p.Stderr = p, p
+	return p
+}
+
+// run starts the process, and ends it when the test ends.
+func (p *process) run(t *testing.T) {
 	require.NoError(t, p.Start())
 	go func() {
 		defer close(p.ended)
@@ -71,7 +83,6 @@
 		_ = p.Process.Kill()
 		<-p.ended
 	})
-	return p
 }
 
 // write replaces the settings file.
@@ -163,3 +174,23 @@
 	require.NoError(t, p.Process.Signal(syscall.SIGHUP))
 	p.waitForLog(t, "settings read again")
 }
+
+// Guards against SIGHUP ending a gateway that is still starting.
+func TestHangupDuringStart(t *testing.T) {
+	p := build(t, freeAddress(t))
+	settings, err := os.ReadFile(p.settings)
+	require.NoError(t, err)
+	require.NoError(t, os.Remove(p.settings))
+	require.NoError(t, syscall.Mkfifo(p.settings, 0o600))
+	p.run(t)
+	pipe, err := os.OpenFile(p.settings, os.O_WRONLY, 0) // returns once the gateway reads its settings
+	require.NoError(t, err)
+	require.NoError(t, p.Process.Signal(syscall.SIGHUP))
+	require.NoError(t, os.Remove(p.settings))
+	p.write(t, string(settings))
+	_, err = pipe.Write(settings)
+	require.NoError(t, err)
+	require.NoError(t, pipe.Close())
+	p.waitForLog(t, "gateway serves")
+	p.waitForLog(t, "settings read again")
+}
