Quarantine: tests do not receive from timers that have expired

The instruction is in the race detector's runtime (__tsan::SlotLock reads thr->slot, which is nil: rip and rbx of the dump).

Hypotheses: a data race of ours, too many goroutines, or a race context that two threads use at once. The detector reports the first, and ends with another message at the second. For the third, Go's runtime keeps one race context for all channel timers of a testing/synctest bubble. It also uses it where a goroutine finds its timer expired as it receives, which several goroutines may do at once.

In role/quarantine the one receive from timers that can have expired is that of the stand-in for a harmless request: its last event and its end are due at one moment. It now waits for one event at a time; it answers for as long, with as many events, and the checks are unchanged.

state/watchcache stays listed, with the cause: mirror.Mirror receives from an expired timer after each long request, which only tests in a bubble can meet.

--- a/role/quarantine/part_test.go
+++ b/role/quarantine/part_test.go
@@ -30,6 +30,8 @@
 	contactTime = 3 * time.Second
 	// answerTime is how long a harmless request answers.
 	answerTime = 1200 * time.Millisecond
+	// eventInterval is the time between the events of an answer.
+	eventInterval = 50 * time.Millisecond
 	// deadly is the part under which endpoints end.
 	deadly = "dead"
 )
@@ -179,18 +181,14 @@
 	}
 }
 
-// answer runs a harmless request, and reports whether its endpoint lived.
+// answer runs a harmless request, and reports whether its endpoint lived. It waits on one timer at a time: the race
+// detector's runtime can crash when goroutines in a bubble receive from timers that have expired already.
 func (p *parts) answer(r *running) bool {
-	over := time.After(answerTime)
-	event := time.NewTicker(50 * time.Millisecond)
-	defer event.Stop()
-	for passed := false; ; {
+	for passed, end := false, time.Now().Add(answerTime); time.Now().Before(end); {
 		select {
 		case <-r.crashed:
 			return false
-		case <-over:
-			return true
-		case <-event.C:
+		case <-time.After(eventInterval):
 			p.mu.Lock()
 			if r.first.IsZero() {
 				r.first = time.Now()
@@ -200,6 +198,7 @@
 			passed = passed || r.g.Ran(time.Since(r.from), time.Since(first))
 		}
 	}
+	return true
 }
 
 // disturb starts gateways again, cuts them off for a while, or ends endpoints for another reason, several at a moment.
