Gossip: tests keep the sockets of their nodes open

Hypotheses: the sums of the two halls never agree at one moment; a node is starved for 30 s; a node has no socket. The tests took a free port, closed it and let the node open it later; the log of a node that cannot was discarded. With the log, 1500 starts of 18 nodes (4 s) had 5 and 6 nodes with "gossip socket not opened: address already in use": a port had been given twice, and such a node hears nothing for the whole test. The four tests of the package, which run side by side, take 44 ports.

The socket now stays open and is handed to the node (Listen). The one failure of TestLargeFleet was most likely the same; it stays listed.

--- a/role/gossip/gossip_test.go
+++ b/role/gossip/gossip_test.go
@@ -73,12 +73,13 @@
 	var all []*node
 	for h := range halls {
 		for i := range each {
-			n := new(node)
+			n, socket := new(node), listen(t)
 			n.active.Store(1)
 			n.table.Counter = func(string) peers.Counter { return n }
 			n.Gossip = gossip.Gossip{
-				Self:        overlay.Member{Name: fmt.Sprintf("gateway-%d-%d", h, i), Address: freePort(t), Hall: fmt.Sprint("hall-", h)},
+				Self:        overlay.Member{Name: fmt.Sprintf("gateway-%d-%d", h, i), Address: socket.LocalAddr().String(), Hall: fmt.Sprint("hall-", h)},
 				Incarnation: 1, Local: n, Peers: &n.table, LinkRate: rate, Log: zerolog.Nop(),
+				Listen: func(string) (net.PacketConn, error) { return socket, nil },
 				Sent: func(bytes int, dropped bool) {
 					if dropped {
 						n.droppedBytes.Add(int64(bytes))
@@ -107,12 +108,13 @@
 	return all
 }
 
-// freePort returns a local UDP address that is not in use.
-func freePort(t *testing.T) string {
+// listen opens a socket at a free local UDP port. It stays open until its node uses it, since a port that is closed
+// meanwhile can be given to another node.
+func listen(t *testing.T) net.PacketConn {
 	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	require.NoError(t, err)
-	defer c.Close() //nolint:errcheck // only its address is used
-	return c.LocalAddr().String()
+	t.Cleanup(func() { _ = c.Close() })
+	return c
 }
 
 // waitForActive waits until each node has learned of the given number of active requests at the
