--- a/decide/event/reader.go
+++ b/decide/event/reader.go
@@ -42,6 +42,23 @@
 
 	raw    []byte
 	events int
+	// peeked is the result of Peek, nil once Next has returned it.
+	peeked *result
+}
+
+// result is what a call of Next returns.
+type result struct {
+	event Event
+	err   error
+}
+
+// Peek returns what the next call of Next returns.
+func (r *Reader) Peek() (Event, error) {
+	if r.peeked == nil {
+		e, err := r.Next()
+		r.peeked = &result{e, err}
+	}
+	return r.peeked.event, r.peeked.err
 }
 
 // NewReader returns a reader of events of up to MaxBytes from the body of an answer of up to the given
@@ -96,6 +113,10 @@
 // the events without them that remain, if any, and then io.EOF. Other errors are those of the source,
 // a TruncatedError, a TooLongError or a TooManyError.
 func (r *Reader) Next() (Event, error) {
+	if p := r.peeked; p != nil {
+		r.peeked = nil
+		return p.event, p.err
+	}
 	r.raw = r.raw[:0]
 	var id string
 	ends, hasContent := 0, false // where the last event without content ends
--- a/role/gateway/admission.go
+++ b/role/gateway/admission.go
@@ -57,8 +57,8 @@
 // events waits for as long as the caller accepts a pause.
 func (s *relay) terms(now time.Time) admission.Terms {
 	terms := s.g.queue.Terms(s.q.waiting(), now)
-	if s.headSent {
-		terms.Until = s.lastAt.Add(overdue.Of(s.q.route).MaxWait(false))
+	if s.out.Begun() {
+		terms.Until = s.out.Last.Add(overdue.Of(s.q.route).MaxWait(false))
 	}
 	return terms
 }
--- a/role/gateway/attempt.go
+++ b/role/gateway/attempt.go
@@ -36,6 +36,8 @@
 	verdict
 	// err is the reason why there is no proper answer.
 	err error
+	// sentAt is when the request was sent.
+	sentAt time.Time
 }
 
 // maxConnIdle is how long a connection may have been idle to carry a request,
@@ -47,13 +49,12 @@
 )
 
 // send sends a request to a backend and waits for the head of the answer. c is the chain, nil for a
-// plain service; after is the ID of the last event that the caller of the request has. The caller
-// of send closes the answer of the result, if any.
-func (g *Gateway) send(ctx context.Context, q *query, b *backend, c chain.Chain, after string) sendResult {
-	defer func() { q.retry.Sent(g.Clock) }()
-	q.sends++
-	q.last, q.sentAt = b, time.Now()
-	q.reached.Store(false)
+// plain service; after is the ID of the last event that the caller of the request has, and retry the
+// retry taken for the send, nil for none. The caller of send closes the answer of the result, if any.
+func (g *Gateway) send(ctx context.Context, q *query, b *backend, c chain.Chain, after string, retry *retrybudgets.Charge) sendResult {
+	defer retry.Sent(g.Clock)
+	sentAt := time.Now()
+	q.sends.Add(b, sentAt)
 	header := q.r.Header.Clone()
 	g.Dialect.EndpointHeaders(header, exchange.EndpointHeaders{
 		Team: q.team, TimeLeft: q.timeLeft(time.Now()), Endpoint: b.ID, Priority: q.priority, Chain: c, LastEvent: after,
@@ -72,28 +73,29 @@
 	}
 	answer, err := g.pool.Do(ctx, call)
 	if err != nil {
-		return g.sendFailed(ctx, q, b, err)
+		return g.sendFailed(ctx, q, b, sendResult{verdict: verdictLost, err: err, sentAt: sentAt}, retry)
 	}
 	q.everReached.Store(true)
 	b.use.answeredAt.Store(time.Now().UnixNano())
-	t := sendResult{answer: answer, reply: g.Dialect.ReplyHeaders(answer.Status, answer.Header)}
+	t := sendResult{answer: answer, reply: g.Dialect.ReplyHeaders(answer.Status, answer.Header), sentAt: sentAt}
 	g.noteLoad(b, t.reply)
-	t.reply.Report.Sent, t.reply.Report.Received = q.sentAt, time.Now()
+	t.reply.Report.Sent, t.reply.Report.Received = sentAt, time.Now()
 	if isOwnReport(t) {
 		g.throttling.ApplyAnnouncement(b.ID, &b.use.intake, t.reply.Report)
 	}
 	switch {
 	case t.reply.NotRun:
 		t.verdict = verdictNotRun
+		q.sends.NotRun(b)
 		answer.Discard() // so that the connection can be reused
 	case t.reply.Signed && t.reply.ID == q.ID:
-		q.mayHaveRun = true
+		q.mayHaveRun.Store(true)
 		b.use.health.Update(health.Record.WithAnswer)
 		if b.Card == "" {
 			b.use.ended.Store(false) // it has started again
 		}
 	default:
-		q.mayHaveRun = true
+		q.mayHaveRun.Store(true)
 		t.verdict, t.err = verdictLost, errUnsigned
 		b.use.health.Update(health.Record.WithFailure)
 	}
@@ -110,23 +112,25 @@
 var errUnsigned = errors.New("the endpoint does not vouch for its answer")
 
 // sendFailed judges a send that got no head of an answer.
-func (g *Gateway) sendFailed(ctx context.Context, q *query, b *backend, err error) sendResult {
-	t := sendResult{verdict: verdictLost, err: err}
+func (g *Gateway) sendFailed(ctx context.Context, q *query, b *backend, t sendResult, retry *retrybudgets.Charge) sendResult {
 	var failed *upstream.SendError
-	sent := !errors.As(err, &failed) || failed.Sent
+	sent := !errors.As(t.err, &failed) || failed.Sent
 	if sent {
-		q.mayHaveRun = true
+		q.mayHaveRun.Store(true)
 		q.everReached.Store(true)
-		q.retry.Lost(g.Clock)
+		retry.Lost(g.Clock)
 	} else {
 		t.verdict = verdictNotRun
-		q.retry.Return()
+		q.sends.NotRun(b)
+		retry.Return()
 	}
 	if q.r.Context().Err() != nil || !time.Now().Before(q.deadline) {
 		t.verdict = verdictEnded
 		return t
 	}
 	switch {
+	case errors.Is(context.Cause(ctx), errWithdrawn):
+		return t
 	case !sent || b.Card == "" && ctx.Err() == nil:
 		b.use.health.Update(func(r health.Record) health.Record { return r.WithLoss(time.Now()) })
 	case ctx.Err() == nil:
--- a/role/gateway/give_back_test.go
+++ b/role/gateway/give_back_test.go
@@ -31,7 +31,7 @@
 	})
 }
 
-// stopAtRetry is a Meter with a barrier after a retry was taken for an abandoned attempt.
+// stopAtRetry is a Meter with a barrier after a retry was taken for another attempt beside one that goes on.
 type stopAtRetry struct {
 	gateway.Meter
 	*barrier
@@ -45,7 +45,7 @@
 	}
 }
 
-// stopAtAbandon is a log hook with a barrier where an attempt is about to be abandoned.
+// stopAtAbandon is a log hook with a barrier where another attempt is about to be made.
 type stopAtAbandon struct{ *barrier }
 
 // Run implements zerolog.Hook.
@@ -86,23 +86,9 @@
 // unless it was given back.
 func TestRetryThatIsNotSentIsGivenBack(t *testing.T) {
 	t.Parallel()
-	for name, c := range map[string]struct {
-		install func(*gateway.Gateway, *barrier)
-		// callerGone waits until the gateway has noticed that the caller of r has left.
-		callerGone func(w *fixture, r *http.Request, cards []*site.Endpoint)
-	}{
-		"the attempt has ended": {
-			func(g *gateway.Gateway, b *barrier) { g.Meter = stopAtRetry{g.Meter, b} },
-			func(w *fixture, r *http.Request, _ []*site.Endpoint) {
-				endLine(w.t, w, r.Header.Get("X-Request-Id"))
-			},
-		},
-		"the reserved chain is dropped": {
-			func(g *gateway.Gateway, b *barrier) { g.Log = g.Log.Hook(stopAtAbandon{b}) },
-			func(w *fixture, _ *http.Request, cards []*site.Endpoint) {
-				w.eventually(func() bool { return disconnects(cards) > 0 })
-			},
-		},
+	for name, install := range map[string]func(*gateway.Gateway, *barrier){
+		"the attempt has ended":         func(g *gateway.Gateway, b *barrier) { g.Meter = stopAtRetry{g.Meter, b} },
+		"the reserved chain is dropped": func(g *gateway.Gateway, b *barrier) { g.Log = g.Log.Hook(stopAtAbandon{b}) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -110,14 +96,14 @@
 			release := sync.OnceFunc(func() { close(b.released) })
 			w, cards := newModelWith(t, func(g *gateway.Gateway) {
 				g.RetryShare, g.RetryReserve, g.RetryWindow = 0, oneRetry, time.Hour
-				c.install(g, b)
+				install(g, b)
 			})
 			t.Cleanup(release) // also if the test fails, so that the gateway can end
 			w.site.NextModes(model, site.Hang)
 			answer, r, _ := w.startStream(cards, 8)
 			await(t, b.reached)
 			require.NoError(t, answer.Body.Close())
-			c.callerGone(w, r, cards)
+			w.eventually(func() bool { return disconnects(cards) > 0 }) // the gateway has noticed that the caller has left
 			release()
 			endLine(t, w, r.Header.Get("X-Request-Id"))
 			w.site.NextModes(model, site.Cut)
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -44,7 +44,6 @@
 		return
 	}
 	defer g.running.Leave()
-	defer func() { q.retry.Return() }() // one that was not sent
 	if g.partition.Alone() {
 		w.Header().Set("Connection", "close")
 	}
@@ -190,9 +189,9 @@
 	switch {
 	case q.callerLeft():
 		q.setOutcome(0, outcomeLeft, reason)
-	case !q.mayHaveRun && (g.quarantined(q, time.Now()) || q.refused != nil):
+	case !q.mayHaveRun.Load() && (g.quarantined(q, time.Now()) || q.refused != nil):
 		g.refuse(q, q.refused.RetryAfter, reason)
-	case !q.mayHaveRun:
+	case !q.mayHaveRun.Load():
 		g.refuse(q, g.retryAfter(q, time.Now()), reason)
 	case q.timeLeft(time.Now()) <= 0:
 		g.fail(q, http.StatusGatewayTimeout, reason)
@@ -238,7 +237,7 @@
 		g.Meter.Pause(q.pause)
 	}
 	line := g.Log.Info().Str("request", q.ID).Str("route", route).Str("team", q.team).Str("outcome", q.outcome).
-		Int("status", q.status).Str("reason", q.reason).Strs("used", q.used).Int("sends", q.sends).Int("runs", len(q.ran)).
+		Int("status", q.status).Str("reason", q.reason).Strs("used", q.used).Int("sends", q.sends.Count()).Int("runs", len(q.sends.Ran())).
 		Dur("first_ms", first).Dur("total_ms", now.Sub(q.start)).
 		Uint64("version", q.version).Dur("proof_age_ms", q.proofAge)
 	if causes := q.guard.Causes; causes != nil {
@@ -247,9 +246,9 @@
 	if q.refused != nil {
 		line = line.Stringer("cause", q.refused.Cause)
 	}
-	if q.last != nil { // the record by which this gateway chose the endpoint
-		line = line.Str("endpoint", q.last.ID).Uint64("record_revision", q.last.Revision).
-			Dur("record_age_ms", q.sentAt.Sub(q.last.Since))
+	if last, sentAt := q.sends.Last(); last != nil { // the record by which this gateway chose the endpoint
+		line = line.Str("endpoint", last.ID).Uint64("record_revision", last.Revision).
+			Dur("record_age_ms", sentAt.Sub(last.Since))
 	}
 	if q.route != nil && q.CallerTimeout > 0 { // for a caller that retries: the time that its earlier attempts took
 		line = line.Dur("under_route_ms", max(q.route.Timeout-q.CallerTimeout, 0))
@@ -270,7 +269,7 @@
 	if s := q.retryState.Load(); s != nil {
 		line = line.EmbedObject(s)
 	}
-	if last := q.lastSearch.Load(); last != nil {
+	if last := q.lastSearch; last != nil {
 		line = line.Int("need", last.need).Int("open", last.open).Int("avoided", last.avoided).Int("crowded", last.crowded)
 	}
 	line.Msg("request ended")
--- a/role/gateway/plain.go
+++ b/role/gateway/plain.go
@@ -22,11 +22,14 @@
 // it after refusals.
 const maxSends = 4
 
+// answerWait bounds the write of a piece of an answer to a caller that does not read.
+const answerWait = 10 * time.Second
+
 // servePlain serves a request of a plain service.
 func (g *Gateway) servePlain(q *query) {
 	defer q.dropClaimed()
 	reason := "no endpoint is there"
-	for q.sends < maxSends {
+	for q.sends.Count() < maxSends {
 		short := g.awaitIsolation(q, false, time.Time{})
 		if short == shortageNone && q.gone() {
 			short = shortageCaller
@@ -54,15 +57,17 @@
 				break
 			}
 		}
-		b := q.useClaimed()
+		place := q.claimed
+		q.claimed = nil
+		b := place.backend
 		q.noteUsed(b.Address)
-		done, why := g.attemptPlain(q, b)
+		done, why := g.attemptPlain(q, b, place.retry)
 		if done {
 			return
 		}
 		reason = why
 		q.avoid(b.Address)
-		if q.mayHaveRun && (!q.route.Repeats() || q.runs() >= q.route.Attempts) {
+		if q.mayHaveRun.Load() && (!q.route.Repeats() || q.runs() >= q.route.Attempts) {
 			break
 		}
 		if q.timeLeft(time.Now()) <= 0 {
@@ -95,13 +100,6 @@
 	return c, shortageNone
 }
 
-// useClaimed makes the retry of the claimed place that of the next send, and returns its endpoint.
-func (q *query) useClaimed() *backend {
-	c := q.claimed
-	q.claimed, q.retry = nil, c.retry
-	return c.backend
-}
-
 // dropClaimed gives back a claimed place that is not used.
 func (q *query) dropClaimed() {
 	if c := q.claimed; c != nil {
@@ -200,16 +198,16 @@
 	}.Score()
 }
 
-// attemptPlain sends the request to a backend. It reports whether the request has ended; otherwise
+// attemptPlain sends the request to a backend with the retry taken for that, nil for none. It reports whether the request has ended; otherwise
 // it also returns why this attempt failed.
-func (g *Gateway) attemptPlain(q *query, b *backend) (bool, string) {
+func (g *Gateway) attemptPlain(q *query, b *backend, retry *retrybudgets.Charge) (bool, string) {
 	b.use.take(0)
 	defer b.use.release(0)
 	deadline, cancelDeadline := context.WithDeadline(q.r.Context(), q.deadline)
 	defer cancelDeadline()
 	ctx, cancel := context.WithCancelCause(deadline)
 	defer cancel(nil)
-	last := !q.route.Repeats() || q.runs()+1 >= q.route.Attempts || q.sends+1 >= maxSends
+	last := !q.route.Repeats() || q.runs()+1 >= q.route.Attempts || q.sends.Count()+1 >= maxSends
 	stop := func() {}
 	if wait, sentAt := overdue.AnswerWait(q.route), time.Now(); !last {
 		stop = pause.Repeat(wait, wait/2, func() bool {
@@ -224,7 +222,7 @@
 		g.Log.Info().Str("request", q.ID).Str("endpoint", b.ID).Str("address", b.Address).
 			Uint64("version", q.version).Msg("request is sent")
 	}
-	t := g.send(ctx, q, b, nil, q.LastEvent)
+	t := g.send(ctx, q, b, nil, q.LastEvent, retry)
 	if t.answer != nil {
 		defer t.answer.Close()
 	}
@@ -234,20 +232,18 @@
 		return false, notRunReason(t)
 	case verdictLost, verdictEnded:
 		q.cause = causeLost
-		q.ran = append(q.ran, b)
-		g.endedUnder(q, b)
+		g.endedUnder(q, b, t.sentAt)
 		return false, t.err.Error()
 	}
-	q.ran = append(q.ran, b)
 	body, err := t.answer.ReadAll()
 	stop()
 	if err != nil {
 		b.use.health.Update(health.Record.WithFailure)
 		q.cause = causeBroken
-		g.endedUnder(q, b)
+		g.endedUnder(q, b, t.sentAt)
 		return false, "the answer broke off: " + err.Error()
 	}
-	q.guard.PassedSince(q.sentAt)
+	q.guard.PassedSince(t.sentAt)
 	if t.answer.Status >= http.StatusInternalServerError {
 		b.use.health.Update(health.Record.WithFailure)
 		if !last && g.timeLeft(q) && g.avoidAndHasOther(q, b) {
@@ -308,7 +304,7 @@
 		q.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	q.w.WriteHeader(t.answer.Status)
-	if err := steadywrite.Write(q.w, body, writeWait); err != nil {
+	if err := steadywrite.Write(q.w, body, answerWait); err != nil {
 		q.setOutcome(t.answer.Status, outcomeLeft, err.Error())
 	}
 }
--- a/role/gateway/quarantine.go
+++ b/role/gateway/quarantine.go
@@ -66,11 +66,11 @@
 // endedUnder reports the end of an endpoint of a plain service that gave a request no whole answer,
 // if its process has ended. It waits for the check only if the request may be sent again, which
 // depends on the result: the checks of a silent endpoint take long, and the caller waits no longer.
-func (g *Gateway) endedUnder(q *query, b *backend) {
+func (g *Gateway) endedUnder(q *query, b *backend, sentAt time.Time) {
 	if !q.reached.Load() || q.r.Context().Err() != nil {
 		return
 	}
-	begun := q.guard.Begun(time.Since(q.sentAt))
+	begun := q.guard.Begun(time.Since(sentAt))
 	report := func(ctx context.Context) {
 		if g.verify(ctx, b); b.use.ended.Load() {
 			g.quarantine.Report(b.incarnation(), begun, time.Now())
--- a/role/gateway/query.go
+++ b/role/gateway/query.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/grademill/grademill/role/quarantine"
 	"github.com/grademill/grademill/state/cell"
 	"github.com/grademill/grademill/state/retrybudgets"
+	"github.com/grademill/grademill/state/sends"
 	"github.com/grademill/grademill/state/set"
 )
 
@@ -41,28 +43,21 @@
 	start    time.Time
 	deadline time.Time
 
-	// sends counts how often the request was sent to an endpoint; ran lists the endpoints that may
-	// have run it, one entry for each such send.
-	sends int
-	ran   []*backend
-	// last is the endpoint to which it was last sent, nil for none, and sentAt when that was.
-	last   *backend
-	sentAt time.Time
+	// sends are the sends of the request to endpoints.
+	sends sends.Sends[*backend]
 	// claimed is the place for which an attempt at an endpoint of a plain service was abandoned, nil for
 	// none.
 	claimed *claimed
 	// mayHaveRun is set once an endpoint may have run the request.
-	mayHaveRun bool
+	mayHaveRun atomic.Bool
 	// everReached is set once any send may have reached an endpoint: only later sends count as
 	// retries.
 	everReached atomic.Bool
-	// retry is the retry taken for the next or current send, nil for none.
-	retry *retrybudgets.Charge
 	// retryState is what the retry budget counted when it last refused a retry, nil if it did not.
 	retryState atomic.Pointer[retrybudgets.State]
 	// callerGone is set once the caller is known to have closed the connection.
 	callerGone bool
-	// reached is set once the endpoint of the current send may have received the request.
+	// reached is set once the endpoint of a current send may have received the request.
 	reached atomic.Bool
 
 	// refused says why the request may not be sent now, nil if it may.
@@ -73,9 +68,8 @@
 	// returned is set when the caller has less time left than callers usually have on their first
 	// attempt.
 	returned bool
-	// lastSearch describes the last search that found no chain, nil for none. A check of the
-	// watchdog that runs on after the request has ended may still replace it.
-	lastSearch atomic.Pointer[candidateCounts]
+	// lastSearch describes the last search that found no chain, nil for none.
+	lastSearch *candidateCounts
 	// waited is how long the request waited in the queue for its first reservation, ahead the
 	// number of requests that were queued when it arrived.
 	waited time.Duration
@@ -169,17 +163,11 @@
 	q.used = append(q.used, used)
 }
 
-// runs returns the number of endpoints that may have run the request and have not certainly ended
-// since; a route bounds this number. Silence does not prove an end, since this process may be too
+// runs returns the number of endpoints that run the request, or may have run it, and have not certainly
+// ended since; a route bounds this number. Silence does not prove an end, since this process may be too
 // slow to receive the answers of a live endpoint.
 func (q *query) runs() int {
-	n := 0
-	for _, b := range q.ran {
-		if !b.use.ended.Load() {
-			n++
-		}
-	}
-	return n
+	return len(slices.DeleteFunc(q.sends.Ran(), func(b *backend) bool { return b.use.ended.Load() }))
 }
 
 // callerLeft reports whether the caller is known to have closed the connection.
--- a/role/gateway/reservation.go
+++ b/role/gateway/reservation.go
@@ -192,7 +192,7 @@
 		found, ok = g.findAdmitted(c, q, f, need, skipAvoided)
 	}
 	if !ok {
-		q.lastSearch.Store(&candidateCounts{need: need, open: c.open, avoided: c.avoided, crowded: c.crowded})
+		q.lastSearch = &candidateCounts{need: need, open: c.open, avoided: c.avoided, crowded: c.crowded}
 		short := c.shortage()
 		if g.search(c, q, func() { c.collect(q, f, need, skipAvoided) }, func() bool { return true }) != nil {
 			return nil, short
--- a/role/gateway/running_check_test.go
+++ b/role/gateway/running_check_test.go
@@ -13,42 +13,43 @@
 	"github.com/grademill/grademill/standin/site"
 )
 
-// slowLine is how long the line of a slowMove takes: longer than the gateway needs to end a request
+// slowLine is how long the line of a slowSearch takes: longer than the gateway needs to end a request
 // whose caller leaves.
 const slowLine = 500 * time.Millisecond
 
-// slowMove is a hook of the log that delays the line "request cannot be moved" once it is on. It
-// discards all lines from then on: the lock of the log would order the accesses whose race a test
-// looks for.
-type slowMove struct {
+// slowSearch is a hook of the log that delays the line after the search for another chain once it is on. It discards all
+// lines from then on: the lock of the log would order the accesses whose race a test looks for.
+type slowSearch struct {
 	on atomic.Bool
-	// delaying is closed when the delay begins, searched when a later line shows that the search
-	// for another chain is over.
-	delaying, searched           chan struct{}
-	closeDelaying, closeSearched sync.Once
+	// delaying is closed when the delay begins, and over is set when it ends.
+	delaying      chan struct{}
+	closeDelaying sync.Once
+	over          atomic.Bool
+	// ended receives whether the delay was over when the request ended.
+	ended chan bool
 }
 
 // Run implements zerolog.Hook.
-func (s *slowMove) Run(e *zerolog.Event, _ zerolog.Level, message string) {
+func (s *slowSearch) Run(e *zerolog.Event, _ zerolog.Level, message string) {
 	if !s.on.Load() {
 		return
 	}
 	e.Discard()
 	switch message {
-	case "request cannot be moved":
+	case "whether a try is left for another":
 		s.closeDelaying.Do(func() { close(s.delaying) })
 		time.Sleep(slowLine)
-	case "whether a try is left for another":
-		s.closeSearched.Do(func() { close(s.searched) })
+		s.over.Store(true)
+	case "request ended":
+		s.ended <- s.over.Load()
 	}
 }
 
-// A check of a stream can run on when its request has ended, and search for another chain then.
-// Guards against a data race, which only -race shows, between the result of that search and the log
-// line of the end of the request.
+// A check of a stream searches for another chain while its request ends. Guards against a data race, which only -race
+// shows, between the result of that search and the log line of the end of the request, which waits for it.
 func TestCheckThatOutlastsItsRequest(t *testing.T) {
 	t.Parallel()
-	slow := &slowMove{delaying: make(chan struct{}), searched: make(chan struct{})}
+	slow := &slowSearch{delaying: make(chan struct{}), ended: make(chan bool, 1)}
 	cards := []*site.Endpoint{card("card-0", "north"), card("card-1", "north")}
 	for _, c := range cards {
 		c.ReportLag = testTimeout
@@ -61,7 +62,7 @@
 	later[0].Silence()
 	await(t, slow.delaying)
 	require.NoError(t, answer.Body.Close()) // the caller leaves
-	await(t, slow.searched)
+	require.True(t, <-slow.ended)
 }
 
 // await waits until a channel is closed.
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -9,17 +10,17 @@
 	"strconv"
 	"time"
 
+	"github.com/grademill/grademill/adapter/eventwrite"
 	"github.com/grademill/grademill/adapter/pause"
-	"github.com/grademill/grademill/adapter/upstream"
 	"github.com/grademill/grademill/decide/event"
 	"github.com/grademill/grademill/decide/health"
 	"github.com/grademill/grademill/state/budget"
+	"github.com/grademill/grademill/state/handover"
+	"github.com/grademill/grademill/state/retrybudgets"
 )
 
 // Timing of streams.
 const (
-	// writeWait bounds the write of one event to a caller that does not read.
-	writeWait = 10 * time.Second
 	// pollEnds is the interval at which a stream polls whether its endpoints have ended.
 	pollEnds = 50 * time.Millisecond
 	// pollBudget is the interval at which a stream polls the retry budget.
@@ -30,20 +31,25 @@
 
 // relay passes a stream on to a caller.
 type relay struct {
-	g *Gateway
-	q *query
-	// headSent is set once the head has been sent to the caller.
-	headSent bool
+	g   *Gateway
+	q   *query
+	out eventwrite.Writer
+	// handover replaces the attempt by a successor. Its position is the ID of the last event that the
+	// caller gets.
+	handover handover.Handover[*attempt]
 	// last is the ID of the last event that was sent to the caller.
 	last string
-	// lastAt is when an event was last sent to the caller.
-	lastAt time.Time
-	flush  *http.ResponseController
-	// sentAt is when the request was last sent.
-	sentAt time.Time
-	// reserved is the reservation of the next attempt, with its retry, when the last attempt was
-	// abandoned for it; nil otherwise.
-	reserved *reservation
+}
+
+// attempt is one send of a stream along a chain.
+type attempt struct {
+	*reservation
+	sendResult
+	watchdog *watchdog
+	// reader reads the events; nil if the answer is no stream.
+	reader *event.Reader
+	// close ends the attempt.
+	close func()
 }
 
 // serveModel serves a request of a model. It reports whether the answer has broken off and must not
@@ -51,12 +57,12 @@
 func (g *Gateway) serveModel(q *query) bool {
 	var early bool
 	q.returned, early = g.queue.Arrive(q.waiting())
-	s := &relay{g: g, q: q, last: q.LastEvent, flush: http.NewResponseController(q.w)}
+	s := &relay{g: g, q: q, last: q.LastEvent, out: eventwrite.Writer{Response: q.w}}
+	defer func() { q.first, q.events, q.pause = cmp.Or(q.first, s.out.First), s.out.Events, s.out.Pause }()
 	if !g.admitArrival(q, early) {
 		g.giveUp(q, string(shortageFleet))
 		return false
 	}
-	defer s.dropReserved()
 	reason := ""
 	for s.maySendAgain() {
 		reservation, short := s.reservation()
@@ -64,7 +70,7 @@
 			reason = joinReasons(short, reason)
 			break
 		}
-		done, why := s.attempt(reservation)
+		done, why := s.run(reservation)
 		if done {
 			return false
 		}
@@ -73,7 +79,7 @@
 			break
 		}
 	}
-	if s.headSent {
+	if s.out.Begun() {
 		q.setOutcome(q.status, outcomeBroken, reason)
 		if q.callerLeft() {
 			q.outcome = outcomeLeft
@@ -89,10 +95,10 @@
 // until an endpoint that refused may be tried again, and allows another send for as long as the
 // caller accepts a pause.
 func (s *relay) maySendAgain() bool {
-	if s.q.sends < maxSends {
+	if s.q.sends.Count() < maxSends {
 		return true
 	}
-	if !s.headSent || s.q.cause != causeNotRun {
+	if !s.out.Begun() || s.q.cause != causeNotRun {
 		return false
 	}
 	pause.For(s.q.r.Context(), noRoomWait)
@@ -105,14 +111,16 @@
 // that have lost it have ended.
 func (s *relay) mayRunAgain() bool {
 	q := s.q
-	if !q.mayHaveRun || !q.route.Repeats() {
-		return !q.mayHaveRun
+	if !q.mayHaveRun.Load() || !q.route.Repeats() {
+		return !q.mayHaveRun.Load()
 	}
 	for q.runs() >= q.route.Attempts {
-		latest := q.ran[len(q.ran)-1]
-		unchecked := latest.use.checkedAt.Load() < s.sentAt.UnixNano()
-		unknown := unchecked || slices.ContainsFunc(q.ran, func(b *backend) bool { return b.use.down() })
-		if !s.headSent || !unknown || q.r.Context().Err() != nil || time.Now().After(s.terms(time.Now()).Until) {
+		ran := q.sends.Ran()
+		latest := ran[len(ran)-1]
+		_, sentAt := q.sends.Last()
+		unchecked := latest.use.checkedAt.Load() < sentAt.UnixNano()
+		unknown := unchecked || slices.ContainsFunc(ran, func(b *backend) bool { return b.use.down() })
+		if !s.out.Begun() || !unknown || q.r.Context().Err() != nil || time.Now().After(s.terms(time.Now()).Until) {
 			return false
 		}
 		if unchecked {
@@ -131,42 +139,29 @@
 	return string(short) + ": " + last
 }
 
-// dropReserved gives back a reservation that is not used, and its retry.
-func (s *relay) dropReserved() {
-	if s.reserved != nil {
-		s.reserved.cancel()
-		s.reserved = nil
-	}
-}
-
-// reservation returns the reservation for which the last attempt was abandoned, or makes one,
-// and takes a retry from the budget when the request may already have reached an endpoint. It waits
-// in the queue for as long as the request may. The retry becomes that of the next send.
+// reservation makes a reservation, and takes a retry from the budget when the request may already have
+// reached an endpoint. It waits in the queue for as long as the request may.
 func (s *relay) reservation() (*reservation, shortage) {
 	// An isolated attempt must not fail for want of a retry once its endpoint is reserved.
-	if s.reserved != nil {
-		s.q.retry, s.reserved.retry = s.reserved.retry, nil
-	} else if s.q.everReached.Load() {
-		if short := s.takeRetry(s.terms(time.Now()).Until); short != shortageNone {
+	var retry *retrybudgets.Charge
+	if s.q.everReached.Load() {
+		var short shortage
+		if retry, short = s.takeRetry(s.terms(time.Now()).Until); short != shortageNone {
 			return nil, short
 		}
 	}
 	for {
-		short := s.g.awaitIsolation(s.q, s.headSent, s.terms(time.Now()).Until)
-		taken := s.reserved
-		s.reserved = nil
-		if taken != nil && (short != shortageNone || s.q.guard.Endpoint() != "") {
-			taken.cancel() // it has become a suspect
-			taken = nil
-		}
-		if short == shortageNone && taken == nil {
+		var taken *reservation
+		short := s.g.awaitIsolation(s.q, s.out.Begun(), s.terms(time.Now()).Until)
+		if short == shortageNone {
 			taken, short = s.queued()
 		}
 		if short != shortageNone {
-			s.q.retry.Return()
+			retry.Return()
 			return nil, short
 		}
 		if !s.q.guard.Suspected() {
+			taken.retry = retry
 			return taken, shortageNone
 		}
 		taken.cancel() // it has become a suspect while it waited in the queue
@@ -192,73 +187,142 @@
 // takeRetry takes a retry from the budget, or returns why there was none. A stream whose caller
 // already has events waits for one as long as its caller does; any other request is refused at
 // once, since its caller can retry.
-func (s *relay) takeRetry(until time.Time) (short shortage) {
+func (s *relay) takeRetry(until time.Time) (*retrybudgets.Charge, shortage) {
 	for {
-		s.q.retry, short = s.g.takeRetry(s.q, s.q.cause)
-		if short == shortageNone || !s.headSent || !time.Now().Before(until) || s.q.r.Context().Err() != nil {
-			return short
+		retry, short := s.g.takeRetry(s.q, s.q.cause)
+		if short == shortageNone || !s.out.Begun() || !time.Now().Before(until) || s.q.r.Context().Err() != nil {
+			return retry, short
 		}
 		pause.For(s.q.r.Context(), pollBudget)
 	}
 }
 
-// attempt sends the request along a chain and passes the events on. It reports whether the request
-// has ended; otherwise it also returns why this attempt failed.
-func (s *relay) attempt(reservation *reservation) (bool, string) {
+// run sends the request along a chain and passes the events on, also those of attempts that replace the
+// first one. It reports whether the request has ended; otherwise it also returns why the last attempt
+// failed.
+func (s *relay) run(r *reservation) (done bool, why string) {
+	s.handover.Start(s.last)
+	ctx, cancel, _ := s.attemptContext()
+	for a, ok := s.start(ctx, cancel, r, s.last), true; ok; {
+		done, why = s.follow(a)
+		a.close()
+		if a, ok = s.handover.End(done); ok {
+			s.q.resumed++
+		}
+	}
+	return done, why
+}
+
+// attemptContext returns the context of an attempt, which ends at the deadline of the request. withdraw
+// ends an attempt that is not needed any more.
+func (s *relay) attemptContext() (ctx context.Context, cancel, withdraw func()) {
+	deadline, release := context.WithDeadline(s.q.r.Context(), s.q.deadline)
+	ctx, end := context.WithCancelCause(deadline)
+	return ctx, func() { end(nil); release() }, func() { end(errWithdrawn) }
+}
+
+// errWithdrawn ends an attempt that is not needed any more.
+var errWithdrawn = errors.New("another attempt has answered meanwhile")
+
+// start sends the request along a chain, for the events after the given one.
+func (s *relay) start(ctx context.Context, cancel func(), r *reservation, after string) *attempt {
 	q, g := s.q, s.g
-	q.noteUsed(reservation.chain.String())
-	ctx, cancel := context.WithDeadlineCause(q.r.Context(), q.deadline, context.DeadlineExceeded)
-	defer cancel()
-	w := newWatchdog(ctx, s, reservation, cancel)
-	defer func() { s.reserved = w.stop() }()
-	defer q.guard.OnExpiry(cancel)()
-	s.sentAt = time.Now()
-	t := g.send(ctx, q, reservation.first, reservation.chain, s.last)
-	if t.answer != nil {
-		defer t.answer.Close()
-	}
-	switch t.verdict {
-	case verdictNotRun:
-		q.cause = causeNotRun
-		s.noteRefusal(reservation, t)
-		return false, notRunReason(t)
-	case verdictLost, verdictEnded:
-		q.cause = causeLost
-		q.ran = append(q.ran, reservation.first)
-		if t.verdict == verdictLost {
-			g.verify(q.r.Context(), reservation.first)
+	q.noteUsed(r.chain.String())
+	a := &attempt{reservation: r, watchdog: newWatchdog(ctx, s, r, cancel)}
+	stopExpiry := q.guard.OnExpiry(cancel)
+	a.sendResult = g.send(ctx, q, r.first, r.chain, after, r.retry)
+	a.close = func() {
+		if a.answer != nil {
+			a.answer.Close()
 		}
-		s.noteLoss(reservation.first)
-		q.avoid(reservation.first.Address)
-		return false, t.err.Error()
+		stopExpiry()
+		a.watchdog.stop()
+		cancel()
+	}
+	if a.verdict == verdictAnswer && a.answer.Status == http.StatusOK {
+		a.reader = event.NewReader(a.answer, q.MaxAnswer)
+	}
+	return a
+}
+
+// follow passes on what an attempt answers. It reports whether the request has ended; otherwise it also
+// returns why the attempt failed.
+func (s *relay) follow(a *attempt) (bool, string) {
+	if a.reader != nil {
+		return s.events(a)
+	}
+	if a.verdict == verdictAnswer {
+		return s.passWhole(a)
+	}
+	if s.handover.Replaced() {
+		return false, ""
+	}
+	var why string
+	s.q.cause, why = s.noteFailure(a)
+	return false, why
+}
+
+// noteFailure records that an attempt got no answer. It returns the cause of another one, and the reason.
+func (s *relay) noteFailure(a *attempt) (cause, why string) {
+	if a.verdict == verdictNotRun {
+		s.noteRefusal(a)
+		return causeNotRun, notRunReason(a.sendResult)
+	}
+	if a.verdict == verdictLost {
+		s.g.verify(s.q.r.Context(), a.first)
+	}
+	s.noteLoss(a.first)
+	s.q.avoid(a.first.Address)
+	return causeLost, a.err.Error()
+}
+
+// succeed tries an attempt that replaces the one of a watchdog, which goes on until the new one has begun
+// to answer.
+func (s *relay) succeed(ctx context.Context, cancel func(), r *reservation, after string, former *watchdog) {
+	limit := time.AfterFunc(former.bounds.MaxWait(true), cancel)
+	a := s.start(ctx, cancel, r, after)
+	err := a.err
+	if a.reader != nil {
+		_, err = a.reader.Peek()
+	}
+	begun := a.reader != nil && (err == nil || errors.Is(err, io.EOF))
+	if limit.Stop() && begun && s.handover.Succeed(a) {
+		former.giveUp()
+		s.g.Log.Info().Str("request", s.q.ID).Str("after", after).Stringer("chain", r.chain).Msg("attempt replaced")
+		return
 	}
-	q.ran = append(q.ran, reservation.first)
-	if t.answer.Status != http.StatusOK {
-		return s.passWhole(t, reservation, w)
+	if cause := context.Cause(ctx); errors.Is(cause, errWithdrawn) || s.q.r.Context().Err() != nil {
+		err = cause
+	} else if a.reader != nil {
+		s.noteBroken(a, err)
+	} else if a.verdict != verdictAnswer {
+		s.noteFailure(a)
 	}
-	return s.events(t, reservation, w)
+	a.close()
+	s.g.Log.Info().Str("request", s.q.ID).Stringer("chain", r.chain).Int("verdict", int(a.verdict)).Err(err).Msg("attempt is not replaced")
+	s.handover.Fail()
 }
 
 // noteRefusal records which endpoint of a chain refused.
-func (s *relay) noteRefusal(reservation *reservation, t sendResult) {
-	address := reservation.first.Address
-	if t.answer != nil && t.reply.RefusedBy != "" {
-		address = t.reply.RefusedBy
+func (s *relay) noteRefusal(a *attempt) {
+	address := a.first.Address
+	if a.answer != nil && a.reply.RefusedBy != "" {
+		address = a.reply.RefusedBy
 	}
 	s.q.avoid(address)
 	if b := s.g.fleet.Load().ByAddress[address]; b != nil {
 		b.use.noRoomUntil.Store(time.Now().Add(noRoomWait).UnixNano())
 		room, free := b.room(s.q.service.Model, 0)
-		full := t.answer != nil && t.answer.Status == http.StatusServiceUnavailable
+		full := a.answer != nil && a.answer.Status == http.StatusServiceUnavailable
 		if full && !budget.Ample(free, room) { // with ample room the refusal has another reason
 			b.use.budget.Reject()
 		}
-		if address != reservation.first.Address {
-			s.g.checkRefused(b, t.answer != nil && t.answer.Status == http.StatusMisdirectedRequest, s.sentAt)
+		if address != a.first.Address {
+			s.g.checkRefused(b, a.answer != nil && a.answer.Status == http.StatusMisdirectedRequest, a.sentAt)
 		}
 	}
-	s.g.Log.Info().Str("request", s.q.ID).Str("first", reservation.first.Address).Str("blamed", address).
-		Str("reason", notRunReason(t)).Msg("chain refused the request")
+	s.g.Log.Info().Str("request", s.q.ID).Str("first", a.first.Address).Str("blamed", address).
+		Str("reason", notRunReason(a.sendResult)).Msg("chain refused the request")
 }
 
 // noteLoss records, after the loss of an attempt, how many requests of the whole fleet are sent
@@ -273,104 +337,85 @@
 }
 
 // passWhole passes on an answer that is not a stream.
-func (s *relay) passWhole(t sendResult, reservation *reservation, w *watchdog) (bool, string) {
-	body, err := t.answer.ReadAll()
-	if err != nil || s.headSent || t.answer.Status >= http.StatusInternalServerError && s.q.route.Repeats() {
-		reservation.first.use.health.Update(func(r health.Record) health.Record { return r.WithError(time.Now()) })
-		s.q.avoid(reservation.first.Address)
+func (s *relay) passWhole(a *attempt) (bool, string) {
+	body, err := a.answer.ReadAll()
+	if s.handover.Replaced() {
+		return false, ""
+	}
+	if err != nil || s.out.Begun() || a.answer.Status >= http.StatusInternalServerError && s.q.route.Repeats() {
+		a.first.use.health.Update(func(r health.Record) health.Record { return r.WithError(time.Now()) })
+		s.q.avoid(a.first.Address)
 		s.q.cause = causeFailed
-		return false, "the endpoint answered " + strconv.Itoa(t.answer.Status)
+		return false, "the endpoint answered " + strconv.Itoa(a.answer.Status)
+	}
+	if !s.handover.Proceed(s.last) {
+		return false, ""
 	}
-	s.reserved = w.stop() // the caller may take long to read the answer
-	s.dropReserved()
-	s.g.deliver(s.q, t, body)
+	a.watchdog.stop() // the caller may take long to read the answer
+	s.g.deliver(s.q, a.sendResult, body)
 	return true, ""
 }
 
 // events passes events on until the stream ends or breaks. It reports whether the request has
 // ended; otherwise it also returns why the chain broke.
-func (s *relay) events(t sendResult, reservation *reservation, w *watchdog) (bool, string) {
-	reservation.first.use.health.Update(health.Record.WithoutErrors)
-	reader := event.NewReader(t.answer, s.q.MaxAnswer)
+func (s *relay) events(a *attempt) (bool, string) {
+	a.first.use.health.Update(health.Record.WithoutErrors)
 	for {
-		e, err := reader.Next()
-		if errors.Is(err, io.EOF) {
-			reservation.first.use.health.Update(health.Record.WithSuccess)
-			return true, s.finish(t)
+		e, err := a.reader.Next()
+		ended := errors.Is(err, io.EOF)
+		if err != nil && !ended {
+			return false, s.broken(a, err)
 		}
-		if err != nil {
-			s.g.noteExceeded(s.q, reservation.first, err)
-			return false, s.broken(reservation, w, err)
+		last := cmp.Or(e.ID, s.last)
+		if !s.handover.Proceed(last) {
+			return false, ""
 		}
-		w.event()
-		if err := s.pass(t, e, !reader.Ready()); err != nil {
-			s.q.setOutcome(s.q.status, outcomeLeft, err.Error())
+		s.last = last
+		if ended {
+			a.first.use.health.Update(health.Record.WithSuccess)
+			s.out.End(a.answer)
+			s.q.setOutcome(a.answer.Status, outcomeServed, "")
+			s.q.guard.Passed()
+			s.g.queue.Times.NoteDuration(s.q.service.Name, time.Since(a.sentAt))
+			return true, ""
+		}
+		a.watchdog.event()
+		if !s.out.Begun() {
+			s.g.queue.Times.NoteFirst(s.q.service.Name, time.Since(a.sentAt))
+		}
+		err = s.out.Write(a.answer, e, !a.reader.Ready())
+		s.q.setOutcome(a.answer.Status, outcomeServed, "")
+		if err != nil {
+			s.q.setOutcome(a.answer.Status, outcomeLeft, err.Error())
 			return true, ""
 		}
 	}
 }
 
-// pass writes one event to the caller, preceded by the head if it is the first.
-func (s *relay) pass(t sendResult, e event.Event, flush bool) error {
-	now := time.Now()
-	if !s.headSent {
-		s.head(t)
-		s.q.first = now
-		s.g.queue.Times.NoteFirst(s.q.service.Name, now.Sub(s.sentAt))
-	} else {
-		s.q.pause = max(s.q.pause, now.Sub(s.lastAt))
-	}
-	if err := s.flush.SetWriteDeadline(now.Add(writeWait)); err != nil {
-		return err
-	}
-	if _, err := s.q.w.Write(e.Raw); err != nil {
-		return err
-	}
-	s.lastAt = now
-	s.q.events++
-	if e.ID != "" {
-		s.last = e.ID
-	}
-	if !flush {
-		return nil
-	}
-	return s.flush.Flush()
-}
-
-// head writes the head of the answer to the caller.
-func (s *relay) head(t sendResult) {
-	s.headSent = true
-	s.q.setOutcome(t.answer.Status, outcomeServed, "")
-	upstream.CopyHeader(s.q.w.Header(), t.answer.Header)
-	s.q.w.WriteHeader(t.answer.Status)
-}
-
-// finish ends a stream that is complete.
-func (s *relay) finish(t sendResult) string {
-	if !s.headSent {
-		s.head(t)
-	}
-	_ = s.flush.SetWriteDeadline(time.Time{}) // the next answer sets its own
-	s.q.setOutcome(t.answer.Status, outcomeServed, "")
-	s.q.guard.Passed()
-	s.g.queue.Times.NoteDuration(s.q.service.Name, time.Since(s.sentAt))
-	return ""
-}
-
-// broken records that a chain broke and returns why.
-func (s *relay) broken(reservation *reservation, w *watchdog, err error) string {
+// broken records that the stream of an attempt broke, unless the attempt has been replaced, and returns
+// why.
+func (s *relay) broken(a *attempt, err error) string {
 	q := s.q
+	if s.handover.Replaced() {
+		a.first.use.health.Update(health.Record.WithFailure)
+		return ""
+	}
 	if q.r.Context().Err() != nil {
 		return "the caller left"
 	}
-	stalled := w.gaveUp()
-	q.avoid(reservation.first.Address)
-	reservation.first.use.health.Update(health.Record.WithFailure)
-	s.g.verify(q.r.Context(), reservation.first)
-	s.noteLoss(reservation.first)
 	q.resumed++
 	q.cause = causeBroken
-	s.g.Log.Info().Str("request", q.ID).Stringer("chain", reservation.chain).Bool("stalled", stalled).Err(err).
-		Int("events", q.events).Str("last", s.last).Msg("chain broke")
+	s.g.Log.Info().Str("request", q.ID).Stringer("chain", a.chain).Err(err).
+		Int("events", s.out.Events).Str("last", s.last).Msg("chain broke")
+	s.noteBroken(a, err)
 	return "the chain broke: " + err.Error()
 }
+
+// noteBroken records that a chain broke off its answer.
+func (s *relay) noteBroken(a *attempt, err error) {
+	s.g.noteExceeded(s.q, a.first, err)
+	s.q.avoid(a.first.Address)
+	a.first.use.health.Update(health.Record.WithFailure)
+	s.g.verify(s.q.r.Context(), a.first)
+	s.noteLoss(a.first)
+}
--- a/role/gateway/watchdog.go
+++ b/role/gateway/watchdog.go
@@ -25,16 +25,14 @@
 
 // watchdog watches one attempt of a stream. When an event is overdue it checks the endpoints of the
 // chain and moves the request to a chain without those that do not answer. When that does not help
-// it abandons the attempt, and the stream is resumed along another chain.
+// it tries another attempt along another chain, which replaces this one once it has begun to answer.
 type watchdog struct {
-	ctx       context.Context
-	relay     *relay
-	cancel    context.CancelFunc
-	startedAt time.Time
-	bounds    overdue.Bounds
-	// final is set when no further attempt may follow.
-	final bool
-
+	ctx   context.Context
+	relay *relay
+	// giveUp ends the attempt.
+	giveUp      func()
+	startedAt   time.Time
+	bounds      overdue.Bounds
 	mu          sync.Mutex // guards the fields below
 	reservation *reservation
 	timer       *time.Timer
@@ -45,8 +43,8 @@
 	gaps timeout.Estimator
 	// checking is set while a check runs; there is one at a time.
 	checking bool
-	// ended is set by stop, abandoned when the attempt was given up.
-	ended, abandoned bool
+	// ended is set by stop.
+	ended bool
 	// unmovableFrom is the address of the endpoint from which the last move failed. Only the
 	// running check uses it.
 	unmovableFrom string
@@ -54,19 +52,17 @@
 	chainAt time.Time
 	// passed is set once the request has run for so long that it does not crash the endpoints of the chain.
 	passed bool
-	// lastShortage is why the attempt was not abandoned at the previous check.
+	// lastShortage is why no other attempt was tried at the previous check.
 	lastShortage shortage
-	// reserved is the reservation of the next attempt when this one was abandoned for it.
-	reserved *reservation
 }
 
-// newWatchdog starts to watch an attempt along a reservation, which stop releases.
-func newWatchdog(ctx context.Context, s *relay, taken *reservation, cancel context.CancelFunc) *watchdog {
+// newWatchdog starts to watch an attempt along a reservation, which stop releases; giveUp ends the
+// attempt.
+func newWatchdog(ctx context.Context, s *relay, taken *reservation, giveUp func()) *watchdog {
 	bounds := overdue.Of(s.q.route)
 	w := &watchdog{
-		ctx: ctx, relay: s, reservation: taken, cancel: cancel, startedAt: time.Now(),
-		final: !s.q.route.Repeats() || s.q.runs()+1 >= s.q.route.Attempts || s.q.sends+1 >= maxSends && !s.headSent,
-		gaps:  bounds.Gaps(), bounds: bounds,
+		ctx: ctx, relay: s, reservation: taken, giveUp: giveUp, startedAt: time.Now(),
+		gaps: bounds.Gaps(), bounds: bounds,
 	}
 	w.chainAt = w.startedAt
 	w.mu.Lock()
@@ -122,25 +118,14 @@
 	w.timer.Reset(max(time.Until(w.last.Add(w.gaps.Mean())), 0))
 }
 
-// stop ends the watch, releases the reservation, and returns the one for which the attempt was
-// abandoned, nil for none.
-func (w *watchdog) stop() *reservation {
+// stop ends the watch and releases the reservation.
+func (w *watchdog) stop() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.ended = true
 	w.timer.Stop()
 	w.reservation.removeWatchdog(w)
 	w.reservation.releaseMoved()
-	reserved := w.reserved
-	w.reserved = nil
-	return reserved
-}
-
-// gaveUp reports whether the attempt was abandoned.
-func (w *watchdog) gaveUp() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.abandoned
 }
 
 // check runs when an event is overdue or an endpoint of the chain has been lost.
@@ -159,8 +144,8 @@
 	w.checking = true
 	w.mu.Unlock()
 
-	if (w.waitedEnough(reservation, last) || !w.repair(reservation)) && w.abandon(reservation) {
-		return
+	if w.waitedEnough(reservation, last) || !w.repair(reservation) {
+		w.tryAnother(reservation)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -192,11 +177,11 @@
 }
 
 // switchIfFaster is called before a request is moved to the chain of the reservation target. If the
-// next event would be late there and is expected much sooner on another chain, it abandons the
-// attempt for one along that chain. It reports whether it did. When an endpoint is lost, the few
-// endpoints of its hall that hold the same layers have to read the prompts of all its streams again.
+// next event would be late there and is expected much sooner on another chain, it tries an attempt
+// along that chain. It reports whether it does. When an endpoint is lost, the few endpoints of its hall
+// that hold the same layers have to read the prompts of all its streams again.
 func (w *watchdog) switchIfFaster(old, target *reservation, lost *backend) bool {
-	if w.final || w.relay.q.guard.MayCrash() {
+	if w.final() || w.relay.q.guard.MayCrash() {
 		return false
 	}
 	q := w.relay.q
@@ -204,18 +189,24 @@
 	if !failover.ShouldRestart(wait, 0, slack) {
 		return false
 	}
-	q.everReached.Store(true) // the attempt may have reached an endpoint, and is not the last
-	next, short := w.relay.g.reserveAttempt(q, causeAbandoned)
-	if short != shortageNone {
-		return false
-	}
-	if !failover.ShouldRestart(wait, next.promptReadTime(q, nil, 1), slack) || !w.abandonFor(next) {
-		next.cancel()
-		return false
+	chosen := w.trySuccessor(old.first, func() (*reservation, shortage) {
+		next, short := w.relay.g.reserveAttempt(q, causeAbandoned)
+		if short == shortageNone && !failover.ShouldRestart(wait, next.promptReadTime(q, nil, 1), slack) {
+			next.cancel()
+			return nil, shortageRoom
+		}
+		return next, short
+	})
+	if chosen {
+		w.relay.g.Log.Info().Str("request", q.ID).Str("lost", lost.Address).Dur("wait_ms", wait).Msg("a faster chain is tried")
 	}
-	w.relay.g.Log.Info().Str("request", q.ID).Str("lost", lost.Address).Dur("wait_ms", wait).
-		Stringer("chain", next.chain).Msg("attempt abandoned for a faster chain")
-	return true
+	return chosen
+}
+
+// final reports whether no further attempt may follow.
+func (w *watchdog) final() bool {
+	q := w.relay.q
+	return !q.route.Repeats() || q.runs() >= q.route.Attempts || q.sends.Count() >= maxSends && !w.relay.out.Begun()
 }
 
 // slack returns how long the next event may still take without being late.
@@ -228,52 +219,55 @@
 	return w.bounds.Pause - now.Sub(w.last)
 }
 
-// abandonFor ends the attempt for one along another reservation, and reports whether it did; it
-// does not when the attempt has already ended.
-func (w *watchdog) abandonFor(next *reservation) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.ended {
+// trySuccessor tries an attempt along the reservation that reserve makes, which replaces this one, whose
+// first endpoint is current, once it has begun to answer. It reports whether it does; it does not while
+// another one is being tried.
+func (w *watchdog) trySuccessor(current *backend, reserve func() (*reservation, shortage)) bool {
+	s := w.relay
+	ctx, cancel, withdraw := s.attemptContext()
+	after, ok := s.handover.Begin(withdraw)
+	if !ok {
+		cancel()
 		return false
 	}
-	w.abandoned, w.reserved = true, next
-	w.cancel()
-	return true
+	s.q.everReached.Store(true) // this attempt may have reached an endpoint, and goes on
+	s.q.avoid(current.Address)
+	next, short := reserve()
+	if short == shortageNone && ctx.Err() == nil {
+		go s.succeed(ctx, cancel, next, after, w)
+		return true
+	}
+	if short == shortageNone {
+		next.cancel()
+	}
+	cancel()
+	s.handover.Fail()
+	return false
 }
 
-// abandon ends the attempt if the request can be sent along another chain at once, and reports
-// whether it did. Otherwise the attempt goes on: the event may still arrive in time, and without
-// another chain nothing is gained by ending it. The attempt of a suspect ends without another chain
-// once one of its endpoints is lost: its next attempt is isolated.
-func (w *watchdog) abandon(reservation *reservation) bool {
-	if w.final {
-		return false
+// tryAnother tries another attempt if there is a chain for it. The attempt of a suspect ends once its
+// first endpoint has ended: its next attempt is isolated.
+func (w *watchdog) tryAnother(current *reservation) {
+	if w.final() {
+		return
 	}
 	q := w.relay.q
-	if w.relay.q.guard.MayCrash() { // it waits for an isolated attempt
+	if q.guard.MayCrash() {
 		q.everReached.Store(true)
-		return reservation.first.use.down() && w.abandonFor(nil)
-	}
-	q.everReached.Store(true)
-	q.avoid(reservation.first.Address)
-	next, short := w.reserveOther()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if short != w.lastShortage || short == shortageNone {
-		w.relay.g.Log.Info().Str("request", q.ID).Str("first", reservation.first.Address).Bool("down", reservation.first.use.down()).
-			Str("shortage", string(short)).Msg("whether a try is left for another")
-	}
-	w.lastShortage = short
-	if short != shortageNone {
-		return false
-	}
-	if w.ended {
-		next.cancel()
-		return true
+		if current.first.use.ended.Load() {
+			w.giveUp()
+		}
+		return
 	}
-	w.abandoned, w.reserved = true, next
-	w.cancel()
-	return true
+	w.trySuccessor(current.first, func() (*reservation, shortage) {
+		next, short := w.reserveOther()
+		if short != w.lastShortage || short == shortageNone {
+			w.relay.g.Log.Info().Str("request", q.ID).Str("first", current.first.Address).Bool("down", current.first.use.down()).
+				Str("shortage", string(short)).Msg("whether a try is left for another")
+		}
+		w.lastShortage = short
+		return next, short
+	})
 }
 
 // reserveOther makes a reservation for another attempt, along a chain that is alive.
@@ -306,7 +300,9 @@
 func (w *watchdog) repair(reservation *reservation) bool {
 	now := time.Now()
 	if reservation.first.use.down() {
-		w.releaseReservation()
+		if reservation.first.use.ended.Load() || w.relay.g.hasEnded(reservation.first, now) {
+			w.releaseReservation()
+		}
 		return false
 	}
 	for _, b := range reservation.parts[1:] {
@@ -335,7 +331,7 @@
 	for range maxMoves {
 		next, short := g.reserveMove(q, reservation, lost)
 		if short == shortageNone && w.switchIfFaster(reservation, next, lost) {
-			next.releaseUnsent() // the attempt ends
+			next.releaseUnsent()
 			return true
 		}
 		if short != shortageNone {
