Gateway: a stream that has begun waits for room until its deadline

Cause: a wait ended after six times the pause that the route allows, for the sake of nobody: a caller that gives up earlier closes its connection, which ends the wait. And an endpoint that had refused the stream once was avoided for good, so that after a few refusals no chain was left to wait for.

Now a stream that has begun waits until its deadline for room, a retry, an isolated attempt, or the certain end of an endpoint, and a request avoids an endpoint that has failed it for a second (state/expiring). What cannot be resumed, a quarantined request, and a stream that its endpoints have broken off as often as the route allows still end at once.

--- a/role/gateway/admission.go
+++ b/role/gateway/admission.go
@@ -53,12 +53,12 @@
 	return nil, found
 }
 
-// terms returns how the request waits for a reservation at now: one whose caller already has
-// events waits for as long as the caller accepts a pause.
+// terms returns how the request waits for a reservation at now: one whose caller already has events
+// waits until its deadline, unless the caller leaves.
 func (s *relay) terms(now time.Time) admission.Terms {
 	terms := s.g.queue.Terms(s.q.waiting(), now)
 	if s.out.Begun() {
-		terms.Until = s.out.Last.Add(overdue.Of(s.q.route).MaxWait(false))
+		terms.Until = s.q.deadline
 	}
 	return terms
 }
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -11,6 +11,7 @@
 
 	"github.com/grademill/grademill/decide/catalog"
 	"github.com/grademill/grademill/decide/cause"
+	"github.com/grademill/grademill/state/expiring"
 )
 
 // Defaults for incoming requests.
@@ -37,7 +38,7 @@
 
 // ServeHTTP serves one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	q := &query{w: w, r: r, start: time.Now()}
+	q := &query{w: w, r: r, start: time.Now(), avoided: expiring.Set[string]{Lifetime: avoidTime}}
 	if !g.running.Enter() {
 		w.Header().Set("Connection", "close")
 		g.refuse(q, 0, "the gateway ends")
--- a/role/gateway/handover_test.go
+++ b/role/gateway/handover_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -39,3 +40,27 @@
 		})
 	}
 }
+
+// longPause is longer than the pause that a route allows, and shorter than its time limit.
+const longPause = 2500 * time.Millisecond
+
+// Guards against a stream that is broken off for lack of room after a short pause although its caller still waits.
+func TestBrokenStreamWaitsForRoomUntilItsDeadline(t *testing.T) {
+	t.Parallel()
+	w, cards := newModelOf(t, 6, 3)
+	const events = 100
+	answer, _, _ := w.startStream(cards, events)
+	for _, c := range cards {
+		if c.Running() > 0 {
+			w.site.Stop(c)
+			continue
+		}
+		c.SetMode(site.Refuse)
+	}
+	time.Sleep(longPause)
+	for _, c := range cards {
+		c.SetMode(site.Serve)
+	}
+	require.Equal(t, fullBody(events), w.readRest(answer))
+	requireLayersInOrder(t, w)
+}
--- a/role/gateway/isolation.go
+++ b/role/gateway/isolation.go
@@ -32,7 +32,7 @@
 	for _, id := range isolation.Expendable(holders, layers) {
 		list = append(list, f.ByID[id].incarnation())
 	}
-	return slices.DeleteFunc(list, func(l suspicion.Incarnation) bool { return q.avoids(f.ByID[l.Endpoint].Address) })
+	return slices.DeleteFunc(list, func(l suspicion.Incarnation) bool { return q.avoids(f.ByID[l.Endpoint].Address, now) })
 }
 
 // awaitIsolation waits until a request may be sent, until a given time if its caller has part of the answer. A request that
--- a/role/gateway/plain.go
+++ b/role/gateway/plain.go
@@ -142,7 +142,7 @@
 	var c candidates
 	own, reserved := q.guard.Endpoint(), g.quarantine.Reserved(now)
 	for _, b := range g.fleet.Load().Open[q.service.Name] {
-		if q.avoids(b.Address) || own != "" && b.ID != own {
+		if q.avoids(b.Address, now) || own != "" && b.ID != own {
 			continue
 		}
 		hold, passedOver := b.use.intake.Held(now), !q.guard.MayUse(b.ID, reserved) || b.use.avoided(now)
--- a/role/gateway/query.go
+++ b/role/gateway/query.go
@@ -15,9 +15,9 @@
 	"github.com/grademill/grademill/role/overload"
 	"github.com/grademill/grademill/role/quarantine"
 	"github.com/grademill/grademill/state/cell"
+	"github.com/grademill/grademill/state/expiring"
 	"github.com/grademill/grademill/state/retrybudgets"
 	"github.com/grademill/grademill/state/sends"
-	"github.com/grademill/grademill/state/set"
 )
 
 // query is one request of a caller while it is served.
@@ -91,8 +91,8 @@
 	pause   time.Duration
 	resumed int
 
-	// avoided holds the addresses that are not to be tried again.
-	avoided set.Set[string]
+	// avoided holds the addresses that are not to be tried again soon.
+	avoided expiring.Set[string]
 	// fleetFactor is how many requests of the whole fleet are sent again, because their endpoint is
 	// lost, for each one of this gateway: see usage.fleetFactor. It is 0 if only this request is
 	// sent again.
@@ -150,11 +150,15 @@
 	return max(q.fleetFactor.Load(), 1)
 }
 
-// avoid marks an address as not to be tried again.
-func (q *query) avoid(address string) { q.avoided.Add(address) }
+// avoidTime is how long a request avoids an endpoint that has failed it. One that waits longer may try the
+// endpoint again.
+const avoidTime = time.Second
 
-// avoids reports whether an address is not to be tried again.
-func (q *query) avoids(address string) bool { return q.avoided.Has(address) }
+// avoid marks an address as not to be tried again soon.
+func (q *query) avoid(address string) { q.avoided.Add(address, time.Now()) }
+
+// avoids reports whether an address is not to be tried at now.
+func (q *query) avoids(address string, now time.Time) bool { return q.avoided.Has(address, now) }
 
 // noteUsed adds to the endpoints that the log names.
 func (q *query) noteUsed(used string) {
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -91,24 +91,22 @@
 }
 
 // maySendAgain reports whether the request may be sent once more. A stream whose caller already has
-// events is not broken off for lack of room: after maxSends, maySendAgain waits for noRoomWait,
-// until an endpoint that refused may be tried again, and allows another send for as long as the
-// caller accepts a pause.
+// events is not broken off after maxSends: maySendAgain waits for noRoomWait, until an endpoint that
+// refused may be tried again, and allows another send until the deadline.
 func (s *relay) maySendAgain() bool {
 	if s.q.sends.Count() < maxSends {
 		return true
 	}
-	if !s.out.Begun() || s.q.cause != causeNotRun {
+	if !s.out.Begun() {
 		return false
 	}
 	pause.For(s.q.r.Context(), noRoomWait)
-	now := time.Now()
-	return s.q.r.Context().Err() == nil && now.Before(s.terms(now).Until)
+	return s.q.r.Context().Err() == nil && s.q.timeLeft(time.Now()) > 0
 }
 
 // mayRunAgain reports whether one more endpoint may run the request. A stream whose caller already has
-// events waits for as long as the caller accepts a pause while it is not known whether the endpoints
-// that have lost it have ended.
+// events waits until the deadline while it is not known whether the endpoints that have lost it have
+// ended.
 func (s *relay) mayRunAgain() bool {
 	q := s.q
 	if !q.mayHaveRun.Load() || !q.route.Repeats() {
@@ -120,7 +118,7 @@
 		_, sentAt := q.sends.Last()
 		unchecked := latest.use.checkedAt.Load() < sentAt.UnixNano()
 		unknown := unchecked || slices.ContainsFunc(ran, func(b *backend) bool { return b.use.down() })
-		if !s.out.Begun() || !unknown || q.r.Context().Err() != nil || time.Now().After(s.terms(time.Now()).Until) {
+		if !s.out.Begun() || !unknown || q.r.Context().Err() != nil || q.timeLeft(time.Now()) <= 0 {
 			return false
 		}
 		if unchecked {
