Gateway: waits for a retry poll slower as they last; a passed time limit is the reason of a broken stream

A stream whose time limit passed was logged as one whose chain broke ("use of closed network connection"), the gateway's own close.

--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -23,8 +23,10 @@
 const (
 	// pollEnds is the interval at which a stream polls whether its endpoints have ended.
 	pollEnds = 50 * time.Millisecond
-	// pollBudget is the interval at which a stream polls the retry budget.
-	pollBudget = 15 * time.Millisecond
+	// pollBudget is the interval at which a stream first polls the retry budget, and pollBudgetShare is by
+	// how much it grows, as a share of the time waited: many may wait for long.
+	pollBudget      = 15 * time.Millisecond
+	pollBudgetShare = 8
 	// noRoomWait is how long an endpoint that refused for lack of room is avoided.
 	noRoomWait = 200 * time.Millisecond
 )
@@ -186,12 +188,12 @@
 // already has events waits for one as long as its caller does; any other request is refused at
 // once, since its caller can retry.
 func (s *relay) takeRetry(until time.Time) (*retrybudgets.Charge, shortage) {
-	for {
+	for since := time.Now(); ; {
 		retry, short := s.g.takeRetry(s.q, s.q.cause)
 		if short == shortageNone || !s.out.Begun() || !time.Now().Before(until) || s.q.r.Context().Err() != nil {
 			return retry, short
 		}
-		pause.For(s.q.r.Context(), pollBudget)
+		pause.For(s.q.r.Context(), pollBudget+time.Since(since)/pollBudgetShare)
 	}
 }
 
@@ -401,6 +403,9 @@
 	if q.r.Context().Err() != nil {
 		return "the caller left"
 	}
+	if q.timeLeft(time.Now()) <= 0 {
+		return "the time limit has passed"
+	}
 	q.resumed++
 	q.cause = causeBroken
 	s.g.Log.Info().Str("request", q.ID).Stringer("chain", a.chain).Err(err).
