Add decide/connection: how long a server waits for a caller's bytes, and what follows

A connection is closed by what is recorded of it, by another goroutine than the one that reads it: a process without processor time records late, and a request that has been read is lost. The package holds the rule for the goroutine that reads: from what it has read and the limits, until when it waits and what it does then.

--- a/layout_test.go
+++ b/layout_test.go
@@ -33,6 +33,7 @@
 	"decide/chaincost",
 	"decide/claim",
 	"decide/config",
+	"decide/connection",
 	"decide/demand",
 	"decide/departure",
 	"decide/endpoint",
