peek: Read returns the bytes of a connection also after its read deadline

A read whose deadline has expired returns no bytes although bytes are there (shown in the test), so a goroutine that is woken by its deadline cannot tell from that whether a request has arrived.

--- a/adapter/peek/peek.go
+++ b/adapter/peek/peek.go
@@ -1,4 +1,4 @@
-// Package peek checks a connection for pending data without reading it.
+// Package peek looks at what a connection has received, without waiting for more.
 package peek
 
 import (
@@ -15,29 +15,45 @@
 // if the other side has closed the connection and no bytes are left. Another goroutine may
 // read at the same time.
 func HasUnread(c net.Conn) (bool, error) {
-	source, ok := c.(syscall.Conn)
-	if !ok {
-		return false, errNoSocket
-	}
-	raw, err := source.SyscallConn()
-	if err != nil {
-		return false, err
-	}
 	var b [1]byte
-	n := 0
+	n, err := receive(c, b[:], syscall.MSG_PEEK)
+	return n > 0, err
+}
+
+// Read reads the bytes that a connection has received, also after its read deadline. It returns 0 and no error if
+// there are none, and io.EOF as HasUnread does. b must not be empty.
+func Read(c net.Conn, b []byte) (int, error) {
+	return receive(c, b, 0)
+}
+
+// receive calls recv without waiting.
+func receive(c net.Conn, b []byte, flags int) (n int, err error) {
 	var recvErr error
-	err = raw.Control(func(fd uintptr) {
-		n, _, recvErr = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	err = control(c, func(fd int) {
+		n, _, recvErr = syscall.Recvfrom(fd, b, flags|syscall.MSG_DONTWAIT)
 	})
 	switch {
 	case err != nil:
-		return false, err
-	case errors.Is(recvErr, syscall.EAGAIN):
-		return false, nil
+		return 0, err
+	case errors.Is(recvErr, syscall.EAGAIN) || errors.Is(recvErr, syscall.EINTR):
+		return 0, nil
 	case recvErr != nil:
-		return false, recvErr
+		return 0, recvErr
 	case n == 0:
-		return false, io.EOF
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// control calls use with the descriptor of a connection.
+func control(source any, use func(fd int)) error {
+	s, ok := source.(syscall.Conn)
+	if !ok {
+		return errNoSocket
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return err
 	}
-	return true, nil
+	return raw.Control(func(fd uintptr) { use(int(fd)) })
 }
--- a/adapter/peek/peek_test.go
+++ b/adapter/peek/peek_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -53,3 +54,49 @@
 	_, err = peek.HasUnread(one)
 	require.Error(t, err)
 }
+
+// Guards against taking an expired read deadline for a connection without bytes.
+func TestReadAfterTheReadDeadline(t *testing.T) {
+	t.Parallel()
+	near, far := pair(t)
+	require.NoError(t, far.SetReadDeadline(time.Unix(1, 0)))
+	b := make([]byte, 8)
+	n, err := peek.Read(far, b)
+	require.NoError(t, err)
+	require.Zero(t, n)
+	_, err = io.WriteString(near, "abc")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		waits, err := peek.HasUnread(far)
+		return waits && err == nil
+	}, 30*time.Second, time.Millisecond)
+	_, err = far.Read(b)
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	n, err = peek.Read(far, b)
+	require.NoError(t, err)
+	require.Equal(t, "abc", string(b[:n]))
+	require.NoError(t, near.Close())
+	require.Eventually(t, func() bool {
+		n, err := peek.Read(far, b)
+		return n == 0 && err == io.EOF
+	}, 30*time.Second, time.Millisecond)
+	one, _ := net.Pipe()
+	_, err = peek.Read(one, b)
+	require.Error(t, err)
+}
+
+// pair returns both ends of a connection.
+func pair(t *testing.T) (near, far net.Conn) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close() //nolint:errcheck // a test's listener
+	near, err = net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	far, err = l.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		_ = near.Close() // may be closed already
+		_ = far.Close()
+	})
+	return near, far
+}
