ingress: only the goroutine that reads a connection closes it

What callers saw: a whole request gets neither an answer nor a refusal; its connection ends.

A body that came slowly ended its connection without its refusal.

Now limits and stops only move the read deadline of the connection. A body that is too slow is given up; its response is written. Idle reports that no connection is open.

A head or body that is awaited has at most 30 s whatever the limits are, as net/http had it, and one second once the server stops, as before.

All others are unchanged.

--- a/adapter/ingress/conn.go
+++ b/adapter/ingress/conn.go
@@ -2,80 +2,161 @@
 
 import (
 	"bytes"
+	"errors"
 	"net"
 	"net/http"
+	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/grademill/grademill/adapter/peek"
+	"github.com/grademill/grademill/decide/connection"
 )
 
-// The states of a connection: idle between requests, serving a request, responding after its handler
-// has returned and until net/http has written the whole response, draining the rest of a request's
-// body before that, or closed by the server.
-const (
-	idle int32 = iota
-	serving
-	responding
-	draining
-	closed
-)
-
-// headReadGrace is how long a connection counts as busy after the first byte of a request
-// head. A caller that needs longer is sending slowly.
-const headReadGrace = time.Second
-
-// conn is a caller's connection. The server closes it only while it is idle or draining, and serves
-// a request only if it arrived before the close.
+// conn is a caller's connection. Only the goroutine that reads it closes it; others have it look whether to close by
+// moving its read deadline.
 type conn struct {
 	net.Conn
-	state atomic.Int32
-	// activity counts the heads that have begun and the changes of state. idleAt is its value when the
-	// last sweep found the connection overdue, 0 if it did not; only sweeps use it.
-	activity, idleAt atomic.Uint64
-	// idleSince is when the connection became idle. headStarted is when the first byte of the
-	// next request head arrived, 0 before that, or when the connection began to drain. Both are
-	// Unix times in nanoseconds.
-	idleSince, headStarted atomic.Int64
-	// headRead is set once the whole head of the next request has been read.
-	headRead atomic.Bool
+	// limits are those in force.
+	limits *atomic.Pointer[connection.Limits]
+	// onUnanswered is [Server.Unanswered].
+	onUnanswered func(Unanswered)
+
+	// mu guards the fields up to armed.
+	mu    sync.Mutex
+	state connection.State
+	// ending is set while net/http ends a read, and armed is the read deadline of the socket, zero for none.
+	ending bool
+	armed  time.Time
+
 	// request is the request that is served or whose response is written, nil for none. sent counts
 	// the bytes of its response, and writeErr is the first error in writing them, nil for none.
 	request  atomic.Pointer[http.Request]
 	sent     atomic.Int64
 	writeErr atomic.Pointer[error]
-	// aborted is set once the handler has aborted the response.
-	aborted atomic.Bool
-	// onUnanswered is [Server.Unanswered].
-	onUnanswered func(Unanswered)
+	// aborted is set once the handler has aborted the response, slow once the rest of a body has been given up.
+	aborted, slow atomic.Bool
 	// head holds the bytes read since the connection became idle: the next request's head and
 	// possibly the start of its body. Only the goroutine that serves the connection uses it.
 	head []byte
 }
 
-// Read reads from the connection. While the connection is idle it also records the bytes,
-// which belong to the next request's head.
+// Read reads from the connection. A read deadline that has expired does not tell that no bytes are there, so it
+// reads them before the connection is closed.
 func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n == 0 {
-		return n, err
+	for {
+		n, err := c.Conn.Read(b)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return c.received(b, n, err)
+		}
+		then, over := c.expired()
+		if !over {
+			continue
+		}
+		if then == connection.ReadOn { // ended by net/http
+			return 0, err
+		}
+		if n, received := peek.Read(c.Conn, b); n > 0 || received != nil {
+			return c.received(b, n, received)
+		}
+		if then == connection.EndBody {
+			c.slow.Store(true)
+			return 0, err
+		}
+		_ = c.Conn.Close() // an error changes nothing for the caller
+		if then == connection.CloseSlowHead {
+			c.report(CloseSlowHead, nil)
+		}
+		return 0, err
 	}
-	if c.state.Load() != idle {
-		return n, err
+}
+
+// expired reports whether the wait of a read is over, and what follows. If it is not, it sets the next read deadline.
+func (c *conn) expired() (then connection.Expiry, over bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if c.ending {
+		return connection.ReadOn, true
 	}
-	if c.headStarted.CompareAndSwap(0, time.Now().UnixNano()) {
-		c.activity.Add(1)
+	until, then := c.state.Wait(*c.limits.Load())
+	if then != connection.ReadOn && !now.Before(until) {
+		return then, true
 	}
-	if len(c.head) < headBytes {
-		from := max(len(c.head)-len(headEnd), 0)
-		c.head = append(c.head, b[:n]...)
-		if bytes.Contains(c.head[from:], headEnd) {
-			c.headRead.Store(true)
+	_ = c.arm()
+	return then, false
+}
+
+// received records the result of a read into b. While the connection waits for a head, it keeps the bytes.
+func (c *conn) received(b []byte, n int, err error) (int, error) {
+	if n == 0 {
+		return 0, err
+	}
+	heads := false
+	_ = c.update(func(s connection.State, l connection.Limits) connection.State {
+		s = s.WithBytes(time.Now(), l)
+		heads = s.ReadsHead()
+		return s
+	})
+	if heads && len(c.head) < headBytes {
+		if c.head = append(c.head, b[:n]...); len(c.head) == n {
+			c.head = bytes.TrimLeft(c.head, "\r\n")
 		}
 	}
 	return n, err
 }
 
+// SetReadDeadline is for net/http, which sets a deadline in the future before it reads a head, none after a head and
+// after a body, and one in the past to end a read. Only the last one is put in force.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	now := time.Now()
+	return c.update(func(s connection.State, l connection.Limits) connection.State {
+		c.ending = false
+		switch {
+		case t.IsZero():
+			return s.WithPart()
+		case t.After(now):
+			return s.WithBuffered(now, l)
+		}
+		c.ending = true
+		return s
+	})
+}
+
+// update changes the state and sets the read deadline that follows. It fails only once the connection is closed.
+func (c *conn) update(next func(connection.State, connection.Limits) connection.State) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state = next(c.state, *c.limits.Load())
+	return c.arm()
+}
+
+// arm sets the read deadline of the socket; c.mu is held. It fails only once the connection is closed.
+func (c *conn) arm() error {
+	until, _ := c.state.Wait(*c.limits.Load())
+	if c.ending {
+		until = time.Unix(1, 0)
+	}
+	if until.Equal(c.armed) {
+		return nil
+	}
+	c.armed = until
+	return c.Conn.SetReadDeadline(until)
+}
+
+// rearm has the limits in force bound the present wait.
+func (c *conn) rearm() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_ = c.arm()
+}
+
+// stop has the connection closed as soon as it is idle.
+func (c *conn) stop() {
+	_ = c.update(func(s connection.State, _ connection.Limits) connection.State { return s.WithStop() })
+}
+
 // Write writes a part of a response.
 func (c *conn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
@@ -86,128 +167,52 @@
 	return n, err
 }
 
-// headEnd ends the head of a request.
-var headEnd = []byte("\r\n\r\n")
-
 // begin records that the response to a request begins.
 func (c *conn) begin(r *http.Request) {
 	c.sent.Store(0)
 	c.writeErr.Store(nil)
-	c.aborted.Store(false)
 	c.request.Store(r)
+	_ = c.update(func(s connection.State, l connection.Limits) connection.State { return s.WithResponse(l) })
 }
 
-// setState changes the state.
-func (c *conn) setState(state int32) {
-	c.activity.Add(1)
-	c.state.Store(state)
+// handled records that the handler has returned.
+func (c *conn) handled() {
+	_ = c.update(func(s connection.State, l connection.Limits) connection.State { return s.WithHandled(time.Now(), l) })
 }
 
-// markIdle resets the recorded head and marks the connection as idle.
-func (c *conn) markIdle() {
+// answered records that the response has been written, and that the connection is to be closed if stopping is set.
+func (c *conn) answered(stopping bool) {
 	c.head = c.head[:0]
 	c.request.Store(nil)
-	c.headRead.Store(false)
-	c.headStarted.Store(0)
-	c.idleSince.Store(time.Now().UnixNano())
-	c.setState(idle)
-}
-
-// markDraining marks the connection as one on which the rest of a body is read. The caller has as
-// long for it as for a head.
-func (c *conn) markDraining() {
-	c.headRead.Store(false)
-	c.headStarted.Store(time.Now().UnixNano())
-	c.setState(draining)
-}
-
-// hasUnreadInput reports whether the caller has sent bytes that are not yet read, a head that is not
-// yet served, or bytes whose reading began less than headReadGrace before now. A process starved of
-// processor time can take a second to read them.
-func (c *conn) hasUnreadInput(now time.Time) bool {
-	if headStarted := c.headStarted.Load(); headStarted != 0 && now.UnixNano()-headStarted < int64(headReadGrace) {
-		return true
-	}
-	return c.hasUnserved()
-}
-
-// hasUnserved reports whether the caller has sent a whole head that is not yet served, or bytes that
-// are not yet read.
-func (c *conn) hasUnserved() bool {
-	if c.headRead.Load() {
-		return true
-	}
-	waits, err := peek.HasUnread(c.Conn)
-	return err == nil && waits
-}
-
-// closeIfNoInput closes the connection if it is idle and no part of a request has arrived. A
-// connection with an unread request closes after the response to that request instead.
-func (c *conn) closeIfNoInput(now time.Time) {
-	if c.hasUnreadInput(now) {
-		return
-	}
-	c.closeIfIdle()
-}
-
-// closeIfIdle closes the connection unless it is serving a request or writing a response.
-func (c *conn) closeIfIdle() {
-	reason := CloseSlowHead
-	switch {
-	case c.state.CompareAndSwap(draining, closed):
-		reason = CloseSlowBody
-	case !c.state.CompareAndSwap(idle, closed):
-		return
-	case c.headStarted.Load() == 0:
-		reason = ""
-	}
-	_ = c.Close() // an error changes nothing for the caller
-	if reason != "" {
-		c.reportUnanswered(reason, nil)
-	}
+	_ = c.update(func(s connection.State, l connection.Limits) connection.State {
+		if stopping {
+			s = s.WithStop()
+		}
+		return s.WithIdle(time.Now(), l)
+	})
 }
 
 // reportEnd reports the request whose response was being written when net/http closed the connection,
 // unless the whole response has been written.
 func (c *conn) reportEnd() {
 	switch err := c.writeErr.Load(); {
-	case c.request.Load() == nil || c.state.Load() == closed:
+	case c.request.Load() == nil:
 	case err != nil:
-		c.reportUnanswered(CloseWriteFailed, *err)
+		c.report(CloseWriteFailed, *err)
+	case c.slow.Load():
+		c.report(CloseSlowBody, os.ErrDeadlineExceeded)
 	case c.aborted.Load():
-		c.reportUnanswered(CloseAborted, nil)
+		c.report(CloseAborted, nil)
 	}
 }
 
-// reportUnanswered reports that the connection was closed without a whole response.
-func (c *conn) reportUnanswered(reason string, err error) {
+// report reports that the connection was closed without a whole response.
+func (c *conn) report(reason string, err error) {
 	if c.onUnanswered != nil {
 		c.onUnanswered(Unanswered{Request: c.request.Load(), Reason: reason, Sent: c.sent.Load(), Err: err})
 	}
 }
 
-// closeIfOverdue closes the connection if the same wait was overdue at two calls in a row: at the first,
-// what has been read may not have been recorded yet by a process that was suspended or is starved of
-// processor time.
-func (c *conn) closeIfOverdue(l Limits, now time.Time) {
-	if !c.overdue(l, now) || c.hasUnserved() {
-		c.idleAt.Store(0)
-		return
-	}
-	if activity := c.activity.Load(); c.idleAt.Swap(activity) == activity {
-		c.closeIfIdle()
-	}
-}
-
-// overdue reports whether the connection has exceeded the idle limit, or the limit on reading
-// a request head, at now.
-func (c *conn) overdue(l Limits, now time.Time) bool {
-	if headStarted := c.headStarted.Load(); headStarted != 0 {
-		return l.ReadHeaderTimeout > 0 && now.UnixNano()-headStarted > int64(l.ReadHeaderTimeout)
-	}
-	return l.MaxIdle > 0 && now.UnixNano()-c.idleSince.Load() > int64(l.MaxIdle)
-}
-
 // headSize returns the size in bytes of the recorded request head, or of all recorded bytes if
 // the head is incomplete.
 func (c *conn) headSize() int {
@@ -222,24 +227,3 @@
 	head, _, whole := bytes.Cut(c.head, []byte("\r\n\r\n"))
 	return !whole || bytes.Contains(bytes.ToLower(head), []byte("\ncontent-length"))
 }
-
-// listener wraps accepted connections in conns.
-type listener struct {
-	net.Listener
-	onUnanswered func(Unanswered)
-}
-
-func (l listener) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return accepted(raw, l.onUnanswered), nil
-}
-
-// accepted returns an accepted connection, which is idle.
-func accepted(raw net.Conn, onUnanswered func(Unanswered)) *conn {
-	c := &conn{Conn: raw, onUnanswered: onUnanswered}
-	c.markIdle()
-	return c
-}
--- a/adapter/ingress/export_test.go
+++ b/adapter/ingress/export_test.go
@@ -1,16 +1,8 @@
 package ingress
 
-import (
-	"net"
-	"time"
-)
+import "net"
 
-// Accepted returns raw as a connection that a listener has accepted.
-func Accepted(raw net.Conn) net.Conn {
-	return accepted(raw, nil)
-}
-
-// CloseIfOverdue is what a sweep does with a connection of Accepted.
-func CloseIfOverdue(c net.Conn, l Limits, now time.Time) {
-	c.(*conn).closeIfOverdue(l, now)
+// ServeOn serves the connections of a listener of the test.
+func (s *Server) ServeOn(l net.Listener) {
+	s.serveOn(l, make(chan error, 1))
 }
--- a/adapter/ingress/server.go
+++ b/adapter/ingress/server.go
@@ -1,15 +1,14 @@
 // Package ingress is the HTTP/1.1 server for callers; it closes their connections without
 // losing a request. It closes an idle connection only if no part of a request has arrived on
-// it.
+// it, and only the goroutine that reads a connection closes it.
 //
 // Set the exported fields of a Server, then call Listen and Run. To shut down, call
-// CloseAfterResponses, wait until Idle reports true, and call Stop.
+// CloseAfterResponses and Stop, and wait until Idle reports true.
 package ingress
 
 import (
 	"context"
 	"errors"
-	"io"
 	"log"
 	"net"
 	"net/http"
@@ -20,6 +19,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/grademill/grademill/adapter/peek"
+	"github.com/grademill/grademill/decide/connection"
 )
 
 // Fixed limits on the head of a request; Limits can only be stricter.
@@ -36,10 +36,18 @@
 	// time to read it.
 	MaxHeaderBytes    int
 	ReadHeaderTimeout time.Duration
+	// Retire is set if callers should open new connections: MaxIdle holds for all that are idle. Otherwise a limit that
+	// becomes shorter holds for the waits that begin later, as callers may rely on the one that was in force.
+	Retire bool
 }
 
-// sweepInterval is the interval between checks for overdue connections.
-const sweepInterval = 250 * time.Millisecond
+// waits returns the limits on waiting for callers.
+func (l Limits) waits() connection.Limits {
+	return connection.Limits{Idle: l.MaxIdle, Head: l.ReadHeaderTimeout, Retire: l.Retire}
+}
+
+// limitsInterval is how often the limits are checked for changes.
+const limitsInterval = 250 * time.Millisecond
 
 // Server serves callers on one address. Set the exported fields before Listen.
 type Server struct {
@@ -53,11 +61,14 @@
 	// ErrorLog receives the log output of net/http.
 	ErrorLog *log.Logger
 
-	listener net.Listener
+	listener *listener
 	stopping atomic.Bool
-	mu       sync.Mutex
-	// conns holds the open connections; guarded by mu.
-	conns map[*conn]bool
+	// waits are the limits on waiting that were in force at the last check.
+	waits atomic.Pointer[connection.Limits]
+	mu    sync.Mutex
+	// conns holds the open connections, stopped is set once the server has stopped; guarded by mu.
+	conns   map[*conn]bool
+	stopped bool
 }
 
 // connKey is the context key of a request's connection.
@@ -83,34 +94,36 @@
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
-	s.listener = listener{raw, s.Unanswered}
+	s.serveOn(raw, failed)
+	return nil
+}
+
+// serveOn serves the connections of a listener in the background.
+func (s *Server) serveOn(raw net.Listener, failed chan<- error) {
+	s.listener = &listener{Listener: raw, server: s}
 	s.conns = make(map[*conn]bool)
+	waits := s.limits().waits()
+	s.waits.Store(&waits)
 	server := &http.Server{
 		Handler: http.HandlerFunc(s.serve), MaxHeaderBytes: headBytes, ReadHeaderTimeout: headWait,
-		ErrorLog: s.ErrorLog, DisableGeneralOptionsHandler: true, ConnContext: s.connected, ConnState: s.stateChanged,
+		ErrorLog: s.ErrorLog, DisableGeneralOptionsHandler: true, ConnContext: connected, ConnState: s.stateChanged,
 	}
 	go func() {
-		if err := server.Serve(s.listener); !errors.Is(err, net.ErrClosed) {
+		err := server.Serve(s.listener)
+		s.listener.closed.Store(true)
+		if !errors.Is(err, net.ErrClosed) {
 			failed <- trace.Wrap(err)
 		}
 	}()
-	return nil
 }
 
-// connected registers a new connection; it is the server's ConnContext hook.
-func (s *Server) connected(ctx context.Context, raw net.Conn) context.Context {
-	c, ok := raw.(*conn)
-	if !ok {
-		return ctx
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.conns[c] = true
+// connected adds a connection to the context of its requests; it is the server's ConnContext hook.
+func connected(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// stateChanged is the server's ConnState hook: it removes closed connections, and closes one
-// that becomes idle while the server is stopping, since its response may have started too
+// stateChanged is the server's ConnState hook: it removes closed connections. One that becomes
+// idle while the server is stopping is to be closed, since its response may have started too
 // early to carry Connection: close.
 func (s *Server) stateChanged(raw net.Conn, state http.ConnState) {
 	c, ok := raw.(*conn)
@@ -124,57 +137,23 @@
 		defer s.mu.Unlock()
 		delete(s.conns, c)
 	case http.StateIdle:
-		if c.state.Load() != closed {
-			c.markIdle()
-		}
-		if s.stopping.Load() {
-			c.closeIfNoInput(time.Now())
-		}
-	}
-}
-
-// trackedBody is a request's body that knows whether it has been read to its end.
-type trackedBody struct {
-	io.ReadCloser
-	whole atomic.Bool
-}
-
-// Read implements io.Reader.
-func (b *trackedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
-		b.whole.Store(true)
+		c.answered(s.stopping.Load())
 	}
-	return n, err
 }
 
-// serve handles one request. If the connection was closed before the request was read, serve
-// aborts it without calling the handler. The handler's response is written only after serve has
-// returned. Unless the body has been read to its end, net/http reads the rest first, which is no part
-// of the next request's head.
+// serve handles one request. The handler's response is written only after serve has
+// returned. Unless the body has been read to its end, net/http reads the rest first.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	c, ok := r.Context().Value(connKey{}).(*conn)
 	if !ok {
 		panic(http.ErrAbortHandler)
 	}
 	c.begin(r)
-	if !c.state.CompareAndSwap(idle, serving) {
-		c.reportUnanswered(CloseAborted, nil)
-		panic(http.ErrAbortHandler)
-	}
-	read := &trackedBody{ReadCloser: r.Body}
-	if r.Body != http.NoBody {
-		r.Body = read
-	}
 	defer func() {
 		if r.Context().Err() != nil {
 			c.aborted.Store(false) // the caller has left
 		}
-		if r.Body == http.NoBody || read.whole.Load() {
-			c.setState(responding)
-		} else {
-			c.markDraining()
-		}
+		c.handled()
 	}()
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
@@ -194,16 +173,19 @@
 	c.aborted.Store(false)
 }
 
-// Run closes connections that exceed the limits until ctx ends.
+// Run puts changed limits on waiting in force until ctx ends.
 func (s *Server) Run(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
+	ticker := time.NewTicker(limitsInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
-			s.sweep(s.limits(), now)
+		case <-ticker.C:
+			if waits := s.limits().waits(); waits != *s.waits.Load() {
+				s.waits.Store(&waits)
+				s.each((*conn).rearm)
+			}
 		}
 	}
 }
@@ -213,38 +195,29 @@
 	s.stopping.Store(true)
 }
 
-// Idle reports whether no connection is serving a request, is writing a response or has an unread
-// request.
+// Idle reports whether no connection is open, and none can be opened if the server has stopped.
 func (s *Server) Idle() bool {
-	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for c := range s.conns {
-		if state := c.state.Load(); state == serving || state == responding || state != closed && c.hasUnreadInput(now) {
-			return false
-		}
-	}
-	return true
+	return len(s.conns) == 0 && (!s.stopped || s.listener.closed.Load())
 }
 
-// Stop closes the listener and the idle connections.
+// Stop closes the listener and the idle connections. Both happen soon after it has returned.
 func (s *Server) Stop() {
 	s.stopping.Store(true)
-	_ = s.listener.Close() // fails only if Stop is called twice
-	now := time.Now()
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.conns {
-		c.closeIfNoInput(now)
-	}
+	s.stopped = true
+	s.mu.Unlock()
+	_ = s.listener.Close() // fails only if Stop is called twice
+	s.each((*conn).stop)
 }
 
-// sweep closes the connections that have exceeded limits since the sweep before now.
-func (s *Server) sweep(limits Limits, now time.Time) {
+// each calls do with each open connection.
+func (s *Server) each(do func(*conn)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		c.closeIfOverdue(limits, now)
+		do(c)
 	}
 }
 
--- a/adapter/ingress/unanswered.go
+++ b/adapter/ingress/unanswered.go
@@ -5,18 +5,17 @@
 // Reasons of Unanswered.
 const (
 	// CloseSlowHead and CloseSlowBody mean that the caller took too long to send the head, or the rest
-	// of a body that the handler did not read.
+	// of a body that the handler did not read. In the second case the response has been written.
 	CloseSlowHead = "slow head"
 	CloseSlowBody = "slow body"
-	// CloseAborted means that the handler aborted the response to a caller that is still there, or that the
-	// connection was closed just before the request was served.
+	// CloseAborted means that the handler aborted the response to a caller that is still there.
 	CloseAborted = "aborted"
 	// CloseWriteFailed means that the response could not be written, mostly because the caller has left.
 	CloseWriteFailed = "write failed"
 )
 
 // Unanswered describes a request, or a part of one, whose connection was closed without a whole
-// response.
+// response, or without the whole request.
 type Unanswered struct {
 	// Request is nil if its head was not read whole.
 	Request *http.Request
@@ -24,6 +23,6 @@
 	Reason string
 	// Sent is the number of bytes of the response that were written.
 	Sent int64
-	// Err is the error in writing the response, nil for none.
+	// Err is the error in writing the response, or in reading the rest of the body, nil for none.
 	Err error
 }
--- a/adapter/peek/peek.go
+++ b/adapter/peek/peek.go
@@ -1,4 +1,4 @@
-// Package peek looks at what a connection has received, without waiting for more.
+// Package peek looks at what a connection or a listener has received, without waiting for more.
 package peek
 
 import (
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // errNoSocket reports a connection without a socket, which cannot be checked.
@@ -45,7 +47,17 @@
 	return n, nil
 }
 
-// control calls use with the descriptor of a connection.
+// HasUnaccepted reports whether a listener has connections that have not been accepted.
+func HasUnaccepted(l net.Listener) (bool, error) {
+	var n int
+	var pollErr error
+	err := control(l, func(fd int) {
+		n, pollErr = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	})
+	return n > 0, errors.Join(err, pollErr)
+}
+
+// control calls use with the descriptor of a connection or a listener.
 func control(source any, use func(fd int)) error {
 	s, ok := source.(syscall.Conn)
 	if !ok {
--- a/adapter/peek/peek_test.go
+++ b/adapter/peek/peek_test.go
@@ -100,3 +100,29 @@
 	})
 	return near, far
 }
+
+// HasUnaccepted tells a listener with connections to accept from one without.
+func TestHasUnaccepted(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	waits, err := peek.HasUnaccepted(l)
+	require.NoError(t, err)
+	require.False(t, waits)
+	c, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer c.Close() //nolint:errcheck // a test's connection
+	require.Eventually(t, func() bool {
+		waits, err := peek.HasUnaccepted(l)
+		return waits && err == nil
+	}, 30*time.Second, time.Millisecond)
+	accepted, err := l.Accept()
+	require.NoError(t, err)
+	defer accepted.Close() //nolint:errcheck // a test's connection
+	waits, err = peek.HasUnaccepted(l)
+	require.NoError(t, err)
+	require.False(t, waits)
+	require.NoError(t, l.Close())
+	_, err = peek.HasUnaccepted(l)
+	require.Error(t, err)
+}
--- a/cmd/grademill-gateway/daemon.go
+++ b/cmd/grademill-gateway/daemon.go
@@ -196,13 +196,16 @@
 	})
 }
 
-// callerLimits returns the configured limits on callers' connections.
+// callerLimits returns the configured limits on callers' connections. While the gateway is not ready,
+// callers are to open new connections, which the load balancer directs elsewhere.
 func (d *daemon) callerLimits() ingress.Limits {
 	l := d.gateway.CallerLimits()
-	return ingress.Limits{MaxIdle: l.IdleTimeout, MaxHeaderBytes: l.HeaderBytes, ReadHeaderTimeout: l.HeaderTimeout}
+	return ingress.Limits{
+		MaxIdle: l.IdleTimeout, MaxHeaderBytes: l.HeaderBytes, ReadHeaderTimeout: l.HeaderTimeout, Retire: !d.gateway.Ready(),
+	}
 }
 
-// unanswered logs and counts a caller's connection that was closed without a whole response.
+// unanswered logs and counts a caller's connection that was closed without a whole response or request.
 func (d *daemon) unanswered(u ingress.Unanswered) {
 	d.metrics.Unanswered(u.Reason)
 	id := ""
