ingress: a caller that sends a long body sees its rejection

What callers saw: a caller that sends a rejected body to its end, and then reads, finds its connection reset.

Cause: a connection that is closed with unread bytes is reset. net/http ends its sending side first and waits for half a second, but only where the connection has CloseWrite, which was hidden; and it does not read meanwhile.

Evidence, on the code before: TestRejectionOfLongBodyIsSeen, with a length and in chunks, failed in 10 of 10 runs:

read tcp 127.0.0.1:59318->127.0.0.1:45629: read: connection reset by peer

CloseWrite now ends the sending side and reads what the caller sends, for a second and 8 MB at most; Close does it if bytes are unread, but not for a response that was aborted, which must not look complete.

--- a/adapter/ingress/conn.go
+++ b/adapter/ingress/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -14,6 +15,12 @@
 	"github.com/grademill/grademill/decide/connection"
 )
 
+const (
+	// lingerWait and lingerBytes bound what is read from a caller that goes on sending after its response.
+	lingerWait  = time.Second
+	lingerBytes = 8 << 20
+)
+
 // conn is a caller's connection. Only the goroutine that reads it closes it; others have it look whether to close by
 // moving its read deadline.
 type conn struct {
@@ -167,6 +174,31 @@
 	return n, err
 }
 
+// CloseWrite ends the response and reads what the caller goes on sending, within bounds: a connection that is closed
+// with unread bytes is reset, and its caller may not see the response.
+func (c *conn) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return nil
+	}
+	if err := half.CloseWrite(); err != nil {
+		return err
+	}
+	if err := c.Conn.SetReadDeadline(time.Now().Add(lingerWait)); err != nil {
+		return err
+	}
+	_, err := io.CopyN(io.Discard, c.Conn, lingerBytes)
+	return err
+}
+
+// Close closes the connection, after CloseWrite if it has unread bytes and the response was not aborted.
+func (c *conn) Close() error {
+	if unread, _ := peek.HasUnread(c.Conn); unread && !c.aborted.Load() {
+		_ = c.CloseWrite() // the connection is closed in any case
+	}
+	return c.Conn.Close()
+}
+
 // begin records that the response to a request begins.
 func (c *conn) begin(r *http.Request) {
 	c.sent.Store(0)
--- a/adapter/ingress/owner_test.go
+++ b/adapter/ingress/owner_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log"
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -228,6 +230,28 @@
 	require.NoError(t, err)
 }
 
+// Guards against resetting the connection of a caller that first sends all of a long body and then reads its rejection.
+func TestRejectionOfLongBodyIsSeen(t *testing.T) {
+	for name, length := range map[string]int{"with a length": 4 << 20, "in chunks": 0} {
+		t.Run(name, func(t *testing.T) {
+			s := start(t, http.NotFoundHandler(), ingress.Limits{})
+			c, r := dial(t, s)
+			body := strings.Repeat("x", 4<<20)
+			text := fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", length, body)
+			if length == 0 {
+				text = fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+			}
+			_, err := io.WriteString(c, text)
+			require.NoError(t, err)
+			answer, err := http.ReadResponse(r, nil)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusNotFound, answer.StatusCode)
+			_, err = io.Copy(io.Discard, r)
+			require.NoError(t, err)
+		})
+	}
+}
+
 // Guards against a drained body whose end is given up breaking the next request: its context was cancelled.
 func TestRequestAfterADrainedBodyHasItsContext(t *testing.T) {
 	s := start(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
