ingress: connections that wait to be accepted at a stop are served

What callers saw: a new connection is reset with a request in it.

Cause: closing the listener resets the connections that it has not accepted.

Evidence, on the code before: TestConnectionsThatAreNotAcceptedAreServedAtStop:

read tcp 127.0.0.1:42404->127.0.0.1:37357: read: connection reset by peer

A stop now wakes Accept, which returns the connections that are there before the listener is closed. Connections that arrive between the last look and the close, and those whose handshake is not complete, are still reset.

--- a/adapter/ingress/listener.go
+++ b/adapter/ingress/listener.go
@@ -1,28 +1,62 @@
 package ingress
 
 import (
+	"errors"
 	"net"
+	"os"
 	"sync/atomic"
 	"time"
 
+	"github.com/grademill/grademill/adapter/peek"
 	"github.com/grademill/grademill/decide/connection"
 )
 
-// listener registers the connections that it accepts.
+// acceptWait bounds the wait for a connection that is known to be there.
+const acceptWait = time.Second
+
+// listener accepts callers' connections. A connection that is there when the listener stops is accepted: it may have
+// a whole request already.
 type listener struct {
 	net.Listener
 	server *Server
-	// closed is set once no further connection is accepted.
-	closed atomic.Bool
+	// stopping is set when no further connection is to be accepted, closed once net/http has closed the listener.
+	stopping, closed atomic.Bool
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. It returns net.ErrClosed once the listener is to stop and no connection is there.
 func (l *listener) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		if l.stopping.Load() {
+			if waits, err := peek.HasUnaccepted(l.Listener); err != nil || !waits {
+				return nil, net.ErrClosed
+			}
+			if err := l.setDeadline(time.Now().Add(acceptWait)); err != nil {
+				return nil, err
+			}
+		}
+		raw, err := l.Listener.Accept()
+		switch {
+		case err == nil:
+			return l.server.accepted(raw), nil
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return nil, err
+		}
+	}
+}
+
+// stop has Accept return the connections that are there, and then net.ErrClosed.
+func (l *listener) stop() {
+	l.stopping.Store(true)
+	_ = l.setDeadline(time.Unix(1, 0)) // fails only once the listener is closed
+}
+
+// setDeadline bounds the wait for a connection.
+func (l *listener) setDeadline(t time.Time) error {
+	d, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
+	if !ok {
+		return nil
 	}
-	return l.server.accepted(raw), nil
+	return d.SetDeadline(t)
 }
 
 // accepted registers a new connection.
--- a/adapter/ingress/owner_test.go
+++ b/adapter/ingress/owner_test.go
@@ -1,6 +1,7 @@
 package ingress_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -269,3 +270,41 @@
 		time.Sleep(60 * time.Millisecond) // longer than the limit on a body
 	}
 }
+
+// gatedListener accepts no connection until it is opened.
+type gatedListener struct {
+	*net.TCPListener
+	open chan struct{}
+}
+
+func (l gatedListener) Accept() (net.Conn, error) {
+	<-l.open
+	return l.TCPListener.Accept()
+}
+
+// Guards against resetting connections that wait to be accepted when the server stops, with requests in them.
+func TestConnectionsThatAreNotAcceptedAreServedAtStop(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := gatedListener{raw.(*net.TCPListener), make(chan struct{})}
+	s := &ingress.Server{Address: raw.Addr().String(), Handler: http.NotFoundHandler(), ErrorLog: log.New(io.Discard, "", 0)}
+	s.ServeOn(l)
+	var readers []*bufio.Reader
+	for range 5 {
+		c, r := dial(t, s)
+		_, err := io.WriteString(c, request)
+		require.NoError(t, err)
+		readers = append(readers, r)
+	}
+	s.Stop()
+	require.False(t, s.Idle())
+	close(l.open)
+	for _, r := range readers {
+		answer, err := http.ReadResponse(r, nil)
+		require.NoError(t, err)
+		require.True(t, answer.Close)
+	}
+	require.Eventually(t, s.Idle, waitTimeout, time.Millisecond)
+	_, err = net.Dial("tcp", s.Address)
+	require.Error(t, err)
+}
--- a/adapter/ingress/server.go
+++ b/adapter/ingress/server.go
@@ -208,7 +208,7 @@
 	s.mu.Lock()
 	s.stopped = true
 	s.mu.Unlock()
-	_ = s.listener.Close() // fails only if Stop is called twice
+	s.listener.stop()
 	s.each((*conn).stop)
 }
 
