ingress, gateway: a line for requests cut at the stop time-out, and for callers that left

What operators saw: streams are cut beside stops, and no line of any gateway has them; a request that was aborted after its caller had left had no line either.

A process that ends with open connections now reports those on which a part of a request has arrived that has no whole response; each connection is reported once. The lines go through the same buffer as others, which drops them rather than block.

--- a/adapter/ingress/conn.go
+++ b/adapter/ingress/conn.go
@@ -42,8 +42,9 @@
 	request  atomic.Pointer[http.Request]
 	sent     atomic.Int64
 	writeErr atomic.Pointer[error]
-	// aborted is set once the handler has aborted the response, slow once the rest of a body has been given up.
-	aborted, slow atomic.Bool
+	// aborted is set once the handler has aborted the response, left once the caller has ended its sending side,
+	// slow once the rest of a body has been given up, and reported once onUnanswered has been called.
+	aborted, left, slow, reported atomic.Bool
 	// head holds the bytes read since the connection became idle: the next request's head and
 	// possibly the start of its body. Only the goroutine that serves the connection uses it.
 	head []byte
@@ -98,6 +99,9 @@
 // received records the result of a read into b. While the connection waits for a head, it keeps the bytes.
 func (c *conn) received(b []byte, n int, err error) (int, error) {
 	if n == 0 {
+		if err != nil {
+			c.left.Store(true)
+		}
 		return 0, err
 	}
 	heads := false
@@ -233,18 +237,32 @@
 		c.report(CloseWriteFailed, *err)
 	case c.slow.Load():
 		c.report(CloseSlowBody, os.ErrDeadlineExceeded)
-	case c.aborted.Load():
+	case !c.aborted.Load():
+	case c.left.Load():
+		c.report(CloseCallerLeft, nil)
+	default:
 		c.report(CloseAborted, nil)
 	}
 }
 
-// report reports that the connection was closed without a whole response.
+// report reports, once, that the connection was closed without a whole response.
 func (c *conn) report(reason string, err error) {
-	if c.onUnanswered != nil {
+	if !c.reported.Swap(true) && c.onUnanswered != nil {
 		c.onUnanswered(Unanswered{Request: c.request.Load(), Reason: reason, Sent: c.sent.Load(), Err: err})
 	}
 }
 
+// reportCut reports the connection if a part of a request has arrived on it that has no whole response.
+func (c *conn) reportCut() {
+	unread, _ := peek.HasUnread(c.Conn)
+	c.mu.Lock()
+	busy := unread || !c.state.Idle()
+	c.mu.Unlock()
+	if busy {
+		c.report(CloseStopTimeout, nil)
+	}
+}
+
 // headSize returns the size in bytes of the recorded request head, or of all recorded bytes if
 // the head is incomplete.
 func (c *conn) headSize() int {
--- a/adapter/ingress/owner_test.go
+++ b/adapter/ingress/owner_test.go
@@ -271,6 +271,70 @@
 	}
 }
 
+// Guards against requests without a response, and without a report, where the process ends before they do.
+func TestRequestsCutAtTheStopTimeoutAreReported(t *testing.T) {
+	reports := make(chan ingress.Unanswered, 10)
+	entered, release := make(chan struct{}), make(chan struct{})
+	s := &ingress.Server{
+		ErrorLog:   log.New(io.Discard, "", 0),
+		Unanswered: func(u ingress.Unanswered) { reports <- u },
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "part")
+			_ = http.NewResponseController(w).Flush()
+			entered <- struct{}{}
+			<-release
+			panic(http.ErrAbortHandler)
+		}),
+	}
+	listen(t, s)
+	_, idle := dial(t, s)
+	c, r := dial(t, s)
+	_, err := io.WriteString(c, request)
+	require.NoError(t, err)
+	<-entered
+	s.Stop()
+	s.ReportCut()
+	s.ReportCut()
+	close(release)
+	_, err = idle.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	answer, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, answer.Body)
+	require.Error(t, err)
+	require.Eventually(t, s.Idle, waitTimeout, time.Millisecond)
+	u := <-reports
+	require.Equal(t, ingress.CloseStopTimeout, u.Reason)
+	require.Equal(t, "/", u.Request.URL.Path)
+	require.Positive(t, u.Sent)
+	require.Empty(t, reports)
+}
+
+// Guards against an aborted response whose report does not tell whether its caller had left.
+func TestAbortForACallerThatLeftIsReportedAsSuch(t *testing.T) {
+	reports := make(chan ingress.Unanswered, 10)
+	entered := make(chan struct{})
+	s := &ingress.Server{
+		ErrorLog:   log.New(io.Discard, "", 0),
+		Unanswered: func(u ingress.Unanswered) { reports <- u },
+		Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			entered <- struct{}{}
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}),
+	}
+	listen(t, s)
+	defer s.Stop()
+	c, _ := dial(t, s)
+	_, err := io.WriteString(c, request)
+	require.NoError(t, err)
+	<-entered
+	require.NoError(t, c.Close())
+	u := <-reports
+	require.Equal(t, ingress.CloseCallerLeft, u.Reason)
+	require.Equal(t, "/", u.Request.URL.Path)
+}
+
 // gatedListener accepts no connection until it is opened.
 type gatedListener struct {
 	*net.TCPListener
--- a/adapter/ingress/server.go
+++ b/adapter/ingress/server.go
@@ -149,12 +149,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	c.begin(r)
-	defer func() {
-		if r.Context().Err() != nil {
-			c.aborted.Store(false) // the caller has left
-		}
-		c.handled()
-	}()
+	defer c.handled()
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -212,6 +207,12 @@
 	s.each((*conn).stop)
 }
 
+// ReportCut reports the connections on which a request has no whole response. It is for a process that ends before
+// Idle reports true.
+func (s *Server) ReportCut() {
+	s.each((*conn).reportCut)
+}
+
 // each calls do with each open connection.
 func (s *Server) each(do func(*conn)) {
 	s.mu.Lock()
--- a/adapter/ingress/unanswered.go
+++ b/adapter/ingress/unanswered.go
@@ -10,8 +10,12 @@
 	CloseSlowBody = "slow body"
 	// CloseAborted means that the handler aborted the response to a caller that is still there.
 	CloseAborted = "aborted"
+	// CloseCallerLeft means that the handler aborted the response to a caller that has ended its sending side.
+	CloseCallerLeft = "caller left"
 	// CloseWriteFailed means that the response could not be written, mostly because the caller has left.
 	CloseWriteFailed = "write failed"
+	// CloseStopTimeout means that the process ended while the request was not yet read, running, or being answered.
+	CloseStopTimeout = "stop time-out"
 )
 
 // Unanswered describes a request, or a part of one, whose connection was closed without a whole
--- a/cmd/grademill-gateway/daemon.go
+++ b/cmd/grademill-gateway/daemon.go
@@ -177,6 +177,7 @@
 		}
 		time.Sleep(stopPoll)
 	}
+	callers.ReportCut()
 	d.log.Info().Int("running", d.gateway.Running()).Dur("took_ms", time.Since(start)).Msg("gateway drained")
 }
 
--- a/cmd/grademill-gateway/main_test.go
+++ b/cmd/grademill-gateway/main_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -195,3 +196,22 @@
 	p.waitForLog(t, "gateway serves")
 	p.waitForLog(t, "settings read again")
 }
+
+// Guards against requests that a stopping gateway cuts at its stop time-out without a line in the log.
+func TestRequestCutAtTheStopTimeoutIsLogged(t *testing.T) {
+	caller := freeAddress()
+	p := build(t, caller)
+	p.write(t, strings.Replace(gatewaySettings(caller, freeAddress(), freeAddress(), p.admin),
+		"[gateway]", "[gateway]\nstop_timeout = \"600ms\"", 1))
+	p.run(t)
+	p.waitForLog(t, "gateway serves")
+	c, err := net.Dial("tcp", caller)
+	require.NoError(t, err)
+	defer c.Close() //nolint:errcheck // a test's connection
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHo")
+	require.NoError(t, err)
+	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
+	p.waitForLog(t, "gateway stopped")
+	require.Contains(t, p.output(), "connection closed without a whole response")
+	require.Regexp(t, `"reason":"(stop time-out|slow head)"`, p.output()) // the second if it took a second until the stop
+}
