ingress: tell callers for how long they may use a connection again

What callers saw: a connection closes as they send the next request, after a configuration has shortened the idle limit.

Responses say Keep-Alive: timeout=N, four fifths of the idle limit in whole seconds, and the connection is kept for the whole limit that was in force then. Below 1.25 s the header is omitted.

--- a/adapter/ingress/conn.go
+++ b/adapter/ingress/conn.go
@@ -203,12 +203,16 @@
 	return c.Conn.Close()
 }
 
-// begin records that the response to a request begins.
-func (c *conn) begin(r *http.Request) {
+// begin records that the response to a request begins. It returns the idle limit that holds after it.
+func (c *conn) begin(r *http.Request) (maxIdle time.Duration) {
 	c.sent.Store(0)
 	c.writeErr.Store(nil)
 	c.request.Store(r)
-	_ = c.update(func(s connection.State, l connection.Limits) connection.State { return s.WithResponse(l) })
+	_ = c.update(func(s connection.State, l connection.Limits) connection.State {
+		maxIdle = l.Idle
+		return s.WithResponse(l)
+	})
+	return maxIdle
 }
 
 // handled records that the handler has returned.
--- a/adapter/ingress/owner_test.go
+++ b/adapter/ingress/owner_test.go
@@ -372,3 +372,34 @@
 	_, err = net.Dial("tcp", s.Address)
 	require.Error(t, err)
 }
+
+// Guards against closing a connection that its caller may still use by the idle limit with which it was answered,
+// because a configuration has shortened the limit. Callers that should go elsewhere are not waited for.
+func TestShortenedIdleLimitHoldsForLaterWaits(t *testing.T) {
+	s := startHeldServer(t, http.NotFoundHandler())
+	s.limits.Store(&ingress.Limits{MaxIdle: time.Hour})
+	inForce := func(keepAlive string) {
+		require.Eventually(t, func() bool {
+			c, r := dial(t, s.Server)
+			_, _ = io.WriteString(c, request) // may fail, as the connection may be closed first
+			answer, err := http.ReadResponse(r, nil)
+			return err == nil && answer.Header.Get("Keep-Alive") == keepAlive
+		}, waitTimeout, time.Millisecond)
+	}
+	inForce("timeout=2880")
+	kept, keptReader := dial(t, s.Server)
+	ask(t, kept, keptReader)
+	retired, retiredReader := dial(t, s.Server)
+	ask(t, retired, retiredReader)
+	s.limits.Store(&ingress.Limits{MaxIdle: time.Millisecond})
+	inForce("")
+	_, fresh := dial(t, s.Server)
+	_, err := fresh.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	ask(t, kept, keptReader)
+	_, err = keptReader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	s.limits.Store(&ingress.Limits{MaxIdle: time.Millisecond, Retire: true})
+	_, err = retiredReader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
--- a/adapter/ingress/server.go
+++ b/adapter/ingress/server.go
@@ -12,6 +12,7 @@
 	"log"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,8 +47,13 @@
 	return connection.Limits{Idle: l.MaxIdle, Head: l.ReadHeaderTimeout, Retire: l.Retire}
 }
 
-// limitsInterval is how often the limits are checked for changes.
-const limitsInterval = 250 * time.Millisecond
+const (
+	// limitsInterval is how often the limits are checked for changes.
+	limitsInterval = 250 * time.Millisecond
+	// promisedShare is the share of the idle limit for which callers are told that they may use a connection again:
+	// the response takes time to reach them, as does the next request.
+	promisedShare = 0.8
+)
 
 // Server serves callers on one address. Set the exported fields before Listen.
 type Server struct {
@@ -148,10 +154,12 @@
 	if !ok {
 		panic(http.ErrAbortHandler)
 	}
-	c.begin(r)
+	maxIdle := c.begin(r)
 	defer c.handled()
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
+	} else if seconds := int(maxIdle.Seconds() * promisedShare); seconds > 0 {
+		w.Header().Set("Keep-Alive", "timeout="+strconv.Itoa(seconds))
 	}
 	if maxHead := s.limits().MaxHeaderBytes; maxHead > 0 && c.headSize() > maxHead {
 		w.Header().Set("Connection", "close")
