Gateway: an endpoint's failure answer is kept until a retry is answered

Callers of repeatable requests of plain services got a 502 of the gateway although an endpoint had answered 500: "the retry budget is not known so soon after the start: the endpoint answered 500".

Cause: the answer was discarded once another endpoint accepted requests, before the place and the retry there were taken and before that endpoint had answered. If the budget granted no retry, or the other endpoint refused, was lost or broke its answer off, nothing was left to deliver.

The answer is now kept with the request, and giveUp delivers it when there is no further attempt. A request with an answer waits neither for an isolated attempt nor until an endpoint accepts requests again. The line "request ended" says why there was no further attempt.

go test -race ./role/gateway passes.

--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -184,10 +184,13 @@
 	g.answer(q, status, reason)
 }
 
-// giveUp ends a request that has no attempts left: it is refused when nothing can have run, and has
-// failed otherwise.
+// giveUp ends a request that has no attempts left: it gets the failure answer of an endpoint if there
+// is one, is refused when nothing can have run, and has failed otherwise.
 func (g *Gateway) giveUp(q *query, reason string) {
 	switch {
+	case q.failure != nil:
+		g.deliver(q, q.failure.sendResult, q.failure.body)
+		q.reason += "; " + reason
 	case q.callerLeft():
 		q.setOutcome(0, outcomeLeft, reason)
 	case !q.mayHaveRun && (g.quarantined(q, time.Now()) || q.refused != nil):
--- a/role/gateway/plain.go
+++ b/role/gateway/plain.go
@@ -27,6 +27,9 @@
 	defer q.dropClaimed()
 	reason := "no endpoint is there"
 	for q.sends < maxSends {
+		if q.failure != nil && q.guard.MayCrash() { // it would wait for an isolated attempt
+			break
+		}
 		short := g.awaitIsolation(q, false, time.Time{})
 		if short == shortageNone && q.gone() {
 			short = shortageCaller
@@ -40,7 +43,7 @@
 		}
 		if q.claimed == nil {
 			b := g.pick(q)
-			if b == nil && g.awaitIntake(q) {
+			if b == nil && q.failure == nil && g.awaitIntake(q) {
 				continue
 			}
 			if b == nil {
@@ -69,6 +72,7 @@
 			break
 		}
 	}
+	q.dropClaimed() // the caller may take long to read a kept answer
 	g.giveUp(q, reason)
 }
 
@@ -250,13 +254,10 @@
 	q.guard.PassedSince(q.sentAt)
 	if t.answer.Status >= http.StatusInternalServerError {
 		b.use.health.Update(health.Record.WithFailure)
-		if !last && g.timeLeft(q) && g.avoidAndHasOther(q, b) {
-			q.cause = causeFailed
-			return false, "the endpoint answered " + strconv.Itoa(t.answer.Status)
-		}
-	} else {
-		b.use.health.Update(health.Record.WithSuccess)
+		q.failure, q.cause = &wholeAnswer{t, body}, causeFailed
+		return false, "the endpoint answered " + strconv.Itoa(t.answer.Status)
 	}
+	b.use.health.Update(health.Record.WithSuccess)
 	q.dropClaimed() // the caller may take long to read the answer
 	g.deliver(q, t, body)
 	return true, ""
@@ -265,18 +266,6 @@
 // errAbandoned ends an attempt for one at another endpoint.
 var errAbandoned = errors.New("the attempt was abandoned for another endpoint")
 
-// timeLeft reports whether there is time for another attempt.
-func (g *Gateway) timeLeft(q *query) bool {
-	return q.timeLeft(time.Now()) > 0 && !q.callerLeft()
-}
-
-// avoidAndHasOther marks b as not to be tried again by the request, and reports whether there is
-// another backend for it.
-func (g *Gateway) avoidAndHasOther(q *query, b *backend) bool {
-	q.avoid(b.Address)
-	return g.pick(q) != nil
-}
-
 // notRunReason returns why a request was not run.
 func notRunReason(t sendResult) string {
 	if t.err != nil {
@@ -291,6 +280,12 @@
 	http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true,
 }
 
+// wholeAnswer is an answer whose body has been read to its end.
+type wholeAnswer struct {
+	sendResult
+	body []byte
+}
+
 // deliver passes a whole answer on.
 func (g *Gateway) deliver(q *query, t sendResult, body []byte) {
 	if notRunStatuses[t.answer.Status] { // the endpoint ran it, but its status would say otherwise
