Gateway: endpoints of a service that leaves the configuration stay known

What callers saw, once a configuration no longer had the service of a request that an earlier one had admitted:

- A stream whose chain broke was cut in the middle of the answer, although the endpoints of its service were running: no chain could be found.
- A request that was being tried apart from others was quarantined for ten minutes, although its endpoint had not ended.

Cause: the fleet held only the endpoints of the services that the newest configuration names. Whatever looks an endpoint up there found none: searches for a chain, checks, and the state of the incarnation of an isolated attempt, where "not in the fleet" means that the record is gone.

The fleet now keeps the endpoints of the services that an earlier configuration named, for as long as records name them. New requests find their service in the newest configuration, as before; endpoints of services that no configuration has named stay out, since their addresses may be those of others.

On the code before:

--- FAIL: TestStreamIsResumedAfterItsServiceHasGone Received unexpected error: unexpected EOF --- FAIL: TestEndpointOfAServiceThatHasGoneHasNotEnded "outcome":"ended","ends":3,...,"guilty":true "ended":["another-0","another-1","a (tried apart)"],"lasts_ms":600000, "message":"request is quarantined"

TestAnswerIsDeliveredAfterItsServiceHasGone and TestStreamIsCompleteAfterItsServiceHasGone pass before and after: an attempt that runs does not look at the fleet.

--- a/role/gateway/members.go
+++ b/role/gateway/members.go
@@ -15,8 +15,11 @@
 	// reconfigured is set when a new configuration may name other services.
 	reconfigured atomic.Bool
 
-	mu    sync.Mutex // guards usage, and serializes the construction of fleets
+	mu    sync.Mutex // guards the fields below, and serializes the construction of fleets
 	usage map[string]*usage
+	// services holds the services with endpoints that this or an earlier configuration names: requests
+	// that an earlier one admitted may still run there.
+	services map[string]bool
 }
 
 // initMembership sets up the tracking of endpoints.
@@ -84,16 +87,18 @@
 	g.Meter.Endpoints(g.membership.Roster.Size())
 }
 
-// backends returns the endpoints of the services that the configuration names. Endpoints of other
-// services may share an address with one of these. The caller holds members.mu.
+// backends returns the endpoints of the services that this or an earlier configuration names. Endpoints
+// of other services may share an address with one of these. The caller holds members.mu.
 func (g *Gateway) backends() []*backend {
-	c := g.catalog.Load()
+	c, former := g.catalog.Load(), g.members.services
+	g.members.services = make(map[string]bool)
 	records := g.membership.Roster.Records()
 	all := make([]*backend, 0, len(records))
 	for _, r := range records {
-		if c != nil && c.Services[r.Service] == nil {
+		if c != nil && c.Services[r.Service] == nil && !former[r.Service] {
 			continue
 		}
+		g.members.services[r.Service] = c != nil
 		if g.members.usage[r.ID] == nil {
 			g.members.usage[r.ID] = newUsage()
 		}
