--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -77,18 +77,16 @@
 		g.refuse(q, retryAfterStore, "no configuration is known yet")
 		return false
 	}
-	q.version, q.proofAge = c.Version, g.proofAge()
-	route, ok := c.Route(q.r.Host, q.r.URL.Path)
-	if !ok {
-		g.rejectByCatalog(q, http.StatusNotFound, "there is no such route")
+	if !g.admitBy(q, c) || !g.readBody(q, c.Limits) {
 		return false
 	}
-	q.route, q.priority = route, min(route.Priority, maxPriority)
-	if !g.authorize(q, c) || !g.readBody(q, c.Limits) {
-		return false
+	if read := g.catalog.Load(); read != c { // it came into force while the body was read
+		if c = read; !g.admitBy(q, c) {
+			return false
+		}
 	}
-	q.deadline = q.start.Add(route.TimeLimit(q.CallerTimeout))
-	q.service = c.Services[route.Service(xxhash.Sum64String(q.ID))]
+	q.deadline = q.start.Add(q.route.TimeLimit(q.CallerTimeout))
+	q.service = c.Services[q.route.Service(xxhash.Sum64String(q.ID))]
 	if q.service == nil {
 		g.refuse(q, retryAfterStore, "the service of the route is not configured")
 		return false
@@ -107,6 +105,19 @@
 	return true
 }
 
+// admitBy finds the route of a request and the team of its caller in a configuration, and reports
+// whether that allows the request. When it returns false it has answered the request.
+func (g *Gateway) admitBy(q *query, c *catalog.Catalog) bool {
+	q.version, q.proofAge, q.team = c.Version, g.proofAge(), ""
+	route, ok := c.Route(q.r.Host, q.r.URL.Path)
+	if !ok {
+		g.rejectByCatalog(q, http.StatusNotFound, "there is no such route")
+		return false
+	}
+	q.route, q.priority = route, min(route.Priority, maxPriority)
+	return g.authorize(q, c)
+}
+
 // authorize finds the team of the caller's key. A revoked key must not work, so keys are accepted
 // only while the configuration is known to be current.
 func (g *Gateway) authorize(q *query, c *catalog.Catalog) bool {
@@ -184,10 +195,13 @@
 	g.answer(q, status, reason)
 }
 
-// giveUp ends a request that has no attempts left: it is refused when nothing can have run, and has
-// failed otherwise.
+// giveUp ends a request that has no attempts left: it gets the failure answer of an endpoint if there
+// is one, is refused when nothing can have run, and has failed otherwise.
 func (g *Gateway) giveUp(q *query, reason string) {
 	switch {
+	case q.failure != nil:
+		g.deliver(q, q.failure.sendResult, q.failure.body)
+		q.reason += "; " + reason
 	case q.callerLeft():
 		q.setOutcome(0, outcomeLeft, reason)
 	case !q.mayHaveRun.Load() && (g.quarantined(q, time.Now()) || q.refused != nil):
