Gateway: a model endpoint's failure answer is kept until another attempt answers

As for plain services: a repeatable request of a model whose endpoint answered 500 got a 502 of the gateway where no retry was granted. TestFailureAnswerOfAModelIsKeptUntilARetryIsAnswered on the code before: expected 500, actual 502.

--- a/role/gateway/kept_failure_test.go
+++ b/role/gateway/kept_failure_test.go
@@ -11,6 +11,16 @@
 	"github.com/grademill/grademill/standin/site"
 )
 
+// Guards against an endpoint's own failure answer that is discarded for a retry that is not granted, of a model.
+func TestFailureAnswerOfAModelIsKeptUntilARetryIsAnswered(t *testing.T) {
+	t.Parallel()
+	w, _ := newModelWith(t, func(g *gateway.Gateway) { g.RetryShare, g.RetryReserve = 0, 0 })
+	w.site.NextModes(model, site.Fail)
+	answer := w.do(w.streamRequest("/plan/1", 5))
+	require.Equal(t, http.StatusInternalServerError, answer.StatusCode, answer.body)
+	require.NotEmpty(t, answer.Header.Get("X-Response-Seal"))
+}
+
 // Guards against an endpoint's own failure answer that is discarded for a retry that is not granted or gives no answer.
 func TestFailureAnswerIsKeptUntilARetryIsAnswered(t *testing.T) {
 	t.Parallel()
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -343,6 +343,9 @@
 		return false, ""
 	}
 	if err != nil || s.out.Begun() || a.answer.Status >= http.StatusInternalServerError && s.q.route.Repeats() {
+		if err == nil {
+			s.q.failure = &wholeAnswer{a.sendResult, body}
+		}
 		a.first.use.health.Update(func(r health.Record) health.Record { return r.WithError(time.Now()) })
 		s.q.avoid(a.first.Address)
 		s.q.cause = causeFailed
