Gateway: what is known of an endpoint's presence is a package of its own

state/presence has the times and reports by which an endpoint is down, presumed dead or stalled, and the decisions on them, which were spread over usage, checks and digests of role/gateway.

--- a/role/gateway/check.go
+++ b/role/gateway/check.go
@@ -34,7 +34,7 @@
 // process is starved of processor time. If the endpoint does not answer, the streams through it are
 // moved at once: the endpoints before it in the chain report the stall later.
 func (g *Gateway) checkAsync(b *backend) {
-	if b.use.down() || !b.use.checking.CompareAndSwap(false, true) {
+	if b.use.Down() || !b.use.checking.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
@@ -56,7 +56,7 @@
 	defer b.use.recheckingStarved.Store(false)
 	for checks := 1; g.isCurrent(b); checks++ {
 		pause.For(context.Background(), liveness.StarvedWait(checks))
-		if b.use.down() || b.use.eventAt.Load() > since.UnixNano() {
+		if b.use.Down() || b.use.EventAt.Load() > since.UnixNano() {
 			return
 		}
 		if !b.use.checking.CompareAndSwap(false, true) {
@@ -81,13 +81,13 @@
 func (g *Gateway) verify(ctx context.Context, b *backend) {
 	brokenAt := time.Now()
 	for !b.use.checking.CompareAndSwap(false, true) {
-		if ctx.Err() != nil || b.use.down() {
+		if ctx.Err() != nil || b.use.Down() {
 			return
 		}
 		pause.For(ctx, verifyPoll)
 	}
 	defer b.use.checking.Store(false)
-	if !b.use.down() {
+	if !b.use.Down() {
 		g.checkSince(b, brokenAt)
 	}
 }
@@ -95,7 +95,7 @@
 // checkIfUncertain checks an endpoint through which an event is late, unless one has just come
 // through it or it has recently passed a check.
 func (g *Gateway) checkIfUncertain(b *backend, now time.Time) {
-	if b.use.hasRecentEvent(now) || liveness.Checked(elapsed(now, &b.use.checkedAt)) {
+	if b.use.HasRecentEvent(now) || liveness.Checked(elapsed(now, &b.use.checkedAt)) {
 		return
 	}
 	g.checkAsync(b)
@@ -180,7 +180,7 @@
 func (g *Gateway) reference(address string) string {
 	last, found := time.Now().Add(-referenceFresh).UnixNano(), ""
 	for _, b := range g.fleet.Load().ByAddress {
-		if at := b.use.eventAt.Load(); b.Address != address && at > last && !b.use.down() {
+		if at := b.use.EventAt.Load(); b.Address != address && at > last && !b.use.Down() {
 			last, found = at, b.Address
 		}
 	}
@@ -229,8 +229,8 @@
 
 // noteAnswer records that an endpoint has answered a question asked at begun.
 func (g *Gateway) noteAnswer(b *backend, begun, now time.Time) {
-	if b.use.noteAnswered(begun, now) {
-		g.Log.Info().Str("endpoint", b.ID).Str("address", b.Address).Int("witnesses", b.use.reporters.Count(now)).
+	if b.use.NoteAnswered(begun, now) {
+		g.Log.Info().Str("endpoint", b.ID).Str("address", b.Address).Int("witnesses", b.use.Reporters.Count(now)).
 			Msg("endpoint answers, against the word of others")
 	}
 }
@@ -246,7 +246,7 @@
 // once.
 func (g *Gateway) announceLoss(b *backend) {
 	b.use.watchers.checkSoon()
-	if b.use.down() && b.use.reporters.Count(time.Now()) < liveness.EnoughWitnesses {
+	if b.use.Down() && b.use.Reporters.Count(time.Now()) < liveness.EnoughWitnesses {
 		g.gossip.ReportLoss(b.ID)
 	}
 	g.gossip.SendSoon()
@@ -258,10 +258,10 @@
 	now := time.Now()
 	for _, stall := range report.Stalled {
 		b := g.fleet.Load().ByAddress[stall.Address]
-		if b == nil || b.use.presumedDead(now) {
+		if b == nil || b.use.PresumedDead(now) {
 			continue
 		}
-		b.use.stall(now)
+		b.use.Stall(now)
 		g.Log.Info().Str("endpoint", b.ID).Str("address", b.Address).Str("request", stall.Request).
 			Msg("endpoint holds requests up")
 		g.announceLoss(b)
@@ -271,10 +271,10 @@
 // hasEnded reports whether an endpoint that still has a record has ended: it has not answered this
 // gateway for some time, and another gateway, if there is one, gets no answer either.
 func (g *Gateway) hasEnded(b *backend, now time.Time) bool {
-	if !b.use.down() || !liveness.Ended(elapsed(now, &b.use.downSince)) {
+	if !b.use.Down() || !liveness.Ended(b.use.DownFor(now)) {
 		return false
 	}
-	return g.peers.Alone() || b.use.othersDown.Load() > 0
+	return g.peers.Alone() || b.use.OthersDown.Load() > 0
 }
 
 // revive checks the endpoints that are down until ctx ends: they get requests only after they have
@@ -284,7 +284,7 @@
 		pause.For(ctx, liveness.RecheckInterval)
 		for _, b := range g.fleet.Load().ByID {
 			g.verifyReportedDown(b, time.Now())
-			if !b.use.down() || !g.recheckDue(b, time.Now()) || !b.use.checking.CompareAndSwap(false, true) {
+			if !b.use.Down() || !g.recheckDue(b, time.Now()) || !b.use.checking.CompareAndSwap(false, true) {
 				continue
 			}
 			go func() {
@@ -299,7 +299,7 @@
 // report it down: the others may be cut off from it, and this gateway may be the one that reaches
 // it.
 func (g *Gateway) verifyReportedDown(b *backend, now time.Time) {
-	if now.UnixNano() < b.use.reportedDownUntil.Load() && liveness.VerifyReports(elapsed(now, &b.use.reportedDownSince)) {
+	if b.use.Unverified(now) {
 		g.checkAsync(b)
 	}
 }
@@ -314,7 +314,7 @@
 // all the time, the other gateways once the checkers no longer report it down, or after the longest
 // interval. An endpoint that is down for this gateway alone is checked at growing intervals.
 func (g *Gateway) recheckDue(b *backend, now time.Time) bool {
-	return g.isChecker(b) || liveness.RecheckDue(elapsed(now, &b.use.silentAt), int(b.use.rechecks.Load()), b.use.othersDown.Load() != 0)
+	return g.isChecker(b) || b.use.RecheckDue(now)
 }
 
 // recheck asks an endpoint that is down for its report, and uses it again when it gives one.
@@ -326,8 +326,7 @@
 	}
 	if silent(err) || b.replacedBy(report) { // the record of the new incarnation follows
 		g.Meter.Check(checkStillSilent)
-		b.use.silentAt.Store(time.Now().UnixNano())
-		b.use.rechecks.Add(1)
+		b.use.MarkStillDown(time.Now())
 		if !silent(err) || errors.Is(err, syscall.ECONNREFUSED) {
 			g.endedAfterSilence(b, time.Now())
 		}
@@ -338,7 +337,7 @@
 	if err == nil {
 		b.noteLayers(report.Layers, time.Now())
 	}
-	b.use.downSince.Store(0)
+	b.use.MarkUp()
 	b.use.ended.Store(false)
 	g.Log.Info().Str("endpoint", b.ID).Str("address", b.Address).Msg("endpoint answers again")
 }
--- a/role/gateway/chooser.go
+++ b/role/gateway/chooser.go
@@ -66,7 +66,7 @@
 	}
 	for i, p := range old.chain {
 		b := old.parts[i]
-		if i > 0 && (q.avoids(p.Address, now) || b.use.presumedDead(now)) {
+		if i > 0 && (q.avoids(p.Address, now) || b.use.PresumedDead(now)) {
 			continue
 		}
 		holders = append(holders, chain.Holder{
@@ -116,7 +116,7 @@
 		hold := b.use.intake.Held(now)
 		// An endpoint whose host refuses connections has certainly ended. Sending there would only
 		// use up the retry budget that callers need once other endpoints hold its layers.
-		out := hold == throttle.Leaving || b.use.down() && b.use.ended.Load()
+		out := hold == throttle.Leaving || b.use.Down() && b.use.ended.Load()
 		if q.avoids(b.Address, now) || out || use != skipFull && b.use.avoided(now) {
 			c.avoided++
 			continue
--- a/role/gateway/digest.go
+++ b/role/gateway/digest.go
@@ -58,10 +58,9 @@
 // unused reports whether this gateway has no requests at the endpoint and knows nothing of it that
 // others might not know.
 func (u *usage) unused(now time.Time) bool {
-	at := now.UnixNano()
 	latest := max(u.checkedAt.Load(), u.othersCheckedAt.Load())
-	return u.active.Load() == 0 && u.held.Load() == 0 && !u.down() && at >= u.stalledUntil.Load() &&
-		at-latest >= int64(liveness.CheckReportTime) && u.pendingOrder.Load() == nil && !u.intake.ReportsLimit(now)
+	return u.active.Load() == 0 && u.held.Load() == 0 && !u.Down() && u.StalledFor(now) == 0 &&
+		now.UnixNano()-latest >= int64(liveness.CheckReportTime) && u.pendingOrder.Load() == nil && !u.intake.ReportsLimit(now)
 }
 
 // digestEntry returns the digest entry of an endpoint at now, plus the use by others; checked is
@@ -70,14 +69,14 @@
 	s := peers.Usage{
 		Active: u.active.Load(), Entered: u.entered.Load(), Held: u.held.Load(), Reading: u.reading.Load(),
 	}
-	if u.down() && now.UnixNano()-u.silentAt.Load() < int64(liveness.ReportFresh) {
+	if u.Reportable(now) {
 		s.Down = 1
 	}
 	s = s.Plus(others)
 	use := &gossip.Use{
 		Active: uint32(max(s.Active, 0)), Entered: uint32(max(s.Entered, 0)), Held: uint64(max(s.Held, 0)),
 		Reading: uint32(max(s.Reading, 0)), Down: uint32(max(s.Down, 0)),
-		AvoidedMillis: uint32(max((u.stalledUntil.Load()-now.UnixNano())/int64(time.Millisecond), 0)),
+		AvoidedMillis: uint32(u.StalledFor(now).Milliseconds()),
 	}
 	if age := now.UnixNano() - checked; age < int64(liveness.CheckReportTime) {
 		use.CheckedMillis = uint32(time.Duration(age).Milliseconds()) + 1
@@ -160,15 +159,15 @@
 // is one of its checkers. After reports by two gateways the endpoint is avoided, and streams
 // through it whose events are overdue are moved.
 func (g *Gateway) handleDownReport(b *backend, from string, now time.Time) {
-	if b.use.down() {
+	if b.use.Down() {
 		return
 	}
-	isNew := b.use.reporters.Count(now) == 0
-	if b.use.reporters.Report(from, now) >= liveness.EnoughWitnesses && !b.use.contradicted(now) {
+	isNew, believed := b.use.ReportDown(from, now)
+	if believed {
 		g.believeDown(b, now)
 	}
 	switch {
-	case isNew && b.use.active.Load() > 0 && !b.use.hasRecentEvent(now):
+	case isNew && b.use.active.Load() > 0 && !b.use.HasRecentEvent(now):
 		g.checkAsync(b)
 	case b.use.active.Load() > 0 || g.isChecker(b):
 		g.checkIfUncertain(b, now)
@@ -177,15 +176,10 @@
 
 // believeDown presumes an endpoint dead because other gateways report it down.
 func (g *Gateway) believeDown(b *backend, now time.Time) {
-	known := b.use.presumedDead(now)
-	if now.UnixNano() > b.use.reportedDownUntil.Load() {
-		b.use.reportedDownSince.Store(now.UnixNano())
-	}
-	b.use.reportedDownUntil.Store(now.Add(liveness.ReportFresh).UnixNano())
-	if known {
+	if !b.use.BelieveDown(now) {
 		return
 	}
-	g.Log.Info().Str("endpoint", b.ID).Str("address", b.Address).Int("witnesses", b.use.reporters.Count(now)).
+	g.Log.Info().Str("endpoint", b.ID).Str("address", b.Address).Int("witnesses", b.use.Reporters.Count(now)).
 		Int64("active", b.use.active.Load()).Msg("endpoint is down by the word of others")
 	b.use.watchers.checkSoon()
 }
@@ -215,9 +209,7 @@
 // handleStallReport avoids an endpoint for as long as another gateway does, and has the streams
 // through it moved unless it was already presumed dead.
 func (g *Gateway) handleStallReport(b *backend, now time.Time, wait time.Duration) {
-	isNew := !b.use.presumedDead(now)
-	b.use.othersStalledUntil.Store(now.Add(wait).UnixNano())
-	if isNew {
+	if b.use.NoteOthersStall(now, wait) {
 		b.use.watchers.checkSoon()
 	}
 }
--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/grademill/grademill/state/intake"
 	"github.com/grademill/grademill/state/pace"
 	"github.com/grademill/grademill/state/peers"
+	"github.com/grademill/grademill/state/presence"
 	"github.com/grademill/grademill/state/reporters"
 	"github.com/grademill/grademill/state/roster"
 	"github.com/grademill/grademill/state/suspects"
@@ -38,6 +39,7 @@
 // usage is what this gateway knows of an endpoint beyond its record. It survives changes of the
 // record. All fields are safe for concurrent use.
 type usage struct {
+	presence.Presence
 	// active is the number of requests of this gateway that the endpoint runs, held the memory that
 	// they need, in tokens times layers.
 	active, held atomic.Int64
@@ -47,35 +49,16 @@
 	// reading is the number of requests of this gateway whose prompt it reads, othersReading that
 	// of the other gateways.
 	reading, othersReading atomic.Int64
-	// othersActive and othersHeld are the corresponding values of the other gateways; othersDown is
-	// the number of those that recently got no answer from the endpoint.
-	othersActive, othersHeld, othersDown atomic.Int64
+	// othersActive and othersHeld are the corresponding values of the other gateways.
+	othersActive, othersHeld atomic.Int64
 	// pace is how slow it is, by its latest report.
 	pace pace.Pace
 	// noRoomUntil is until when it is avoided after it refused for lack of room, in nanoseconds of
 	// Unix time.
 	noRoomUntil atomic.Int64
-	// stalledUntil is until when it is avoided after it stalled requests, as observed by this
-	// gateway, and othersStalledUntil the same as reported by others, in nanoseconds of Unix time;
-	// stalls counts the stalls observed by this gateway.
-	stalledUntil, othersStalledUntil, stalls atomic.Int64
-	// eventAt is when an event last came through it, in nanoseconds of Unix time.
-	eventAt atomic.Int64
-	// downSince is when it was found not to answer, 0 while it answers, silentAt when it last gave
-	// no answer, and reportedDownUntil until when it is presumed dead because other gateways report
-	// it down, in nanoseconds of Unix time.
-	downSince, silentAt, reportedDownUntil atomic.Int64
-	// reportedDownSince is since when it is presumed dead because of their reports, and
-	// contradictedUntil until when these reports do not count because it has answered this gateway
-	// meanwhile, in nanoseconds of Unix time.
-	reportedDownSince, contradictedUntil atomic.Int64
-	// reporters are the other gateways that report it down.
-	reporters reporters.Reporters
 	// begun are the requests that it had just started when it was found silent, nil once it is
 	// known whether it has ended.
 	begun atomic.Pointer[[]suspects.Begun]
-	// rechecks counts the consecutive checks without an answer since it was found down.
-	rechecks atomic.Int64
 	// ended is set while its process has certainly ended: its host refuses connections to it, or
 	// another incarnation has taken its place.
 	ended atomic.Bool
@@ -107,7 +90,7 @@
 
 // newUsage returns the usage of an endpoint that is not used yet.
 func newUsage() *usage {
-	return &usage{reporters: reporters.Reporters{ReportLifetime: liveness.ReportFresh}}
+	return &usage{Presence: presence.Presence{Reporters: reporters.Reporters{ReportLifetime: liveness.ReportFresh}}}
 }
 
 // Count adds the share of another gateway at the endpoint.
@@ -116,7 +99,7 @@
 	u.othersEntered.Add(s.Entered)
 	u.othersHeld.Add(s.Held)
 	u.othersReading.Add(s.Reading)
-	u.othersDown.Add(s.Down)
+	u.OthersDown.Add(s.Down)
 }
 
 // elapsed returns the time from at, in nanoseconds of Unix time, to now.
@@ -153,62 +136,15 @@
 
 // avoided reports whether new requests avoid the endpoint at now.
 func (u *usage) avoided(now time.Time) bool {
-	return u.presumedDead(now) || u.reportedDown(now) || now.UnixNano() < u.noRoomUntil.Load() || u.health.Load().Avoided(now)
-}
-
-// presumedDead reports whether the endpoint is presumed to have ended, or to be cut off, at now:
-// the requests that run there are lost. The loss of a single request there says nothing about the
-// others.
-func (u *usage) presumedDead(now time.Time) bool {
-	at := now.UnixNano()
-	return u.down() || at < u.stalledUntil.Load() || at < u.othersStalledUntil.Load() || at < u.reportedDownUntil.Load()
-}
-
-// reportedDown reports whether other gateways report the endpoint down while no event has recently
-// come through it here. It then gets no new requests; those that run there are checked.
-func (u *usage) reportedDown(now time.Time) bool {
-	return u.othersDown.Load() >= liveness.EnoughWitnesses && !u.contradicted(now) && liveness.Idle(elapsed(now, &u.eventAt))
-}
-
-// contradicted reports whether reports that the endpoint is down do not count, since it has
-// answered this gateway.
-func (u *usage) contradicted(now time.Time) bool {
-	return now.UnixNano() < u.contradictedUntil.Load()
-}
-
-// noteAnswered records that the endpoint has answered a question asked at begun, and reports
-// whether it had been presumed dead because others reported it down.
-func (u *usage) noteAnswered(begun, now time.Time) bool {
-	if u.reporters.Count(now) == 0 || begun.UnixNano() <= u.reportedDownSince.Load() {
-		return false
-	}
-	u.contradictedUntil.Store(now.Add(liveness.ContradictionTime).UnixNano())
-	return now.UnixNano() < u.reportedDownUntil.Swap(0)
-}
-
-// down reports whether the endpoint does not answer this gateway.
-func (u *usage) down() bool {
-	return u.downSince.Load() != 0
+	return u.PresumedDead(now) || u.ReportedDown(now) || now.UnixNano() < u.noRoomUntil.Load() || u.health.Load().Avoided(now)
 }
 
 // markDown records at now that the endpoint does not answer, and whether it has certainly ended.
 func (u *usage) markDown(now time.Time, ended bool) {
-	u.downSince.Store(now.UnixNano())
-	u.silentAt.Store(now.UnixNano())
-	u.rechecks.Store(0)
+	u.MarkDown(now)
 	u.ended.Store(ended)
 }
 
-// hasRecentEvent reports whether an event has just come through the endpoint.
-func (u *usage) hasRecentEvent(now time.Time) bool {
-	return liveness.Alive(elapsed(now, &u.eventAt))
-}
-
-// stall records at now that the endpoint stalled requests.
-func (u *usage) stall(now time.Time) {
-	u.stalledUntil.Store(now.Add(liveness.StallWait(int(u.stalls.Add(1)))).UnixNano())
-}
-
 // fleetFactor returns the ratio of the requests of all gateways at the endpoint to those of this
 // gateway. When the endpoint is lost they are all moved at once, and each gateway sees only its
 // own.
--- a/role/gateway/members.go
+++ b/role/gateway/members.go
@@ -48,7 +48,7 @@
 
 // dropped removes an endpoint whose record is gone.
 func (g *Gateway) dropped(r roster.Record) {
-	if b := g.removeUsage(r); b != nil && b.use.down() { // silent, and its record has lapsed
+	if b := g.removeUsage(r); b != nil && b.use.Down() { // silent, and its record has lapsed
 		g.endedAfterSilence(b, time.Now())
 	}
 }
--- a/role/gateway/overload.go
+++ b/role/gateway/overload.go
@@ -101,7 +101,7 @@
 	m := c.Services[service].Model
 	holders := make([]hallcapacity.Holder, 0, len(f.Open[service]))
 	for _, b := range f.Open[service] {
-		if card, known := m.Cards[b.Card]; known && !b.use.presumedDead(now) {
+		if card, known := m.Cards[b.Card]; known && !b.use.PresumedDead(now) {
 			holders = append(holders, hallcapacity.Holder{Hall: b.Hall, Layers: b.usable(now), Room: m.Room(card, b.Layers.Len()), Slots: b.Slots})
 		}
 	}
--- a/role/gateway/pace.go
+++ b/role/gateway/pace.go
@@ -25,7 +25,7 @@
 			for _, b := range backends {
 				now := time.Now()
 				backingOff := b.use.intake.Held(now) == throttle.BackingOff
-				if b.Card != "" && !backingOff && !b.use.askedLately(now) && !b.use.presumedDead(now) && o.ItemRank(b.ID, hall) == 0 {
+				if b.Card != "" && !backingOff && !b.use.askedLately(now) && !b.use.PresumedDead(now) && o.ItemRank(b.ID, hall) == 0 {
 					g.ask(ctx, b)
 				}
 			}
--- a/role/gateway/quarantine.go
+++ b/role/gateway/quarantine.go
@@ -89,7 +89,7 @@
 func (g *Gateway) incarnationState(l suspicion.Incarnation) (ended, silent bool) {
 	b := g.fleet.Load().ByID[l.Endpoint]
 	over := b == nil || b.Born != 0 && l.Born != 0 && b.Born != l.Born || b.use.ended.Load()
-	if over || b.use.presumedDead(time.Now()) {
+	if over || b.use.PresumedDead(time.Now()) {
 		return over && g.loaded.Load(), true
 	}
 	g.checkIfUncertain(b, time.Now())
--- a/role/gateway/reservation.go
+++ b/role/gateway/reservation.go
@@ -48,7 +48,7 @@
 
 // lost reports whether an endpoint of the chain does not answer.
 func (s *reservation) lost() bool {
-	return slices.ContainsFunc(s.parts, func(b *backend) bool { return b.use.down() })
+	return slices.ContainsFunc(s.parts, func(b *backend) bool { return b.use.Down() })
 }
 
 // halls returns the data halls of the endpoints of the chain, in its order.
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -119,7 +119,7 @@
 		latest := ran[len(ran)-1]
 		_, sentAt := q.sends.Last()
 		unchecked := latest.use.checkedAt.Load() < sentAt.UnixNano()
-		unknown := unchecked || slices.ContainsFunc(ran, func(b *backend) bool { return b.use.down() })
+		unknown := unchecked || slices.ContainsFunc(ran, func(b *backend) bool { return b.use.Down() })
 		if !s.out.Begun() || !unknown || q.r.Context().Err() != nil || q.timeLeft(time.Now()) <= 0 {
 			return false
 		}
@@ -330,7 +330,7 @@
 // all gateways then send the requests that ran there again, and 0 if only this request is.
 func (s *relay) noteLoss(first *backend) {
 	fleetFactor := 0.0
-	if first.use.presumedDead(time.Now()) {
+	if first.use.PresumedDead(time.Now()) {
 		fleetFactor = first.use.fleetFactor()
 	}
 	s.q.fleetFactor.Update(func(float64) float64 { return fleetFactor })
--- a/role/gateway/watchdog.go
+++ b/role/gateway/watchdog.go
@@ -87,7 +87,7 @@
 	w.passed = w.passed || w.relay.q.guard.Ran(now.Sub(w.chainAt), now.Sub(w.first))
 	w.reservation.notePromptRead()
 	for _, b := range w.reservation.parts {
-		b.use.eventAt.Store(now.UnixNano())
+		b.use.EventAt.Store(now.UnixNano())
 	}
 	w.timer.Reset(w.gaps.Value())
 }
@@ -158,7 +158,7 @@
 // waitedEnough reports whether the attempt has waited long enough for an event.
 func (w *watchdog) waitedEnough(reservation *reservation, last time.Time) bool {
 	q, now := w.relay.q, time.Now()
-	if !q.route.Repeats() || liveness.Working(elapsed(now, &reservation.first.use.eventAt)) {
+	if !q.route.Repeats() || liveness.Working(elapsed(now, &reservation.first.use.EventAt)) {
 		return false
 	}
 	if last.IsZero() {
@@ -262,7 +262,7 @@
 	w.trySuccessor(current.first, func() (*reservation, shortage) {
 		next, short := w.reserveOther()
 		if short != w.lastShortage || short == shortageNone {
-			w.relay.g.Log.Info().Str("request", q.ID).Str("first", current.first.Address).Bool("down", current.first.use.down()).
+			w.relay.g.Log.Info().Str("request", q.ID).Str("first", current.first.Address).Bool("down", current.first.use.Down()).
 				Str("shortage", string(short)).Msg("whether a try is left for another")
 		}
 		w.lastShortage = short
@@ -286,12 +286,12 @@
 func (w *watchdog) alive(parts []*backend) bool {
 	var checks sync.WaitGroup
 	for _, b := range parts {
-		if !b.use.hasRecentEvent(time.Now()) {
+		if !b.use.HasRecentEvent(time.Now()) {
 			checks.Go(func() { w.relay.g.verify(w.ctx, b) })
 		}
 	}
 	checks.Wait()
-	return len(parts) > 0 && !slices.ContainsFunc(parts, func(b *backend) bool { return b.use.down() })
+	return len(parts) > 0 && !slices.ContainsFunc(parts, func(b *backend) bool { return b.use.Down() })
 }
 
 // repair moves the request away from a lost endpoint of its chain, or has the endpoints checked
@@ -299,14 +299,14 @@
 // not answer, or there is no other chain.
 func (w *watchdog) repair(reservation *reservation) bool {
 	now := time.Now()
-	if reservation.first.use.down() {
+	if reservation.first.use.Down() {
 		if reservation.first.use.ended.Load() || w.relay.g.hasEnded(reservation.first, now) {
 			w.releaseReservation()
 		}
 		return false
 	}
 	for _, b := range reservation.parts[1:] {
-		if b.use.presumedDead(now) {
+		if b.use.PresumedDead(now) {
 			return w.move(reservation, b)
 		}
 	}
