Gateway process: a stop ends before the process is killed also where the signal is handled late

The half second between the end of a stop and the kill was counted from the late signal. It is a second now. Requests that run that long after the signal are cut in either case.

--- a/cmd/grademill-gateway/daemon.go
+++ b/cmd/grademill-gateway/daemon.go
@@ -38,8 +38,9 @@
 	// to notice.
 	lingerWait = 2500 * time.Millisecond
 	// stopMargin is the time left between the end of the process and the stop
-	// time-out, after which the process is killed.
-	stopMargin = 500 * time.Millisecond
+	// time-out, after which the process is killed. A process that is starved of
+	// processor time handles the signal late, and has to log what it cuts.
+	stopMargin = time.Second
 	// stopPoll is how often a stopping process checks whether it is idle.
 	stopPoll = 20 * time.Millisecond
 	// bytesPerMegabit converts the rate of a link from Mbit/s to bytes/s.
