Stand-in: an endpoint tells which answers it broke off, and when it was stopped

The soak has to tell an answer that its endpoint broke off from one that the gateway broke off. Recorded are answers in a mode that breaks them off, streams with a dead stage, requests that end their endpoint and those that a dead endpoint receives.

--- a/standin/site/endpoint.go
+++ b/standin/site/endpoint.go
@@ -99,10 +99,14 @@
 	// mode applies to requests for which Site.NextModes has set none.
 	mode Mode
 	ran  map[string]int
-	seen []*http.Request
+	// broken counts the answers that the endpoint broke off or never gave, by request.
+	broken map[string]int
+	seen   []*http.Request
 	// arrived holds the arrival times of the requests in seen.
 	arrived []time.Time
 	dead    bool
+	// stopped is when Site.Stop ended the endpoint, zero if it has not.
+	stopped time.Time
 	// pausedUntil is the end of the pause, zero if there was none.
 	pausedUntil time.Time
 	// running holds the chains of running streams, and bodies the bodies of streams, by request.
@@ -211,6 +215,40 @@
 	return e.ran[id]
 }
 
+// Broke returns how many answers to the request with an ID the endpoint has broken off, by its mode or because
+// it, or a stage of the request's chain, is dead.
+func (e *Endpoint) Broke(id string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.broken[id]
+}
+
+// Stopped returns when Site.Stop ended the endpoint, zero if it has not.
+func (e *Endpoint) Stopped() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.stopped
+}
+
+// recordBreak records that the endpoint breaks off its answer to a request, or never gives one.
+func (e *Endpoint) recordBreak(r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.broken == nil {
+		e.broken = make(map[string]int)
+	}
+	e.broken[r.Header.Get("X-Request-Id")]++
+}
+
+// breaksOff reports whether an endpoint in the mode breaks its answers off.
+func (m Mode) breaksOff() bool {
+	switch m {
+	case Lose, Hang, Cut, Twice, Drop, Vanish, UnframedCut, UnframedReset:
+		return true
+	}
+	return m >= EndlessStatus
+}
+
 // Seen returns the requests that arrived, in order.
 func (e *Endpoint) Seen() []*http.Request {
 	e.mu.Lock()
@@ -242,6 +280,7 @@
 // ServeHTTP serves a request, a report or an order.
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if e.isDead() {
+		e.recordBreak(r)
 		<-r.Context().Done()
 		return
 	}
@@ -275,6 +314,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if mode.breaksOff() {
+		e.recordBreak(r)
+	}
 	if _, ok := endlessAnswers[mode]; ok {
 		if mode != EndlessRefusal {
 			e.recordRun(r)
--- a/standin/site/model.go
+++ b/standin/site/model.go
@@ -71,6 +71,9 @@
 	last := events(r)
 	for n := after + 1; n <= last; n++ {
 		if !e.wait(r, id) {
+			if e.isDead() || e.stalledAt(id) != "" {
+				e.recordBreak(r)
+			}
 			e.countDisconnect()
 			panic(http.ErrAbortHandler)
 		}
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 )
 
 // Site is a store and a set of endpoints, each served at a loopback address. Make
@@ -89,6 +90,9 @@
 
 // Stop simulates the end of an endpoint's process: connections are closed, and new ones refused.
 func (s *Site) Stop(e *Endpoint) {
+	e.mu.Lock()
+	e.stopped = time.Now()
+	e.mu.Unlock()
 	s.mu.Lock()
 	server := s.byAddress[e.address]
 	s.mu.Unlock()
@@ -175,6 +179,7 @@
 	}
 	s.mu.Unlock()
 	if crashes {
+		e.recordBreak(r)
 		if s.BeforeCrash != nil {
 			s.BeforeCrash(e)
 		}
