Soak: a request without an answer has the time at which it ended

checkAnswered takes a request whose connection closed within 200 ms of its last byte, and that no endpoint received, for one that crossed the close. send set the end in a deferred function after its unnamed result had been copied, so that it was zero for every request without an answer: the difference was negative, and a request that was not passed on was never found, however late it was closed.

--- a/test/soak/caller_test.go
+++ b/test/soak/caller_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/grademill/grademill/standin/site"
@@ -131,7 +132,8 @@
 }
 
 // send sends a request with a body and returns it together with the response.
-func (c *callers) send(client *http.Client, ex exchange, body string) exchange {
+func (c *callers) send(client *http.Client, asked exchange, body string) (ex exchange) {
+	ex = asked
 	n, id := ex.node, ex.id
 	ex.incarnation, ex.stop = n.state()
 	request, err := http.NewRequest("POST", "http://"+n.caller+ex.path, bytes.NewBufferString(body))
@@ -147,10 +149,16 @@
 	// Without GetBody the client cannot resend a request on its own.
 	request.GetBody = nil
 	ex.at = time.Now()
-	defer func() { ex.ended = time.Now() }()
+	var sent atomic.Pointer[time.Time] // the transport may be writing when a response arrives
+	defer func() {
+		ex.ended = time.Now()
+		if at := sent.Load(); at != nil {
+			ex.sent = *at
+		}
+	}()
 	trace := httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) {
-		if i.Err == nil {
-			ex.sent = time.Now()
+		if now := time.Now(); i.Err == nil {
+			sent.Store(&now)
 		}
 	}}
 	answer, err := client.Do(request.WithContext(httptrace.WithClientTrace(context.Background(), &trace)))
@@ -160,7 +168,7 @@
 	}
 	defer answer.Body.Close() //nolint:errcheck // read to its end
 	text, err := io.ReadAll(answer.Body)
-	ex.status, ex.body, ex.whole, ex.err, ex.ended = answer.StatusCode, string(text), err == nil, err, time.Now()
+	ex.status, ex.body, ex.whole, ex.err = answer.StatusCode, string(text), err == nil, err
 	if answer.StatusCode == http.StatusOK && answer.Header.Get("X-Response-Seal") == "" {
 		ex.body = "unsigned: " + ex.body
 	}
