Soak: changes of the configuration meet disruptions

Callers keep connections that rest about as long as the idle limits allow, send long bodies part by part, and read long streams.

Each request that was written whole must get a whole answer or a refusal, or cross the close of its connection unread within 200 ms. What the endpoints broke off is known from the stand-in. A failure prints the lines of the request in the gateways' logs. TestSoakWithChanges is the pair without a disruption; its checks are among those of the new test.

--- a/test/soak/caller_test.go
+++ b/test/soak/caller_test.go
@@ -25,13 +25,17 @@
 	at, ended time.Time
 	status    int
 	body      string
+	// payload is the body of the request.
+	payload string
 	// whole is set when the response body was read to its end.
 	whole bool
 	// sent is when the whole request had been written, zero if it was not; err is why there is no response.
-	sent   time.Time
-	err    error
-	events int
-	node   *node
+	sent time.Time
+	err  error
+	// cutShort is set if the connection failed before the whole body had been written.
+	cutShort bool
+	events   int
+	node     *node
 	// incarnation and stop are the state of the gateway process when the request was sent.
 	incarnation int
 	stop        time.Time
@@ -43,6 +47,9 @@
 	backends *backends
 	nodes    []*node
 
+	// herd is the gateway to which all requests of run go, on new connections; nil for none.
+	herd atomic.Pointer[node]
+
 	mu    sync.Mutex // guards the fields below
 	ready map[*node]bool
 	all   []exchange
@@ -65,6 +72,20 @@
 	}
 }
 
+// isReady reports whether a gateway is in rotation.
+func (c *callers) isReady(n *node) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ready[n]
+}
+
+// add records an exchange.
+func (c *callers) add(ex exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.all = append(c.all, ex)
+}
+
 // pathPrefixes are the path prefixes of the routes that callers draw from; /plan/ is drawn twice as often.
 var pathPrefixes = []string{"/renew/", "/freeze/", "/plan/", "/once/", "/plan/"}
 
@@ -75,14 +96,12 @@
 	defer client.CloseIdleConnections()
 	for i := 0; ctx.Err() == nil; i++ {
 		n := c.nodes[r.IntN(len(c.nodes))]
-		c.mu.Lock()
-		ready := c.ready[n]
-		c.mu.Unlock()
-		if ready {
-			ex := c.ask(&client, n, r, fmt.Sprintf("c%d-%d", seed, i))
-			c.mu.Lock()
-			c.all = append(c.all, ex)
-			c.mu.Unlock()
+		if herd := c.herd.Load(); herd != nil {
+			n = herd
+			client.CloseIdleConnections()
+		}
+		if c.isReady(n) {
+			c.add(c.ask(&client, n, r, fmt.Sprintf("c%d-%d", seed, i)))
 		}
 		time.Sleep(time.Duration(r.IntN(60)) * time.Millisecond)
 	}
@@ -107,10 +126,7 @@
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 12 * time.Second}
 	for i := 0; ctx.Err() == nil; i++ {
 		n := c.nodes[r.IntN(len(c.nodes))]
-		c.mu.Lock()
-		ready := c.ready[n]
-		c.mu.Unlock()
-		if ready {
+		if c.isReady(n) {
 			id := fmt.Sprintf("d%d-%d", seed, i)
 			ex := exchange{id: id, path: "/plan/again", key: c.backends.key(r), events: 20, node: n, parts: parts(id, "all", "half0")}
 			body := poisonRequest
@@ -135,6 +151,7 @@
 func (c *callers) send(client *http.Client, asked exchange, body string) (ex exchange) {
 	ex = asked
 	n, id := ex.node, ex.id
+	ex.payload = body
 	ex.incarnation, ex.stop = n.state()
 	request, err := http.NewRequest("POST", "http://"+n.caller+ex.path, bytes.NewBufferString(body))
 	if err != nil {
@@ -184,7 +201,12 @@
 		}
 		return b.String()
 	}
-	return site.Echo("POST", s.path, []byte(s.id))
+	return site.Echo("POST", s.path, []byte(s.payload))
+}
+
+// prefix returns the prefix of the request's path.
+func (s exchange) prefix() string {
+	return s.path[:strings.Index(s.path[1:], "/")+2]
 }
 
 // retryable reports whether a request may run more than once.
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -29,6 +29,9 @@
 	// store is the proxied link to the store.
 	store *proxy
 
+	// busy is held while a process ends and the next one starts.
+	busy sync.Mutex
+
 	mu sync.Mutex // guards the fields below
 	// process is the current process, nil before the first start.
 	process *exec.Cmd
@@ -40,8 +43,10 @@
 	// got none.
 	ending bool
 	faults []string
-	out    *os.File
-	exited chan struct{}
+	// stops and kills are when processes got SIGTERM and SIGKILL, by incarnation.
+	stops, kills map[int]time.Time
+	out          *os.File
+	exited       chan struct{}
 }
 
 // binary builds the gateway once per test run and returns the path of the executable.
@@ -73,7 +78,7 @@
 	link, err := newProxy(store)
 	require.NoError(t, err)
 	n := &node{
-		t: t, name: name, settings: filepath.Join(dir, name+".toml"), store: link, caller: port(), ready: port(),
+		t: t, name: name, stops: make(map[int]time.Time), kills: make(map[int]time.Time), settings: filepath.Join(dir, name+".toml"), store: link, caller: port(), ready: port(),
 	}
 	text := fmt.Sprintf("role = \"gateway\"\nname = %q\nhall = %q\naddress = %q\n[gateway]\ncaller = %q\nready = %q\n"+
 		"store = %q\nrevocation = \"5s\"\nstop_timeout = %q\nretry_share = 0.2\nretry_reserve = 200\nretry_window = \"10s\"\nflat_fleet = %d\n"+
@@ -129,8 +134,12 @@
 func (n *node) signal(s syscall.Signal) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if s == syscall.SIGTERM && n.stopped.IsZero() {
+	switch {
+	case s == syscall.SIGTERM && n.stopped.IsZero():
 		n.stopped = time.Now()
+		n.stops[n.incarnation] = n.stopped
+	case s == syscall.SIGKILL:
+		n.kills[n.incarnation] = time.Now()
 	}
 	n.ending = n.ending || s == syscall.SIGTERM || s == syscall.SIGKILL
 	_ = n.process.Process.Signal(s) // the process may have exited already
--- a/test/soak/halls_test.go
+++ b/test/soak/halls_test.go
@@ -81,9 +81,7 @@
 		ex := c.send(&client, exchange{
 			id: id, path: "/plan/" + id, key: c.backends.key(r), events: longStream, node: c.nodes[r.IntN(len(c.nodes))], parts: parts(id, "all"),
 		}, id)
-		c.mu.Lock()
-		c.all = append(c.all, ex)
-		c.mu.Unlock()
+		c.add(ex)
 		time.Sleep(time.Duration(r.IntN(100)) * time.Millisecond)
 	}
 }
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -21,6 +22,8 @@
 	repliesOnly
 	// reset resets open and new connections.
 	reset
+	// lost is like silent, and most new connections are not even accepted.
+	lost
 )
 
 // slowDelay is how long a slow proxy delays each chunk.
@@ -55,6 +58,7 @@
 				return
 			}
 			go p.forward(c)
+			p.awaitPath()
 		}
 	}()
 	return p, nil
@@ -72,6 +76,7 @@
 	p.condition = condition
 	close(p.changed)
 	p.changed = make(chan struct{})
+	p.limitBacklog(condition)
 	if condition != reset {
 		return
 	}
@@ -80,6 +85,30 @@
 	}
 }
 
+// limitBacklog bounds the connections that wait to be accepted to one while the link is lost.
+func (p *proxy) limitBacklog(condition linkCondition) {
+	backlog := 1024
+	if condition == lost {
+		backlog = 0
+	}
+	if raw, err := p.listener.(*net.TCPListener).SyscallConn(); err == nil { // closed otherwise
+		_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), backlog) })
+	}
+}
+
+// awaitPath waits while the link is lost.
+func (p *proxy) awaitPath() {
+	for {
+		p.mu.Lock()
+		condition, changed := p.condition, p.changed
+		p.mu.Unlock()
+		if condition != lost {
+			return
+		}
+		<-changed
+	}
+}
+
 // resetConn closes a connection with a TCP reset.
 func resetConn(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
@@ -139,7 +168,7 @@
 		condition, changed := p.condition, p.changed
 		p.mu.Unlock()
 		switch {
-		case condition == silent || blocked != pass && condition == blocked:
+		case condition == silent || condition == lost || blocked != pass && condition == blocked:
 			<-changed
 		case condition == slow:
 			time.Sleep(slowDelay)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -73,7 +73,9 @@
 
 // world is the state of one soak test.
 type world struct {
-	t        *testing.T
+	t *testing.T
+	// dir holds the logs of the gateways.
+	dir      string
 	backends *backends
 	nodes    []*node
 	r        *rand.Rand
@@ -83,6 +85,8 @@
 	overloadReports []overloadReport
 	// knownFrom is the number of crashes by a poison request from which on all gateways learn of it.
 	knownFrom int
+	// arrived counts the arrivals of requests at endpoints, by ID, once the callers have ended.
+	arrived map[string]int
 
 	mu sync.Mutex // guards the fields below
 	// gatewayFaults are the periods in which gateways, or their links to the store, were faulty.
@@ -118,8 +122,8 @@
 	overloadReports bool
 	// emptiedHall is set to empty a data hall again and again under long streams.
 	emptiedHall bool
-	// changes is set to inject only what a sound system goes through: see world.change.
-	changes bool
+	// pairs is set to let changes of the configuration meet disruptions: see world.pair.
+	pairs bool
 	// killed is set to add, after the faults, a phase of a load past the capacity in which gateways are
 	// killed.
 	killed bool
@@ -167,7 +171,7 @@
 		}
 	})
 	w := &world{
-		t: t, backends: newBackends(t, l.slots), r: rand.New(rand.NewPCG(seed, 1)), linkFaults: make(map[*site.Endpoint][]time.Time),
+		t: t, dir: dir, backends: newBackends(t, l.slots), r: rand.New(rand.NewPCG(seed, 1)), linkFaults: make(map[*site.Endpoint][]time.Time),
 		gatewayFaults: make(map[*node][]span), knownFrom: 3,
 	}
 	overload := seed/2%2 == 1 // half of the seeds of one hall and half of those of two; draws nothing, so that seeds keep their faults
@@ -183,6 +187,10 @@
 		}
 		w.nodes = append(w.nodes, newNode(t, dir, fmt.Sprint("gateway-", i), hall, w.backends.site.StoreAddress, flat, overload))
 	}
+	if l.pairs {
+		w.backends.add(files, "north")
+		w.backends.add(files, "north")
+	}
 	c := &callers{backends: w.backends, nodes: w.nodes, ready: make(map[*node]bool)}
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
@@ -219,11 +227,20 @@
 	if l.overloadReports {
 		reporters.Go(func() { w.reportOverload(seed, faults) })
 	}
-	if l.changes {
+	if l.pairs {
+		w.knownFrom = 8 // of a request and a part
+		w.backends.site.CrashOn(poisonRequest)
+		w.backends.site.CrashOnPart(poisonPart)
 		for i := range keptCallers {
 			group.Go(func() { c.runKept(ctx, seed*1000+800+uint64(i)) })
 		}
-		w.change(faults)
+		for i := range 2 * streamCallers {
+			group.Go(func() { c.runStreams(ctx, seed*1000+700+uint64(i)) })
+		}
+		for i := range longCallers {
+			group.Go(func() { c.runLong(ctx, seed*1000+900+uint64(i)) })
+		}
+		w.pair(c, seed, faults)
 	} else {
 		w.inject(faults)
 	}
@@ -238,7 +255,7 @@
 	cancel()
 	group.Wait()
 	w.check(c, recovered)
-	if l.changes {
+	if l.pairs {
 		w.checkAnswered(c)
 	}
 }
--- a/test/soak/words_test.go
+++ b/test/soak/words_test.go
@@ -56,7 +56,9 @@
 			e.SetSignals(site.Signals{})
 		}
 		s.until = time.Now()
+		w.mu.Lock()
 		w.overloadReports = append(w.overloadReports, s)
+		w.mu.Unlock()
 	}
 }
 
