Gateway: a stream that has begun goes on at endpoints that have run it

What callers saw: a stream was broken off with 6.6 s of its 8 s left.

Cause: each send counted as one of the endpoints that a route allows, also where it would go to an endpoint that had run the request before.

Now the bound is on the endpoints, as a route states it: once their number is reached, a stream that has begun waits for one of them and goes on there.

--- a/role/gateway/chooser.go
+++ b/role/gateway/chooser.go
@@ -104,7 +104,7 @@
 func (c *chooser) collect(q *query, f *fleet, need int, use candidateFilter) {
 	c.holders = c.holders[:0]
 	c.open, c.avoided, c.crowded, c.entryCandidates, c.declining = 0, 0, 0, 0, c.declining[:0]
-	now, own := time.Now(), q.guard.Endpoint()
+	now, own, firsts := time.Now(), q.guard.Endpoint(), q.firsts()
 	for _, b := range f.Open[q.service.Name] {
 		usable := b.usable(now)
 		// A card of unknown kind has no known costs; a record written by another program may name
@@ -124,8 +124,8 @@
 		if !q.guard.MayUse(b.ID, c.reserved) {
 			continue
 		}
-		if own != "" && b.ID != own {
-			usable.First = max(usable.First, 1) // the endpoint that starts a request is the one that the request may crash
+		if own != "" && b.ID != own || firsts != nil && !b.among(firsts) {
+			usable.First = max(usable.First, 1) // the endpoint that starts a request is the one that runs it, and that it may crash
 		}
 		if usable.First == 0 {
 			c.entryCandidates++
--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -36,6 +37,11 @@
 	use *usage
 }
 
+// among reports whether the endpoint is one of a list, perhaps by another record.
+func (b *backend) among(list []*backend) bool {
+	return slices.ContainsFunc(list, func(other *backend) bool { return other.use == b.use })
+}
+
 // usage is what this gateway knows of an endpoint beyond its record. It survives changes of the
 // record. All fields are safe for concurrent use.
 type usage struct {
--- a/role/gateway/handover_test.go
+++ b/role/gateway/handover_test.go
@@ -14,7 +14,7 @@
 // one that then failed.
 func TestAttemptAtASilentEndpointGoesOnIfAnotherFails(t *testing.T) {
 	t.Parallel()
-	for name, failure := range map[string]site.Mode{"breaks": site.Drop, "fails": site.Fail} {
+	for name, failure := range map[string]site.Mode{"breaks": site.Drop, "fails": site.Fail, "is cut": site.Cut} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			w, cards := newModelOf(t, 6, 3)
--- a/role/gateway/query.go
+++ b/role/gateway/query.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -170,11 +169,28 @@
 	q.used = append(q.used, used)
 }
 
-// runs returns the number of endpoints that run the request, or may have run it, and have not certainly
-// ended since; a route bounds this number. Silence does not prove an end, since this process may be too
-// slow to receive the answers of a live endpoint.
-func (q *query) runs() int {
-	return len(slices.DeleteFunc(q.sends.Ran(), func(b *backend) bool { return b.use.ended.Load() }))
+// running returns the endpoints that run the request, or may have run it, and have not certainly ended
+// since; a route bounds their number. Silence does not prove an end, since this process may be too slow
+// to receive the answers of a live endpoint.
+func (q *query) running() []*backend {
+	var list []*backend
+	for _, b := range q.sends.Ran() {
+		if !b.use.ended.Load() && !b.among(list) {
+			list = append(list, b)
+		}
+	}
+	return list
+}
+
+// runs returns the number of the endpoints of running.
+func (q *query) runs() int { return len(q.running()) }
+
+// firsts returns the endpoints at which the request may begin, nil for any.
+func (q *query) firsts() []*backend {
+	if list := q.running(); len(list) >= max(q.route.Attempts, 1) {
+		return list
+	}
+	return nil
 }
 
 // callerLeft reports whether the caller is known to have closed the connection.
--- a/role/gateway/reservation.go
+++ b/role/gateway/reservation.go
@@ -34,7 +34,7 @@
 // joining returns the endpoints of another reservation that this one does not have.
 func (s *reservation) joining(next *reservation) []*backend {
 	return slices.DeleteFunc(slices.Clone(next.parts), func(b *backend) bool {
-		return slices.ContainsFunc(s.parts, func(own *backend) bool { return own.use == b.use })
+		return b.among(s.parts)
 	})
 }
 
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -21,8 +20,6 @@
 
 // Timing of streams.
 const (
-	// pollEnds is the interval at which a stream polls whether its endpoints have ended.
-	pollEnds = 50 * time.Millisecond
 	// pollBudget is the interval at which a stream first polls the retry budget, and pollBudgetShare is by
 	// how much it grows, as a share of the time waited: many may wait for long.
 	pollBudget      = 15 * time.Millisecond
@@ -106,29 +103,14 @@
 	return s.q.r.Context().Err() == nil && s.q.timeLeft(time.Now()) > 0
 }
 
-// mayRunAgain reports whether one more endpoint may run the request. A stream whose caller already has
-// events waits until the deadline while it is not known whether the endpoints that have lost it have
-// ended.
+// mayRunAgain reports whether the request may run once more. A stream whose caller already has events
+// goes on at endpoints that have run it once their number has reached that of its route.
 func (s *relay) mayRunAgain() bool {
 	q := s.q
 	if !q.mayHaveRun.Load() || !q.route.Repeats() {
 		return !q.mayHaveRun.Load()
 	}
-	for q.runs() >= q.route.Attempts {
-		ran := q.sends.Ran()
-		latest := ran[len(ran)-1]
-		_, sentAt := q.sends.Last()
-		unchecked := latest.use.checkedAt.Load() < sentAt.UnixNano()
-		unknown := unchecked || slices.ContainsFunc(ran, func(b *backend) bool { return b.use.Down() })
-		if !s.out.Begun() || !unknown || q.r.Context().Err() != nil || q.timeLeft(time.Now()) <= 0 {
-			return false
-		}
-		if unchecked {
-			s.g.checkAsync(latest)
-		}
-		pause.For(q.r.Context(), pollEnds)
-	}
-	return true
+	return s.out.Begun() || q.runs() < q.route.Attempts
 }
 
 // joinReasons returns why there is no further attempt, followed by why the last one ended.
