Gateway: a check that outlasts its attempt tries no successor for the next one

The context of an attempt is cancelled before handover.End, so that after Begin it tells whether the trial belongs to the attempt of the watchdog: while a trial is pending, no other attempt starts.

--- a/role/gateway/watchdog.go
+++ b/role/gateway/watchdog.go
@@ -230,6 +230,11 @@
 		cancel()
 		return false
 	}
+	if w.ctx.Err() != nil { // the attempt has ended, and another one may have been started since
+		cancel()
+		s.handover.Fail()
+		return false
+	}
 	s.q.everReached.Store(true) // this attempt may have reached an endpoint, and goes on
 	s.q.avoid(current.Address)
 	next, short := reserve()
