Quarantine: a stream that has begun waits for the store

A stream whose caller has events lost its response at once if the store did not answer, or a claim failed, while it needed an isolated attempt. It waits now until its deadline, as for an endpoint.

--- a/decide/trial/situation.go
+++ b/decide/trial/situation.go
@@ -44,8 +44,8 @@
 	Reserved, Endpoints int
 	// StoreAnswers is set while the store answers, without which no attempt can be claimed.
 	StoreAnswers bool
-	// Begun is set if the caller has part of the answer. Such a copy waits until an endpoint can be spared, since
-	// its caller loses more than a wait; any other is refused at once.
+	// Begun is set if the caller has part of the answer. Such a copy waits until an endpoint can be spared and the
+	// store answers, since its caller loses more than a wait; any other is refused at once.
 	Begun bool
 	// Waited is how long the copy has waited, MaxWait how long it may.
 	Waited, MaxWait time.Duration
@@ -60,8 +60,10 @@
 		return Wait, "another copy is tried"
 	case s.Trial.Sends >= maxSends:
 		return Refuse, "it has been tried often enough"
-	case !s.StoreAnswers:
+	case !s.StoreAnswers && !s.Begun:
 		return Refuse, "the store does not answer"
+	case !s.StoreAnswers:
+		return Wait, "the store does not answer"
 	case s.Endpoints == 0 && !s.Begun:
 		return Refuse, "no endpoint can be spared"
 	case s.Endpoints == 0:
--- a/decide/trial/trial_test.go
+++ b/decide/trial/trial_test.go
@@ -33,6 +33,7 @@
 		"no endpoint":              {func(s *trial.Situation) { s.Endpoints = 0 }, trial.Refuse},
 		"no endpoint for a stream": {func(s *trial.Situation) { s.Endpoints, s.Begun = 0, true }, trial.Wait},
 		"no store":                 {func(s *trial.Situation) { s.StoreAnswers = false }, trial.Refuse},
+		"no store for a stream":    {func(s *trial.Situation) { s.StoreAnswers, s.Begun = false, true }, trial.Wait},
 		"no store, tried already":  {func(s *trial.Situation) { s.StoreAnswers, s.Trial = false, tried }, trial.Wait},
 		"others are tried":         {func(s *trial.Situation) { s.Reserved = 2 }, trial.Wait},
 		"a third end":              {func(s *trial.Situation) { s.Reserved, s.Ends = 2, 3 }, trial.Claim},
--- a/role/quarantine/guard.go
+++ b/role/quarantine/guard.go
@@ -103,7 +103,7 @@
 			if err == nil {
 				return a, nil
 			}
-			if !isLost(err) {
+			if !isLost(err) && !begun {
 				return nil, &RefusedError{Reason: "the store does not answer", Cause: list[0], RetryAfter: refusedWait}
 			}
 			notBefore = time.Now().Add(conflictWait)
