Gateway: a silent endpoint of a plain service is left only for an answer

A repeatable request whose endpoint was silent for a second got a 502, a 500 or a 504 although that endpoint would have answered: its attempt was cancelled for a place at another endpoint, before that had answered. If that one refused, closed the connection, broke its answer off, failed or was silent too, nothing was left.

The other endpoint now gets the request while the first attempt goes on, and the first whole answer counts: the attempt that is not needed is cancelled then. A failure answer of either is kept as before and delivered if nothing better comes.

- Budget: the retry is taken with the place, before the request is sent, and ends with that send.
- Attempts: both sends count, so that no more endpoints run the request than its route allows; an endpoint that has the request is not chosen again.
- A caller that leaves, and the deadline, end both.
- A request under which endpoints have ended is not sent to a second endpoint.
- An attempt that is not needed any more says nothing of the health of its endpoint, which is not checked.

--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -198,9 +198,10 @@
 // giveUp ends a request that has no attempts left: it gets the failure answer of an endpoint if there
 // is one, is refused when nothing can have run, and has failed otherwise.
 func (g *Gateway) giveUp(q *query, reason string) {
+	failure := q.failure.Load()
 	switch {
-	case q.failure != nil:
-		g.deliver(q, q.failure.sendResult, q.failure.body)
+	case failure != nil:
+		g.deliver(q, failure)
 		q.reason += "; " + reason
 	case q.callerLeft():
 		q.setOutcome(0, outcomeLeft, reason)
--- a/role/gateway/plain.go
+++ b/role/gateway/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"slices"
 	"strconv"
@@ -15,6 +14,7 @@
 	"github.com/grademill/grademill/decide/overdue"
 	"github.com/grademill/grademill/decide/plainload"
 	"github.com/grademill/grademill/decide/throttle"
+	"github.com/grademill/grademill/state/handover"
 	"github.com/grademill/grademill/state/retrybudgets"
 )
 
@@ -27,10 +27,9 @@
 
 // servePlain serves a request of a plain service.
 func (g *Gateway) servePlain(q *query) {
-	defer q.dropClaimed()
 	reason := "no endpoint is there"
 	for q.sends.Count() < maxSends {
-		if q.failure != nil && q.guard.MayCrash() { // it would wait for an isolated attempt
+		if q.failure.Load() != nil && q.guard.MayCrash() { // it would wait for an isolated attempt
 			break
 		}
 		short := g.awaitIsolation(q, false, time.Time{})
@@ -41,35 +40,27 @@
 			reason = joinReasons(short, reason)
 			break
 		}
-		if q.guard.Suspected() || q.guard.Endpoint() != "" {
-			q.dropClaimed() // it has become a suspect
+		b := g.pick(q)
+		if b == nil && q.failure.Load() == nil && g.awaitIntake(q) {
+			continue
 		}
-		if q.claimed == nil {
-			b := g.pick(q)
-			if b == nil && q.failure == nil && g.awaitIntake(q) {
-				continue
-			}
-			if b == nil {
-				break
-			}
-			if q.claimed, short = g.claim(q, b, q.cause); short == shortageHeld {
-				continue // another request has taken the room meanwhile
-			}
-			if short != shortageNone {
-				reason = joinReasons(short, reason)
-				break
-			}
+		if b == nil {
+			break
+		}
+		place, short := g.claim(q, b, q.cause)
+		if short == shortageHeld {
+			continue // another request has taken the room meanwhile
+		}
+		if short != shortageNone {
+			reason = joinReasons(short, reason)
+			break
 		}
-		place := q.claimed
-		q.claimed = nil
-		b := place.backend
-		q.noteUsed(b.Address)
-		done, why := g.attemptPlain(q, b, place.retry)
-		if done {
+		answer, why := g.attemptPlain(q, place)
+		if answer != nil {
+			g.deliver(q, answer)
 			return
 		}
 		reason = why
-		q.avoid(b.Address)
 		if q.mayHaveRun.Load() && (!q.route.Repeats() || q.runs() >= q.route.Attempts) {
 			break
 		}
@@ -77,11 +68,10 @@
 			break
 		}
 	}
-	q.dropClaimed() // the caller may take long to read a kept answer
 	g.giveUp(q, reason)
 }
 
-// claimed is the place of a request at an endpoint of a plain service, and its retry, nil for none.
+// claimed is the place of a request at an endpoint of a plain service, with its retry, nil for none.
 type claimed struct {
 	backend *backend
 	at      time.Time
@@ -97,37 +87,38 @@
 	if q.everReached.Load() {
 		var short shortage
 		if c.retry, short = g.takeRetry(q, cause); c.retry == nil {
-			b.use.intake.GiveBack(c.at, time.Now())
+			c.giveBack()
 			return nil, short
 		}
 	}
 	return c, shortageNone
 }
 
-// dropClaimed gives back a claimed place that is not used.
-func (q *query) dropClaimed() {
-	if c := q.claimed; c != nil {
+// giveBack gives back a place that is not used, and its retry. On nil it does nothing.
+func (c *claimed) giveBack() {
+	if c != nil {
 		c.retry.Return()
 		c.backend.use.intake.GiveBack(c.at, time.Now())
-		q.claimed = nil
 	}
 }
 
-// claimOther claims a place, and a retry, at an endpoint other than b for a request that was sent to b
-// at sentAt. It returns nil if there is none where the answer can be expected sooner.
-func (g *Gateway) claimOther(q *query, b *backend, sentAt time.Time) *claimed {
+// claimOther claims a place, and a retry, at another endpoint for a request that was sent at sentAt. It
+// returns nil if there is none where the answer can be expected sooner.
+func (g *Gateway) claimOther(q *query, sentAt time.Time) *claimed {
 	now := time.Now()
 	if q.guard.MayCrash() { // it waits for an isolated attempt
 		return nil
 	}
+	sent := q.sends.Ran()
 	other := g.leastLoaded(slices.DeleteFunc(g.candidates(q, now).free, func(o *backend) bool {
 		requests := o.use.active.Load() + o.use.othersActive.Load()
-		return o.Address == b.Address || !overdue.Elsewhere(now.Sub(sentAt), elapsed(now, &o.use.answeredAt), requests)
+		return slices.ContainsFunc(sent, func(b *backend) bool { return b.Address == o.Address }) ||
+			!overdue.Elsewhere(now.Sub(sentAt), elapsed(now, &o.use.answeredAt), requests)
 	}), now)
 	if other == nil {
 		return nil
 	}
-	q.everReached.Store(true) // the request may reach b until its attempt has ended
+	q.everReached.Store(true) // the current attempt may reach its endpoint
 	c, _ := g.claim(q, other, causeAbandoned)
 	return c
 }
@@ -202,66 +193,108 @@
 	}.Score()
 }
 
-// attemptPlain sends the request to a backend with the retry taken for that, nil for none. It reports whether the request has ended; otherwise
-// it also returns why this attempt failed.
-func (g *Gateway) attemptPlain(q *query, b *backend, retry *retrybudgets.Charge) (bool, string) {
-	b.use.take(0)
-	defer b.use.release(0)
-	deadline, cancelDeadline := context.WithDeadline(q.r.Context(), q.deadline)
-	defer cancelDeadline()
-	ctx, cancel := context.WithCancelCause(deadline)
-	defer cancel(nil)
-	last := !q.route.Repeats() || q.runs()+1 >= q.route.Attempts || q.sends.Count()+1 >= maxSends
+// attemptPlain sends the request to the endpoint of a place and, while that is silent, to others: the first
+// whole answer counts. It returns nil and why the endpoint of the place gave no answer if none did.
+func (g *Gateway) attemptPlain(q *query, place *claimed) (*sendResult, string) {
+	ctx, cancel, _ := q.attemptContext()
+	defer cancel()
+	var h handover.Handover[*sendResult]
+	h.Start("")
 	stop := func() {}
-	if wait, sentAt := overdue.AnswerWait(q.route), time.Now(); !last {
+	if q.route.Repeats() {
+		wait, sends, sentAt := overdue.AnswerWait(q.route), q.sends.Count(), time.Now()
 		stop = pause.Repeat(wait, wait/2, func() bool {
-			if q.claimed = g.claimOther(q, b, sentAt); q.claimed != nil {
-				cancel(errAbandoned)
+			if q.sends.Count() > sends {
+				g.tryOther(q, &h, sentAt, cancel)
 			}
-			return q.claimed != nil
+			return false
 		})
-	}
-	defer func() { stop() }()
-	if !q.route.Repeats() { // if this process ends now, this line is the only trace of the request
-		g.Log.Info().Str("request", q.ID).Str("endpoint", b.ID).Str("address", b.Address).
+	} else { // if this process ends now, this line is the only trace of the request
+		g.Log.Info().Str("request", q.ID).Str("endpoint", place.backend.ID).Str("address", place.backend.Address).
 			Uint64("version", q.version).Msg("request is sent")
 	}
-	t := g.send(ctx, q, b, nil, q.LastEvent, retry)
+	answer, cause, why := g.sendPlain(ctx, q, place)
+	stop()
+	q.cause = cause
+	if other, ok := h.End(answer != nil && h.Proceed("")); ok {
+		return other, ""
+	}
+	return answer, why
+}
+
+// tryOther sends a request, whose attempt is under way since sentAt, to another endpoint if the answer can
+// be expected sooner there. It calls abandon once that has answered.
+func (g *Gateway) tryOther(q *query, h *handover.Handover[*sendResult], sentAt time.Time, abandon func()) {
+	if q.runs() >= q.route.Attempts || q.sends.Count() >= maxSends {
+		return
+	}
+	ctx, cancel, withdraw := q.attemptContext()
+	if _, ok := h.Begin(withdraw); !ok {
+		cancel()
+		return
+	}
+	place := g.claimOther(q, sentAt)
+	if place == nil || ctx.Err() != nil {
+		place.giveBack()
+		cancel()
+		h.Fail()
+		return
+	}
+	go func() {
+		defer cancel()
+		answer, _, why := g.sendPlain(ctx, q, place)
+		replaced := answer != nil && h.Succeed(answer)
+		g.Log.Info().Str("request", q.ID).Str("endpoint", place.backend.ID).Bool("replaced", replaced).Str("reason", why).
+			Msg("request was sent to another endpoint while its own was silent")
+		if replaced {
+			abandon()
+		} else {
+			h.Fail()
+		}
+	}()
+}
+
+// sendPlain sends the request to the endpoint of a place. It returns the whole answer, or else the cause of
+// another attempt and why this one failed. It keeps a failure answer in the request.
+func (g *Gateway) sendPlain(ctx context.Context, q *query, place *claimed) (answer *sendResult, cause, why string) {
+	b := place.backend
+	b.use.take(0)
+	defer b.use.release(0)
+	q.noteUsed(b.Address)
+	defer func() {
+		if answer == nil {
+			q.avoid(b.Address)
+		}
+	}()
+	t := g.send(ctx, q, b, nil, q.LastEvent, place.retry)
 	if t.answer != nil {
 		defer t.answer.Close()
 	}
 	switch t.verdict {
 	case verdictNotRun:
-		q.cause = causeNotRun
-		return false, notRunReason(t)
+		return nil, causeNotRun, notRunReason(t)
 	case verdictLost, verdictEnded:
-		q.cause = causeLost
-		g.endedUnder(q, b, t.sentAt)
-		return false, t.err.Error()
+		g.endedUnder(ctx, q, b, t.sentAt)
+		return nil, causeLost, t.err.Error()
 	}
-	body, err := t.answer.ReadAll()
-	stop()
-	if err != nil {
-		b.use.health.Update(health.Record.WithFailure)
-		q.cause = causeBroken
-		g.endedUnder(q, b, t.sentAt)
-		return false, "the answer broke off: " + err.Error()
+	var err error
+	if t.body, err = t.answer.ReadAll(); err != nil {
+		if !withdrawn(ctx) {
+			b.use.health.Update(health.Record.WithFailure)
+		}
+		g.endedUnder(ctx, q, b, t.sentAt)
+		return nil, causeBroken, "the answer broke off: " + err.Error()
 	}
 	q.guard.PassedSince(t.sentAt)
 	if t.answer.Status >= http.StatusInternalServerError {
 		b.use.health.Update(health.Record.WithFailure)
-		q.failure, q.cause = &wholeAnswer{t, body}, causeFailed
-		return false, "the endpoint answered " + strconv.Itoa(t.answer.Status)
+		q.failure.Store(&t)
+		return nil, causeFailed, "the endpoint answered " + strconv.Itoa(t.answer.Status)
 	}
 	b.use.health.Update(health.Record.WithSuccess)
-	q.dropClaimed() // the caller may take long to read the answer
-	g.deliver(q, t, body)
-	return true, ""
+	return &t, "", ""
 }
 
-// errAbandoned ends an attempt for one at another endpoint.
-var errAbandoned = errors.New("the attempt was abandoned for another endpoint")
-
 // notRunReason returns why a request was not run.
 func notRunReason(t sendResult) string {
 	if t.err != nil {
@@ -276,14 +309,8 @@
 	http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true,
 }
 
-// wholeAnswer is an answer whose body has been read to its end.
-type wholeAnswer struct {
-	sendResult
-	body []byte
-}
-
 // deliver passes a whole answer on.
-func (g *Gateway) deliver(q *query, t sendResult, body []byte) {
+func (g *Gateway) deliver(q *query, t *sendResult) {
 	if notRunStatuses[t.answer.Status] { // the endpoint ran it, but its status would say otherwise
 		g.fail(q, http.StatusBadGateway, "the endpoint ran the request and answered "+strconv.Itoa(t.answer.Status))
 		return
@@ -296,10 +323,10 @@
 	}
 	upstream.CopyHeader(q.w.Header(), t.answer.Header)
 	if q.r.Method != http.MethodHead {
-		q.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		q.w.Header().Set("Content-Length", strconv.Itoa(len(t.body)))
 	}
 	q.w.WriteHeader(t.answer.Status)
-	if err := steadywrite.Write(q.w, body, answerWait); err != nil {
+	if err := steadywrite.Write(q.w, t.body, answerWait); err != nil {
 		q.setOutcome(t.answer.Status, outcomeLeft, err.Error())
 	}
 }
--- a/role/gateway/quarantine.go
+++ b/role/gateway/quarantine.go
@@ -65,9 +65,10 @@
 
 // endedUnder reports the end of an endpoint of a plain service that gave a request no whole answer,
 // if its process has ended. It waits for the check only if the request may be sent again, which
-// depends on the result: the checks of a silent endpoint take long, and the caller waits no longer.
-func (g *Gateway) endedUnder(q *query, b *backend, sentAt time.Time) {
-	if !q.reached.Load() || q.r.Context().Err() != nil {
+// depends on the result: the checks of a silent endpoint take long, and the caller waits no longer. ctx
+// is the context of the attempt.
+func (g *Gateway) endedUnder(ctx context.Context, q *query, b *backend, sentAt time.Time) {
+	if !q.reached.Load() || q.r.Context().Err() != nil || withdrawn(ctx) {
 		return
 	}
 	begun := q.guard.Begun(time.Since(sentAt))
@@ -76,8 +77,8 @@
 			g.quarantine.Report(b.incarnation(), begun, time.Now())
 		}
 	}
-	if q.route.Repeats() && q.timeLeft(time.Now()) > 0 {
-		report(q.r.Context())
+	if q.route.Repeats() && ctx.Err() == nil {
+		report(ctx)
 		return
 	}
 	go report(context.WithoutCancel(q.r.Context()))
--- a/role/gateway/query.go
+++ b/role/gateway/query.go
@@ -45,12 +45,9 @@
 
 	// sends are the sends of the request to endpoints.
 	sends sends.Sends[*backend]
-	// claimed is the place for which an attempt at an endpoint of a plain service was abandoned, nil for
-	// none.
-	claimed *claimed
 	// failure is the latest failure answer of an endpoint, which is delivered unless another attempt
 	// gets a better one; nil for none.
-	failure *wholeAnswer
+	failure atomic.Pointer[sendResult]
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun atomic.Bool
 	// everReached is set once any send may have reached an endpoint: only later sends count as
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -202,7 +202,7 @@
 // failed.
 func (s *relay) run(r *reservation) (done bool, why string) {
 	s.handover.Start(s.last)
-	ctx, cancel, _ := s.attemptContext()
+	ctx, cancel, _ := s.q.attemptContext()
 	for a, ok := s.start(ctx, cancel, r, s.last), true; ok; {
 		done, why = s.follow(a)
 		a.close()
@@ -213,17 +213,6 @@
 	return done, why
 }
 
-// attemptContext returns the context of an attempt, which ends at the deadline of the request. withdraw
-// ends an attempt that is not needed any more.
-func (s *relay) attemptContext() (ctx context.Context, cancel, withdraw func()) {
-	deadline, release := context.WithDeadline(s.q.r.Context(), s.q.deadline)
-	ctx, end := context.WithCancelCause(deadline)
-	return ctx, func() { end(nil); release() }, func() { end(errWithdrawn) }
-}
-
-// errWithdrawn ends an attempt that is not needed any more.
-var errWithdrawn = errors.New("another attempt has answered meanwhile")
-
 // start sends the request along a chain, for the events after the given one.
 func (s *relay) start(ctx context.Context, cancel func(), r *reservation, after string) *attempt {
 	q, g := s.q, s.g
@@ -338,13 +327,14 @@
 
 // passWhole passes on an answer that is not a stream.
 func (s *relay) passWhole(a *attempt) (bool, string) {
-	body, err := a.answer.ReadAll()
+	var err error
+	a.body, err = a.answer.ReadAll()
 	if s.handover.Replaced() {
 		return false, ""
 	}
 	if err != nil || s.out.Begun() || a.answer.Status >= http.StatusInternalServerError && s.q.route.Repeats() {
 		if err == nil {
-			s.q.failure = &wholeAnswer{a.sendResult, body}
+			s.q.failure.Store(&a.sendResult)
 		}
 		a.first.use.health.Update(func(r health.Record) health.Record { return r.WithError(time.Now()) })
 		s.q.avoid(a.first.Address)
@@ -355,7 +345,7 @@
 		return false, ""
 	}
 	a.watchdog.stop() // the caller may take long to read the answer
-	s.g.deliver(s.q, a.sendResult, body)
+	s.g.deliver(s.q, &a.sendResult)
 	return true, ""
 }
 
--- a/role/gateway/watchdog.go
+++ b/role/gateway/watchdog.go
@@ -224,7 +224,7 @@
 // another one is being tried.
 func (w *watchdog) trySuccessor(current *backend, reserve func() (*reservation, shortage)) bool {
 	s := w.relay
-	ctx, cancel, withdraw := s.attemptContext()
+	ctx, cancel, withdraw := s.q.attemptContext()
 	after, ok := s.handover.Begin(withdraw)
 	if !ok {
 		cancel()
