withdrawal: the context of an attempt that may be withdrawn is a package of its own

No change of behaviour. The gateway's plain attempts and streams use it; choosing the least loaded endpoint, and the end of the loop over attempts, get shorter.

--- a/role/gateway/attempt.go
+++ b/role/gateway/attempt.go
@@ -8,6 +8,7 @@
 
 	"github.com/grademill/grademill/adapter/readlimit"
 	"github.com/grademill/grademill/adapter/upstream"
+	"github.com/grademill/grademill/adapter/withdrawal"
 	"github.com/grademill/grademill/decide/chain"
 	"github.com/grademill/grademill/decide/event"
 	"github.com/grademill/grademill/decide/health"
@@ -42,20 +43,6 @@
 	body []byte
 }
 
-// attemptContext returns the context of an attempt, which ends at the deadline of the request. withdraw
-// ends an attempt that is not needed any more.
-func (q *query) attemptContext() (ctx context.Context, cancel, withdraw func()) {
-	deadline, release := context.WithDeadline(q.r.Context(), q.deadline)
-	ctx, end := context.WithCancelCause(deadline)
-	return ctx, func() { end(nil); release() }, func() { end(errWithdrawn) }
-}
-
-// errWithdrawn ends an attempt that is not needed any more.
-var errWithdrawn = errors.New("another attempt has answered meanwhile")
-
-// withdrawn reports whether the attempt with a context is not needed any more.
-func withdrawn(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errWithdrawn) }
-
 // maxConnIdle is how long a connection may have been idle to carry a request,
 // maxConnIdleNonRepeatable if the request must not be sent twice: an endpoint may close an idle
 // connection at any time, and a request sent while it does may have run.
@@ -145,7 +132,7 @@
 		return t
 	}
 	switch {
-	case withdrawn(ctx):
+	case withdrawal.Withdrawn(ctx):
 		return t
 	case !sent || b.Card == "" && ctx.Err() == nil:
 		b.use.health.Update(func(r health.Record) health.Record { return r.WithLoss(time.Now()) })
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
@@ -146,10 +147,7 @@
 	if q.r.Body == nil || q.r.Body == http.NoBody {
 		return true
 	}
-	maxBytes := limits.BodyBytes
-	if maxBytes <= 0 {
-		maxBytes = defaultMaxBody
-	}
+	maxBytes := cmp.Or(max(limits.BodyBytes, 0), defaultMaxBody)
 	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, maxBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/role/gateway/plain.go
+++ b/role/gateway/plain.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"slices"
@@ -10,6 +11,7 @@
 	"github.com/grademill/grademill/adapter/pause"
 	"github.com/grademill/grademill/adapter/steadywrite"
 	"github.com/grademill/grademill/adapter/upstream"
+	"github.com/grademill/grademill/adapter/withdrawal"
 	"github.com/grademill/grademill/decide/health"
 	"github.com/grademill/grademill/decide/overdue"
 	"github.com/grademill/grademill/decide/plainload"
@@ -61,10 +63,7 @@
 			return
 		}
 		reason = why
-		if q.mayHaveRun.Load() && (!q.route.Repeats() || q.runs() >= q.route.Attempts) {
-			break
-		}
-		if q.timeLeft(time.Now()) <= 0 {
+		if q.mayHaveRun.Load() && (!q.route.Repeats() || q.runs() >= q.route.Attempts) || q.timeLeft(time.Now()) <= 0 {
 			break
 		}
 	}
@@ -166,22 +165,15 @@
 		wanted.use.intake.CountDemand(now)
 	}
 	g.noteDeclined(q, slices.Concat(c.limited, c.unavailable), now)
-	if best := g.leastLoaded(c.free, now); best != nil {
-		return best
-	}
-	return c.spare
+	return cmp.Or(g.leastLoaded(c.free, now), c.spare)
 }
 
 // leastLoaded returns the least loaded of some backends, nil for none.
 func (g *Gateway) leastLoaded(list []*backend, now time.Time) *backend {
-	var best *backend
-	least := 0.0
-	for _, b := range list {
-		if score := g.load(b, now); best == nil || score < least {
-			best, least = b, score
-		}
+	if len(list) == 0 {
+		return nil
 	}
-	return best
+	return slices.MinFunc(list, func(a, b *backend) int { return cmp.Compare(g.load(a, now), g.load(b, now)) })
 }
 
 // load returns the load score of a backend of a plain service.
@@ -196,16 +188,16 @@
 // attemptPlain sends the request to the endpoint of a place and, while that is silent, to others: the first
 // whole answer counts. It returns nil and why the endpoint of the place gave no answer if none did.
 func (g *Gateway) attemptPlain(q *query, place *claimed) (*sendResult, string) {
-	ctx, cancel, _ := q.attemptContext()
-	defer cancel()
+	ctx := withdrawal.Until(q.r.Context(), q.deadline)
+	defer ctx.Cancel()
 	var h handover.Handover[*sendResult]
 	h.Start("")
 	stop := func() {}
 	if q.route.Repeats() {
 		wait, sends, sentAt := overdue.AnswerWait(q.route), q.sends.Count(), time.Now()
 		stop = pause.Repeat(wait, wait/2, func() bool {
-			if q.sends.Count() > sends {
-				g.tryOther(q, &h, sentAt, cancel)
+			if n := q.sends.Count(); n > sends && n < maxSends && q.runs() < q.route.Attempts {
+				g.tryOther(q, &h, sentAt, ctx.Cancel)
 			}
 			return false
 		})
@@ -225,23 +217,20 @@
 // tryOther sends a request, whose attempt is under way since sentAt, to another endpoint if the answer can
 // be expected sooner there. It calls abandon once that has answered.
 func (g *Gateway) tryOther(q *query, h *handover.Handover[*sendResult], sentAt time.Time, abandon func()) {
-	if q.runs() >= q.route.Attempts || q.sends.Count() >= maxSends {
-		return
-	}
-	ctx, cancel, withdraw := q.attemptContext()
-	if _, ok := h.Begin(withdraw); !ok {
-		cancel()
+	ctx := withdrawal.Until(q.r.Context(), q.deadline)
+	if _, ok := h.Begin(ctx.Withdraw); !ok {
+		ctx.Cancel()
 		return
 	}
 	place := g.claimOther(q, sentAt)
 	if place == nil || ctx.Err() != nil {
 		place.giveBack()
-		cancel()
+		ctx.Cancel()
 		h.Fail()
 		return
 	}
 	go func() {
-		defer cancel()
+		defer ctx.Cancel()
 		answer, _, why := g.sendPlain(ctx, q, place)
 		replaced := answer != nil && h.Succeed(answer)
 		g.Log.Info().Str("request", q.ID).Str("endpoint", place.backend.ID).Bool("replaced", replaced).Str("reason", why).
@@ -261,15 +250,15 @@
 	b.use.take(0)
 	defer b.use.release(0)
 	q.noteUsed(b.Address)
+	t := g.send(ctx, q, b, nil, q.LastEvent, place.retry)
+	if t.answer != nil {
+		defer t.answer.Close()
+	}
 	defer func() {
 		if answer == nil {
 			q.avoid(b.Address)
 		}
 	}()
-	t := g.send(ctx, q, b, nil, q.LastEvent, place.retry)
-	if t.answer != nil {
-		defer t.answer.Close()
-	}
 	switch t.verdict {
 	case verdictNotRun:
 		return nil, causeNotRun, notRunReason(t)
@@ -279,7 +268,7 @@
 	}
 	var err error
 	if t.body, err = t.answer.ReadAll(); err != nil {
-		if !withdrawn(ctx) {
+		if !withdrawal.Withdrawn(ctx) {
 			b.use.health.Update(health.Record.WithFailure)
 		}
 		g.endedUnder(ctx, q, b, t.sentAt)
--- a/role/gateway/quarantine.go
+++ b/role/gateway/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/grademill/grademill/adapter/withdrawal"
 	"github.com/grademill/grademill/decide/cause"
 	"github.com/grademill/grademill/decide/fingerprint"
 	"github.com/grademill/grademill/decide/overlay"
@@ -68,7 +69,7 @@
 // depends on the result: the checks of a silent endpoint take long, and the caller waits no longer. ctx
 // is the context of the attempt.
 func (g *Gateway) endedUnder(ctx context.Context, q *query, b *backend, sentAt time.Time) {
-	if !q.reached.Load() || q.r.Context().Err() != nil || withdrawn(ctx) {
+	if !q.reached.Load() || q.r.Context().Err() != nil || withdrawal.Withdrawn(ctx) {
 		return
 	}
 	begun := q.guard.Begun(time.Since(sentAt))
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -12,6 +12,7 @@
 
 	"github.com/grademill/grademill/adapter/eventwrite"
 	"github.com/grademill/grademill/adapter/pause"
+	"github.com/grademill/grademill/adapter/withdrawal"
 	"github.com/grademill/grademill/decide/event"
 	"github.com/grademill/grademill/decide/health"
 	"github.com/grademill/grademill/state/budget"
@@ -202,8 +203,8 @@
 // failed.
 func (s *relay) run(r *reservation) (done bool, why string) {
 	s.handover.Start(s.last)
-	ctx, cancel, _ := s.q.attemptContext()
-	for a, ok := s.start(ctx, cancel, r, s.last), true; ok; {
+	ctx := withdrawal.Until(s.q.r.Context(), s.q.deadline)
+	for a, ok := s.start(ctx, r, s.last), true; ok; {
 		done, why = s.follow(a)
 		a.close()
 		if a, ok = s.handover.End(done); ok {
@@ -214,11 +215,11 @@
 }
 
 // start sends the request along a chain, for the events after the given one.
-func (s *relay) start(ctx context.Context, cancel func(), r *reservation, after string) *attempt {
+func (s *relay) start(ctx withdrawal.Context, r *reservation, after string) *attempt {
 	q, g := s.q, s.g
 	q.noteUsed(r.chain.String())
-	a := &attempt{reservation: r, watchdog: newWatchdog(ctx, s, r, cancel)}
-	stopExpiry := q.guard.OnExpiry(cancel)
+	a := &attempt{reservation: r, watchdog: newWatchdog(ctx, s, r)}
+	stopExpiry := q.guard.OnExpiry(ctx.Cancel)
 	a.sendResult = g.send(ctx, q, r.first, r.chain, after, r.retry)
 	a.close = func() {
 		if a.answer != nil {
@@ -226,7 +227,7 @@
 		}
 		stopExpiry()
 		a.watchdog.stop()
-		cancel()
+		ctx.Cancel()
 	}
 	if a.verdict == verdictAnswer && a.answer.Status == http.StatusOK {
 		a.reader = event.NewReader(a.answer, q.MaxAnswer)
@@ -267,9 +268,9 @@
 
 // succeed tries an attempt that replaces the one of a watchdog, which goes on until the new one has begun
 // to answer.
-func (s *relay) succeed(ctx context.Context, cancel func(), r *reservation, after string, former *watchdog) {
-	limit := time.AfterFunc(former.bounds.MaxWait(true), cancel)
-	a := s.start(ctx, cancel, r, after)
+func (s *relay) succeed(ctx withdrawal.Context, r *reservation, after string, former *watchdog) {
+	limit := time.AfterFunc(former.bounds.MaxWait(true), ctx.Cancel)
+	a := s.start(ctx, r, after)
 	err := a.err
 	if a.reader != nil {
 		_, err = a.reader.Peek()
@@ -280,8 +281,8 @@
 		s.g.Log.Info().Str("request", s.q.ID).Str("after", after).Stringer("chain", r.chain).Msg("attempt replaced")
 		return
 	}
-	if cause := context.Cause(ctx); errors.Is(cause, errWithdrawn) || s.q.r.Context().Err() != nil {
-		err = cause
+	if withdrawal.Withdrawn(ctx) || s.q.r.Context().Err() != nil {
+		err = context.Cause(ctx)
 	} else if a.reader != nil {
 		s.noteBroken(a, err)
 	} else if a.verdict != verdictAnswer {
--- a/role/gateway/watchdog.go
+++ b/role/gateway/watchdog.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/grademill/grademill/adapter/withdrawal"
 	"github.com/grademill/grademill/decide/failover"
 	"github.com/grademill/grademill/decide/liveness"
 	"github.com/grademill/grademill/decide/overdue"
@@ -56,12 +57,11 @@
 	lastShortage shortage
 }
 
-// newWatchdog starts to watch an attempt along a reservation, which stop releases; giveUp ends the
-// attempt.
-func newWatchdog(ctx context.Context, s *relay, taken *reservation, giveUp func()) *watchdog {
+// newWatchdog starts to watch the attempt with a context along a reservation, which stop releases.
+func newWatchdog(ctx withdrawal.Context, s *relay, taken *reservation) *watchdog {
 	bounds := overdue.Of(s.q.route)
 	w := &watchdog{
-		ctx: ctx, relay: s, reservation: taken, giveUp: giveUp, startedAt: time.Now(),
+		ctx: ctx, relay: s, reservation: taken, giveUp: ctx.Cancel, startedAt: time.Now(),
 		gaps: bounds.Gaps(), bounds: bounds,
 	}
 	w.chainAt = w.startedAt
@@ -224,23 +224,23 @@
 // another one is being tried.
 func (w *watchdog) trySuccessor(current *backend, reserve func() (*reservation, shortage)) bool {
 	s := w.relay
-	ctx, cancel, withdraw := s.q.attemptContext()
-	after, ok := s.handover.Begin(withdraw)
+	ctx := withdrawal.Until(s.q.r.Context(), s.q.deadline)
+	after, ok := s.handover.Begin(ctx.Withdraw)
 	if !ok {
-		cancel()
+		ctx.Cancel()
 		return false
 	}
 	s.q.everReached.Store(true) // this attempt may have reached an endpoint, and goes on
 	s.q.avoid(current.Address)
 	next, short := reserve()
 	if short == shortageNone && ctx.Err() == nil {
-		go s.succeed(ctx, cancel, next, after, w)
+		go s.succeed(ctx, next, after, w)
 		return true
 	}
 	if short == shortageNone {
 		next.cancel()
 	}
-	cancel()
+	ctx.Cancel()
 	s.handover.Fail()
 	return false
 }
