Gateway: a large answer counts as in memory until it is written

Since a plain answer is read by an attempt that may run beside another one, it was closed before it was written to its caller, so that its body no longer counted towards the bound on large bodies: callers that read slowly held any number of bodies of up to 4 MiB. The same held for a failure answer that is kept.

The answer is closed once it has been written, or is not needed. Its connection is returned before that: upstream.Answer.Finish does so, while the body still counts. A request that keeps a large failure answer is not sent again, since its next answer might wait for the memory that it holds.

--- a/adapter/upstream/body.go
+++ b/adapter/upstream/body.go
@@ -19,8 +19,8 @@
 	maxBody = 4 << 20
 	// maxChunked is the maximum size of a body for ReadAll with the sizes of its chunks.
 	maxChunked = 2 * maxBody
-	// maxSmallBody is the size up to which ReadAll reads a body at once; beyond it a body is large.
-	maxSmallBody = 64 << 10
+	// MaxSmallBody is the size up to which ReadAll reads a body at once; beyond it a body is large.
+	MaxSmallBody = 64 << 10
 	// maxLargeBodies bounds the sum of the large bodies of a pool that are in memory.
 	maxLargeBodies = 8 * maxBody
 	// maxDiscard is the maximum size of a body for Discard, discardTimeout the maximum time that it
@@ -44,7 +44,7 @@
 	return e.Err
 }
 
-// ReadAll reads the body. A body larger than maxSmallBody waits until its length, or maxBody if that
+// ReadAll reads the body. A body larger than MaxSmallBody waits until its length, or maxBody if that
 // is not known, fits into maxLargeBodies together with the other large bodies of the pool; a body is
 // in memory until Close. ReadAll returns a readlimit.ExceededError for a body longer than maxBody, and
 // a LargeBodyError if the context of the call ends first.
@@ -59,11 +59,11 @@
 		return nil, exceeded
 	}
 	a.conn.limited.Bound("chunked body", maxChunked)
-	small, err := io.ReadAll(io.LimitReader(a, maxSmallBody+1))
+	small, err := io.ReadAll(io.LimitReader(a, MaxSmallBody+1))
 	if err != nil {
 		return nil, err
 	}
-	if len(small) <= maxSmallBody {
+	if len(small) <= MaxSmallBody {
 		return small, nil
 	}
 	size := a.length
--- a/adapter/upstream/call.go
+++ b/adapter/upstream/call.go
@@ -249,12 +249,17 @@
 // complete and the connection may be reused; otherwise it closes the connection, which tells
 // the endpoint to stop its work. Further calls do nothing.
 func (a *Answer) Close() {
+	a.Finish()
+	a.release()
+}
+
+// Finish is like Close, but a body that ReadAll has returned still counts as in memory until Close.
+func (a *Answer) Finish() {
 	if a.stop == nil {
 		return
 	}
 	clean := a.stop()
 	a.stop = nil
-	a.release()
 	if !clean || !a.ended || a.maxIdle <= 0 || !a.wrote() || a.conn.reader.Buffered() > 0 {
 		_ = a.conn.Close()
 		return
--- a/role/gateway/attempt.go
+++ b/role/gateway/attempt.go
@@ -43,6 +43,13 @@
 	body []byte
 }
 
+// close closes the answer. On nil, and without an answer, it does nothing.
+func (t *sendResult) close() {
+	if t != nil && t.answer != nil {
+		t.answer.Close()
+	}
+}
+
 // maxConnIdle is how long a connection may have been idle to carry a request,
 // maxConnIdleNonRepeatable if the request must not be sent twice: an endpoint may close an idle
 // connection at any time, and a request sent while it does may have run.
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -46,6 +46,7 @@
 		return
 	}
 	defer g.running.Leave()
+	defer func() { q.failure.Load().close() }()
 	if g.partition.Alone() {
 		w.Header().Set("Connection", "close")
 	}
--- a/role/gateway/plain.go
+++ b/role/gateway/plain.go
@@ -31,7 +31,8 @@
 func (g *Gateway) servePlain(q *query) {
 	reason := "no endpoint is there"
 	for q.sends.Count() < maxSends {
-		if q.failure.Load() != nil && q.guard.MayCrash() { // it would wait for an isolated attempt
+		// It would wait for an isolated attempt, or hold memory that other answers wait for.
+		if f := q.failure.Load(); f != nil && (q.guard.MayCrash() || len(f.body) > upstream.MaxSmallBody) {
 			break
 		}
 		short := g.awaitIsolation(q, false, time.Time{})
@@ -59,6 +60,7 @@
 		}
 		answer, why := g.attemptPlain(q, place)
 		if answer != nil {
+			defer answer.close()
 			g.deliver(q, answer)
 			return
 		}
@@ -209,6 +211,7 @@
 	stop()
 	q.cause = cause
 	if other, ok := h.End(answer != nil && h.Proceed("")); ok {
+		answer.close()
 		return other, ""
 	}
 	return answer, why
@@ -237,24 +240,25 @@
 			Msg("request was sent to another endpoint while its own was silent")
 		if replaced {
 			abandon()
-		} else {
-			h.Fail()
+			return
 		}
+		answer.close()
+		h.Fail()
 	}()
 }
 
-// sendPlain sends the request to the endpoint of a place. It returns the whole answer, or else the cause of
-// another attempt and why this one failed. It keeps a failure answer in the request.
+// sendPlain sends the request to the endpoint of a place. It returns the whole answer, which the caller
+// closes, or else the cause of another attempt and why this one failed. The request keeps a failure answer.
 func (g *Gateway) sendPlain(ctx context.Context, q *query, place *claimed) (answer *sendResult, cause, why string) {
 	b := place.backend
 	b.use.take(0)
 	defer b.use.release(0)
 	q.noteUsed(b.Address)
-	t := g.send(ctx, q, b, nil, q.LastEvent, place.retry)
-	if t.answer != nil {
-		defer t.answer.Close()
-	}
+	t, whole := g.send(ctx, q, b, nil, q.LastEvent, place.retry), false
 	defer func() {
+		if !whole {
+			t.close()
+		}
 		if answer == nil {
 			q.avoid(b.Address)
 		}
@@ -274,10 +278,12 @@
 		g.endedUnder(ctx, q, b, t.sentAt)
 		return nil, causeBroken, "the answer broke off: " + err.Error()
 	}
+	t.answer.Finish()
+	whole = true
 	q.guard.PassedSince(t.sentAt)
 	if t.answer.Status >= http.StatusInternalServerError {
 		b.use.health.Update(health.Record.WithFailure)
-		q.failure.Store(&t)
+		q.failure.Swap(&t).close()
 		return nil, causeFailed, "the endpoint answered " + strconv.Itoa(t.answer.Status)
 	}
 	b.use.health.Update(health.Record.WithSuccess)
--- a/role/gateway/stalled_caller_test.go
+++ b/role/gateway/stalled_caller_test.go
@@ -66,3 +66,16 @@
 		require.Zero(t, state.Pending+state.Sent)
 	}
 }
+
+// Guards against more large bodies in memory than their bound: those that are being written to callers must count.
+func TestLargeAnswersCountUntilTheyAreWritten(t *testing.T) {
+	t.Parallel()
+	w := newFixture(t, largeAnswers(t, "a"))
+	w.eventually(func() bool { return w.do(w.request("POST", "/freeze/1", "x")).StatusCode == http.StatusOK })
+	w.stall(8)
+	w.eventually(func() bool {
+		r := w.request("POST", "/freeze/1", "x")
+		r.Header.Set("X-Deadline-Ms", "300")
+		return strings.Contains(w.do(r).body, "no memory for a large body")
+	})
+}
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -222,9 +222,7 @@
 	stopExpiry := q.guard.OnExpiry(ctx.Cancel)
 	a.sendResult = g.send(ctx, q, r.first, r.chain, after, r.retry)
 	a.close = func() {
-		if a.answer != nil {
-			a.answer.Close()
-		}
+		a.sendResult.close()
 		stopExpiry()
 		a.watchdog.stop()
 		ctx.Cancel()
