--- a/role/gateway/attempt.go
+++ b/role/gateway/attempt.go
@@ -8,6 +8,7 @@
 
 	"github.com/grademill/grademill/adapter/readlimit"
 	"github.com/grademill/grademill/adapter/upstream"
+	"github.com/grademill/grademill/adapter/withdrawal"
 	"github.com/grademill/grademill/decide/chain"
 	"github.com/grademill/grademill/decide/event"
 	"github.com/grademill/grademill/decide/health"
@@ -38,6 +39,15 @@
 	err error
 	// sentAt is when the request was sent.
 	sentAt time.Time
+	// body is the whole body of the answer once it has been read.
+	body []byte
+}
+
+// close closes the answer. On nil, and without an answer, it does nothing.
+func (t *sendResult) close() {
+	if t != nil && t.answer != nil {
+		t.answer.Close()
+	}
 }
 
 // maxConnIdle is how long a connection may have been idle to carry a request,
@@ -129,7 +139,7 @@
 		return t
 	}
 	switch {
-	case errors.Is(context.Cause(ctx), errWithdrawn):
+	case withdrawal.Withdrawn(ctx):
 		return t
 	case !sent || b.Card == "" && ctx.Err() == nil:
 		b.use.health.Update(func(r health.Record) health.Record { return r.WithLoss(time.Now()) })
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
@@ -45,6 +46,7 @@
 		return
 	}
 	defer g.running.Leave()
+	defer func() { q.failure.Load().close() }()
 	if g.partition.Alone() {
 		w.Header().Set("Connection", "close")
 	}
@@ -146,10 +148,7 @@
 	if q.r.Body == nil || q.r.Body == http.NoBody {
 		return true
 	}
-	maxBytes := limits.BodyBytes
-	if maxBytes <= 0 {
-		maxBytes = defaultMaxBody
-	}
+	maxBytes := cmp.Or(max(limits.BodyBytes, 0), defaultMaxBody)
 	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, maxBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -198,9 +197,10 @@
 // giveUp ends a request that has no attempts left: it gets the failure answer of an endpoint if there
 // is one, is refused when nothing can have run, and has failed otherwise.
 func (g *Gateway) giveUp(q *query, reason string) {
+	failure := q.failure.Load()
 	switch {
-	case q.failure != nil:
-		g.deliver(q, q.failure.sendResult, q.failure.body)
+	case failure != nil:
+		g.deliver(q, failure)
 		q.reason += "; " + reason
 	case q.callerLeft():
 		q.setOutcome(0, outcomeLeft, reason)
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -11,6 +11,7 @@
 
 	"github.com/grademill/grademill/adapter/eventwrite"
 	"github.com/grademill/grademill/adapter/pause"
+	"github.com/grademill/grademill/adapter/withdrawal"
 	"github.com/grademill/grademill/decide/event"
 	"github.com/grademill/grademill/decide/health"
 	"github.com/grademill/grademill/state/budget"
@@ -184,8 +185,8 @@
 // failed.
 func (s *relay) run(r *reservation) (done bool, why string) {
 	s.handover.Start(s.last)
-	ctx, cancel, _ := s.attemptContext()
-	for a, ok := s.start(ctx, cancel, r, s.last), true; ok; {
+	ctx := withdrawal.Until(s.q.r.Context(), s.q.deadline)
+	for a, ok := s.start(ctx, r, s.last), true; ok; {
 		done, why = s.follow(a)
 		a.close()
 		if a, ok = s.handover.End(done); ok {
@@ -195,31 +196,18 @@
 	return done, why
 }
 
-// attemptContext returns the context of an attempt, which ends at the deadline of the request. withdraw
-// ends an attempt that is not needed any more.
-func (s *relay) attemptContext() (ctx context.Context, cancel, withdraw func()) {
-	deadline, release := context.WithDeadline(s.q.r.Context(), s.q.deadline)
-	ctx, end := context.WithCancelCause(deadline)
-	return ctx, func() { end(nil); release() }, func() { end(errWithdrawn) }
-}
-
-// errWithdrawn ends an attempt that is not needed any more.
-var errWithdrawn = errors.New("another attempt has answered meanwhile")
-
 // start sends the request along a chain, for the events after the given one.
-func (s *relay) start(ctx context.Context, cancel func(), r *reservation, after string) *attempt {
+func (s *relay) start(ctx withdrawal.Context, r *reservation, after string) *attempt {
 	q, g := s.q, s.g
 	q.noteUsed(r.chain.String())
-	a := &attempt{reservation: r, watchdog: newWatchdog(ctx, s, r, cancel)}
-	stopExpiry := q.guard.OnExpiry(cancel)
+	a := &attempt{reservation: r, watchdog: newWatchdog(ctx, s, r)}
+	stopExpiry := q.guard.OnExpiry(ctx.Cancel)
 	a.sendResult = g.send(ctx, q, r.first, r.chain, after, r.retry)
 	a.close = func() {
-		if a.answer != nil {
-			a.answer.Close()
-		}
+		a.sendResult.close()
 		stopExpiry()
 		a.watchdog.stop()
-		cancel()
+		ctx.Cancel()
 	}
 	if a.verdict == verdictAnswer && a.answer.Status == http.StatusOK {
 		a.reader = event.NewReader(a.answer, q.MaxAnswer)
@@ -260,9 +248,9 @@
 
 // succeed tries an attempt that replaces the one of a watchdog, which goes on until the new one has begun
 // to answer.
-func (s *relay) succeed(ctx context.Context, cancel func(), r *reservation, after string, former *watchdog) {
-	limit := time.AfterFunc(former.bounds.MaxWait(true), cancel)
-	a := s.start(ctx, cancel, r, after)
+func (s *relay) succeed(ctx withdrawal.Context, r *reservation, after string, former *watchdog) {
+	limit := time.AfterFunc(former.bounds.MaxWait(true), ctx.Cancel)
+	a := s.start(ctx, r, after)
 	err := a.err
 	if a.reader != nil {
 		_, err = a.reader.Peek()
@@ -273,8 +261,8 @@
 		s.g.Log.Info().Str("request", s.q.ID).Str("after", after).Stringer("chain", r.chain).Msg("attempt replaced")
 		return
 	}
-	if cause := context.Cause(ctx); errors.Is(cause, errWithdrawn) || s.q.r.Context().Err() != nil {
-		err = cause
+	if withdrawal.Withdrawn(ctx) || s.q.r.Context().Err() != nil {
+		err = context.Cause(ctx)
 	} else if a.reader != nil {
 		s.noteBroken(a, err)
 	} else if a.verdict != verdictAnswer {
@@ -320,13 +308,14 @@
 
 // passWhole passes on an answer that is not a stream.
 func (s *relay) passWhole(a *attempt) (bool, string) {
-	body, err := a.answer.ReadAll()
+	var err error
+	a.body, err = a.answer.ReadAll()
 	if s.handover.Replaced() {
 		return false, ""
 	}
 	if err != nil || s.out.Begun() || a.answer.Status >= http.StatusInternalServerError && s.q.route.Repeats() {
 		if err == nil {
-			s.q.failure = &wholeAnswer{a.sendResult, body}
+			s.q.failure.Store(&a.sendResult)
 		}
 		a.first.use.health.Update(func(r health.Record) health.Record { return r.WithError(time.Now()) })
 		s.q.avoid(a.first.Address)
@@ -337,7 +326,7 @@
 		return false, ""
 	}
 	a.watchdog.stop() // the caller may take long to read the answer
-	s.g.deliver(s.q, a.sendResult, body)
+	s.g.deliver(s.q, &a.sendResult)
 	return true, ""
 }
 
