--- a/role/gateway/reservation.go
+++ b/role/gateway/reservation.go
@@ -39,8 +39,11 @@
 }
 
 // cancel releases a reservation along which nothing was sent, and gives back its place in the limit
-// of the first endpoint, and its retry.
+// of the first endpoint, and its retry. On nil it does nothing.
 func (s *reservation) cancel() {
+	if s == nil {
+		return
+	}
 	s.retry.Return()
 	s.releaseUnsent()
 	s.first.use.intake.GiveBack(s.admittedAt, time.Now())
--- a/role/gateway/watchdog.go
+++ b/role/gateway/watchdog.go
@@ -230,21 +230,17 @@
 		ctx.Cancel()
 		return false
 	}
-	if w.ctx.Err() != nil { // the attempt has ended, and another one may have been started since
-		cancel()
-		s.handover.Fail()
-		return false
+	next, short := (*reservation)(nil), shortageNone
+	if w.ctx.Err() == nil { // otherwise the attempt has ended, and another one may have been started since
+		s.q.everReached.Store(true) // this attempt may have reached an endpoint, and goes on
+		s.q.avoid(current.Address)
+		next, short = reserve()
 	}
-	s.q.everReached.Store(true) // this attempt may have reached an endpoint, and goes on
-	s.q.avoid(current.Address)
-	next, short := reserve()
-	if short == shortageNone && ctx.Err() == nil {
+	if next != nil && short == shortageNone && ctx.Err() == nil {
 		go s.succeed(ctx, next, after, w)
 		return true
 	}
-	if short == shortageNone {
-		next.cancel()
-	}
+	next.cancel()
 	ctx.Cancel()
 	s.handover.Fail()
 	return false
