Gateway, process: waits for a retry do not slow down; a stop ends earlier only where the process is starved

Streams that had waited longest polled the budget least often, so that others took each retry. The margin is half a second again, plus the longest time by which a sleep of the stop ended late.

--- a/cmd/grademill-gateway/daemon.go
+++ b/cmd/grademill-gateway/daemon.go
@@ -38,9 +38,8 @@
 	// to notice.
 	lingerWait = 2500 * time.Millisecond
 	// stopMargin is the time left between the end of the process and the stop
-	// time-out, after which the process is killed. A process that is starved of
-	// processor time handles the signal late, and has to log what it cuts.
-	stopMargin = time.Second
+	// time-out, after which the process is killed.
+	stopMargin = 500 * time.Millisecond
 	// stopPoll is how often a stopping process checks whether it is idle.
 	stopPoll = 20 * time.Millisecond
 	// bytesPerMegabit converts the rate of a link from Mbit/s to bytes/s.
@@ -162,21 +161,28 @@
 
 // stop drains the gateway without aborting requests. It reports not ready at
 // once, accepts connections until the load balancer has noticed, then closes idle
-// connections and waits for running requests until the stop time-out.
+// connections and waits for running requests until the stop time-out. A process
+// that is starved of processor time has handled the signal about as late as its
+// sleeps end.
 func (d *daemon) stop(callers *ingress.Server) {
-	start := time.Now()
+	start, late := time.Now(), time.Duration(0)
+	sleep := func(wait time.Duration) {
+		from := time.Now()
+		time.Sleep(wait)
+		late = max(late, time.Since(from)-wait)
+	}
 	limit := d.file.Gateway.StopTimeout.Or(defaultStopTimeout) - stopMargin
 	d.log.Info().Int("running", d.gateway.Running()).Msg("gateway stopping")
 	d.gateway.Drain()
 	callers.CloseAfterResponses()
-	time.Sleep(min(lingerWait, limit))
+	sleep(min(lingerWait, limit))
 	callers.Stop()
 	for {
-		late := time.Since(start) >= limit
-		if (late || callers.Idle()) && d.gateway.Close(late) {
+		over := time.Since(start)+late >= limit
+		if (over || callers.Idle()) && d.gateway.Close(over) {
 			break
 		}
-		time.Sleep(stopPoll)
+		sleep(stopPoll)
 	}
 	callers.ReportCut()
 	d.log.Info().Int("running", d.gateway.Running()).Dur("took_ms", time.Since(start)).Msg("gateway drained")
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -21,10 +21,9 @@
 
 // Timing of streams.
 const (
-	// pollBudget is the interval at which a stream first polls the retry budget, and pollBudgetShare is by
-	// how much it grows, as a share of the time waited: many may wait for long.
-	pollBudget      = 15 * time.Millisecond
-	pollBudgetShare = 8
+	// pollBudget is the interval at which a stream polls the retry budget: the same for all that wait, so
+	// that none is put behind for having waited longer.
+	pollBudget = 15 * time.Millisecond
 	// noRoomWait is how long an endpoint that refused for lack of room is avoided.
 	noRoomWait = 200 * time.Millisecond
 )
@@ -171,12 +170,12 @@
 // already has events waits for one as long as its caller does; any other request is refused at
 // once, since its caller can retry.
 func (s *relay) takeRetry(until time.Time) (*retrybudgets.Charge, shortage) {
-	for since := time.Now(); ; {
+	for {
 		retry, short := s.g.takeRetry(s.q, s.q.cause)
 		if short == shortageNone || !s.out.Begun() || !time.Now().Before(until) || s.q.r.Context().Err() != nil {
 			return retry, short
 		}
-		pause.For(s.q.r.Context(), pollBudget+time.Since(since)/pollBudgetShare)
+		pause.For(s.q.r.Context(), pollBudget)
 	}
 }
 
