--- a/role/gateway/attempt.go
+++ b/role/gateway/attempt.go
@@ -185,13 +185,21 @@
 // takeRetry takes a retry from the budget and counts it. It returns nil and the reason if there was
 // none.
 func (g *Gateway) takeRetry(q *query, cause string) (*retrybudgets.Charge, shortage) {
+	charge, short := g.chargeRetry(q)
+	if charge != nil {
+		g.Meter.Retry(cause)
+	}
+	return charge, short
+}
+
+// chargeRetry takes a retry from the budget. It returns nil and the reason if there was none.
+func (g *Gateway) chargeRetry(q *query) (*retrybudgets.Charge, shortage) {
 	charge, state := g.retries.Take(q.service.Name, g.Clock())
-	if charge == nil {
-		if q.retryState.Swap(&state) == nil {
-			g.Meter.RetryRefused(string(state.Limit))
-		}
-		return nil, shortage(state.Limit)
+	if charge != nil {
+		return charge, shortageNone
+	}
+	if q.retryState.Swap(&state) == nil {
+		g.Meter.RetryRefused(string(state.Limit))
 	}
-	g.Meter.Retry(cause)
-	return charge, shortageNone
+	return nil, shortage(state.Limit)
 }
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -16,7 +16,6 @@
 	"github.com/grademill/grademill/decide/health"
 	"github.com/grademill/grademill/state/budget"
 	"github.com/grademill/grademill/state/handover"
-	"github.com/grademill/grademill/state/retrybudgets"
 )
 
 // Timing of streams.
@@ -121,32 +120,37 @@
 	return string(short) + ": " + last
 }
 
-// reservation makes a reservation, and takes a retry from the budget when the request may already have
-// reached an endpoint. It waits in the queue for as long as the request may.
+// reservation makes a reservation, with a retry from the budget when the request may already have reached
+// an endpoint. It waits for as long as the request may, and holds neither a retry nor room meanwhile: many
+// streams may wait until their deadlines.
 func (s *relay) reservation() (*reservation, shortage) {
-	// An isolated attempt must not fail for want of a retry once its endpoint is reserved.
-	var retry *retrybudgets.Charge
-	if s.q.everReached.Load() {
-		var short shortage
-		if retry, short = s.takeRetry(s.terms(time.Now()).Until); short != shortageNone {
-			return nil, short
-		}
-	}
 	for {
-		var taken *reservation
-		short := s.g.awaitIsolation(s.q, s.out.Begun(), s.terms(time.Now()).Until)
+		// An isolated attempt must not fail for want of a retry once its endpoint is reserved.
+		short := s.awaitRetry()
 		if short == shortageNone {
-			taken, short = s.queued()
+			short = s.g.awaitIsolation(s.q, s.out.Begun(), s.terms(time.Now()).Until)
 		}
 		if short != shortageNone {
-			retry.Return()
 			return nil, short
 		}
-		if !s.q.guard.Suspected() {
-			taken.retry = retry
+		taken, short := s.queued()
+		if short != shortageNone {
+			return nil, short
+		}
+		if s.q.guard.Suspected() {
+			taken.cancel() // it has become a suspect while it waited in the queue
+			continue
+		}
+		if s.q.everReached.Load() {
+			taken.retry, short = s.g.takeRetry(s.q, s.q.cause)
+		}
+		if short == shortageNone {
 			return taken, shortageNone
 		}
-		taken.cancel() // it has become a suspect while it waited in the queue
+		taken.cancel()
+		if !s.out.Begun() {
+			return nil, short
+		}
 	}
 }
 
@@ -166,17 +170,19 @@
 	return taken, short
 }
 
-// takeRetry takes a retry from the budget, or returns why there was none. A stream whose caller
-// already has events waits for one as long as its caller does; any other request is refused at
-// once, since its caller can retry.
-func (s *relay) takeRetry(until time.Time) (*retrybudgets.Charge, shortage) {
-	for {
-		retry, short := s.g.takeRetry(s.q, s.q.cause)
-		if short == shortageNone || !s.out.Begun() || !time.Now().Before(until) || s.q.r.Context().Err() != nil {
-			return retry, short
+// awaitRetry returns once the budget has a retry, if the request needs one, or else why it has none. A
+// stream whose caller already has events waits for one; any other request is refused at once, since its
+// caller can retry.
+func (s *relay) awaitRetry() shortage {
+	for s.q.everReached.Load() {
+		retry, short := s.g.chargeRetry(s.q)
+		retry.Return()
+		if short == shortageNone || !s.out.Begun() || s.q.timeLeft(time.Now()) <= 0 || s.q.r.Context().Err() != nil {
+			return short
 		}
 		pause.For(s.q.r.Context(), pollBudget)
 	}
+	return shortageNone
 }
 
 // run sends the request along a chain and passes the events on, also those of attempts that replace the
@@ -266,6 +272,8 @@
 		s.noteBroken(a, err)
 	} else if a.verdict != verdictAnswer {
 		s.noteFailure(a)
+	} else {
+		s.noteError(a)
 	}
 	a.close()
 	s.g.Log.Info().Str("request", s.q.ID).Stringer("chain", r.chain).Int("verdict", int(a.verdict)).Err(err).Msg("attempt is not replaced")
@@ -316,8 +324,7 @@
 		if err == nil {
 			s.q.failure.Store(&a.sendResult)
 		}
-		a.first.use.health.Update(func(r health.Record) health.Record { return r.WithError(time.Now()) })
-		s.q.avoid(a.first.Address)
+		s.noteError(a)
 		s.q.cause = causeFailed
 		return false, "the endpoint answered " + strconv.Itoa(a.answer.Status)
 	}
@@ -329,6 +336,12 @@
 	return true, ""
 }
 
+// noteError records that an endpoint answered a stream with a failure.
+func (s *relay) noteError(a *attempt) {
+	a.first.use.health.Update(func(r health.Record) health.Record { return r.WithError(time.Now()) })
+	s.q.avoid(a.first.Address)
+}
+
 // events passes events on until the stream ends or breaks. It reports whether the request has
 // ended; otherwise it also returns why the chain broke.
 func (s *relay) events(a *attempt) (bool, string) {
