--- a/decide/connection/connection.go
+++ b/decide/connection/connection.go
@@ -95,9 +95,11 @@
 	return s
 }
 
-// WithResponse returns the state when the response to a request begins.
+// WithResponse returns the state when the response to a request begins: its head has been read.
 func (s State) WithResponse(l Limits) State {
-	s.limits = l
+	if s.limits = l; s.stage == head {
+		s.stage = body
+	}
 	return s
 }
 
--- a/role/gateway/admission.go
+++ b/role/gateway/admission.go
@@ -5,6 +5,7 @@
 
 	"github.com/grademill/grademill/decide/outcome"
 	"github.com/grademill/grademill/decide/overdue"
+	"github.com/grademill/grademill/decide/shortage"
 	"github.com/grademill/grademill/decide/urgency"
 	"github.com/grademill/grademill/role/admission"
 	"github.com/grademill/grademill/role/gate"
@@ -21,22 +22,22 @@
 
 // reserveQueued waits in the queue for a reservation. A request that would have to wait for longer
 // than it may is refused at once, and so is a new one when no chain holds all layers.
-func (g *Gateway) reserveQueued(q *query, terms admission.Terms) (*reservation, shortage) {
+func (g *Gateway) reserveQueued(q *query, terms admission.Terms) (*reservation, shortage.Shortage) {
 	r := q.waiting()
 	if !r.Begun {
 		q.ahead = g.queue.Waiting()
 		defer func(since time.Time) { q.waited = time.Since(since) }(time.Now())
 	}
-	found := shortageRoom
+	found := shortage.Room
 	taken, report := g.queue.Enter(q.r.Context(), r, terms, func() (*reservation, gate.Answer) {
 		taken, short := g.reserve(q)
 		found = short
 		switch {
-		case short == shortageNone:
+		case short == shortage.None:
 			return taken, gate.Granted
-		case short == shortageLayers && terms.Urgency == urgency.New:
+		case short == shortage.Layers && terms.Urgency == urgency.New:
 			return nil, gate.Never
-		case short == shortageHeld && q.availableFrom(time.Now()).After(terms.Until): // the refusal carries a Retry-After delay
+		case short == shortage.Held && q.availableFrom(time.Now()).After(terms.Until): // the refusal carries a Retry-After delay
 			return nil, gate.Never
 		}
 		return nil, gate.Full
@@ -45,10 +46,10 @@
 		if !r.Begun {
 			g.overload.CountAdmitted(q.service.Name, time.Now())
 		}
-		return taken, shortageNone
+		return taken, shortage.None
 	}
-	if found == shortageNone || report.Code == outcome.Overloaded && found != shortageHeld {
-		found = shortageRoom
+	if found == shortage.None || report.Code == outcome.Overloaded && found != shortage.Held {
+		found = shortage.Room
 	}
 	return nil, found
 }
--- a/role/gateway/attempt.go
+++ b/role/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/grademill/grademill/adapter/readlimit"
@@ -12,6 +13,7 @@
 	"github.com/grademill/grademill/decide/chain"
 	"github.com/grademill/grademill/decide/event"
 	"github.com/grademill/grademill/decide/health"
+	"github.com/grademill/grademill/decide/shortage"
 	"github.com/grademill/grademill/port/exchange"
 	"github.com/grademill/grademill/state/retrybudgets"
 )
@@ -60,8 +62,11 @@
 
 // send sends a request to a backend and waits for the head of the answer. c is the chain, nil for a
 // plain service; after is the ID of the last event that the caller of the request has, and retry the
-// retry taken for the send, nil for none. The caller of send closes the answer of the result, if any.
-func (g *Gateway) send(ctx context.Context, q *query, b *backend, c chain.Chain, after string, retry *retrybudgets.Charge) sendResult {
+// retry taken for the send, nil for none. It sets reached once the backend may have received the request.
+// The caller of send closes the answer of the result, if any.
+func (g *Gateway) send(
+	ctx context.Context, q *query, b *backend, c chain.Chain, after string, retry *retrybudgets.Charge, reached *atomic.Bool,
+) sendResult {
 	defer retry.Sent(g.Clock)
 	sentAt := time.Now()
 	q.sends.Add(b, sentAt)
@@ -71,7 +76,7 @@
 	})
 	call := upstream.Call{
 		Address: b.Address, Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: header,
-		Body: q.body, HasBody: q.hasBody, MaxIdle: maxConnIdle, BeforeWrite: func() { q.reached.Store(true) },
+		Body: q.body, HasBody: q.hasBody, MaxIdle: maxConnIdle, BeforeWrite: func() { q.reached.Store(true); reached.Store(true) },
 		Matches: func(h http.Header) bool {
 			id := g.Dialect.ReplyHeaders(0, h).ID
 			return id == q.ID || id == "" // a refusal need not carry the request ID
@@ -184,7 +189,7 @@
 
 // takeRetry takes a retry from the budget and counts it. It returns nil and the reason if there was
 // none.
-func (g *Gateway) takeRetry(q *query, cause string) (*retrybudgets.Charge, shortage) {
+func (g *Gateway) takeRetry(q *query, cause string) (*retrybudgets.Charge, shortage.Shortage) {
 	charge, short := g.chargeRetry(q)
 	if charge != nil {
 		g.Meter.Retry(cause)
@@ -193,13 +198,13 @@
 }
 
 // chargeRetry takes a retry from the budget. It returns nil and the reason if there was none.
-func (g *Gateway) chargeRetry(q *query) (*retrybudgets.Charge, shortage) {
+func (g *Gateway) chargeRetry(q *query) (*retrybudgets.Charge, shortage.Shortage) {
 	charge, state := g.retries.Take(q.service.Name, g.Clock())
 	if charge != nil {
-		return charge, shortageNone
+		return charge, shortage.None
 	}
 	if q.retryState.Swap(&state) == nil {
 		g.Meter.RetryRefused(string(state.Limit))
 	}
-	return nil, shortage(state.Limit)
+	return nil, shortage.Shortage(state.Limit)
 }
--- a/role/gateway/chooser.go
+++ b/role/gateway/chooser.go
@@ -10,6 +10,7 @@
 	"github.com/grademill/grademill/decide/chaincost"
 	"github.com/grademill/grademill/decide/fingerprint"
 	"github.com/grademill/grademill/decide/layer"
+	"github.com/grademill/grademill/decide/shortage"
 	"github.com/grademill/grademill/decide/throttle"
 	"github.com/grademill/grademill/decide/unreported"
 	"github.com/grademill/grademill/state/pace"
@@ -156,11 +157,11 @@
 }
 
 // shortage returns why the search found no chain although one exists.
-func (c *chooser) shortage() shortage {
+func (c *chooser) shortage() shortage.Shortage {
 	if c.entryCandidates > 0 && len(c.declining) == c.entryCandidates {
-		return shortageHeld
+		return shortage.Held
 	}
-	return shortageRoom
+	return shortage.Room
 }
 
 // room returns the memory of a backend beside its layers, in tokens times layers, and the part of
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -12,6 +12,7 @@
 
 	"github.com/grademill/grademill/decide/catalog"
 	"github.com/grademill/grademill/decide/cause"
+	"github.com/grademill/grademill/decide/shortage"
 	"github.com/grademill/grademill/state/expiring"
 )
 
@@ -101,7 +102,7 @@
 	}
 	g.retries.CountFirstAttempt(q.service.Name, g.Clock())
 	if g.quarantined(q, q.start) {
-		g.refuse(q, q.refused.RetryAfter, string(shortageQuarantine))
+		g.refuse(q, q.refused.RetryAfter, string(shortage.Quarantine))
 		return false
 	}
 	return true
@@ -199,11 +200,11 @@
 func (g *Gateway) giveUp(q *query, reason string) {
 	failure := q.failure.Load()
 	switch {
+	case q.callerLeft():
+		q.setOutcome(0, outcomeLeft, reason)
 	case failure != nil:
 		g.deliver(q, failure)
 		q.reason += "; " + reason
-	case q.callerLeft():
-		q.setOutcome(0, outcomeLeft, reason)
 	case !q.mayHaveRun.Load() && (g.quarantined(q, time.Now()) || q.refused != nil):
 		g.refuse(q, q.refused.RetryAfter, reason)
 	case !q.mayHaveRun.Load():
--- a/role/gateway/isolation.go
+++ b/role/gateway/isolation.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/grademill/grademill/decide/isolation"
+	"github.com/grademill/grademill/decide/shortage"
 	"github.com/grademill/grademill/decide/suspicion"
 	"github.com/grademill/grademill/decide/trial"
 )
@@ -37,15 +38,15 @@
 
 // awaitIsolation waits until a request may be sent, until a given time if its caller has part of the answer. A request that
 // is no suspect need not wait. It returns the reason why the request may not be sent.
-func (g *Gateway) awaitIsolation(q *query, begun bool, until time.Time) shortage {
+func (g *Gateway) awaitIsolation(q *query, begun bool, until time.Time) shortage.Shortage {
 	q.guard.End(q.reached.Swap(false))
 	wait := time.Until(until)
 	if !begun {
 		wait = min(trial.MaxWait, q.timeLeft(time.Now()))
 	}
 	if errors.As(q.guard.Enter(q.r.Context(), wait, begun), &q.refused) {
-		return shortageQuarantine
+		return shortage.Quarantine
 	}
 	q.refused = nil
-	return shortageNone
+	return shortage.None
 }
--- a/role/gateway/plain.go
+++ b/role/gateway/plain.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/grademill/grademill/adapter/pause"
@@ -15,6 +16,7 @@
 	"github.com/grademill/grademill/decide/health"
 	"github.com/grademill/grademill/decide/overdue"
 	"github.com/grademill/grademill/decide/plainload"
+	"github.com/grademill/grademill/decide/shortage"
 	"github.com/grademill/grademill/decide/throttle"
 	"github.com/grademill/grademill/state/handover"
 	"github.com/grademill/grademill/state/retrybudgets"
@@ -36,11 +38,11 @@
 			break
 		}
 		short := g.awaitIsolation(q, false, time.Time{})
-		if short == shortageNone && q.gone() {
-			short = shortageCaller
+		if short == shortage.None && q.gone() {
+			short = shortage.Caller
 		}
-		if short != shortageNone {
-			reason = joinReasons(short, reason)
+		if short != shortage.None {
+			reason = short.Then(reason)
 			break
 		}
 		b := g.pick(q)
@@ -51,11 +53,11 @@
 			break
 		}
 		place, short := g.claim(q, b, q.cause)
-		if short == shortageHeld {
+		if short == shortage.Held {
 			continue // another request has taken the room meanwhile
 		}
-		if short != shortageNone {
-			reason = joinReasons(short, reason)
+		if short != shortage.None {
+			reason = short.Then(reason)
 			break
 		}
 		answer, why := g.attemptPlain(q, place)
@@ -80,19 +82,19 @@
 }
 
 // claim takes a place at an endpoint, and a retry if the request may have reached one before.
-func (g *Gateway) claim(q *query, b *backend, cause string) (*claimed, shortage) {
+func (g *Gateway) claim(q *query, b *backend, cause string) (*claimed, shortage.Shortage) {
 	c := &claimed{backend: b, at: time.Now()}
 	if b.use.intake.Take(c.at) != throttle.NotHeld {
-		return nil, shortageHeld
+		return nil, shortage.Held
 	}
 	if q.everReached.Load() {
-		var short shortage
+		var short shortage.Shortage
 		if c.retry, short = g.takeRetry(q, cause); c.retry == nil {
 			c.giveBack()
 			return nil, short
 		}
 	}
-	return c, shortageNone
+	return c, shortage.None
 }
 
 // giveBack gives back a place that is not used, and its retry. On nil it does nothing.
@@ -254,7 +256,7 @@
 	b.use.take(0)
 	defer b.use.release(0)
 	q.noteUsed(b.Address)
-	t, whole := g.send(ctx, q, b, nil, q.LastEvent, place.retry), false
+	t, whole := g.send(ctx, q, b, nil, q.LastEvent, place.retry, new(atomic.Bool)), false
 	defer func() {
 		if !whole {
 			t.close()
--- a/role/gateway/quarantine.go
+++ b/role/gateway/quarantine.go
@@ -8,6 +8,7 @@
 	"github.com/grademill/grademill/decide/cause"
 	"github.com/grademill/grademill/decide/fingerprint"
 	"github.com/grademill/grademill/decide/overlay"
+	"github.com/grademill/grademill/decide/shortage"
 	"github.com/grademill/grademill/decide/suspicion"
 	"github.com/grademill/grademill/role/quarantine"
 )
@@ -35,7 +36,7 @@
 func (g *Gateway) quarantined(q *query, now time.Time) bool {
 	by, left := q.guard.Quarantined(now)
 	if left > 0 {
-		q.refused = &quarantine.RefusedError{Reason: string(shortageQuarantine), Cause: by, RetryAfter: left}
+		q.refused = &quarantine.RefusedError{Reason: string(shortage.Quarantine), Cause: by, RetryAfter: left}
 	}
 	return left > 0
 }
--- a/role/gateway/reservation.go
+++ b/role/gateway/reservation.go
@@ -8,6 +8,7 @@
 	"github.com/grademill/grademill/decide/chain"
 	"github.com/grademill/grademill/decide/failover"
 	"github.com/grademill/grademill/decide/requestmemory"
+	"github.com/grademill/grademill/decide/shortage"
 	"github.com/grademill/grademill/decide/throttle"
 	"github.com/grademill/grademill/decide/unreported"
 	"github.com/grademill/grademill/state/retrybudgets"
@@ -146,42 +147,22 @@
 	open, avoided, crowded int
 }
 
-// shortage is the reason why a request gets no chain.
-type shortage string
-
-const (
-	shortageNone   shortage = ""
-	shortageLayers shortage = "no chain holds all layers"
-	shortageRoom   shortage = "no chain has room"
-	// shortageHeld means that no endpoint at which the chain could begin accepts requests for now.
-	shortageHeld shortage = "endpoints take no more requests for now"
-	// shortageSilent means that no other chain answers, shortageResumed that one does again.
-	shortageSilent  shortage = "no other chain answers"
-	shortageResumed shortage = "another chain answers again"
-	// shortageFleet means that the fleet sheds requests of this class and team.
-	shortageFleet shortage = "the fleet has no room for this class"
-	// shortageCaller means that the caller has left, shortageQuarantine that the request is in
-	// quarantine.
-	shortageCaller     shortage = "the caller has left"
-	shortageQuarantine shortage = "endpoints have ended under the request"
-)
-
 // reserveAttempt makes a reservation for another attempt of a request and takes a retry from the
 // budget for it.
-func (g *Gateway) reserveAttempt(q *query, cause string) (*reservation, shortage) {
+func (g *Gateway) reserveAttempt(q *query, cause string) (*reservation, shortage.Shortage) {
 	taken, short := g.reserve(q)
-	if short != shortageNone {
+	if short != shortage.None {
 		return nil, short
 	}
 	if taken.retry, short = g.takeRetry(q, cause); taken.retry == nil {
 		taken.cancel()
 		return nil, short
 	}
-	return taken, shortageNone
+	return taken, shortage.None
 }
 
 // reserve reserves room for a request along the cheapest chain, preferably within one hall.
-func (g *Gateway) reserve(q *query) (*reservation, shortage) {
+func (g *Gateway) reserve(q *query) (*reservation, shortage.Shortage) {
 	f := g.fleet.Load()
 	c := choosers.Get().(*chooser)
 	defer choosers.Put(c)
@@ -204,7 +185,7 @@
 		// Endpoints that seem to be down may be unreachable for this gateway alone, or this process
 		// may be too slow to receive their answers.
 		if found, ok = g.findAdmitted(c, q, f, need, skipFull); !ok {
-			return nil, shortageLayers
+			return nil, shortage.Layers
 		}
 	}
 	taken := newReservation(found, need, func(p chain.Stage) *backend { return f.ByID[p.ID] })
@@ -212,7 +193,7 @@
 		taken.charge()
 	}
 	taken.admittedAt = c.admittedAt
-	return taken, shortageNone
+	return taken, shortage.None
 }
 
 // otherChain returns the endpoints of a chain without avoided ones, nil for none.
@@ -286,7 +267,7 @@
 
 // reserveMove reserves room along the cheapest chain to which a running request can be moved. The
 // first endpoint stays, and so do the others unless they are avoided, as the lost one is.
-func (g *Gateway) reserveMove(q *query, old *reservation, lost *backend) (*reservation, shortage) {
+func (g *Gateway) reserveMove(q *query, old *reservation, lost *backend) (*reservation, shortage.Shortage) {
 	f := g.fleet.Load()
 	c := choosers.Get().(*chooser)
 	defer choosers.Put(c)
@@ -299,14 +280,14 @@
 		c.keepChain(old, q, time.Now())
 	}, g.mayLeaveHall(q, need))
 	if found == nil || found[0] != old.chain[0] {
-		return nil, shortageLayers
+		return nil, shortage.Layers
 	}
 	return newReservation(found, need, func(p chain.Stage) *backend {
 		if b := old.backendOf(p); b != nil {
 			return b // it may have left the fleet, and still runs its requests
 		}
 		return f.ByID[p.ID]
-	}), shortageNone
+	}), shortage.None
 }
 
 // promptReadTime returns the expected time until the endpoints that were not part of the old
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -14,6 +14,7 @@
 	"github.com/grademill/grademill/adapter/withdrawal"
 	"github.com/grademill/grademill/decide/event"
 	"github.com/grademill/grademill/decide/health"
+	"github.com/grademill/grademill/decide/shortage"
 	"github.com/grademill/grademill/state/budget"
 	"github.com/grademill/grademill/state/handover"
 )
@@ -58,14 +59,14 @@
 	s := &relay{g: g, q: q, last: q.LastEvent, out: eventwrite.Writer{Response: q.w}}
 	defer func() { q.first, q.events, q.pause = cmp.Or(q.first, s.out.First), s.out.Events, s.out.Pause }()
 	if !g.admitArrival(q, early) {
-		g.giveUp(q, string(shortageFleet))
+		g.giveUp(q, string(shortage.Fleet))
 		return false
 	}
 	reason := ""
 	for s.maySendAgain() {
 		reservation, short := s.reservation()
-		if short != shortageNone {
-			reason = joinReasons(short, reason)
+		if short != shortage.None {
+			reason = short.Then(reason)
 			break
 		}
 		done, why := s.run(reservation)
@@ -112,60 +113,50 @@
 	return s.out.Begun() || q.runs() < q.route.Attempts
 }
 
-// joinReasons returns why there is no further attempt, followed by why the last one ended.
-func joinReasons(short shortage, last string) string {
-	if last == "" {
-		return string(short)
-	}
-	return string(short) + ": " + last
-}
-
 // reservation makes a reservation, with a retry from the budget when the request may already have reached
 // an endpoint. It waits for as long as the request may, and holds neither a retry nor room meanwhile: many
 // streams may wait until their deadlines.
-func (s *relay) reservation() (*reservation, shortage) {
+func (s *relay) reservation() (*reservation, shortage.Shortage) {
 	for {
 		// An isolated attempt must not fail for want of a retry once its endpoint is reserved.
 		short := s.awaitRetry()
-		if short == shortageNone {
+		if short == shortage.None {
 			short = s.g.awaitIsolation(s.q, s.out.Begun(), s.terms(time.Now()).Until)
 		}
-		if short != shortageNone {
+		if short != shortage.None {
 			return nil, short
 		}
 		taken, short := s.queued()
-		if short != shortageNone {
-			return nil, short
-		}
-		if s.q.guard.Suspected() {
+		if short == shortage.None && s.q.guard.Suspected() {
 			taken.cancel() // it has become a suspect while it waited in the queue
 			continue
 		}
-		if s.q.everReached.Load() {
+		if short == shortage.None && s.q.everReached.Load() {
 			taken.retry, short = s.g.takeRetry(s.q, s.q.cause)
 		}
-		if short == shortageNone {
-			return taken, shortageNone
+		if short == shortage.None {
+			return taken, shortage.None
 		}
 		taken.cancel()
-		if !s.out.Begun() {
+		if !s.out.Begun() || s.q.timeLeft(time.Now()) <= 0 || s.q.r.Context().Err() != nil {
 			return nil, short
 		}
+		pause.For(s.q.r.Context(), noRoomWait) // the queue is full, or expects a longer wait
 	}
 }
 
 // queued makes a reservation, for which a request that is no suspect waits in the queue.
-func (s *relay) queued() (*reservation, shortage) {
+func (s *relay) queued() (*reservation, shortage.Shortage) {
 	var taken *reservation
-	var short shortage
+	var short shortage.Shortage
 	if s.q.guard.Endpoint() != "" { // it has an endpoint of its own
 		taken, short = s.g.reserve(s.q)
 	} else {
 		taken, short = s.g.reserveQueued(s.q, s.terms(time.Now()))
 	}
-	if short == shortageNone && s.q.gone() {
+	if short == shortage.None && s.q.gone() {
 		taken.cancel()
-		return nil, shortageCaller
+		return nil, shortage.Caller
 	}
 	return taken, short
 }
@@ -173,16 +164,16 @@
 // awaitRetry returns once the budget has a retry, if the request needs one, or else why it has none. A
 // stream whose caller already has events waits for one; any other request is refused at once, since its
 // caller can retry.
-func (s *relay) awaitRetry() shortage {
+func (s *relay) awaitRetry() shortage.Shortage {
 	for s.q.everReached.Load() {
 		retry, short := s.g.chargeRetry(s.q)
 		retry.Return()
-		if short == shortageNone || !s.out.Begun() || s.q.timeLeft(time.Now()) <= 0 || s.q.r.Context().Err() != nil {
+		if short == shortage.None || !s.out.Begun() || s.q.timeLeft(time.Now()) <= 0 || s.q.r.Context().Err() != nil {
 			return short
 		}
 		pause.For(s.q.r.Context(), pollBudget)
 	}
-	return shortageNone
+	return shortage.None
 }
 
 // run sends the request along a chain and passes the events on, also those of attempts that replace the
@@ -207,7 +198,7 @@
 	q.noteUsed(r.chain.String())
 	a := &attempt{reservation: r, watchdog: newWatchdog(ctx, s, r)}
 	stopExpiry := q.guard.OnExpiry(ctx.Cancel)
-	a.sendResult = g.send(ctx, q, r.first, r.chain, after, r.retry)
+	a.sendResult = g.send(ctx, q, r.first, r.chain, after, r.retry, &a.watchdog.reached)
 	a.close = func() {
 		a.sendResult.close()
 		stopExpiry()
@@ -273,6 +264,7 @@
 	} else if a.verdict != verdictAnswer {
 		s.noteFailure(a)
 	} else {
+		a.body, _ = a.answer.ReadAll()
 		s.noteError(a)
 	}
 	a.close()
@@ -321,9 +313,6 @@
 		return false, ""
 	}
 	if err != nil || s.out.Begun() || a.answer.Status >= http.StatusInternalServerError && s.q.route.Repeats() {
-		if err == nil {
-			s.q.failure.Store(&a.sendResult)
-		}
 		s.noteError(a)
 		s.q.cause = causeFailed
 		return false, "the endpoint answered " + strconv.Itoa(a.answer.Status)
@@ -336,8 +325,11 @@
 	return true, ""
 }
 
-// noteError records that an endpoint answered a stream with a failure.
+// noteError records that an endpoint answered a stream with a failure, and keeps the answer if it is whole.
 func (s *relay) noteError(a *attempt) {
+	if a.body != nil {
+		s.q.failure.Store(&a.sendResult)
+	}
 	a.first.use.health.Update(func(r health.Record) health.Record { return r.WithError(time.Now()) })
 	s.q.avoid(a.first.Address)
 }
--- a/role/gateway/watchdog.go
+++ b/role/gateway/watchdog.go
@@ -5,12 +5,14 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/grademill/grademill/adapter/withdrawal"
 	"github.com/grademill/grademill/decide/failover"
 	"github.com/grademill/grademill/decide/liveness"
 	"github.com/grademill/grademill/decide/overdue"
+	"github.com/grademill/grademill/decide/shortage"
 	"github.com/grademill/grademill/decide/timeout"
 	"github.com/grademill/grademill/decide/trial"
 	"github.com/grademill/grademill/port/runner"
@@ -31,9 +33,12 @@
 	ctx   context.Context
 	relay *relay
 	// giveUp ends the attempt.
-	giveUp      func()
-	startedAt   time.Time
-	bounds      overdue.Bounds
+	giveUp    func()
+	startedAt time.Time
+	bounds    overdue.Bounds
+	// reached is set once the first endpoint of the chain may have received the request.
+	reached atomic.Bool
+
 	mu          sync.Mutex // guards the fields below
 	reservation *reservation
 	timer       *time.Timer
@@ -54,7 +59,7 @@
 	// passed is set once the request has run for so long that it does not crash the endpoints of the chain.
 	passed bool
 	// lastShortage is why no other attempt was tried at the previous check.
-	lastShortage shortage
+	lastShortage shortage.Shortage
 }
 
 // newWatchdog starts to watch the attempt with a context along a reservation, which stop releases.
@@ -97,7 +102,7 @@
 func (w *watchdog) justStarted(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.relay.q.reached.Load() && (w.first.IsZero() || now.Sub(w.first) < trial.StartWindow)
+	return w.reached.Load() && (w.first.IsZero() || now.Sub(w.first) < trial.StartWindow)
 }
 
 // age returns how long the endpoints of the chain have had the request at now.
@@ -189,11 +194,11 @@
 	if !failover.ShouldRestart(wait, 0, slack) {
 		return false
 	}
-	chosen := w.trySuccessor(old.first, func() (*reservation, shortage) {
+	chosen := w.trySuccessor(old.first, func() (*reservation, shortage.Shortage) {
 		next, short := w.relay.g.reserveAttempt(q, causeAbandoned)
-		if short == shortageNone && !failover.ShouldRestart(wait, next.promptReadTime(q, nil, 1), slack) {
+		if short == shortage.None && !failover.ShouldRestart(wait, next.promptReadTime(q, nil, 1), slack) {
 			next.cancel()
-			return nil, shortageRoom
+			return nil, shortage.Room
 		}
 		return next, short
 	})
@@ -222,7 +227,7 @@
 // trySuccessor tries an attempt along the reservation that reserve makes, which replaces this one, whose
 // first endpoint is current, once it has begun to answer. It reports whether it does; it does not while
 // another one is being tried.
-func (w *watchdog) trySuccessor(current *backend, reserve func() (*reservation, shortage)) bool {
+func (w *watchdog) trySuccessor(current *backend, reserve func() (*reservation, shortage.Shortage)) bool {
 	s := w.relay
 	ctx := withdrawal.Until(s.q.r.Context(), s.q.deadline)
 	after, ok := s.handover.Begin(ctx.Withdraw)
@@ -230,13 +235,13 @@
 		ctx.Cancel()
 		return false
 	}
-	next, short := (*reservation)(nil), shortageNone
+	next, short := (*reservation)(nil), shortage.None
 	if w.ctx.Err() == nil { // otherwise the attempt has ended, and another one may have been started since
 		s.q.everReached.Store(true) // this attempt may have reached an endpoint, and goes on
 		s.q.avoid(current.Address)
 		next, short = reserve()
 	}
-	if next != nil && short == shortageNone && ctx.Err() == nil {
+	if next != nil && short == shortage.None && ctx.Err() == nil {
 		go s.succeed(ctx, next, after, w)
 		return true
 	}
@@ -260,9 +265,9 @@
 		}
 		return
 	}
-	w.trySuccessor(current.first, func() (*reservation, shortage) {
+	w.trySuccessor(current.first, func() (*reservation, shortage.Shortage) {
 		next, short := w.reserveOther()
-		if short != w.lastShortage || short == shortageNone {
+		if short != w.lastShortage || short == shortage.None {
 			w.relay.g.Log.Info().Str("request", q.ID).Str("first", current.first.Address).Bool("down", current.first.use.Down()).
 				Str("shortage", string(short)).Msg("whether a try is left for another")
 		}
@@ -272,12 +277,12 @@
 }
 
 // reserveOther makes a reservation for another attempt, along a chain that is alive.
-func (w *watchdog) reserveOther() (*reservation, shortage) {
+func (w *watchdog) reserveOther() (*reservation, shortage.Shortage) {
 	if !w.alive(w.relay.g.otherChain(w.relay.q)) {
-		return nil, shortageSilent
+		return nil, shortage.Silent
 	}
-	if w.lastShortage == shortageSilent { // its own chain may go on like the other; only a check sets it
-		return nil, shortageResumed
+	if w.lastShortage == shortage.Silent { // its own chain may go on like the other; only a check sets it
+		return nil, shortage.Resumed
 	}
 	return w.relay.g.reserveAttempt(w.relay.q, causeAbandoned)
 }
@@ -323,7 +328,7 @@
 func (w *watchdog) move(reservation *reservation, lost *backend) bool {
 	g, q, address := w.relay.g, w.relay.q, lost.Address
 	if q.guard.MayCrash() { // it might crash another endpoint
-		return w.unmovable(address, shortageQuarantine)
+		return w.unmovable(address, shortage.Quarantine)
 	}
 	q.avoid(address)
 	// Ends that become known from here on count only for a request that has been moved: the endpoints of one chain may end
@@ -331,11 +336,11 @@
 	moved := w.chainAt.After(w.startedAt)
 	for range maxMoves {
 		next, short := g.reserveMove(q, reservation, lost)
-		if short == shortageNone && w.switchIfFaster(reservation, next, lost) {
+		if short == shortage.None && w.switchIfFaster(reservation, next, lost) {
 			next.releaseUnsent()
 			return true
 		}
-		if short != shortageNone {
+		if short != shortage.None {
 			return w.unmovable(address, short)
 		}
 		joining := reservation.joining(next)
@@ -366,7 +371,7 @@
 }
 
 // unmovable logs once for each lost endpoint that the request cannot be moved, and returns false.
-func (w *watchdog) unmovable(lost string, reason shortage) bool {
+func (w *watchdog) unmovable(lost string, reason shortage.Shortage) bool {
 	if w.unmovableFrom != lost {
 		w.unmovableFrom = lost
 		w.relay.g.Log.Info().Str("request", w.relay.q.ID).Str("lost", lost).Str("reason", string(reason)).Msg("request cannot be moved")
