Soak: connections rest beyond a short idle limit with a request unread

Callers with kept connections send while their gateway is suspended, and short idle limits come more often.

--- a/test/soak/answered_test.go
+++ b/test/soak/answered_test.go
@@ -50,7 +50,18 @@
 		if r.IntN(2) == 0 {
 			rest = min(c.backends.idleLimit()*time.Duration(75+r.IntN(30))/100, 1200*time.Millisecond)
 		}
-		time.Sleep(rest)
+		n.awaitRest(rest, time.Duration(r.IntN(200))*time.Millisecond)
+	}
+}
+
+// awaitRest waits for a duration, or until a delay after the process has been suspended: connections then rest for longer
+// than a short idle limit with a request unread.
+func (n *node) awaitRest(rest, delay time.Duration) {
+	for end := time.Now().Add(rest); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if n.suspended.Load() {
+			time.Sleep(delay)
+			return
+		}
 	}
 }
 
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -29,6 +29,8 @@
 	// store is the proxied link to the store.
 	store *proxy
 
+	// suspended is whether the process is suspended.
+	suspended atomic.Bool
 	// busy is held while a process ends and the next one starts.
 	busy sync.Mutex
 
--- a/test/soak/pairs_test.go
+++ b/test/soak/pairs_test.go
@@ -124,6 +124,7 @@
 		{"key gone", func(time.Duration) { b.revoke() }},
 		{"team gone", func(time.Duration) { b.revokeTeam() }},
 		{"idle limit", limit("idle_timeout_ms", 50, 300, 1000, 15000)},
+		{"short idle limit", limit("idle_timeout_ms", 50, 300)},
 		{"header limit", limit("max_header_bytes", 2000, 16384)},
 		{"header time-out", limit("header_timeout_ms", 100, 300, 3000)},
 		{"body limit", limit("max_body_bytes", 20000, 100000)},
@@ -185,7 +186,9 @@
 // suspend suspends the process for a duration.
 func (n *node) suspend(d time.Duration) {
 	n.signal(syscall.SIGSTOP)
+	n.suspended.Store(true)
 	time.Sleep(d)
+	n.suspended.Store(false)
 	n.signal(syscall.SIGCONT)
 }
 
