--- a/role/gateway/check.go
+++ b/role/gateway/check.go
@@ -95,7 +95,7 @@
 // checkIfUncertain checks an endpoint through which an event is late, unless one has just come
 // through it or it has recently passed a check.
 func (g *Gateway) checkIfUncertain(b *backend, now time.Time) {
-	if b.use.HasRecentEvent(now) || liveness.Checked(elapsed(now, &b.use.checkedAt)) {
+	if b.use.HasRecentEvent(now) || liveness.Checked(elapsed(now, &b.use.CheckedAt)) {
 		return
 	}
 	g.checkAsync(b)
@@ -106,7 +106,7 @@
 // that the endpoint lacks the layers of its record: then it is checked unless it has passed a check
 // since sent.
 func (g *Gateway) checkRefused(b *backend, misdirected bool, sent time.Time) {
-	if misdirected && b.use.checkedAt.Load() < sent.UnixNano() {
+	if misdirected && b.use.CheckedAt.Load() < sent.UnixNano() {
 		g.checkAsync(b)
 		return
 	}
@@ -118,7 +118,7 @@
 // the gateways that use a slow endpoint one checks it first, and the others only if no digest
 // reports that check.
 func (g *Gateway) checkBehind(b *backend, now time.Time) {
-	if liveness.CheckedByOthers(elapsed(now, &b.use.othersCheckedAt), g.gossip.Overlay().ItemRank(b.ID, b.Hall)) {
+	if liveness.CheckedByOthers(elapsed(now, &b.use.OthersCheckedAt), g.gossip.Overlay().ItemRank(b.ID, b.Hall)) {
 		return
 	}
 	g.checkIfUncertain(b, now)
@@ -158,7 +158,7 @@
 		return true
 	}
 	g.Meter.Check(checkPassed)
-	b.use.checkedAt.Store(now.UnixNano())
+	b.use.CheckedAt.Store(now.UnixNano())
 	g.noteAnswer(b, begun, now)
 	if err == nil {
 		b.use.pace.Set(report.Pace, begun)
--- a/role/gateway/digest.go
+++ b/role/gateway/digest.go
@@ -34,9 +34,9 @@
 		if b.use.unused(now) && (others == nil || others[id] == peers.Usage{}) {
 			continue // the case of most endpoints of a large fleet
 		}
-		checked := b.use.checkedAt.Load()
+		checked := b.use.CheckedAt.Load()
 		if others != nil && b.Hall == g.Hall { // a hall's digest is authoritative on its own endpoints
-			checked = max(checked, b.use.othersCheckedAt.Load())
+			checked = max(checked, b.use.OthersCheckedAt.Load())
 		}
 		use := b.use.digestEntry(now, others[id], checked)
 		if held, differs := b.reportedLayers(now); differs && use.GetCheckedMillis() > 0 {
@@ -58,9 +58,8 @@
 // unused reports whether this gateway has no requests at the endpoint and knows nothing of it that
 // others might not know.
 func (u *usage) unused(now time.Time) bool {
-	latest := max(u.checkedAt.Load(), u.othersCheckedAt.Load())
 	return u.active.Load() == 0 && u.held.Load() == 0 && !u.Down() && u.StalledFor(now) == 0 &&
-		now.UnixNano()-latest >= int64(liveness.CheckReportTime) && u.pendingOrder.Load() == nil && !u.intake.ReportsLimit(now)
+		u.LatestCheckAge(now) >= liveness.CheckReportTime && u.pendingOrder.Load() == nil && !u.intake.ReportsLimit(now)
 }
 
 // digestEntry returns the digest entry of an endpoint at now, plus the use by others; checked is
@@ -121,7 +120,7 @@
 		}
 		if age := use.GetCheckedMillis(); age > 0 {
 			at := now.Add(-time.Duration(age) * time.Millisecond)
-			b.use.noteOthersCheck(at)
+			b.use.NoteOthersCheck(at)
 			b.use.pace.Set(float64(use.GetPace())/pace.Unit, at)
 			if use.GetMisheld() {
 				b.noteLayers(layer.Range{First: int(use.GetHeldFirst()), End: int(use.GetHeldEnd())}, at)
--- a/role/gateway/fleet.go
+++ b/role/gateway/fleet.go
@@ -71,10 +71,7 @@
 	// checking is set while it is checked, recheckingStarved while it is checked repeatedly because
 	// this process was starved of processor time.
 	checking, recheckingStarved atomic.Bool
-	// checkedAt is when it last answered a check, and othersCheckedAt when it last answered one of
-	// another gateway, in nanoseconds of Unix time.
-	checkedAt, othersCheckedAt atomic.Int64
-	// answeredAt is when it last answered a request, in the same unit.
+	// answeredAt is when it last answered a request, in nanoseconds of Unix time.
 	answeredAt atomic.Int64
 	// checkBegunAt is when the last finished check of a plain endpoint began, in the same unit.
 	checkBegunAt atomic.Int64
@@ -113,13 +110,6 @@
 	return time.Duration(now.UnixNano() - at.Load())
 }
 
-// noteOthersCheck records that the endpoint answered a check of another gateway at a time.
-func (u *usage) noteOthersCheck(at time.Time) {
-	if at.UnixNano() > u.othersCheckedAt.Load() {
-		u.othersCheckedAt.Store(at.UnixNano())
-	}
-}
-
 // paceFresh is how long the reported pace of an endpoint counts: it is asked several times
 // meanwhile.
 const paceFresh = 3 * surveyEvery
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -286,7 +286,7 @@
 		line = line.EmbedObject(s)
 	}
 	if last := q.lastSearch; last != nil {
-		line = line.Int("need", last.need).Int("open", last.open).Int("avoided", last.avoided).Int("crowded", last.crowded)
+		line = line.Int("need", last.Need).Int("open", last.Open).Int("avoided", last.Avoided).Int("crowded", last.Crowded)
 	}
 	line.Msg("request ended")
 }
--- a/role/gateway/pace.go
+++ b/role/gateway/pace.go
@@ -25,7 +25,7 @@
 			for _, b := range backends {
 				now := time.Now()
 				backingOff := b.use.intake.Held(now) == throttle.BackingOff
-				if b.Card != "" && !backingOff && !b.use.askedLately(now) && !b.use.PresumedDead(now) && o.ItemRank(b.ID, hall) == 0 {
+				if b.Card != "" && !backingOff && b.use.LatestCheckAge(now) >= surveyEvery/2 && !b.use.PresumedDead(now) && o.ItemRank(b.ID, hall) == 0 {
 					g.ask(ctx, b)
 				}
 			}
@@ -33,11 +33,6 @@
 	}
 }
 
-// askedLately reports whether the endpoint has answered a check of any gateway shortly before now.
-func (u *usage) askedLately(now time.Time) bool {
-	return now.UnixNano()-max(u.checkedAt.Load(), u.othersCheckedAt.Load()) < int64(surveyEvery/2)
-}
-
 // ask asks an endpoint for its report and records its pace. If it gives none, requests will show
 // whether it is lost. It does not count as a check: an endpoint that dies right after it must be
 // found by the first late event.
--- a/role/gateway/query.go
+++ b/role/gateway/query.go
@@ -10,6 +10,7 @@
 
 	"github.com/grademill/grademill/adapter/ingress"
 	"github.com/grademill/grademill/decide/catalog"
+	"github.com/grademill/grademill/decide/shortage"
 	"github.com/grademill/grademill/port/exchange"
 	"github.com/grademill/grademill/role/overload"
 	"github.com/grademill/grademill/role/quarantine"
@@ -68,7 +69,7 @@
 	// attempt.
 	returned bool
 	// lastSearch describes the last search that found no chain, nil for none.
-	lastSearch *candidateCounts
+	lastSearch *shortage.Search
 	// waited is how long the request waited in the queue for its first reservation, ahead the
 	// number of requests that were queued when it arrived.
 	waited time.Duration
--- a/role/gateway/reservation.go
+++ b/role/gateway/reservation.go
@@ -138,15 +138,6 @@
 	return requestmemory.Tokens(q.service.Model, requestmemory.Sizes{Prompt: q.Prompt, ExpectedAnswer: q.ExpectedAnswer, MaxAnswer: q.MaxAnswer})
 }
 
-// candidateCounts describes a search that found no chain, for the log.
-type candidateCounts struct {
-	// need is the estimated number of tokens of the request.
-	need int
-	// open, avoided and crowded count the endpoints that hold layers, those that were avoided, and
-	// those without enough memory.
-	open, avoided, crowded int
-}
-
 // reserveAttempt makes a reservation for another attempt of a request and takes a retry from the
 // budget for it.
 func (g *Gateway) reserveAttempt(q *query, cause string) (*reservation, shortage.Shortage) {
@@ -176,7 +167,7 @@
 		found, ok = g.findAdmitted(c, q, f, need, skipAvoided)
 	}
 	if !ok {
-		q.lastSearch = &candidateCounts{need: need, open: c.open, avoided: c.avoided, crowded: c.crowded}
+		q.lastSearch = &shortage.Search{Need: need, Open: c.open, Avoided: c.avoided, Crowded: c.crowded}
 		short := c.shortage()
 		if g.search(c, q, func() { c.collect(q, f, need, skipAvoided) }, func() bool { return true }) != nil {
 			return nil, short
--- a/role/gateway/service_change_test.go
+++ b/role/gateway/service_change_test.go
@@ -80,27 +80,35 @@
 	require.Equal(t, fullBody(events), site.Event(1)+string(rest))
 }
 
-// Guards against a request that is quarantined because the configuration no longer has its service: the endpoint of its
-// isolated attempt was taken to have ended.
-func TestEndpointOfAServiceThatHasGoneHasNotEnded(t *testing.T) {
-	t.Parallel()
-	a, b := plain("a"), plain("b")
-	w := newFixture(t, a, b)
-	a.SetMode(site.Hang)
-	b.SetMode(site.Hang)
+// newIsolated starts a fixture with two plain endpoints, at one of which a request under which two others have ended is
+// tried in isolation. leave has its caller leave.
+func newIsolated(t *testing.T) (w *fixture, endpoints []*site.Endpoint, leave func()) {
+	endpoints = []*site.Endpoint{plain("a"), plain("b")}
+	w = newFixture(t, endpoints...)
+	for _, e := range endpoints {
+		e.SetMode(site.Hang)
+	}
 	r := w.request("POST", "/freeze/9", "suspected")
 	request := fingerprint.Of(fingerprint.Request{Method: "POST", Host: host, Target: "/freeze/9", Team: "desk", Body: []byte("suspected")})
 	for i := range 2 {
 		w.gateway.ReportEnd(fmt.Sprint("another-", i), request)
 	}
 	ctx, leave := context.WithCancel(context.Background())
-	defer leave()
+	t.Cleanup(leave)
 	go func() {
 		if answer, err := http.DefaultClient.Do(r.WithContext(ctx)); err == nil {
 			_ = answer.Body.Close()
 		}
 	}()
-	w.eventually(func() bool { return len(a.Seen())+len(b.Seen()) == 1 })
+	w.eventually(func() bool { return len(endpoints[0].Seen())+len(endpoints[1].Seen()) == 1 })
+	return w, endpoints, leave
+}
+
+// Guards against a request that is quarantined because the configuration no longer has its service: the endpoint of its
+// isolated attempt was taken to have ended.
+func TestEndpointOfAServiceThatHasGoneHasNotEnded(t *testing.T) {
+	t.Parallel()
+	w, _, leave := newIsolated(t)
 	w.dropServices()
 	leave()
 	w.waitForLog(`"message":"outcome of an isolated attempt"`)
--- a/role/gateway/stream.go
+++ b/role/gateway/stream.go
@@ -24,7 +24,8 @@
 	// pollBudget is the interval at which a stream polls the retry budget: the same for all that wait, so
 	// that none is put behind for having waited longer.
 	pollBudget = 15 * time.Millisecond
-	// noRoomWait is how long an endpoint that refused for lack of room is avoided.
+	// noRoomWait is how long an endpoint that refused for lack of room is avoided, and how long a stream
+	// that has begun pauses before it tries again.
 	noRoomWait = 200 * time.Millisecond
 )
 
@@ -107,10 +108,7 @@
 // goes on at endpoints that have run it once their number has reached that of its route.
 func (s *relay) mayRunAgain() bool {
 	q := s.q
-	if !q.mayHaveRun.Load() || !q.route.Repeats() {
-		return !q.mayHaveRun.Load()
-	}
-	return s.out.Begun() || q.runs() < q.route.Attempts
+	return !q.mayHaveRun.Load() || q.route.Repeats() && (s.out.Begun() || q.runs() < q.route.Attempts)
 }
 
 // reservation makes a reservation, with a retry from the budget when the request may already have reached
--- a/state/presence/presence.go
+++ b/state/presence/presence.go
@@ -19,6 +19,9 @@
 	OthersDown atomic.Int64
 	// EventAt is when an event last came through it.
 	EventAt atomic.Int64
+	// CheckedAt is when it last answered a check, and OthersCheckedAt when it last answered one of another
+	// gateway.
+	CheckedAt, OthersCheckedAt atomic.Int64
 
 	// downSince is when it was found not to answer, 0 while it answers, silentAt when it last gave no
 	// answer, and rechecks counts the consecutive checks without an answer since it was found down.
@@ -129,6 +132,18 @@
 	return now.UnixNano() < p.reportedDownUntil.Swap(0)
 }
 
+// NoteOthersCheck records that the endpoint answered a check of another gateway at a time.
+func (p *Presence) NoteOthersCheck(at time.Time) {
+	if at.UnixNano() > p.OthersCheckedAt.Load() {
+		p.OthersCheckedAt.Store(at.UnixNano())
+	}
+}
+
+// LatestCheckAge returns how long ago at now the endpoint last answered a check of any gateway.
+func (p *Presence) LatestCheckAge(now time.Time) time.Duration {
+	return time.Duration(now.UnixNano() - max(p.CheckedAt.Load(), p.OthersCheckedAt.Load()))
+}
+
 // HasRecentEvent reports whether an event has just come through the endpoint.
 func (p *Presence) HasRecentEvent(now time.Time) bool {
 	return liveness.Alive(elapsed(now, &p.EventAt))
