Store: an answer that contradicts a known revision proves nothing

Callers could have had keys accepted that were taken away: an answer without changes counted as proof that the configuration is the newest also where the store's revision had risen, so that the answer had passed a change over, and a revision that was missing, or below a known one, counted as reached.

Evidence: with the checks switched off, TestContradictoryAnswerProvesNothing fails in all three cases and TestRevisionBelowAKnownOneProvesNothing fails.

Such an answer is a failure of the store now, or has everything read again.

--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -39,10 +39,12 @@
 // leases, conditional changes, and watches over a history that can be compacted.
 // The zero Store is empty and ready to use.
 type Store struct {
-	mu      sync.Mutex // guards what follows
-	items   map[string]Item
-	leases  map[uint64]time.Time
-	ttls    map[uint64]time.Duration
+	mu     sync.Mutex // guards what follows
+	items  map[string]Item
+	leases map[uint64]time.Time
+	ttls   map[uint64]time.Duration
+	// granted is the number of leases granted so far.
+	granted uint64
 	history []Item
 	// compactedRev is the revision up to which the history has been compacted.
 	compactedRev uint64
@@ -220,6 +222,9 @@
 // watch; it is small so that tests read several.
 const pageItems = 50
 
+// answerBytes is the size of the values beyond which a page, or the answer to a watch, holds no further item.
+const answerBytes = 1 << 20
+
 func (s *Store) scan(prefix, after string, stale bool) (int, any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -281,11 +286,13 @@
 		return nil, 0, nil, true
 	}
 	var events []Item
+	bytes := 0
 	for _, item := range s.history {
 		if item.Rev > after && strings.HasPrefix(item.Key, prefix) {
 			events = append(events, item)
+			bytes += len(item.Value)
 		}
-		if len(events) == pageItems {
+		if len(events) == pageItems || bytes >= answerBytes {
 			return events, item.Rev, s.changed, false
 		}
 	}
@@ -349,8 +356,8 @@
 	if s.leases == nil {
 		s.leases, s.ttls = make(map[uint64]time.Time), make(map[uint64]time.Duration)
 	}
-	s.rev++
-	id := s.rev
+	s.granted++
+	id := s.granted
 	s.ttls[id] = time.Duration(body.Millis) * time.Millisecond
 	s.leases[id] = time.Now().Add(s.ttls[id])
 	return http.StatusOK, map[string]any{"lease": id, "ttl_ms": body.Millis}
--- a/state/watchcache/feed.go
+++ b/state/watchcache/feed.go
@@ -266,7 +266,7 @@
 func (f *Feed) askStore(ctx context.Context, prefix string, revision uint64, wait time.Duration) (kv.Page, error) {
 	sent := f.Cache.now()
 	if f.partial {
-		if err := f.setTarget(ctx); err != nil {
+		if err := f.setTarget(ctx, revision); err != nil {
 			return kv.Page{}, err
 		}
 		if revision >= f.target {
@@ -283,6 +283,9 @@
 		page.Lag = sent.Sub(resent) // negative: the proof is newer than the request that waited
 		sent = resent
 	}
+	if err == nil {
+		err = f.checkChanges(prefix, revision, page)
+	}
 	f.note(err)
 	if err != nil {
 		return page, err
--- a/state/watchcache/feed_test.go
+++ b/state/watchcache/feed_test.go
@@ -123,6 +123,43 @@
 	})
 }
 
+// Guards against proofs by answers of the store that cannot be one: the revision has risen without a change, so that the
+// request has missed one, or is below a known one. A revocation that was missed so was never learned.
+func TestContradictoryAnswerProvesNothing(t *testing.T) {
+	for name, at := range map[string]uint64{"risen without a change": 8, "below a known revision": 3, "no revision": 0} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &scripted{changes: kv.Page{Pairs: []kv.Pair{{Key: "a", Revision: 5}}, At: 5}}
+				f := newFeed(s, nil)
+				_, err := f.Changes(t.Context(), "", 4, 0)
+				require.NoError(t, err)
+				time.Sleep(time.Minute)
+				s.changes = kv.Page{At: at}
+				_, err = f.Changes(t.Context(), "", 5, 0)
+				var compacted *kv.CompactedError
+				require.Equal(t, at > 5, errors.As(err, &compacted))
+				require.Error(t, err)
+				if answer, err := f.Cache.Fetch(t.Context(), watchcache.Request{After: 4}); err == nil {
+					require.Equal(t, time.Minute, answer.Age, "others get no newer proof either")
+				}
+			})
+		})
+	}
+}
+
+// A store that does not tell its revision has not told that a part of its changes is all of them.
+func TestRevisionBelowAKnownOneProvesNothing(t *testing.T) {
+	s := &partialStore{revision: 5}
+	f := newFeed(s, nil)
+	page, err := f.Changes(t.Context(), "", 4, 0)
+	require.NoError(t, err)
+	require.True(t, page.More)
+	s.revision = 0
+	_, err = f.Changes(t.Context(), "", 5, 0)
+	var below *watchcache.RevisionError
+	require.ErrorAs(t, err, &below)
+}
+
 // When the store has compacted its history, only the gateway that queries it needs a full read. A
 // gateway that queries the other one receives the differences from it.
 func TestCompactedHistoryNeedsNoFullReadByOthers(t *testing.T) {
@@ -234,7 +271,7 @@
 func TestRefreshRepeatsWaitingRequest(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
-		feed := newFeed(&idleStore{}, nil)
+		feed := newFeed(&idleStore{scripted{changes: kv.Page{At: 5}}}, nil)
 		feed.Refresh() // the next request does not wait
 		begun := time.Now()
 		_, err := feed.Changes(t.Context(), "", 5, time.Second)
@@ -274,7 +311,7 @@
 			peer := newFeed(s, nil)
 			_, err := peer.Scan(t.Context(), "", "")
 			require.NoError(t, err)
-			s.changes = kv.Page{At: 8}
+			s.changes = kv.Page{Pairs: []kv.Pair{{Key: "c", Revision: 8}}, At: 8}
 			_, err = peer.Changes(t.Context(), "", 2, 0)
 			require.NoError(t, err)
 			asker := newFeed(&scripted{}, cacheSource{peer.Cache}, "seat")
@@ -282,7 +319,7 @@
 			require.NoError(t, err)
 			require.EqualValues(t, 8, page.At)
 
-			s.scan = kv.Page{Pairs: []kv.Pair{{Key: "a", Revision: 1}, {Key: "b", Revision: 7}}, At: at}
+			s.scan = kv.Page{Pairs: []kv.Pair{{Key: "a", Revision: 1}, {Key: "b", Revision: 7}, {Key: "c", Revision: 8}}, At: at}
 			_, err = peer.Scan(t.Context(), "", "")
 			require.NoError(t, err)
 			page, err = asker.Changes(t.Context(), "", 8, time.Second)
@@ -438,7 +475,7 @@
 func TestOverdueRequestIsRepeated(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
-		feed := newFeed(&hangingStore{}, nil)
+		feed := newFeed(&hangingStore{scripted: scripted{changes: kv.Page{At: 5}}}, nil)
 		begun := time.Now()
 		_, err := feed.Changes(t.Context(), "", 5, time.Second)
 		require.NoError(t, err)
--- a/state/watchcache/target.go
+++ b/state/watchcache/target.go
@@ -7,14 +7,18 @@
 	"github.com/grademill/grademill/port/kv"
 )
 
-// setTarget asks the store for its revision, unless the replica has yet to reach an earlier answer. If
-// the store does not answer, the next call requests changes, of which an answer without any is a proof.
-func (f *Feed) setTarget(ctx context.Context) error {
+// setTarget asks the store for its revision, unless the replica, which has reached revision known, has yet to reach
+// an earlier answer. If the store does not answer, the next call requests changes, of which an answer without any is a
+// proof.
+func (f *Feed) setTarget(ctx context.Context, known uint64) error {
 	if f.target != 0 {
 		return nil
 	}
 	asked := f.Cache.now()
 	target, err := f.Store.Revision(ctx)
+	if err == nil {
+		err = checkRevision(known, target)
+	}
 	f.note(err)
 	if err != nil {
 		f.partial = false
