Gateway: a configuration that cannot be read withholds the proof

A configuration that was not understood was logged and passed over, and each later answer of the store proved the previous one anew: a key that the newer one took away was accepted for as long as it stood.

state/proof holds the proof and whether it is withheld. Requests with keys are refused once the proof has aged; requests without are served.

--- a/role/gateway/follow.go
+++ b/role/gateway/follow.go
@@ -75,8 +75,9 @@
 // configure puts a configuration in force, unless a later one already is.
 func (g *Gateway) configure(p kv.Pair) {
 	c, err := g.Decoders.DecodeCatalog(p.Value)
+	g.proof.Withhold(err != nil) // it may take away a key
 	if err != nil {
-		g.Log.Error().Err(err).Uint64("revision", p.Revision).Msg("configuration not understood, the previous one stays in force")
+		g.Log.Error().Err(err).Uint64("revision", p.Revision).Msg("configuration not understood, the previous one stays in force without a new proof")
 		return
 	}
 	current := g.catalog.Load()
@@ -102,7 +103,7 @@
 	if g.catalog.Load() == nil || last < g.Decoders.Catalog {
 		return
 	}
-	g.proof.Store(max(g.proof.Load(), sent.UnixNano()))
+	g.proof.Confirm(sent)
 	open, left := g.membership.Roster.Size()
 	g.Log.Info().Int("endpoints", open+left).Dur("proof_age_ms", g.proofAge()).
 		Msg("a part of the store has been read")
@@ -134,7 +135,10 @@
 	if g.failing.Swap(false) || !g.loaded.Load() {
 		g.currentSince.Store(time.Now().UnixNano())
 	}
-	g.proof.Store(max(g.proof.Load(), sent.UnixNano()))
+	stale := !g.policy().MayServe(g.proofAge())
+	if g.proof.Confirm(sent); stale {
+		g.Log.Info().Uint64("revision", g.cache.At()).Dur("proof_age_ms", g.proofAge()).Msg("configuration is known to be current again")
+	}
 	if g.partition.PeersAsking() {
 		g.gossip.SendSoon() // gateways that have lost the store wait for a proof from after that
 	}
@@ -146,9 +150,7 @@
 
 // proofAge returns the age of the freshness proof: how long ago the configuration in force was
 // certainly the newest. It includes the time for which the host was suspended.
-func (g *Gateway) proofAge() time.Duration {
-	return time.Duration(g.Clock().UnixNano() - g.proof.Load())
-}
+func (g *Gateway) proofAge() time.Duration { return g.proof.Age(g.Clock()) }
 
 // policy returns what a gateway may do at a given age of the freshness proof.
 func (g *Gateway) policy() freshness.Policy {
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -35,6 +35,7 @@
 	"github.com/grademill/grademill/state/inflight"
 	"github.com/grademill/grademill/state/linklimit"
 	"github.com/grademill/grademill/state/peers"
+	"github.com/grademill/grademill/state/proof"
 	"github.com/grademill/grademill/state/retrybudgets"
 	"github.com/grademill/grademill/state/watchcache"
 )
@@ -109,8 +110,8 @@
 	catalog atomic.Pointer[catalog.Catalog]
 	fleet   atomic.Pointer[fleet]
 	// proof is the freshness proof of the configuration: when the question was sent whose answer
-	// showed that it is the newest, in nanoseconds by Clock.
-	proof   atomic.Int64
+	// showed that it is the newest, by Clock.
+	proof   proof.Proof
 	started time.Time
 	// read is set once the whole store has been read, even in a state that may be outdated; loaded
 	// once everything written to it up to a known time has been read.
@@ -166,9 +167,6 @@
 	members    members
 }
 
-// noProof is the initial proof age of a gateway without a freshness proof: beyond all bounds.
-const noProof = time.Hour
-
 // Run follows the store until ctx ends. ServeHTTP may be called meanwhile.
 func (g *Gateway) Run(ctx context.Context) {
 	g.started = time.Now()
@@ -176,7 +174,6 @@
 		g.Clock = hostclock.Now
 	}
 	g.cache.Now = g.Clock
-	g.proof.Store(g.Clock().Add(-noProof).UnixNano())
 	g.retries.Share, g.retries.Reserve, g.retries.Window = g.RetryShare, g.RetryReserve, g.RetryWindow
 	g.retries.Size = func() int { return g.peers.KnownSize(!g.failing.Load()) }
 	g.retries.Overlap = g.StopTimeout
--- a/role/gateway/keys_test.go
+++ b/role/gateway/keys_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/grademill/grademill/platform"
 )
 
 // statusWith returns the status of the answer to a request with a key, or without one if it is empty.
@@ -45,6 +47,22 @@
 	require.Equal(t, http.StatusOK, w.statusWith("/open/1", ""), "the route is public")
 }
 
+// Guards against proofs that a configuration is the newest one while a newer one is known that cannot be read: a key that
+// it takes away was accepted for as long as it stood.
+func TestUnreadableConfigurationIsNotPassedOver(t *testing.T) {
+	t.Parallel()
+	e := plain("a")
+	w := newFixture(t, e)
+	require.Equal(t, http.StatusOK, w.statusWith("/renew/1", key))
+	w.site.Store.SetText(platform.ConfigKey, []byte(`{"version":5,"routes":[{"name":"r","kind":"of another release"}],"tenants":[]}`))
+	w.waitForLog("configuration not understood")
+	w.eventually(func() bool { return w.statusWith("/renew/1", key) == http.StatusServiceUnavailable })
+	require.False(t, w.gateway.Ready())
+	require.Equal(t, http.StatusOK, w.statusWith("/open/1", ""), "without a key")
+	w.configure(true)
+	w.eventually(func() bool { return w.statusWith("/renew/1", key) == http.StatusOK })
+}
+
 // Guards against an empty key that admits requests without one, and against a key of several teams that admits its holder
 // as any of them: each of a series of drawn configurations, in which keys come and go, is compared with a model.
 func TestOnlyHoldersOfKeysAreServed(t *testing.T) {
--- a/role/gateway/partition.go
+++ b/role/gateway/partition.go
@@ -12,7 +12,7 @@
 	g.refreshed = make(chan struct{}, 1)
 	d := &g.partition // requests may already arrive and read whether this gateway is alone
 	d.Hall, d.Policy, d.Peers = g.Hall, g.policy(), &g.peers
-	d.Age, d.Proven = g.proofAge, func() time.Time { return time.Unix(0, g.proof.Load()) }
+	d.Age, d.Proven = g.proofAge, g.proof.At
 	d.Loaded, d.Failing, d.Refresh = &g.loaded, &g.failing, g.refresh
 	d.Clock, d.Log = g.Clock, g.Log
 	d.Init()
