Host clock: without the system's clock, the time of day does not take its place

Arithmetic on the Unix time of time.Now follows the time of day: where the clock that counts suspensions is missing, a clock set back made proofs of freshness look newer than they were. The time since the start of the process takes its place.

--- /dev/null
+++ b/adapter/hostclock/export_test.go
@@ -0,0 +1,4 @@
+package hostclock
+
+// SinceStart exports sinceStart.
+var SinceStart = sinceStart
--- a/adapter/hostclock/hostclock_test.go
+++ b/adapter/hostclock/hostclock_test.go
@@ -20,6 +20,14 @@
 	}
 }
 
+// Guards against proofs of freshness that follow the time of day on a system without the clock.
+func TestClockOfOtherSystemsIsNotTheTimeOfDay(t *testing.T) {
+	first := hostclock.SinceStart()
+	require.Equal(t, 1970, first.UTC().Year())
+	time.Sleep(time.Millisecond)
+	require.Greater(t, hostclock.SinceStart().UnixNano(), first.UnixNano())
+}
+
 func BenchmarkNow(b *testing.B) {
 	for b.Loop() {
 		hostclock.Now()
