Changes between gateways: an answer that names no proof is none, and has bounds

A gateway took an answer without a body, and one cut at its bound between two changes, for a proof of the moment at which it had asked: the age of the proof, a later field of the message, was read as 0. With such a proof it would have accepted keys that had been taken away. The head was bounded by 10 MB only.

The age in an answer is never 0, so that 0 is an error now; a body beyond the bound and a head beyond 16 KiB are errors too.

--- a/adapter/watchhttp/watch.go
+++ b/adapter/watchhttp/watch.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -17,6 +16,8 @@
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/grademill/grademill/adapter/httpclient"
+	"github.com/grademill/grademill/adapter/readlimit"
 	"github.com/grademill/grademill/port/kv"
 	"github.com/grademill/grademill/state/watchcache"
 	wire "github.com/grademill/grademill/wire/watch"
@@ -52,7 +53,7 @@
 	dialer := net.Dialer{Timeout: dialTimeout}
 	return &Client{http: &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout,
-		ReadBufferSize: 1024, WriteBufferSize: 1024,
+		ReadBufferSize: 1024, WriteBufferSize: 1024, MaxResponseHeaderBytes: httpclient.MaxHead,
 	}}}
 }
 
@@ -88,7 +89,7 @@
 		return watchcache.Answer{}, trace.Wrap(err)
 	}
 	defer response.Body.Close() //nolint:errcheck // nothing to save
-	text, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	text, err := readlimit.ReadAll(response.Body, "other gateway's answer", maxAnswer)
 	if err != nil {
 		return watchcache.Answer{}, trace.Wrap(err)
 	}
@@ -102,11 +103,17 @@
 	if err := proto.Unmarshal(text, &changes); err != nil {
 		return watchcache.Answer{}, trace.Wrap(err)
 	}
-	return decode(&changes), nil
+	return decode(&changes)
 }
 
-// decode returns the answer in a message.
-func decode(c *wire.Changes) watchcache.Answer {
+// ErrNoProof reports an answer of something else than a gateway, or a part of an answer: it lacks the age of the proof.
+var ErrNoProof = errors.New("the answer names no age of a proof")
+
+// decode returns the answer in a message. The age of its proof is never 0, see encode.
+func decode(c *wire.Changes) (watchcache.Answer, error) {
+	if c.GetAgeMicros() == 0 {
+		return watchcache.Answer{}, trace.Wrap(ErrNoProof)
+	}
 	a := watchcache.Answer{
 		At: c.GetAt(), Sum: c.GetSum(), Age: time.Duration(c.GetAgeMicros()) * time.Microsecond,
 		Waited: time.Duration(c.GetHeldMicros()) * time.Microsecond,
@@ -114,7 +121,7 @@
 	for _, p := range c.GetPairs() {
 		a.Pairs = append(a.Pairs, kv.Pair{Key: p.GetKey(), Value: p.GetValue(), Revision: p.GetRevision(), Deleted: p.GetDeleted()})
 	}
-	return a
+	return a, nil
 }
 
 // encode returns the message for an answer. It rounds the age up and the hold time down, so
