Gateway: late in a planned stop, only requests that end before it are taken

Callers whose request came late in the grace of a planned stop, on a connection opened while the balancer still sent some, had it passed on and cut at the end without an answer.

--- a/cmd/grademill-gateway/daemon.go
+++ b/cmd/grademill-gateway/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/grademill/grademill/adapter/hangup"
 	"github.com/grademill/grademill/adapter/ingress"
 	"github.com/grademill/grademill/adapter/meter"
+	"github.com/grademill/grademill/decide/grace"
 	"github.com/grademill/grademill/decide/shedding"
 	"github.com/grademill/grademill/platform"
 	"github.com/grademill/grademill/role/gateway"
@@ -173,7 +174,7 @@
 	}
 	limit := d.file.Gateway.StopTimeout.Or(defaultStopTimeout) - stopMargin
 	d.log.Info().Int("running", d.gateway.Running()).Msg("gateway stopping")
-	d.gateway.Drain()
+	d.gateway.Drain(grace.Stop{Open: start.Add(lingerWait), End: start.Add(limit)})
 	callers.CloseAfterResponses()
 	sleep(min(lingerWait, limit))
 	callers.Stop()
--- a/layout_test.go
+++ b/layout_test.go
@@ -45,6 +45,7 @@
 	"decide/fleet",
 	"decide/flow",
 	"decide/freshness",
+	"decide/grace",
 	"decide/hallcapacity",
 	"decide/hallsplit",
 	"decide/health",
--- a/role/gateway/follow.go
+++ b/role/gateway/follow.go
@@ -153,11 +153,7 @@
 func (g *Gateway) proofAge() time.Duration { return g.proof.Age(g.Clock()) }
 
 // policy returns what a gateway may do at a given age of the freshness proof.
-func (g *Gateway) policy() freshness.Policy {
-	return freshness.Policy{Revocation: g.Revocation}
-}
+func (g *Gateway) policy() freshness.Policy { return freshness.Policy{Revocation: g.Revocation} }
 
 // fresh reports whether requests with a key may be served at the proof age of this request.
-func (g *Gateway) fresh(q *query) bool {
-	return g.policy().MayServe(q.proofAge)
-}
+func (g *Gateway) fresh(q *query) bool { return g.policy().MayServe(q.proofAge) }
--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/grademill/grademill/adapter/upstream"
 	"github.com/grademill/grademill/decide/catalog"
 	"github.com/grademill/grademill/decide/endpoint"
+	"github.com/grademill/grademill/decide/grace"
 	"github.com/grademill/grademill/decide/overlay"
 	"github.com/grademill/grademill/decide/placement"
 	"github.com/grademill/grademill/port/exchange"
@@ -32,6 +33,7 @@
 	"github.com/grademill/grademill/role/partition"
 	"github.com/grademill/grademill/role/quarantine"
 	"github.com/grademill/grademill/role/throttling"
+	"github.com/grademill/grademill/state/cell"
 	"github.com/grademill/grademill/state/inflight"
 	"github.com/grademill/grademill/state/linklimit"
 	"github.com/grademill/grademill/state/peers"
@@ -118,6 +120,7 @@
 	read     atomic.Bool
 	loaded   atomic.Bool
 	draining atomic.Bool
+	stop     cell.Cell[grace.Stop]
 	// failing is set while calls to the store fail, partition detects whether they fail for this
 	// gateway alone.
 	failing   atomic.Bool
@@ -243,8 +246,9 @@
 		g.policy().Ready(g.proofAge())
 }
 
-// Drain makes the gateway not ready, and has it give up the right to give orders.
-func (g *Gateway) Drain() {
+// Drain makes the gateway not ready before a stop, and has it give up the right to give orders.
+func (g *Gateway) Drain(s grace.Stop) {
+	g.stop.Update(func(grace.Stop) grace.Stop { return s })
 	g.draining.Store(true)
 }
 
@@ -263,9 +267,7 @@
 }
 
 // Running returns the number of requests in flight.
-func (g *Gateway) Running() int {
-	return g.running.Count()
-}
+func (g *Gateway) Running() int { return g.running.Count() }
 
 // Close makes the gateway refuse all further requests, unless one is in flight and force is not
 // set. It reports whether it has done so.
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/grademill/grademill/adapter/requestbody"
 	"github.com/grademill/grademill/decide/catalog"
 	"github.com/grademill/grademill/decide/cause"
 	"github.com/grademill/grademill/decide/shortage"
@@ -89,6 +90,10 @@
 		}
 	}
 	q.deadline = q.start.Add(q.route.TimeLimit(q.CallerTimeout))
+	if !g.stop.Load().Takes(time.Now(), q.deadline) {
+		g.refuse(q, 0, "the gateway may stop before the request ends")
+		return false
+	}
 	q.service = c.Services[q.route.Service(xxhash.Sum64String(q.ID))]
 	if q.service == nil {
 		g.refuse(q, retryAfterStore, "the service of the route is not configured")
@@ -145,12 +150,8 @@
 
 // readBody reads the whole body, so that it can be sent again.
 func (g *Gateway) readBody(q *query, limits catalog.Limits) bool {
-	q.hasBody = q.r.ContentLength > 0 || len(q.r.TransferEncoding) > 0 || q.r.Header.Get("Content-Length") != ""
-	if q.r.Body == nil || q.r.Body == http.NoBody {
-		return true
-	}
-	maxBytes := cmp.Or(max(limits.BodyBytes, 0), defaultMaxBody)
-	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, maxBytes))
+	q.hasBody = requestbody.Present(q.r)
+	body, err := requestbody.Read(q.w, q.r, cmp.Or(max(limits.BodyBytes, 0), defaultMaxBody))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/role/gateway/store_test.go
+++ b/role/gateway/store_test.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/grademill/grademill/adapter/hostclock"
+	"github.com/grademill/grademill/decide/grace"
 	"github.com/grademill/grademill/role/gateway"
 	"github.com/grademill/grademill/standin/site"
 	"github.com/grademill/grademill/wire/gossip"
@@ -331,7 +332,7 @@
 	second := w.start("gateway-2")
 	w.eventually(second.Ready)
 	require.Equal(t, "gateway-1", w.site.Store.Value("grademill/giver"))
-	w.gateway.Drain()
+	w.gateway.Drain(grace.Stop{})
 	w.eventually(func() bool { return w.site.Store.Value("grademill/giver") == "gateway-2" })
 	more := card("card-more", "south")
 	require.NoError(t, w.site.Start(more))
