--- a/cmd/grademill-gateway/main_test.go
+++ b/cmd/grademill-gateway/main_test.go
@@ -74,6 +74,12 @@
 	return p
 }
 
+// limitDescriptors bounds the open descriptors of the process, before it is run.
+func (p *process) limitDescriptors(n int) {
+	p.Args = append([]string{"sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, n), p.Path}, p.Args[1:]...)
+	p.Path = "/bin/sh"
+}
+
 // run starts the process, and ends it when the test ends.
 func (p *process) run(t *testing.T) {
 	require.NoError(t, p.Start())
