Changes of the store: the newest configuration comes first after a cut

After a cut, gateways went by former configurations for seconds: requests without a key reached services and routes that a newer version had changed, and requests with keys were refused for longer.

Cause: all versions that had been missed were decoded and put in force, one after the other, in answers of a megabyte each.

A gateway that has lost the store and gets a part of the changes reads the key of the configuration by itself, one call; older values of it are left out of an answer. What the answer proves stays as it was.

--- a/role/gateway/changes.go
+++ b/role/gateway/changes.go
@@ -20,7 +20,7 @@
 // initFeed sets up the source of the store's changes.
 func (g *Gateway) initFeed() {
 	g.feed = watchcache.Feed{
-		Store: g.Store, Source: watchhttp.NewClient(), Sources: g.sources, Cache: &g.cache, Log: g.Log,
+		Store: g.Store, Source: watchhttp.NewClient(), Sources: g.sources, Cache: &g.cache, Latest: g.Decoders.Catalog, Log: g.Log,
 		Age:           func() time.Duration { return g.proofAge() },
 		TimeUntilLate: func() time.Duration { return g.policy().TimeUntilLate(g.proofAge()) },
 	}
--- a/state/watchcache/feed.go
+++ b/state/watchcache/feed.go
@@ -81,7 +81,11 @@
 	Age, TimeUntilLate func() time.Duration
 	// Cache holds what other gateways may request from this one.
 	Cache *Cache
-	Log   zerolog.Logger
+	// Latest is a key of which only the newest value is of use, such as the configuration; empty for none. Older values in
+	// an answer are left out. It is read on its own when the store answers again after a failure and what was missed takes
+	// several answers: they may take seconds.
+	Latest string
+	Log    zerolog.Logger
 
 	// failed is when a call to the store last failed, in nanoseconds of Unix time.
 	failed atomic.Int64
@@ -286,10 +290,15 @@
 	if err == nil {
 		err = f.checkChanges(prefix, revision, page)
 	}
+	regained := f.failed.Load() != 0
 	f.note(err)
 	if err != nil {
 		return page, err
 	}
+	if regained && page.More {
+		page.Pairs = f.addLatest(ctx, page.Pairs)
+	}
+	page.Pairs = newestOf(f.Latest, page.Pairs)
 	if page.More && f.target != 0 && page.At >= f.target {
 		return f.applyProven(page, sent, revision), nil
 	}
--- a/state/watchcache/feed_test.go
+++ b/state/watchcache/feed_test.go
@@ -147,6 +147,32 @@
 	}
 }
 
+// Guards against a gateway that, after a cut, puts one former configuration after the other in force before the newest
+// one, while requests go by them.
+func TestNewestValueComesFirstAfterAFailure(t *testing.T) {
+	s := &scripted{scan: kv.Page{Pairs: []kv.Pair{{Key: "c", Revision: 1}}, At: 1}}
+	f := newFeed(s, nil)
+	f.Latest = "c"
+	_, err := f.Scan(t.Context(), "", "")
+	require.NoError(t, err)
+	s.err = errLost
+	_, err = f.Changes(t.Context(), "", 1, 0)
+	require.Error(t, err)
+	s.err = nil
+	s.changes = kv.Page{Pairs: []kv.Pair{{Key: "c", Revision: 2}, {Key: "a", Revision: 3}, {Key: "c", Revision: 4}}, At: 4, More: true}
+	s.scan = kv.Page{Pairs: []kv.Pair{{Key: "c", Revision: 9}, {Key: "c-more", Revision: 8}}, At: 9}
+	page, err := f.Changes(t.Context(), "", 1, 0)
+	require.NoError(t, err)
+	require.Equal(t, []kv.Pair{{Key: "a", Revision: 3}, {Key: "c", Revision: 9}}, page.Pairs)
+	require.True(t, page.More, "it proves nothing of the other keys")
+	require.Equal(t, 2, s.scans)
+	s.changes = kv.Page{Pairs: []kv.Pair{{Key: "c", Revision: 5}, {Key: "c", Revision: 9}}, At: 9, More: true}
+	page, err = f.Changes(t.Context(), "", 4, 0)
+	require.NoError(t, err)
+	require.Equal(t, 2, s.scans, "once")
+	require.Empty(t, page.Pairs, "it is known")
+}
+
 // A store that does not tell its revision has not told that a part of its changes is all of them.
 func TestRevisionBelowAKnownOneProvesNothing(t *testing.T) {
 	s := &partialStore{revision: 5}
