Gateway: a budget for what is held for callers

Callers outside the limits ended a process: 300 of them with bodies of 1 MB, whole, piece by piece or stopping short, took 212 to 481 MB of a host's 184, 800 connections all of 600 descriptors, after which no ordinary request was answered for 30 s.

Cause: a bound for each request and none for all. state/memory counts connections, heads, bodies and responses that are being written against one budget, a quarter of the memory and half of the descriptors; the caller that has stood still longest gives way, and a request that is being served never does. adapter/ingress counts, adapter/requestbody reads bodies within it.

--- a/adapter/ingress/conn.go
+++ b/adapter/ingress/conn.go
@@ -13,12 +13,20 @@
 
 	"github.com/grademill/grademill/adapter/peek"
 	"github.com/grademill/grademill/decide/connection"
+	"github.com/grademill/grademill/state/memory"
 )
 
 const (
 	// lingerWait and lingerBytes bound what is read from a caller that goes on sending after its response.
 	lingerWait  = time.Second
 	lingerBytes = 8 << 20
+	// connBytes is what a connection takes while it is open: the buffers of the process and of net/http, a head of usual
+	// size, and unreadBytes, which the system holds for it until they are read.
+	connBytes   = 8<<10 + unreadBytes
+	unreadBytes = 32 << 10
+	// freeHead is the part of a head that connBytes includes. The rest is in memory headCopies times: as read, and as parsed.
+	freeHead   = 4 << 10
+	headCopies = 2
 )
 
 // conn is a caller's connection. Only the goroutine that reads it closes it; others have it look whether to close by
@@ -29,6 +37,8 @@
 	limits *atomic.Pointer[connection.Limits]
 	// onUnanswered is [Server.Unanswered].
 	onUnanswered func(Unanswered)
+	// share counts what the process holds for the caller, nil if nothing is counted.
+	share *memory.Share
 
 	// mu guards the fields up to armed.
 	mu    sync.Mutex
@@ -36,6 +46,8 @@
 	// ending is set while net/http ends a read, and armed is the read deadline of the socket, zero for none.
 	ending bool
 	armed  time.Time
+	// evicted is set while the caller has to give way, writing while a part of a response is written.
+	evicted, writing bool
 
 	// request is the request that is served or whose response is written, nil for none. sent counts
 	// the bytes of its response, and writeErr is the first error in writing them, nil for none.
@@ -53,8 +65,13 @@
 // Read reads from the connection. A read deadline that has expired does not tell that no bytes are there, so it
 // reads them before the connection is closed.
 func (c *conn) Read(b []byte) (int, error) {
+	watches := len(b) == 1 // net/http watches for the end of the connection while the handler runs
 	for {
+		c.await(watches)
 		n, err := c.Conn.Read(b)
+		if !watches {
+			c.share.Move()
+		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return c.received(b, n, err)
 		}
@@ -74,12 +91,43 @@
 		}
 		_ = c.Conn.Close() // an error changes nothing for the caller
 		if then == connection.CloseSlowHead {
-			c.report(CloseSlowHead, nil)
+			reason := CloseSlowHead
+			if c.share.Evicted() {
+				reason = CloseGaveWay
+			}
+			c.report(reason, nil)
 		}
 		return 0, err
 	}
 }
 
+// await prepares a read. A caller whose request net/http has read whole no longer has to give way: its connection is
+// closed once it is idle.
+func (c *conn) await(watches bool) {
+	if !watches {
+		c.share.Wait()
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.evicted {
+		c.evicted = false
+		c.state = c.state.WithStop()
+		_ = c.arm()
+	}
+}
+
+// evict has the caller give way to others: the wait for its bytes ends, or the write of a response that it does not read.
+func (c *conn) evict() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evicted = true
+	if c.writing {
+		_ = c.Conn.SetWriteDeadline(time.Unix(1, 0)) // fails only once the connection is closed
+	}
+	_ = c.arm()
+}
+
 // expired reports whether the wait of a read is over, and what follows. If it is not, it sets the next read deadline.
 func (c *conn) expired() (then connection.Expiry, over bool) {
 	c.mu.Lock()
@@ -88,6 +136,9 @@
 	if c.ending {
 		return connection.ReadOn, true
 	}
+	if then := c.state.GiveWay(); c.evicted && then != connection.ReadOn {
+		return then, true
+	}
 	until, then := c.state.Wait(*c.limits.Load())
 	if then != connection.ReadOn && !now.Before(until) {
 		return then, true
@@ -114,6 +165,11 @@
 		if c.head = append(c.head, b[:n]...); len(c.head) == n {
 			c.head = bytes.TrimLeft(c.head, "\r\n")
 		}
+		if len(c.head) > freeHead && !c.share.Grow(int64(headCopies*n)) {
+			_ = c.Conn.Close() // an error changes nothing for the caller
+			c.report(CloseGaveWay, nil)
+			return 0, net.ErrClosed
+		}
 	}
 	return n, err
 }
@@ -146,7 +202,7 @@
 // arm sets the read deadline of the socket; c.mu is held. It fails only once the connection is closed.
 func (c *conn) arm() error {
 	until, _ := c.state.Wait(*c.limits.Load())
-	if c.ending {
+	if c.ending || c.evicted && c.state.GiveWay() != connection.ReadOn {
 		until = time.Unix(1, 0)
 	}
 	if until.Equal(c.armed) {
@@ -170,7 +226,13 @@
 
 // Write writes a part of a response.
 func (c *conn) Write(b []byte) (int, error) {
+	c.setWriting(true)
+	c.share.Add(int64(len(b)))
+	c.share.Wait()
 	n, err := c.Conn.Write(b)
+	c.share.Move()
+	c.share.Add(-int64(len(b)))
+	c.setWriting(false)
 	c.sent.Add(int64(n))
 	if err != nil {
 		c.writeErr.CompareAndSwap(nil, &err)
@@ -178,6 +240,12 @@
 	return n, err
 }
 
+func (c *conn) setWriting(writing bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = writing
+}
+
 // CloseWrite ends the response and reads what the caller goes on sending, within bounds: a connection that is closed
 // with unread bytes is reset, and its caller may not see the response.
 func (c *conn) CloseWrite() error {
@@ -197,6 +265,8 @@
 
 // Close closes the connection, after CloseWrite if it has unread bytes and the response was not aborted.
 func (c *conn) Close() error {
+	c.share.Reset()
+	defer c.share.Close()
 	if unread, _ := peek.HasUnread(c.Conn); unread && !c.aborted.Load() {
 		_ = c.CloseWrite() // the connection is closed in any case
 	}
@@ -222,7 +292,10 @@
 
 // answered records that the response has been written, and that the connection is to be closed if stopping is set.
 func (c *conn) answered(stopping bool) {
-	c.head = c.head[:0]
+	if c.head = c.head[:0]; cap(c.head) > freeHead {
+		c.head = nil
+	}
+	c.share.Reset()
 	c.request.Store(nil)
 	_ = c.update(func(s connection.State, l connection.Limits) connection.State {
 		if stopping {
--- a/adapter/ingress/listener.go
+++ b/adapter/ingress/listener.go
@@ -37,7 +37,9 @@
 		raw, err := l.Listener.Accept()
 		switch {
 		case err == nil:
-			return l.server.accepted(raw), nil
+			if c := l.server.accepted(raw); c != nil {
+				return c, nil
+			}
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err
 		}
@@ -59,10 +61,21 @@
 	return d.SetDeadline(t)
 }
 
-// accepted registers a new connection.
+// accepted registers a new connection. It closes it, and returns nil, if there is no memory or descriptor for it: its
+// caller can send its request elsewhere, since nothing of it has been read.
 func (s *Server) accepted(raw net.Conn) *conn {
 	c := &conn{Conn: raw, limits: &s.waits, onUnanswered: s.Unanswered}
 	c.state = connection.Accepted(time.Now(), *s.waits.Load())
+	if s.Memory != nil {
+		if c.share = s.Memory.Open(connBytes, c.evict); c.share == nil {
+			_ = raw.Close() // an error changes nothing for the caller
+			c.report(CloseNoRoom, nil)
+			return nil
+		}
+		if tcp, ok := raw.(*net.TCPConn); ok {
+			_ = tcp.SetReadBuffer(unreadBytes) // the system may hold more
+		}
+	}
 	c.rearm()
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/adapter/ingress/server.go
+++ b/adapter/ingress/server.go
@@ -21,6 +21,7 @@
 
 	"github.com/grademill/grademill/adapter/peek"
 	"github.com/grademill/grademill/decide/connection"
+	"github.com/grademill/grademill/state/memory"
 )
 
 // Fixed limits on the head of a request; Limits can only be stricter.
@@ -61,6 +62,8 @@
 	Handler http.Handler
 	// Limits returns the limits in force; nil for no limits.
 	Limits func() Limits
+	// Memory counts what the server holds for callers, nil for no bound.
+	Memory *memory.Budget
 	// Unanswered, if set, is called for each connection that is closed without a whole response to a
 	// request on it. It must not block.
 	Unanswered func(Unanswered)
@@ -93,6 +96,14 @@
 	return err != nil
 }
 
+// Share returns the share of the caller of the request with the given context, nil if nothing is counted.
+func Share(ctx context.Context) *memory.Share {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+		return c.share
+	}
+	return nil
+}
+
 // Listen opens the listener and serves in the background. It sends a later server failure to
 // failed.
 func (s *Server) Listen(failed chan<- error) error {
--- a/adapter/ingress/unanswered.go
+++ b/adapter/ingress/unanswered.go
@@ -14,6 +14,10 @@
 	CloseCallerLeft = "caller left"
 	// CloseWriteFailed means that the response could not be written, mostly because the caller has left.
 	CloseWriteFailed = "write failed"
+	// CloseGaveWay means that the caller stood still with a part of a head while others needed the memory.
+	CloseGaveWay = "gave way"
+	// CloseNoRoom means that a new connection was not read, since the memory or the descriptors were used up.
+	CloseNoRoom = "no room"
 	// CloseStopTimeout means that the process ended while the request was not yet read, running, or being answered.
 	CloseStopTimeout = "stop time-out"
 )
--- a/adapter/meter/gateway.go
+++ b/adapter/meter/gateway.go
@@ -201,6 +201,21 @@
 // Quarantine counts an event of a request during which endpoints ended.
 func (m *Gateway) Quarantine(event string) { m.quarantine.WithLabelValues(event).Inc() }
 
+// Memory registers gauges of what is held for callers: the bytes, and the number of their connections.
+func (m *Gateway) Memory(used func() (bytes int64, connections int)) {
+	gauge := func(name, help string, value func() float64) {
+		m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "grademill_gateway_" + name, Help: help}, value))
+	}
+	gauge("caller_memory_bytes", "Memory held for callers.", func() float64 {
+		bytes, _ := used()
+		return float64(bytes)
+	})
+	gauge("caller_connections", "Open connections of callers.", func() float64 {
+		_, connections := used()
+		return float64(connections)
+	})
+}
+
 // Unanswered counts a connection of a caller that was closed without a whole response.
 func (m *Gateway) Unanswered(reason string) { m.unanswered.WithLabelValues(reason).Inc() }
 
--- a/cmd/grademill-gateway/daemon.go
+++ b/cmd/grademill-gateway/daemon.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	stdlog "log"
+	"math"
 	"net/http"
 	"os"
 	"os/signal"
@@ -25,6 +27,7 @@
 	"github.com/grademill/grademill/platform"
 	"github.com/grademill/grademill/role/gateway"
 	"github.com/grademill/grademill/role/settings"
+	"github.com/grademill/grademill/state/memory"
 )
 
 const (
@@ -45,7 +48,13 @@
 	stopPoll = 20 * time.Millisecond
 	// bytesPerMegabit converts the rate of a link from Mbit/s to bytes/s.
 	bytesPerMegabit = 1e6 / 8
+	// callerMemory is the part of the memory for what is held for callers, callerDescriptors that of
+	// the descriptors.
+	callerMemory      = 1.0 / 4
+	callerDescriptors = 1.0 / 2
+	bytesPerMegabyte  = 1 << 20
 	// Defaults of settings that the file omits.
+	defaultMegabytes   = 184
 	defaultStopTimeout = 10 * time.Second
 	defaultRetryWindow = 10 * time.Second
 )
@@ -117,6 +126,8 @@
 	failed := make(chan error, 3)
 	callers := d.server(d.file.Gateway.Caller, d.gateway, d.callerLimits)
 	callers.Unanswered = d.unanswered
+	callers.Memory = d.callerBudget()
+	d.metrics.Memory(callers.Memory.Used)
 	servers := []*ingress.Server{callers, d.server(d.file.Gateway.Ready, d.readyHandler(), nil)}
 	if d.file.Admin != "" {
 		servers = append(servers, d.server(d.file.Admin, d.admin(), nil))
@@ -214,6 +225,22 @@
 	}
 }
 
+// callerBudget returns the budget for what is held for callers.
+func (d *daemon) callerBudget() *memory.Budget {
+	s := d.file.Gateway
+	megabytes, descriptors := cmp.Or(s.MemoryMegabytes, defaultMegabytes), float64(s.Descriptors)
+	if s.Descriptors == 0 {
+		descriptors = math.MaxInt32
+		var limit syscall.Rlimit
+		if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil {
+			descriptors = min(descriptors, float64(limit.Cur))
+		}
+	}
+	return &memory.Budget{
+		Limit: int64(megabytes * bytesPerMegabyte * callerMemory), MaxShares: max(int(descriptors*callerDescriptors), 1),
+	}
+}
+
 // unanswered logs and counts a caller's connection that was closed without a whole response or request.
 func (d *daemon) unanswered(u ingress.Unanswered) {
 	d.metrics.Unanswered(u.Reason)
--- a/decide/connection/connection.go
+++ b/decide/connection/connection.go
@@ -131,6 +131,20 @@
 	return s.stage == head
 }
 
+// GiveWay returns what happens to a connection whose caller has to give way to others while the server waits for it:
+// ReadOn if it does not.
+func (s State) GiveWay() Expiry {
+	switch s.stage {
+	case idle:
+		return CloseIdle
+	case head:
+		return CloseSlowHead
+	case body:
+		return EndBody
+	}
+	return ReadOn
+}
+
 // Wait returns when the wait for bytes is over under limits l, and what happens then. The time is zero if the wait
 // has no end. A limit that has become shorter during the wait does not shorten it, unless
 // l.Retire is set.
--- a/role/gateway/handler.go
+++ b/role/gateway/handler.go
@@ -157,8 +157,10 @@
 	case errors.As(err, &tooLarge):
 		g.reject(q, http.StatusRequestEntityTooLarge, "the body is larger than the configuration allows")
 		return false
+	case errors.Is(err, requestbody.ErrNoMemory):
+		g.refuse(q, retryAfterOverload, err.Error())
+		return false
 	case err != nil:
-		q.w.Header().Set("Connection", "close")
 		g.reject(q, http.StatusBadRequest, "the body broke off or is malformed")
 		return false
 	}
--- a/role/settings/file.go
+++ b/role/settings/file.go
@@ -157,6 +157,10 @@
 	// gateways use a bounded share of it.
 	LinkMegabits float64  `toml:"link_megabits" validate:"min=0,max=10000000"`
 	RetryWindow  Duration `toml:"retry_window" validate:"min=0"`
+	// MemoryMegabytes is the memory of the process in MB, 0 if unknown: a quarter of it is for what is held for callers.
+	MemoryMegabytes float64 `toml:"memory_megabytes" validate:"min=0,max=10000000"`
+	// Descriptors is the number of descriptors of the process, 0 for the limit of the system: half of them are for callers.
+	Descriptors int `toml:"descriptors" validate:"min=0,max=10000000"`
 	// EvenRoom places layers so that the layer with the least room for requests has most of it.
 	EvenRoom bool `toml:"even_room"`
 	// Overload is the overload control of the fleet; nil switches all of it off.
