--- a/role/gateway/gateway.go
+++ b/role/gateway/gateway.go
@@ -120,7 +120,8 @@
 	read     atomic.Bool
 	loaded   atomic.Bool
 	draining atomic.Bool
-	stop     cell.Cell[grace.Stop]
+	// stop is the planned stop, zero as long as there is none.
+	stop cell.Cell[grace.Stop]
 	// failing is set while calls to the store fail, partition detects whether they fail for this
 	// gateway alone.
 	failing   atomic.Bool
