--- a/adapter/ingress/export_test.go
+++ b/adapter/ingress/export_test.go
@@ -6,3 +6,6 @@
 func (s *Server) ServeOn(l net.Listener) {
 	s.serveOn(l, make(chan error, 1))
 }
+
+// EvictAll has the callers of all connections give way.
+func EvictAll(s *Server) { s.each((*conn).evict) }
