Upstream: a malformed head is no answer

Callers saw, through a gateway: 200 with a body whose frame was in a line that was passed over (a blank in or before the name of a field), with the line passed on; 200 with what came after a head with status 000, 099 or 101; the status 600 or 999 itself; chunk sizes of an HTTP/1.0 answer in the body; 200 for versions 0.9 and 2.0 and for control bytes in the status line. Streams looked complete after one event.

Cause: net/http is lenient. It takes any three bytes that strconv reads for a status and any HTTP version, and keeps names with blanks and folded lines; a framing field that it does not recognize is passed over. Whatever had a status below 200 was skipped as interim.

Change: decide/responsehead says what a well-formed head is, by RFC 9112. adapter/responseconn applies it to the bytes before they are parsed. It works whatever the parser accepts, and however the bytes arrive: the last byte of a malformed head is not delivered, so no parser completes it. FuzzAnswer's reference fails for malformed heads now and is otherwise the same: what it accepted and Do must not was the fault.

Handled already, the tests stay: status 000 alone, control bytes in names, names without a colon, lengths that contradict each other or are none.

--- a/adapter/meter/gateway.go
+++ b/adapter/meter/gateway.go
@@ -127,7 +127,7 @@
 		}),
 		broken: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "gateway_answers_broken_total",
-			Help: "Answers of endpoints whose connection was reset before the request was written.",
+			Help: "Answers of endpoints that are not well-formed, or whose connection was reset before the request was written.",
 		}),
 		dropped: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "gateway_log_lines_dropped_total", Help: "Log lines dropped because their reader was too slow.",
--- a/adapter/responseconn/conn.go
+++ b/adapter/responseconn/conn.go
@@ -3,6 +3,7 @@
 package responseconn
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/grademill/grademill/decide/responsehead"
 )
 
 // writeGrace bounds how long the end of a connection waits for a request that is being written. A reset ends the write
@@ -34,12 +37,16 @@
 	return e.Err
 }
 
-// Conn is a connection to an HTTP server. Its end is an error if a write has failed; an end that comes before EndRequest
-// waits for the write. One goroutine at a time may read, and one may write.
+// Conn is a connection to an HTTP server. It reads only well-formed heads of answers, where ExpectHead says that one
+// comes, and its end is an error if a write has failed; an end that comes before EndRequest waits for the write. One
+// goroutine at a time may read, and one may write.
 type Conn struct {
 	net.Conn
 
 	mu sync.Mutex
+	// head checks the head that is being read; nil if none is. malformed is the error of a malformed head, nil for none.
+	head      *responsehead.Checker
+	malformed *responsehead.MalformedError
 	// inRequest is set between BeginRequest and EndRequest, inWrite while a write is in progress. written is closed
 	// once both are unset again; nil if they are.
 	inRequest, inWrite bool
@@ -50,12 +57,49 @@
 	readDeadline time.Time
 }
 
-// Read reads from the connection. It returns an UnsentError in place of io.EOF if a write has failed.
+// ExpectHead has the connection check the head of an answer that is read from now on, after the bytes that were read
+// before and that the caller has not used. It returns a responsehead.MalformedError if these hold a malformed head.
+func (c *Conn) ExpectHead(buffered []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head = new(responsehead.Checker)
+	_, err := c.check(buffered)
+	return err
+}
+
+// check checks bytes of an answer. It returns how many of them may be used.
+func (c *Conn) check(b []byte) (int, error) {
+	if c.head == nil {
+		return len(b), nil
+	}
+	n, err := c.head.Check(b)
+	errors.As(err, &c.malformed)
+	if c.head.Ended() {
+		c.head = nil
+	}
+	return n, err
+}
+
+// Malformed returns the error of a malformed head that was read, nil for none. A parser that reads lines may report the
+// truncated last line instead.
+func (c *Conn) Malformed() *responsehead.MalformedError {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.malformed
+}
+
+// Read reads from the connection. It returns a responsehead.MalformedError in place of the last byte of a malformed head,
+// and an UnsentError in place of io.EOF if a write has failed.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if err == io.EOF {
 		err = c.checkEnd()
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n, malformed := c.check(b[:n]); malformed != nil {
+		return n, malformed
+	}
 	return n, err
 }
 
--- a/adapter/upstream/broken_test.go
+++ b/adapter/upstream/broken_test.go
@@ -14,8 +14,47 @@
 
 	"github.com/grademill/grademill/adapter/responseconn"
 	"github.com/grademill/grademill/adapter/upstream"
+	"github.com/grademill/grademill/standin/broken"
 )
 
+// start starts a server that answers with a broken answer, and returns its address.
+func start(t *testing.T, answer broken.Answer) string {
+	address, stop, err := answer.Start()
+	require.NoError(t, err)
+	t.Cleanup(stop)
+	return address
+}
+
+// requireNoAnswer checks that a call gets no answer, although bytes may have come.
+func requireNoAnswer(t *testing.T, answer broken.Answer) {
+	t.Helper()
+	body, err := get(new(upstream.Pool), call(start(t, answer)))
+	require.Error(t, err, "%q was taken for an answer with the body %q", answer, body)
+}
+
+const (
+	ownFields   = "Id: mine\r\n"
+	strayFields = "Id: late\r\n"
+)
+
+// Guards against an answer with a malformed head that is taken for one: with a status that is none, or with a body whose
+// frame was in a line that was passed over.
+func TestMalformedHeadIsNoAnswer(t *testing.T) {
+	for name, answer := range broken.Heads(ownFields, "wrong") {
+		t.Run(name, func(t *testing.T) { requireNoAnswer(t, answer) })
+	}
+}
+
+// The same holds for answers to other requests, which are skipped: where one ends is uncertain, and what comes after it.
+func TestMalformedHeadOfSkippedAnswer(t *testing.T) {
+	for name, answer := range broken.Heads(strayFields, "wrong") {
+		t.Run(name, func(t *testing.T) { requireNoAnswer(t, answer+ok) })
+		t.Run(name+", skipped before", func(t *testing.T) {
+			requireNoAnswer(t, "HTTP/1.1 200 OK\r\n"+strayFields+"Content-Length: 5\r\n\r\nother"+answer+ok)
+		})
+	}
+}
+
 // upload is the body of a request that waits for its endpoint to read.
 var upload = strings.Repeat("0123456789", 800_000)
 
--- a/adapter/upstream/call.go
+++ b/adapter/upstream/call.go
@@ -36,8 +36,8 @@
 	BeforeWrite func()
 	// OnExceeded, if set, is called if the endpoint sends more than a bound allows.
 	OnExceeded func(*readlimit.ExceededError)
-	// OnBroken, if set, is called with the responseconn.UnsentError if the connection ended before the request was
-	// written.
+	// OnBroken, if set, is called with the responsehead.MalformedError of a head, and with the
+	// responseconn.UnsentError if the connection ended before the request was written.
 	OnBroken func(error)
 }
 
@@ -88,7 +88,7 @@
 
 // Do sends a call and returns once the head of its response has been read. It closes the
 // connection when ctx ends. Errors are *SendError; one for a head longer than maxHead wraps a
-// readlimit.ExceededError.
+// readlimit.ExceededError, and one for a malformed head a responsehead.MalformedError.
 func (p *Pool) Do(ctx context.Context, c Call) (*Answer, error) {
 	connection, err := p.take(ctx, c.Address, c.MaxIdle)
 	if err != nil {
@@ -192,12 +192,15 @@
 	request := &http.Request{Method: c.Method}
 	a.conn.limited.Bound("head", maxHead)
 	for stray := 0; ; {
+		if err := a.conn.expectHead(); err != nil {
+			return err
+		}
 		response, err := http.ReadResponse(a.conn.reader, request)
 		if exceeded := a.conn.limited.Exceeded(); exceeded != nil {
 			return exceeded
 		}
 		if err != nil {
-			return err
+			return a.conn.headError(err)
 		}
 		switch {
 		case response.StatusCode < http.StatusOK: // interim response
--- a/adapter/upstream/fuzz_test.go
+++ b/adapter/upstream/fuzz_test.go
@@ -12,9 +12,12 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/grademill/grademill/adapter/upstream"
+	"github.com/grademill/grademill/decide/responsehead"
+	"github.com/grademill/grademill/standin/broken"
 )
 
-// The bounds must not change how an answer within them is read: it is the one that net/http reads without them.
+// The bounds must not change how an answer within them is read: it is the one that net/http reads without them, if its heads
+// are well-formed.
 func FuzzAnswer(f *testing.F) {
 	for _, kind := range endlessHeads {
 		f.Add([]byte(kind.prefix + kind.text))
@@ -25,6 +28,9 @@
 	f.Add([]byte(ok))
 	f.Add([]byte("HTTP/1.1 103 Early\r\n\r\n" + ok))
 	f.Add([]byte(chunked + "5\r\nwhole\r\n0\r\nX: y\r\n\r\n"))
+	for _, answer := range broken.Heads("", "whole") {
+		f.Add([]byte(answer))
+	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		if len(data) > maxHead {
 			return
@@ -56,8 +62,13 @@
 
 // reference reads an answer without bounds.
 func reference(data []byte) (string, error) {
-	r := bufio.NewReaderSize(bytes.NewReader(data), 2048)
+	source := bytes.NewReader(data)
+	r := bufio.NewReaderSize(source, 2048)
 	for {
+		var head responsehead.Checker
+		if _, err := head.Check(data[len(data)-source.Len()-r.Buffered():]); err != nil {
+			return "", err
+		}
 		answer, err := http.ReadResponse(r, &http.Request{Method: "POST"})
 		if err != nil {
 			return "", err
--- a/layout_test.go
+++ b/layout_test.go
@@ -70,6 +70,7 @@
 	"decide/rendezvous",
 	"decide/requestlog",
 	"decide/requestmemory",
+	"decide/responsehead",
 	"decide/retry",
 	"decide/retryafter",
 	"decide/roomshare",
--- a/role/gateway/broken_test.go
+++ b/role/gateway/broken_test.go
@@ -7,9 +7,56 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/grademill/grademill/standin/broken"
 	"github.com/grademill/grademill/standin/site"
 )
 
+// wrongBody is the body of a broken answer.
+const wrongBody = "wrong"
+
+// Guards against an answer with a malformed head that reaches its caller: with a status that is none, or with a body whose
+// frame was in a line that was passed over.
+func TestAnswerWithMalformedHeadIsAFailedAttempt(t *testing.T) {
+	t.Parallel()
+	w := newFixture(t, plain("endpoint-1"), plain("endpoint-2"))
+	for name, answer := range broken.Heads(site.RawFields, wrongBody) {
+		t.Run(name, func(t *testing.T) { requireFailedAttempt(t, w, answer) })
+	}
+	w.waitForLog(`"error":"malformed head, line 1: status 600","message":"answer is broken"`)
+}
+
+// requireFailedAttempt checks that a request whose first attempt gets an answer is repeated if it may be, and otherwise
+// fails.
+func requireFailedAttempt(t *testing.T, w *fixture, answer broken.Answer) {
+	t.Helper()
+	w.site.NextRaw(records, answer)
+	got := w.do(w.request("POST", "/freeze/1", "a record"))
+	require.Equal(t, http.StatusOK, got.StatusCode, "%q", answer)
+	require.Equal(t, site.Echo("POST", "/freeze/1", []byte("a record")), got.body, "%q", answer)
+	w.site.NextRaw(records, answer)
+	got = w.do(w.request("POST", "/renew/1", "a record"))
+	require.Equal(t, http.StatusBadGateway, got.StatusCode, "%q: %s", answer, got.body)
+	require.Empty(t, got.Header.Get("X-Response-Seal"), "%q", answer)
+}
+
+// The same holds for streams, which must not look complete.
+func TestStreamWithMalformedHeadIsAFailedAttempt(t *testing.T) {
+	t.Parallel()
+	w, _ := newModel(t)
+	for name, answer := range broken.Heads(site.RawFields, site.Event(1)) {
+		t.Run(name, func(t *testing.T) {
+			w.site.NextRaw(model, answer)
+			got := w.do(w.streamRequest("/plan/1", 20))
+			require.Equal(t, http.StatusOK, got.StatusCode)
+			require.False(t, got.cut)
+			require.Equal(t, fullBody(20), got.body)
+			w.site.NextRaw(model, answer)
+			got = w.do(w.streamRequest("/once/1", 20))
+			require.NotEqual(t, http.StatusOK, got.StatusCode, got.body)
+		})
+	}
+}
+
 // uploadSize is the size in bytes of a request that waits for the endpoint to read.
 const uploadSize = 3 << 20
 
--- a/role/gateway/meter.go
+++ b/role/gateway/meter.go
@@ -12,7 +12,8 @@
 	Connection()
 	// Exceeded counts an answer of an endpoint that exceeded a bound.
 	Exceeded()
-	// Broken counts an answer of an endpoint whose connection was reset before the request was written.
+	// Broken counts an answer of an endpoint that is not well-formed, or whose connection was reset before the request
+	// was written.
 	Broken()
 	// Request counts a request of a kind that ended, by its outcome, with the time to the first
 	// byte and to the end.
--- a/standin/site/broken.go
+++ b/standin/site/broken.go
@@ -4,8 +4,46 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
+
+	"github.com/grademill/grademill/standin/broken"
 )
 
+// RawFields are header fields of an answer for Site.NextRaw, with which a gateway takes it for the endpoint's own.
+const RawFields = "X-Request-Id: {id}\r\nX-Response-Seal: seal.{endpoint}\r\n"
+
+// NextRaw has the next requests that arrive at any endpoint of a service run and answered with the bytes of the
+// answers, after each of which the connection is closed. In them, {id} stands for the ID of the request, and
+// {endpoint} for that of the endpoint.
+func (s *Site) NextRaw(service string, answers ...broken.Answer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.raw == nil {
+		s.raw = make(map[string][]broken.Answer)
+	}
+	s.raw[service] = append(s.raw[service], answers...)
+}
+
+// nextRaw removes and returns the answer to the next request of a service, if NextRaw has set one.
+func (s *Site) nextRaw(service string) (broken.Answer, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	answers := s.raw[service]
+	if len(answers) == 0 {
+		return "", false
+	}
+	s.raw[service] = answers[1:]
+	return answers[0], true
+}
+
+// answerRaw writes an answer of NextRaw and closes the connection.
+func (e *Endpoint) answerRaw(w http.ResponseWriter, r *http.Request, answer broken.Answer) {
+	c := hijack(w)
+	defer c.Close() //nolint:errcheck // a stand-in's connection
+	text := strings.NewReplacer("{id}", r.Header.Get("X-Request-Id"), "{endpoint}", e.ID).Replace(string(answer))
+	_, _ = io.WriteString(c, text) // the caller may have closed the connection
+}
+
 // Early is how an endpoint answers a request before it has read the body of the request. The answers have neither
 // a length nor chunks, and end with their connection.
 type Early int
--- a/standin/site/endpoint.go
+++ b/standin/site/endpoint.go
@@ -322,6 +322,12 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if answer, ok := e.Site.nextRaw(e.Service); ok {
+		e.recordRun(r)
+		e.recordBreak(r)
+		e.answerRaw(w, r, answer)
+		return
+	}
 	if mode.breaksOff() {
 		e.recordBreak(r)
 	}
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/grademill/grademill/standin/broken"
 )
 
 // Site is a store and a set of endpoints, each served at a loopback address. Make
@@ -36,7 +38,8 @@
 	faults []string
 	// modes holds the modes of the next requests, by service.
 	modes map[string][]Mode
-	// early holds the answers of NextEarly, by service.
+	// raw and early hold the answers of NextRaw and NextEarly, by service.
+	raw   map[string][]broken.Answer
 	early map[string][]Early
 	// crashes holds the bodies marked by CrashOn: an endpoint that begins to run such a request ends.
 	// crashesMoved holds those marked by CrashOnMove: an endpoint to which such a request is moved ends.
