Tests: an answer that stops in its head is no answer

Reported by operators of similar systems: an endpoint stops in the middle of a head and closes, and callers get 200 with an empty or short body, framed as whole.

Handled already: net/http reports an unexpected end for every prefix of a head. A parser that took the end of the connection for that of a line would lose it, so the tests stay; nothing else changes.

--- a/adapter/upstream/broken_test.go
+++ b/adapter/upstream/broken_test.go
@@ -55,6 +55,14 @@
 	}
 }
 
+// Guards against an answer that stops anywhere in its head.
+func TestCutHeadIsNoAnswer(t *testing.T) {
+	for _, answer := range broken.Cuts("HTTP/1.1 200 OK\r\n" + ownFields + "Content-Length: 0\r\n\r\n") {
+		requireNoAnswer(t, answer)
+		requireNoAnswer(t, "HTTP/1.1 103 Early\r\nLink: x\r\n\r\n"+answer)
+	}
+}
+
 // upload is the body of a request that waits for its endpoint to read.
 var upload = strings.Repeat("0123456789", 800_000)
 
--- a/role/gateway/broken_test.go
+++ b/role/gateway/broken_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/grademill/grademill/role/gateway"
 	"github.com/grademill/grademill/standin/broken"
 	"github.com/grademill/grademill/standin/site"
 )
@@ -25,6 +26,15 @@
 	w.waitForLog(`"error":"malformed head, line 1: status 600","message":"answer is broken"`)
 }
 
+// Guards against an answer that stops anywhere in its head and reaches its caller framed as whole.
+func TestAnswerCutInItsHeadIsAFailedAttempt(t *testing.T) {
+	t.Parallel()
+	w := newFixtureWith(t, func(g *gateway.Gateway) { g.RetryReserve = 1000 }, plain("endpoint-1"), plain("endpoint-2"))
+	for _, answer := range broken.Cuts("HTTP/1.1 200 OK\r\n" + site.RawFields + "Content-Length: 0\r\n\r\n") {
+		requireFailedAttempt(t, w, answer)
+	}
+}
+
 // requireFailedAttempt checks that a request whose first attempt gets an answer is repeated if it may be, and otherwise
 // fails.
 func requireFailedAttempt(t *testing.T, w *fixture, answer broken.Answer) {
@@ -43,7 +53,13 @@
 func TestStreamWithMalformedHeadIsAFailedAttempt(t *testing.T) {
 	t.Parallel()
 	w, _ := newModel(t)
-	for name, answer := range broken.Heads(site.RawFields, site.Event(1)) {
+	answers := broken.Heads(site.RawFields, site.Event(1))
+	for i, cut := range broken.Cuts("HTTP/1.1 200 OK\r\n" + site.RawFields + "\r\n") {
+		if i%10 == 0 {
+			answers[string(cut)] = cut
+		}
+	}
+	for name, answer := range answers {
 		t.Run(name, func(t *testing.T) {
 			w.site.NextRaw(model, answer)
 			got := w.do(w.streamRequest("/plan/1", 20))
--- a/standin/broken/answer.go
+++ b/standin/broken/answer.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 )
 
 // Answer is the text of an answer after which the connection is closed.
@@ -112,3 +113,13 @@
 	}
 	return fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
 }
+
+// Cuts returns the beginnings of an answer, up to any byte of its head.
+func Cuts(answer string) []Answer {
+	head, _, _ := strings.Cut(answer, "\r\n\r\n")
+	var list []Answer
+	for n := range len(head) + len("\r\n\r\n") {
+		list = append(list, Answer(answer[:n]))
+	}
+	return list
+}
