Upstream: malformed trailers make an answer broken

Callers saw: an answer as whole whose trailers held a blank in the name of a field. Trailers are not passed on, so its body was that of the endpoint; but such a line means that the chunks ended elsewhere for its sender, or that the bytes are no answer.

Change: responsehead.CheckTrailers, at the end of a body, also of an answer that is skipped. It works since the parser keeps such names as they are; it refuses all other invalid bytes itself.

Before: --- FAIL: TestMalformedTrailersAreNoAnswer/blank_in_a_name --- FAIL: TestMalformedTrailersAreNoAnswer/blank_before_a_colon The five other kinds, among them the cuts, were handled already. Result: all pass.

--- a/adapter/upstream/broken_test.go
+++ b/adapter/upstream/broken_test.go
@@ -63,6 +63,13 @@
 	}
 }
 
+// Guards against an answer with malformed trailers.
+func TestMalformedTrailersAreNoAnswer(t *testing.T) {
+	for name, answer := range broken.Trailers(ownFields, "wrong") {
+		t.Run(name, func(t *testing.T) { requireNoAnswer(t, answer) })
+	}
+}
+
 // upload is the body of a request that waits for its endpoint to read.
 var upload = strings.Repeat("0123456789", 800_000)
 
--- a/adapter/upstream/call.go
+++ b/adapter/upstream/call.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/grademill/grademill/adapter/readlimit"
+	"github.com/grademill/grademill/decide/responsehead"
 )
 
 // Call is a request to one endpoint.
@@ -36,7 +37,7 @@
 	BeforeWrite func()
 	// OnExceeded, if set, is called if the endpoint sends more than a bound allows.
 	OnExceeded func(*readlimit.ExceededError)
-	// OnBroken, if set, is called with the responsehead.MalformedError of a head, and with the
+	// OnBroken, if set, is called with the responsehead.MalformedError of a head or trailer, and with the
 	// responseconn.UnsentError if the connection ended before the request was written.
 	OnBroken func(error)
 }
@@ -138,6 +139,8 @@
 	reserved int64
 	stop     func() bool
 	body     io.ReadCloser
+	// response is the response as parsed; its trailers are complete at the end of the body.
+	response *http.Response
 	// written is closed once the whole request has been written.
 	written chan struct{}
 	// maxIdle is how long the connection may be idle before reuse, 0 if it must not be reused.
@@ -214,6 +217,9 @@
 		if err := readlimit.Discard(response.Body, "body of another answer", maxBody); err != nil {
 			return err
 		}
+		if err := responsehead.CheckTrailers(response.Trailer); err != nil {
+			return err
+		}
 		a.conn.limited.Bound("head", maxHead)
 		if stray++; stray > maxStray || response.Close {
 			return &StrayResponseError{Status: response.StatusCode}
@@ -224,7 +230,7 @@
 // accept stores the head of the response r. afterStray is set if a response to another request
 // came before it; the connection is not reused then.
 func (a *Answer) accept(r *http.Response, afterStray bool) {
-	a.Status, a.Header, a.body, a.length = r.StatusCode, r.Header, r.Body, r.ContentLength
+	a.Status, a.Header, a.body, a.length, a.response = r.StatusCode, r.Header, r.Body, r.ContentLength, r
 	a.EndsAtClose = r.ContentLength < 0 && len(r.TransferEncoding) == 0
 	if !afterStray && !r.Close && !a.EndsAtClose {
 		a.maxIdle = keepAliveTimeout(r.Header)
@@ -245,14 +251,18 @@
 	return defaultIdle
 }
 
-// Read reads the body. It returns io.EOF only at the body's proper end; a truncated body ends
-// with another error.
+// Read reads the body. It returns io.EOF only at the body's proper end; a truncated body, or one with
+// malformed trailers, ends with another error.
 func (a *Answer) Read(b []byte) (int, error) {
 	n, err := a.body.Read(b)
-	if err == io.EOF {
-		a.ended = true
+	if err != io.EOF {
+		return n, a.noteBroken(err)
+	}
+	if err := responsehead.CheckTrailers(a.response.Trailer); err != nil {
+		return n, a.noteBroken(err)
 	}
-	return n, a.noteBroken(err)
+	a.ended = true
+	return n, io.EOF
 }
 
 // Close ends the call. It returns the connection to the pool if the request and response are
--- a/adapter/upstream/fuzz_test.go
+++ b/adapter/upstream/fuzz_test.go
@@ -17,7 +17,7 @@
 )
 
 // The bounds must not change how an answer within them is read: it is the one that net/http reads without them, if its heads
-// are well-formed.
+// and trailers are well-formed.
 func FuzzAnswer(f *testing.F) {
 	for _, kind := range endlessHeads {
 		f.Add([]byte(kind.prefix + kind.text))
@@ -28,7 +28,7 @@
 	f.Add([]byte(ok))
 	f.Add([]byte("HTTP/1.1 103 Early\r\n\r\n" + ok))
 	f.Add([]byte(chunked + "5\r\nwhole\r\n0\r\nX: y\r\n\r\n"))
-	for _, answer := range broken.Heads("", "whole") {
+	for _, answer := range broken.All("whole") {
 		f.Add([]byte(answer))
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
@@ -80,6 +80,9 @@
 			return "", errors.New("larger than the bound")
 		}
 		body, err := io.ReadAll(answer.Body)
-		return string(body), err
+		if err != nil {
+			return "", err
+		}
+		return string(body), responsehead.CheckTrailers(answer.Trailer)
 	}
 }
--- a/decide/responsehead/checker.go
+++ b/decide/responsehead/checker.go
@@ -152,6 +152,19 @@
 	return fmt.Sprintf("byte 0x%02x in a %s", b, part)
 }
 
+// CheckTrailers checks the names of fields that came after the chunks of a body. The rest of trailers is for
+// their parser to check.
+func CheckTrailers(fields map[string][]string) error {
+	for name := range fields {
+		for i := range len(name) {
+			if !isToken(name[i]) {
+				return &MalformedError{Part: "trailer", Reason: byteReason(name[i], "name")}
+			}
+		}
+	}
+	return nil
+}
+
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
 
 // isToken reports whether a byte may be in the name of a field.
--- a/decide/responsehead/checker_test.go
+++ b/decide/responsehead/checker_test.go
@@ -1,6 +1,7 @@
 package responsehead_test
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -82,3 +83,13 @@
 		}
 	}
 }
+
+func TestTrailers(t *testing.T) {
+	require.NoError(t, responsehead.CheckTrailers(nil))
+	require.NoError(t, responsehead.CheckTrailers(map[string][]string{"X-Sum": {"a b"}}))
+	for _, name := range []string{"X ", "X Y", "X\x01", "X:"} {
+		err := responsehead.CheckTrailers(map[string][]string{"X-Sum": nil, name: nil})
+		require.Error(t, err, "%q", name)
+		require.True(t, strings.HasPrefix(err.Error(), "malformed trailer: byte 0x"), err.Error())
+	}
+}
--- a/standin/broken/answer.go
+++ b/standin/broken/answer.go
@@ -106,6 +106,23 @@
 	return answers
 }
 
+// Trailers returns chunked answers whose trailers are malformed, like Heads.
+func Trailers(fields, body string) map[string]Answer {
+	answers := make(map[string]Answer)
+	for name, trailer := range map[string]string{
+		"blank before a colon":   "X : 5\r\n\r\n",
+		"blank in a name":        "X Y: 5\r\n\r\n",
+		"control byte in a name": "X\x01: 5\r\n\r\n",
+		"no colon":               "X\r\n\r\n",
+		"cut before a colon":     "X",
+		"cut in a value":         "X: 5",
+		"cut after a field":      "X: 5\r\n",
+	} {
+		answers[name] = Answer("HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + Chunks(body) + "0\r\n" + trailer)
+	}
+	return answers
+}
+
 // Chunks returns the chunks of a body, without the last one.
 func Chunks(body string) string {
 	if body == "" {
@@ -114,6 +131,18 @@
 	return fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
 }
 
+// All returns the answers of Heads, Trailers and Cuts without other fields, for a client that accepts the body.
+func All(body string) map[string]Answer {
+	answers := Heads("", body)
+	for name, answer := range Trailers("", body) {
+		answers["trailer, "+name] = answer
+	}
+	for _, answer := range Cuts("HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body) {
+		answers[fmt.Sprintf("cut after %d bytes", len(answer))] = answer
+	}
+	return answers
+}
+
 // Cuts returns the beginnings of an answer, up to any byte of its head.
 func Cuts(answer string) []Answer {
 	head, _, _ := strings.Cut(answer, "\r\n\r\n")
