HTTP clients: a reset during an upload is no end of an answer

Callers saw: of a plain service behind an agent, 200 with a part of the body, as in adapter/upstream. Agents, entries, gateways and commands read engines, the store, each other and reports the same way.

Cause: as in adapter/upstream. net/http reads on while it writes, and ignores the write's error once an answer has begun.

Change: httpclient.New makes all clients of the product; their connections are of adapter/responseconn, and a trace says when a request is written, since the transport writes it in pieces. It works for the same reason as in adapter/upstream.

Before: --- FAIL: TestServiceThatResetsDuringUpload Error: An error is expected but got nil. Result: passes, 200 requests each time.

--- a/adapter/watchhttp/watch.go
+++ b/adapter/watchhttp/watch.go
@@ -51,10 +51,10 @@
 // NewClient returns a client without connections.
 func NewClient() *Client {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	return &Client{http: &http.Client{Transport: &http.Transport{
+	return &Client{http: httpclient.New(&http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout,
-		ReadBufferSize: 1024, WriteBufferSize: 1024, MaxResponseHeaderBytes: httpclient.MaxHead,
-	}}}
+		ReadBufferSize: 1024, WriteBufferSize: 1024,
+	})}
 }
 
 // RefusedError reports a request that the other gateway refused.
