HTTP clients: malformed heads and trailers are no answers

Callers saw: of a plain service behind an agent, status 000 and others that are none, chunk sizes in a body, bodies framed by a line that was passed over. Reports, orders and moves, pages, changes, writes and renewals of the store, changes from other gateways, engines and the commands believed such answers.

Cause: net/http is lenient, as in adapter/upstream.

--- a/adapter/httpclient/broken_test.go
+++ b/adapter/httpclient/broken_test.go
@@ -12,8 +12,36 @@
 
 	"github.com/grademill/grademill/adapter/servicehttp"
 	"github.com/grademill/grademill/port/service"
+	"github.com/grademill/grademill/standin/broken"
 )
 
+// bodies are bodies of answers that the calls accept.
+var bodies = map[string]string{"service": "whole", "engine": "", "store": "{}", "host list": "[]", "watch": "[]"}
+
+// Guards against an answer that is not well-formed and that an agent or an entry takes for one of an engine, a service or
+// the store.
+func TestBrokenAnswersAreNoAnswers(t *testing.T) {
+	for name, c := range calls {
+		body := bodies[name]
+		sound := broken.Answer("HTTP/1.1 103 Early\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+			broken.Chunks(body) + "0\r\nX: y\r\n\r\n")
+		requireCall(t, sound, func(base string) { require.NoError(t, c.call(t.Context(), base), name) })
+		for kind, answer := range broken.All(body) {
+			t.Run(name+"/"+kind, func(t *testing.T) {
+				requireCall(t, answer, func(base string) { require.Error(t, c.call(t.Context(), base), "%q", answer) })
+			})
+		}
+	}
+}
+
+// requireCall makes a call of a server that answers with an answer.
+func requireCall(t *testing.T, answer broken.Answer, call func(base string)) {
+	address, stop, err := answer.Start()
+	require.NoError(t, err)
+	defer stop()
+	call("http://" + address)
+}
+
 // answerEarly starts a service that answers requests before their ends, without a length, and then calls end. It returns a
 // client of the service.
 func answerEarly(t *testing.T, end func(c *net.TCPConn, body io.Reader)) *servicehttp.Client {
