Response connections: a writer that is held up does not make a part whole

Callers would see: a part of an answer as whole, as in the reset of an upload, at a gateway that is short of processor time.

Cause: an end of the connection waits a second for the write of the request, and was taken for the end of the answer if the write still went on then. The write that took the error of a reset may merely not have been scheduled since.

Change: after that second the state of the connection decides, which the kernel has: closed after a reset, and not if the other side has only ended its own direction. It works however late the writer runs; early answers of endpoints that do not read on are whole as before.

Before: --- FAIL: TestEndWhileTheWriterIsHeldUp (1.00s) Error: An error is expected but got nil. Messages: "part" was taken for the whole answer Result: passes 5 of 5 with -race, TestAnswerOfEndpointThatDoesNotReadOnIsWhole too. Found by reading, not seen in a run of the product.

--- a/adapter/peek/peek.go
+++ b/adapter/peek/peek.go
@@ -47,6 +47,26 @@
 	return n, nil
 }
 
+// tcpClose is the state TCP_CLOSE of a TCP socket.
+const tcpClose = 7
+
+// IsClosed reports whether a TCP connection is closed in both directions: the other side has reset it. If the other side
+// has merely ended its own direction, it is not.
+func IsClosed(c net.Conn) (bool, error) {
+	var info *unix.TCPInfo
+	var infoErr error
+	err := control(c, func(fd int) {
+		info, infoErr = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if err != nil {
+		return false, err
+	}
+	if infoErr != nil {
+		return false, infoErr
+	}
+	return info.State == tcpClose, nil
+}
+
 // HasUnaccepted reports whether a listener has connections that have not been accepted.
 func HasUnaccepted(l net.Listener) (bool, error) {
 	var n int
--- a/adapter/peek/peek_test.go
+++ b/adapter/peek/peek_test.go
@@ -55,6 +55,40 @@
 	require.Error(t, err)
 }
 
+// IsClosed tells a reset from the end of one direction.
+func TestIsClosed(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close() //nolint:errcheck // a test's listener
+	near, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer near.Close() //nolint:errcheck // a test's connection
+	c, err := l.Accept()
+	require.NoError(t, err)
+	far := c.(*net.TCPConn)
+	requireClosed := func(want bool) {
+		closed, err := peek.IsClosed(near)
+		require.NoError(t, err)
+		require.Equal(t, want, closed)
+	}
+	requireClosed(false)
+	require.NoError(t, far.CloseWrite())
+	_, err = near.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	requireClosed(false)
+	require.NoError(t, far.SetLinger(0))
+	require.NoError(t, far.Close())
+	_, _ = near.Write([]byte("a")) // may fail already
+	require.Eventually(t, func() bool {
+		closed, err := peek.IsClosed(near)
+		return err == nil && closed
+	}, 30*time.Second, time.Millisecond)
+	one, _ := net.Pipe()
+	_, err = peek.IsClosed(one)
+	require.Error(t, err)
+}
+
 // Guards against taking an expired read deadline for a connection without bytes.
 func TestReadAfterTheReadDeadline(t *testing.T) {
 	t.Parallel()
--- a/adapter/responseconn/conn.go
+++ b/adapter/responseconn/conn.go
@@ -12,12 +12,13 @@
 	"syscall"
 	"time"
 
+	"github.com/grademill/grademill/adapter/peek"
 	"github.com/grademill/grademill/decide/responsehead"
 )
 
-// writeGrace bounds how long the end of a connection waits for a request that is being written. A reset ends the write
-// at once, and a closed peer answers what it gets with a reset, also if the first of a few packets is lost. A write that
-// still goes on then has a peer that has ended only its own side.
+// writeGrace bounds how long the end of a connection waits for a request that is being written. A closed peer answers
+// what it gets with a reset, also if the first of a few packets is lost. If the write still goes on then, the state of
+// the connection decides: the writer may merely lack processor time.
 const writeGrace = time.Second
 
 // UnsentError reports a connection that ended although a write to it has failed. What was read before may be a part of an
@@ -108,8 +109,10 @@
 	c.mu.Lock()
 	written, deadline := c.written, c.readDeadline
 	c.mu.Unlock()
-	if written != nil && !await(written, deadline) {
-		return os.ErrDeadlineExceeded
+	if written != nil {
+		if err := c.await(written, deadline); err != nil {
+			return err
+		}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -119,20 +122,32 @@
 	return io.EOF
 }
 
-// await waits until a request is written, for writeGrace at most. It reports whether that was before the deadline.
-func await(written <-chan struct{}, deadline time.Time) bool {
-	wait, inTime := writeGrace, true
-	if left := time.Until(deadline); !deadline.IsZero() && left < wait {
-		wait, inTime = left, false
+// await waits until a request is written, for writeGrace at most. It returns an error if the deadline comes first, or if
+// the connection has been reset while the write goes on.
+func (c *Conn) await(written <-chan struct{}, deadline time.Time) error {
+	var late <-chan time.Time
+	if !deadline.IsZero() {
+		timer := time.NewTimer(time.Until(deadline))
+		defer timer.Stop()
+		late = timer.C
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
+	grace := time.NewTimer(writeGrace)
+	defer grace.Stop()
 	select {
 	case <-written:
-		return true
-	case <-timer.C:
-		return inTime
+		return nil
+	case <-late:
+		return os.ErrDeadlineExceeded
+	case <-grace.C:
+	}
+	closed, err := peek.IsClosed(c.Conn)
+	if closed {
+		err = syscall.ECONNRESET
+	}
+	if err != nil {
+		return &UnsentError{Err: err}
 	}
+	return nil
 }
 
 // BeginRequest says that a request is written from now on, in one or more writes.
--- a/adapter/responseconn/conn_test.go
+++ b/adapter/responseconn/conn_test.go
@@ -55,6 +55,38 @@
 	require.ErrorIs(t, err, writeErr)
 }
 
+// heldUp is a connection whose writer is held up once a write has failed, as by a lack of processor time.
+type heldUp struct {
+	*net.TCPConn
+	failed, release chan struct{}
+}
+
+func (c *heldUp) Write(b []byte) (int, error) {
+	n, err := c.TCPConn.Write(b)
+	if err != nil {
+		close(c.failed)
+		<-c.release
+	}
+	return n, err
+}
+
+// Guards against a part of an answer that looks whole because the writer that saw the reset gets no processor time for as
+// long as the end waits for it.
+func TestEndWhileTheWriterIsHeldUp(t *testing.T) {
+	near, far := pair(t)
+	c := &heldUp{TCPConn: near.Conn.(*net.TCPConn), failed: make(chan struct{}), release: make(chan struct{})}
+	defer close(c.release)
+	near.Conn = c
+	write(near)
+	_, err := io.WriteString(far, "part")
+	require.NoError(t, err)
+	require.NoError(t, far.SetLinger(0))
+	require.NoError(t, far.Close())
+	<-c.failed
+	got, err := io.ReadAll(near)
+	require.Error(t, err, "%q was taken for the whole answer", got)
+}
+
 // An end that is read while a write goes on is decided by the write, and its wait by the deadline of the read.
 func TestEndDuringAWrite(t *testing.T) {
 	near, far := pair(t)
