Stand-in: one queue for what the next requests of a service get

Cause: modes, raw answers and early answers were queued by three copies of the same code. Change: queues[T] in standin/site; no change of behaviour.

--- a/standin/site/broken.go
+++ b/standin/site/broken.go
@@ -16,24 +16,7 @@
 // answers, after each of which the connection is closed. In them, {id} stands for the ID of the request, and
 // {endpoint} for that of the endpoint.
 func (s *Site) NextRaw(service string, answers ...broken.Answer) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.raw == nil {
-		s.raw = make(map[string][]broken.Answer)
-	}
-	s.raw[service] = append(s.raw[service], answers...)
-}
-
-// nextRaw removes and returns the answer to the next request of a service, if NextRaw has set one.
-func (s *Site) nextRaw(service string) (broken.Answer, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	answers := s.raw[service]
-	if len(answers) == 0 {
-		return "", false
-	}
-	s.raw[service] = answers[1:]
-	return answers[0], true
+	s.raw.add(service, answers...)
 }
 
 // answerRaw writes an answer of NextRaw and closes the connection.
@@ -61,24 +44,7 @@
 
 // NextEarly has the next requests that arrive at any endpoint of a service answered early.
 func (s *Site) NextEarly(service string, kinds ...Early) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.early == nil {
-		s.early = make(map[string][]Early)
-	}
-	s.early[service] = append(s.early[service], kinds...)
-}
-
-// nextEarly removes and returns how the next request of a service is answered early, if NextEarly has set it.
-func (s *Site) nextEarly(service string) (Early, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	kinds := s.early[service]
-	if len(kinds) == 0 {
-		return 0, false
-	}
-	s.early[service] = kinds[1:]
-	return kinds[0], true
+	s.early.add(service, kinds...)
 }
 
 // answerEarly answers a request, whose body it has not read, with the text of an answer to its head.
--- a/standin/site/endpoint.go
+++ b/standin/site/endpoint.go
@@ -298,7 +298,7 @@
 		e.order(w, r)
 		return
 	}
-	if kind, ok := e.Site.nextEarly(e.Service); ok {
+	if kind, ok := e.Site.early.take(e.Service); ok {
 		e.recordArrival(r)
 		e.recordRun(r)
 		e.answerEarly(w, r, kind)
@@ -322,7 +322,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if answer, ok := e.Site.nextRaw(e.Service); ok {
+	if answer, ok := e.Site.raw.take(e.Service); ok {
 		e.recordRun(r)
 		e.recordBreak(r)
 		e.answerRaw(w, r, answer)
@@ -365,7 +365,7 @@
 	defer e.mu.Unlock()
 	e.seen = append(e.seen, r.Clone(context.Background()))
 	e.arrived = append(e.arrived, time.Now())
-	if mode, ok := e.Site.nextMode(e.Service); ok {
+	if mode, ok := e.Site.modes.take(e.Service); ok {
 		return mode
 	}
 	return e.mode
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -37,10 +37,10 @@
 	// faults describes the chains that did not run each layer once and in order.
 	faults []string
 	// modes holds the modes of the next requests, by service.
-	modes map[string][]Mode
+	modes queues[Mode]
 	// raw and early hold the answers of NextRaw and NextEarly, by service.
-	raw   map[string][]broken.Answer
-	early map[string][]Early
+	raw   queues[broken.Answer]
+	early queues[Early]
 	// crashes holds the bodies marked by CrashOn: an endpoint that begins to run such a request ends.
 	// crashesMoved holds those marked by CrashOnMove: an endpoint to which such a request is moved ends.
 	// crashingParts holds the parts of prompts marked by CrashOnPart. crashed lists the endpoints that have
@@ -208,25 +208,7 @@
 // NextModes sets the modes of the next requests that arrive at any endpoint of a
 // service, in the order of their arrival.
 func (s *Site) NextModes(service string, modes ...Mode) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.modes == nil {
-		s.modes = make(map[string][]Mode)
-	}
-	s.modes[service] = append(s.modes[service], modes...)
-}
-
-// nextMode removes and returns the mode of the next request of a service, if NextModes
-// has set one.
-func (s *Site) nextMode(service string) (Mode, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	modes := s.modes[service]
-	if len(modes) == 0 {
-		return Serve, false
-	}
-	s.modes[service] = modes[1:]
-	return modes[0], true
+	s.modes.add(service, modes...)
 }
 
 // Record is the record of an endpoint in the store.
